Add the workspace, the design page and a thin path from caller to upstream

Cause: there is no code yet, and decisions should be measured on a running system. One process test sends a request from a caller through cicadalugd to an upstream stand-in and back.

--- /dev/null
+++ b/packages/core/src/cicadalug/model/room.hpp
@@ -0,0 +1,17 @@
+#ifndef CICADALUG_MODEL_ROOM_HPP
+#define CICADALUG_MODEL_ROOM_HPP
+
+#include <cicadalug/base/ids.hpp>
+
+namespace cicadalug {
+
+/** @brief Room with cooling of its own. */
+struct room {
+    room_id m_id;
+    /** @brief Power that the cooling can carry away now. */
+    watts m_limit;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/core/src/cicadalug/model/wave.hpp
@@ -0,0 +1,27 @@
+#ifndef CICADALUG_MODEL_WAVE_HPP
+#define CICADALUG_MODEL_WAVE_HPP
+
+#include <cicadalug/base/ids.hpp>
+#include <cicadalug/base/time.hpp>
+
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Maintenance wave: drains and reboots each VM of some pools once. */
+struct wave {
+    wave_id m_id;
+    std::vector<pool_id> m_pools;
+    /** @brief Largest number of VMs of one availability zone that are out at a time; 0 leaves it to the budgets. */
+    int m_batch_limit{0};
+    /** @brief Time for requests and tasks of a VM to finish. */
+    milliseconds m_drain_timeout{60'000};
+    /** @brief Time for a VM to come back after the reboot was asked for. */
+    milliseconds m_reboot_timeout{300'000};
+    /** @brief True while an operator holds the wave. */
+    bool m_paused{false};
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/runtime/src/cicadalug/http/http_connection.cpp
@@ -0,0 +1,111 @@
+#include <cicadalug/http/http_connection.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Largest answer body that is accepted, in bytes. */
+constexpr std::uint64_t max_response_body{16'777'216};
+
+[[nodiscard]] auto failure(const http_progress progress, const boost::system::error_code& error) -> http_failure
+{
+    return {progress, error == beast::error::timeout, error.message()};
+}
+
+} // namespace
+
+auto http_connection::connect(asio::any_io_executor executor, const tcp_endpoint endpoint, const milliseconds timeout)
+    -> asio::awaitable<result<std::unique_ptr<http_connection>, http_failure>>
+{
+    std::unique_ptr<http_connection> connection{new http_connection{std::move(executor)}};
+    boost::system::error_code error;
+    connection->m_stream.expires_after(timeout);
+    co_await connection->m_stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return failure(http_progress::not_sent, error);
+    }
+    connection->m_stream.socket().set_option(asio::ip::tcp::no_delay{true}, error);
+    connection->m_open = true;
+    co_return std::move(connection);
+}
+
+auto http_connection::exchange(http_request request, const milliseconds timeout)
+    -> asio::awaitable<result<http_response, http_failure>>
+{
+    m_open = false;
+    request.prepare_payload();
+    boost::system::error_code error;
+    m_stream.expires_after(timeout);
+    const auto sent = co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return failure(sent == 0 ? http_progress::not_sent : http_progress::maybe_sent, error);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_response_body);
+    co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error || !parser.is_done()) {
+        close();
+        co_return failure(http_progress::maybe_sent, error);
+    }
+    m_open = parser.get().keep_alive() && m_buffer.size() == 0;
+    co_return parser.release();
+}
+
+auto http_connection::reusable() -> bool
+{
+    if (!m_open) {
+        return false;
+    }
+    boost::system::error_code error;
+    char byte{};
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+auto http_connection::close() -> void
+{
+    m_open = false;
+    m_stream.close();
+}
+
+auto http_fetch(asio::any_io_executor executor, const tcp_endpoint endpoint, http_request request,
+                const milliseconds timeout) -> asio::awaitable<result<http_response, http_failure>>
+{
+    auto connected = co_await http_connection::connect(std::move(executor), endpoint, timeout);
+    if (!connected) {
+        co_return std::move(connected).assume_error();
+    }
+    auto connection = std::move(connected).assume_value();
+    co_return co_await connection->exchange(std::move(request), timeout);
+}
+
+auto http_fetch_blocking(const tcp_endpoint& endpoint, http_request request, const milliseconds timeout)
+    -> result<http_response, http_failure>
+{
+    asio::io_context context;
+    std::optional<result<http_response, http_failure>> answer;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            answer.emplace(co_await http_fetch(context.get_executor(), endpoint, std::move(request), timeout));
+        },
+        asio::detached);
+    context.run();
+    return std::move(answer).value();
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/runtime/src/cicadalug/http/message.hpp
@@ -0,0 +1,51 @@
+#ifndef CICADALUG_HTTP_MESSAGE_HPP
+#define CICADALUG_HTTP_MESSAGE_HPP
+
+#include <cicadalug/base/finding.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <string_view>
+namespace cicadalug {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using tcp_endpoint = asio::ip::tcp::endpoint;
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+/**
+ * @brief Makes a response with a JSON body.
+ * @param status Status code.
+ * @param body Body.
+ * @return The response, with its content length set.
+ */
+[[nodiscard]] auto json_response(http::status status, const nlohmann::json& body) -> http_response;
+
+/**
+ * @brief Makes the response for a rejected input, as a JSON object with one member "findings".
+ * @param status Status code.
+ * @param found All findings.
+ * @return The response, with its content length set.
+ */
+[[nodiscard]] auto findings_response(http::status status, const findings& found) -> http_response;
+
+/**
+ * @brief Parses an IP address and a port, for example "127.0.0.1:80" or "[::1]:80".
+ * @param text The text.
+ * @param place Place of the text, for the finding.
+ * @param found Gets a finding if the text is no endpoint.
+ * @return The endpoint, or an empty one after a finding.
+ */
+[[nodiscard]] auto parse_endpoint(std::string_view text, const std::string& place, findings& found) -> tcp_endpoint;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/runtime/test/cicadalug/http/http_server.cpp
@@ -0,0 +1,104 @@
+#include <cicadalug/http/http_connection.hpp>
+#include <cicadalug/http/http_server.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace {
+
+using namespace cicadalug;
+
+constexpr milliseconds timeout{2'000};
+
+class http_server_test : public ::testing::Test {
+protected:
+    ~http_server_test() override
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
+    std::thread m_thread{[this] {
+        m_context.run();
+    }};
+};
+
+[[nodiscard]] auto local_endpoint() -> tcp_endpoint
+{
+    return {asio::ip::address_v4::loopback(), 0};
+}
+
+[[nodiscard]] auto echo(http_exchange& exchange) -> asio::awaitable<void>
+{
+    http_response response{http::status::ok, 11};
+    response.body() = exchange.request().body();
+    response.prepare_payload();
+    co_await exchange.respond(std::move(response));
+}
+
+[[nodiscard]] auto echo_after_delay(http_exchange& exchange) -> asio::awaitable<void>
+{
+    asio::steady_timer timer{co_await asio::this_coro::executor, milliseconds{100}};
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await echo(exchange);
+}
+
+TEST_F(http_server_test, answers_with_the_whole_body)
+{
+    const http_server server{m_context, local_endpoint(), {}, echo};
+    http_request request{http::verb::post, "/", 11};
+    request.body() = std::string(100'000, 'x');
+    const auto answer = http_fetch_blocking(server.endpoint(), request, timeout);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer.assume_value().body(), request.body());
+}
+
+// Guards against unbounded memory use by one request.
+TEST_F(http_server_test, rejects_a_body_over_the_limit)
+{
+    http_server_limits limits;
+    limits.m_body_bytes = 1'000;
+    const http_server server{m_context, local_endpoint(), limits, echo};
+    http_request request{http::verb::post, "/", 11};
+    request.body() = std::string(1'001, 'x');
+    const auto answer = http_fetch_blocking(server.endpoint(), request, timeout);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer.assume_value().result(), http::status::payload_too_large);
+}
+
+// Guards against a stop that cuts a request in flight.
+TEST_F(http_server_test, drain_answers_requests_in_flight)
+{
+    http_server server{m_context, local_endpoint(), {}, echo_after_delay};
+    http_request request{http::verb::post, "/", 11};
+    request.body() = "in flight";
+    auto answer =
+        std::async(std::launch::async, [&] { return http_fetch_blocking(server.endpoint(), request, timeout); });
+    while (server.requests_in_flight() == 0) {
+        std::this_thread::yield();
+    }
+    server.drain();
+    const auto response = answer.get();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response.assume_value().body(), "in flight");
+}
+
+// Guards against calling a request not sent when a byte of it may have arrived.
+TEST_F(http_server_test, refused_connection_is_not_sent)
+{
+    asio::ip::tcp::acceptor closed{m_context, local_endpoint()};
+    const auto endpoint = closed.local_endpoint();
+    closed.close();
+    const auto failed = http_fetch_blocking(endpoint, http_request{http::verb::get, "/", 11}, timeout);
+    ASSERT_FALSE(failed);
+    EXPECT_EQ(failed.assume_error().m_progress, http_progress::not_sent);
+}
+
+} // namespace
--- /dev/null
+++ b/test/process/child_process.hpp
@@ -0,0 +1,48 @@
+#ifndef CICADALUG_PROCESS_CHILD_PROCESS_HPP
+#define CICADALUG_PROCESS_CHILD_PROCESS_HPP
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace cicadalug::process_test {
+
+/** @brief A process that a test started. It is ended by its pid at the latest when the object goes away. */
+class child_process {
+public:
+    /**
+     * @brief Starts a program.
+     * @param program Path of the program.
+     * @param arguments Its arguments.
+     */
+    child_process(const std::string& program, const std::vector<std::string>& arguments);
+
+    child_process(const child_process&) = delete;
+    child_process(child_process&& other) noexcept;
+    auto operator=(const child_process&) -> child_process& = delete;
+    auto operator=(child_process&&) -> child_process& = delete;
+    ~child_process();
+
+    /** @brief Sends a signal to the process. */
+    auto signal(int number) const -> void;
+
+    /** @brief Waits for the end of the process. @return Its exit code, or 128 plus the signal that ended it. */
+    auto wait() -> int;
+
+private:
+    pid_t m_pid{-1};
+};
+
+/** @brief Waits until a TCP port accepts connections. @return False if it does not within 5 s. */
+[[nodiscard]] auto wait_for_port(const std::string& endpoint) -> bool;
+
+/**
+ * @brief Returns an address of the loopback range that no other test process of this run uses, so that tests can run
+ * concurrently on fixed ports.
+ */
+[[nodiscard]] auto loopback_address() -> std::string;
+
+} // namespace cicadalug::process_test
+
+#endif
