--- /dev/null
+++ b/packages/core/src/cicadalug/order/fwd.hpp
@@ -0,0 +1,17 @@
+#ifndef CICADALUG_ORDER_FWD_HPP
+#define CICADALUG_ORDER_FWD_HPP
+
+namespace cicadalug {
+
+struct ticket;
+struct kept_answer;
+struct journal_limits;
+struct journal_state;
+struct presentation;
+struct claim;
+struct claim_bucket;
+struct claim_result;
+
+} // namespace cicadalug
+
+#endif
