--- /dev/null
+++ b/packages/core/src/cicadalug/routing/slot_message.hpp
@@ -0,0 +1,95 @@
+#ifndef CICADALUG_ROUTING_SLOT_MESSAGE_HPP
+#define CICADALUG_ROUTING_SLOT_MESSAGE_HPP
+
+#include <cicadalug/base/ids.hpp>
+#include <cicadalug/base/time.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief One slot of an upstream. */
+struct slot_name {
+    vm_id m_vm;
+    /** @brief Number of the slot, from 0. */
+    std::uint8_t m_slot{0};
+
+    [[nodiscard]] friend auto operator<=>(const slot_name&, const slot_name&) noexcept
+        -> std::strong_ordering = default;
+
+    /** @brief Reads or writes the name with a cereal archive. */
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_vm, m_slot);
+    }
+};
+
+/** @brief Asks a peer to lend slots. A request is answered at most once: the lender remembers the sequence. */
+struct slot_request {
+    entry_vm_id m_from;
+    /** @brief Incarnation of the borrower. */
+    incarnation m_incarnation;
+    /** @brief Number of the request, higher for each request of one incarnation. */
+    std::uint64_t m_sequence{0};
+    pool_id m_pool;
+    /** @brief Number of slots that are wanted. */
+    std::uint32_t m_count{0};
+    /** @brief Term in milliseconds; the borrower counts it from the sending of this request. */
+    std::uint32_t m_term_ms{0};
+
+    /** @brief Reads or writes the message with a cereal archive. */
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_from, m_incarnation, m_sequence, m_pool, m_count, m_term_ms);
+    }
+};
+
+/** @brief Lends slots for the term of the request; the lender counts it from the receipt of the request. */
+struct slot_grant {
+    /** @brief The lender. */
+    entry_vm_id m_from;
+    /** @brief Incarnation of the lender. */
+    incarnation m_lender_incarnation;
+    /** @brief Incarnation of the borrower, from the request. */
+    incarnation m_incarnation;
+    /** @brief Sequence of the request. */
+    std::uint64_t m_sequence{0};
+    std::vector<slot_name> m_slots;
+
+    /** @brief Reads or writes the message; needs cereal/types/vector.hpp. */
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_from, m_lender_incarnation, m_incarnation, m_sequence, m_slots);
+    }
+};
+
+/** @brief Gives slots of one grant back before the term ends. */
+struct slot_return {
+    /** @brief The borrower. */
+    entry_vm_id m_from;
+    /** @brief Incarnation of the borrower. */
+    incarnation m_incarnation;
+    /** @brief Sequence of the request that the slots were lent for. */
+    std::uint64_t m_sequence{0};
+    std::vector<slot_name> m_slots;
+
+    /** @brief Reads or writes the message; needs cereal/types/vector.hpp. */
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_from, m_incarnation, m_sequence, m_slots);
+    }
+};
+
+/** @brief Message between entry VMs of one availability zone; may be lost, repeated, reordered or late. */
+using slot_message = std::variant<slot_request, slot_grant, slot_return>;
+
+} // namespace cicadalug
+
+#endif
