--- a/packages/core/src/cicadalug/fleet/fwd.hpp
+++ b/packages/core/src/cicadalug/fleet/fwd.hpp
@@ -4,6 +4,14 @@
 namespace cicadalug {
 
 struct vm_record;
+struct vm_shard;
+struct budget_charge;
+struct budget_ledger;
+struct zone_report;
+struct drain_confirmation;
+struct wave_progress;
+struct control_state;
+struct control_inputs;
 
 } // namespace cicadalug
 
--- a/packages/core/src/cicadalug/fleet/vm_record.hpp
+++ b/packages/core/src/cicadalug/fleet/vm_record.hpp
@@ -24,6 +24,22 @@
     set_aside,
 };
 
+/** @brief How an operation on a VM ended. */
+enum class operation_outcome : std::uint8_t {
+    /** @brief No operation has ended yet. */
+    none,
+    /** @brief The operation did what it was for. */
+    done,
+    /** @brief Cancelled because requests or confirmations were outstanding at the drain timeout. */
+    not_drained,
+    /** @brief The VM did not boot or did not pass its probe within the reboot timeout. */
+    not_returned,
+    /** @brief The operator or the planner withdrew the operation before it disrupted the VM. */
+    withdrawn,
+    /** @brief The VM disappeared from the platform's list. */
+    gone,
+};
+
 /** @brief The one entry of a VM in the key-value service. Having one entry, a VM has one pool. */
 struct vm_record {
     vm_id m_vm;
@@ -44,6 +60,16 @@
     operation_id m_operation;
     /** @brief Number of times the VM changed pools. */
     std::uint64_t m_generation{0};
+    /**
+     * @brief Version of the shard just before the announcement. It identifies the announcement among all operations
+     * on the VM, so that a late drain confirmation of an earlier operation does not count.
+     */
+    version m_announcement;
+    /** @brief Boot that the platform listed at the announcement; a later boot means that the VM restarted. */
+    std::uint64_t m_boot{0};
+    /** @brief Operation that ended last; written in the same step as the end, so that a crash cannot hide it. */
+    operation_id m_last_operation;
+    operation_outcome m_last_outcome{operation_outcome::none};
 
     [[nodiscard]] friend auto operator==(const vm_record&, const vm_record&) -> bool = default;
 };
