--- a/packages/core/src/cicadalug/order/fwd.hpp
+++ b/packages/core/src/cicadalug/order/fwd.hpp
@@ -9,8 +9,7 @@
 struct journal_state;
 struct presentation;
 struct claim;
-struct claim_bucket;
-struct claim_result;
+struct key_digest;
 
 } // namespace cicadalug
 
--- a/packages/core/src/cicadalug/order/journal.cpp
+++ b/packages/core/src/cicadalug/order/journal.cpp
@@ -23,15 +23,16 @@
     return next == state.m_batches.begin() ? nullptr : &*std::prev(next);
 }
 
-[[nodiscard]] auto count_valid(const journal_state& state, const time_point now) -> std::uint64_t
+auto expire_tickets(journal_state& state, const time_point now) -> void
 {
-    std::uint64_t count{0};
-    for (const auto& batch : state.m_batches) {
+    while (state.m_expired_batches < state.m_batches.size()) {
+        const auto& batch = state.m_batches[state.m_expired_batches];
         if (now <= batch.m_issued_at + state.m_limits.m_ticket_lifetime) {
-            count += batch.m_count;
+            return;
         }
+        state.m_valid_tickets -= batch.m_count;
+        ++state.m_expired_batches;
     }
-    return count;
 }
 
 /** @brief Lets an order that was not run run again. */
@@ -125,10 +126,11 @@
         return findings{"count", "is not from 1 to " + std::to_string(max_tickets_per_call)};
     }
     const auto wanted = static_cast<std::uint64_t>(count);
-    if (count_valid(state, now) + wanted > state.m_limits.m_valid_tickets) {
+    if (state.m_valid_tickets + wanted > state.m_limits.m_valid_tickets) {
         return findings{"count", "too many tickets are valid, ask again later"};
     }
     state.m_batches.push_back({state.m_next, wanted, now});
+    state.m_valid_tickets += wanted;
     std::vector<ticket> tickets;
     tickets.reserve(wanted);
     for (std::uint64_t i = 0; i < wanted; ++i) {
@@ -219,9 +221,11 @@
         state.m_ended.erase(state.m_ended.begin());
     }
     trim_answered(state);
+    expire_tickets(state, now);
     const auto lifetime = state.m_limits.m_ticket_lifetime + state.m_limits.m_retention;
     while (!state.m_batches.empty() && state.m_batches.front().m_issued_at + lifetime < now) {
         state.m_batches.pop_front();
+        --state.m_expired_batches;
     }
 }
 
--- a/packages/core/src/cicadalug/order/journal.hpp
+++ b/packages/core/src/cicadalug/order/journal.hpp
@@ -108,7 +108,12 @@
     incarnation m_incarnation;
     journal_limits m_limits;
     ticket_number m_next{1};
+    /** @brief Batches whose tickets are valid or whose orders may still be kept, the oldest first. */
     std::deque<ticket_batch> m_batches;
+    /** @brief Number of batches at the front of m_batches whose tickets have expired. */
+    std::size_t m_expired_batches{0};
+    /** @brief Number of tickets that are valid. */
+    std::uint64_t m_valid_tickets{0};
     std::map<order_key, journal_entry> m_orders;
     /** @brief Ended orders by the time until which they are kept. */
     std::multimap<time_point, order_key> m_ended;
