Add the routing decisions behind the interface

Cause: the simple version shares no slots, keeps no order and learns nothing. Change: slot shares by rendezvous hash, a slot ledger with loans for a term, an admission queue with quotas, choice of upstream by free slots and health, overflow, ejection with probes, learned run times, a retry budget, the deadline rule. Loan terms are counted from the sending by the borrower and from the receipt, plus 200 ms, by the lender, so no clocks are compared. A slot that failed fast is held for the mean run time, so that it gets no more requests than one that works. Failed on the way: the retry test had a pool without a promise, so its whole rack was ejected; the outcome test did not complete the probes that it was asked for. Both tests were corrected, no check was dropped. Conclusion: ready for the request path; goodput and CPU time are not measured yet.

--- a/packages/core/src/cicadalug/routing/router.cpp
+++ b/packages/core/src/cicadalug/routing/router.cpp
@@ -1,153 +1,291 @@
+#include <cicadalug/routing/deadline_rule.hpp>
 #include <cicadalug/routing/router.hpp>
+#include <cicadalug/routing/routing_steps.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalug {
 
 namespace {
 
-auto start_waiting(routing_state& state, const pool_id& pool, routing_effects& effects) -> void
+using namespace internal;
+
+// A request that several upstreams failed on is more likely at fault than all of them.
+constexpr int most_attempts = 4;
+constexpr milliseconds probe_timeout{1'000};
+constexpr milliseconds no_upstream_retry{1'000};
+// Observations of a service after which a silent attempt says nothing about its run time any more.
+constexpr std::size_t known_run_time_samples = 20;
+
+[[nodiscard]] auto refusal(const routing_request& request, const answer_reason reason, const milliseconds retry_after)
+    -> final_answer
 {
-    auto& waiting = state.m_waiting[pool];
-    for (auto& [vm, upstream] : state.m_upstreams) {
-        while (!waiting.empty() && upstream.m_pool == pool && upstream.m_takes_work &&
-               upstream.m_in_use < upstream.m_slots) {
-            const auto request = waiting.front();
-            waiting.pop_front();
-            const attempt_id attempt{++state.m_last_attempt};
-            state.m_attempts[attempt.value()] = {request, vm};
-            ++upstream.m_in_use;
-            effects.m_starts.push_back({request, vm, attempt, state.m_requests[request].m_deadline});
-        }
-    }
+    return {request.m_id, answer_kind::not_run, reason, retry_after};
 }
 
-} // namespace
+[[nodiscard]] auto add_request(routing_state& state, const routing_request& request, const service_index service,
+                               const time_point now) -> request_number
+{
+    const auto number = ++state.m_last_request;
+    live_request live;
+    live.m_request = request;
+    live.m_service = service;
+    const auto team = state.m_team_numbers.find(request.m_team);
+    live.m_team = team == state.m_team_numbers.end() ? 0 : team->second;
+    live.m_pool = state.m_services[service].m_pool;
+    live.m_submitted = now;
+    state.m_requests.emplace(number, std::move(live));
+    state.m_request_numbers[request.m_id] = number;
+    state.m_timers.push({request.m_deadline, timer_kind::request_deadline, number});
+    return number;
+}
 
-auto submit(routing_state& state, const routing_request& request, const time_point now) -> routing_effects
+/** @brief Queues a request that finds no free slot, or refuses it if it would wait too long. */
+auto admit(routing_state& state, const request_number number, const time_point now, routing_effects& effects) -> void
 {
-    routing_effects effects;
-    const auto found = state.m_services.find(request.m_service);
-    if (found == state.m_services.end()) {
-        effects.m_answers.push_back({request.m_id, answer_kind::not_run, answer_reason::unknown_service, {}});
-        return effects;
+    const auto& live = state.m_requests.find(number)->second;
+    const auto& service = state.m_services[live.m_service];
+    const auto& pool = state.m_pools[live.m_pool];
+    const queue_place place{!live.m_request.m_urgent, live.m_request.m_deadline, number};
+    const auto wait = estimated_wait(count_before(pool.m_queue, place), pool.m_slots, pool.m_run_time.m_mean);
+    const auto remaining = live.m_request.m_deadline - now;
+    const auto late = wait + needed_time(service.m_run_time, remaining) - remaining;
+    if (late > microseconds{0}) {
+        refuse_request(state, number, answer_reason::deadline, retry_time(late), effects);
+        return;
     }
-    if (request.m_deadline <= now) {
-        effects.m_answers.push_back({request.m_id, answer_kind::not_run, answer_reason::deadline, {}});
-        return effects;
+    if (service.m_waiting >= service.m_service.m_queue_limit) {
+        const auto last = last_of_service(pool.m_queue, live.m_service);
+        const auto displaces = live.m_request.m_urgent && last && last->m_place.m_normal;
+        refuse_request(state, displaces ? last->m_number : number, answer_reason::queue_full, retry_time(wait),
+                       effects);
+        if (!displaces) {
+            return;
+        }
     }
-    state.m_requests[request.m_id] = request;
-    state.m_waiting[found->second.m_pool].push_back(request.m_id);
-    start_waiting(state, found->second.m_pool, effects);
-    return effects;
+    queue_request(state, number);
 }
 
-auto complete(routing_state& state, const attempt_id attempt, const attempt_outcome outcome,
-              [[maybe_unused]] const time_point now) -> routing_effects
+/** @brief Queues a request again after an attempt, or gives it its final answer. */
+auto retry_or_finish(routing_state& state, const request_number number, const attempt_outcome outcome,
+                     const time_point now, routing_effects& effects) -> void
 {
-    routing_effects effects;
-    const auto found = state.m_attempts.find(attempt.value());
-    if (found == state.m_attempts.end()) {
-        return effects;
+    auto& live = state.m_requests.find(number)->second;
+    auto& budget = state.m_services[live.m_service].m_budget;
+    if (outcome == attempt_outcome::never_runs) {
+        refund_retries(budget, live.m_attempts - 1);
+        refuse_request(state, number, answer_reason::never_runs, milliseconds{0}, effects);
+        return;
     }
-    auto& upstream = state.m_upstreams[found->second.m_vm];
-    --upstream.m_in_use;
-    if (state.m_requests.erase(found->second.m_request) > 0) {
-        const auto kind = is_not_run(outcome) ? answer_kind::not_run
-                          : outcome == attempt_outcome::answered || outcome == attempt_outcome::failed
-                              ? answer_kind::answered
-                              : answer_kind::unknown;
-        effects.m_answers.push_back({found->second.m_request, kind, answer_reason::none, {}});
-    }
-    state.m_attempts.erase(found);
-    start_waiting(state, upstream.m_pool, effects);
-    return effects;
+    live.m_may_have_run = live.m_may_have_run || !is_not_run(outcome);
+    const auto may = may_retry(outcome, live.m_request.m_idempotent);
+    const auto in_time = now < live.m_request.m_deadline;
+    if (may && in_time && live.m_attempts < most_attempts && take_retry(budget)) {
+        queue_request(state, number);
+        dispatch_pool(state, live.m_pool, now, effects);
+        return;
+    }
+    if (outcome == attempt_outcome::answered || outcome == attempt_outcome::failed) {
+        finish_request(state, number, {live.m_request.m_id, answer_kind::answered, answer_reason::none, {}}, effects);
+        return;
+    }
+    const auto reason = !is_not_run(outcome)               ? answer_reason::no_answer
+                        : !in_time                         ? answer_reason::deadline
+                        : live.m_attempts >= most_attempts ? answer_reason::not_accepted
+                                                           : answer_reason::retry_budget;
+    refuse_request(state, number, reason, no_upstream_retry, effects);
 }
 
-auto cancel(routing_state& state, const request_id& request, [[maybe_unused]] const time_point now) -> routing_effects
+/** @brief Draws conclusions for the upstream, and returns until when the slot stays in use. */
+[[nodiscard]] auto judge_upstream(routing_state& state, live_attempt& attempt, const attempt_outcome outcome,
+                                  const time_point now) -> time_point
 {
-    if (state.m_requests.erase(request) > 0) {
-        for (auto& [pool, waiting] : state.m_waiting) {
-            std::erase(waiting, request);
+    const auto upstream = attempt.m_slot.m_upstream;
+    auto& health = state.m_upstreams[upstream].m_health;
+    auto& service = state.m_services[attempt.m_service];
+    auto& pool_times = state.m_pools[attempt.m_pool].m_run_time;
+    const microseconds mean{static_cast<microseconds::rep>(service.m_run_time.m_mean)};
+    switch (outcome) {
+    case attempt_outcome::answered: {
+        const auto was_bad = is_bad(health);
+        count_success(health);
+        learn(service.m_run_time, now - attempt.m_started);
+        learn(pool_times, now - attempt.m_started);
+        if (was_bad) {
+            update_ejections(state, state.m_upstreams[upstream].m_pool, now);
+        }
+        return now;
+    }
+    case attempt_outcome::never_runs:
+        return now;
+    case attempt_outcome::no_slot:
+        // Another entry VM uses the slot; it is likely to be free after one job.
+        return now + mean;
+    case attempt_outcome::leaving:
+        health.m_leaving = true;
+        update_ejections(state, state.m_upstreams[upstream].m_pool, now);
+        return now;
+    case attempt_outcome::connect_failed:
+    case attempt_outcome::failed:
+        blame_upstream(state, upstream, now);
+        // A slot that fails fast takes as long as one that works, so it gets no more requests.
+        return std::max(now, attempt.m_started + mean);
+    case attempt_outcome::silent:
+    case attempt_outcome::connection_lost:
+        // A deadline shorter than an ordinary run says nothing about the upstream.
+        if (!attempt.m_overdue && (outcome == attempt_outcome::connection_lost ||
+                                   now - attempt.m_started >= percentile(service.m_run_time, 0.99))) {
+            blame_upstream(state, upstream, now);
+        }
+        if (outcome == attempt_outcome::silent && service.m_run_time.m_samples < known_run_time_samples) {
+            learn(service.m_run_time, now - attempt.m_started);
         }
+        return std::max(now, attempt.m_hold_until);
+    case attempt_outcome::cancelled:
+        return std::max(now, attempt.m_hold_until);
     }
-    return {};
+    return now;
 }
 
-auto tick(routing_state& state, const time_point now) -> routing_effects
+auto complete_probe(routing_state& state, const std::uint64_t attempt, const attempt_outcome outcome,
+                    const time_point now) -> void
 {
-    routing_effects effects;
-    for (auto& [pool, waiting] : state.m_waiting) {
-        std::erase_if(waiting, [&](const request_id& id) {
-            const auto expired = state.m_requests[id].m_deadline <= now;
-            if (expired) {
-                effects.m_answers.push_back({id, answer_kind::not_run, answer_reason::deadline, {}});
-                state.m_requests.erase(id);
-            }
-            return expired;
-        });
-    }
-    return effects;
+    const auto upstream = state.m_attempts.find(attempt)->second.m_slot.m_upstream;
+    state.m_attempts.erase(attempt);
+    auto& entry = state.m_upstreams[upstream];
+    entry.m_probe_scheduled = false;
+    count_probe(entry.m_health, outcome == attempt_outcome::answered);
+    update_ejections(state, entry.m_pool, now);
 }
 
-auto apply_view(routing_state& state, const fleet_view& view, [[maybe_unused]] const time_point now) -> routing_effects
+auto run_probe(routing_state& state, const upstream_index upstream, const time_point now, routing_effects& effects)
+    -> void
 {
-    routing_effects effects;
-    state.m_services = view.m_services;
-    for (auto& [vm, upstream] : state.m_upstreams) {
-        upstream.m_takes_work = false;
-    }
-    for (const auto& [vm, record] : view.m_vms) {
-        if (record.m_availability_zone == state.m_settings.m_availability_zone) {
-            auto& upstream = state.m_upstreams[vm];
-            upstream.m_pool = record.m_pool;
-            upstream.m_slots = record.m_slots;
-            upstream.m_takes_work = takes_new_work(record) && !view.m_leaving.contains(vm);
-        }
+    auto& entry = state.m_upstreams[upstream];
+    if (!entry.m_serving || !(is_bad(entry.m_health) || entry.m_health.m_leaving)) {
+        entry.m_probe_scheduled = false;
+        return;
     }
-    for (const auto& [pool, description] : view.m_pools) {
-        start_waiting(state, pool, effects);
-    }
-    return effects;
+    const attempt_id attempt{++state.m_last_attempt};
+    live_attempt probe;
+    probe.m_slot.m_upstream = upstream;
+    state.m_attempts[attempt.value()] = probe;
+    effects.m_probes.push_back({state.m_ledger.m_vms[upstream], attempt, now + probe_timeout});
 }
 
-auto apply_peers(routing_state&, const std::vector<routing_peer>&, time_point) -> routing_effects
+auto run_timer(routing_state& state, const routing_timer& timer, const time_point now, routing_effects& effects) -> void
 {
-    return {};
+    const auto attempt = state.m_attempts.find(timer.m_subject);
+    switch (timer.m_kind) {
+    case timer_kind::request_deadline:
+        if (const auto found = state.m_requests.find(timer.m_subject); found != state.m_requests.end()) {
+            auto& live = found->second;
+            live.m_may_have_run = live.m_may_have_run || !live.m_waiting;
+            refuse_request(state, timer.m_subject, answer_reason::deadline, no_upstream_retry, effects);
+        }
+        return;
+    case timer_kind::attempt_overdue:
+        if (attempt != state.m_attempts.end() && !attempt->second.m_ended) {
+            attempt->second.m_overdue = true;
+            blame_upstream(state, attempt->second.m_slot.m_upstream, now);
+        }
+        return;
+    case timer_kind::slot_release:
+        if (attempt != state.m_attempts.end()) {
+            release_slot(state, attempt_id{timer.m_subject}, now, now);
+        }
+        return;
+    case timer_kind::probe:
+        run_probe(state, static_cast<upstream_index>(timer.m_subject), now, effects);
+        return;
+    }
 }
 
-auto receive(routing_state&, const slot_message&, time_point) -> routing_effects
+} // namespace
+
+auto submit(routing_state& state, const routing_request& request, const time_point now) -> routing_effects
 {
-    return {};
+    routing_effects effects;
+    const auto service = state.m_service_numbers.find(request.m_service);
+    if (service == state.m_service_numbers.end() || !state.m_services[service->second].m_known) {
+        effects.m_answers.push_back(refusal(request, answer_reason::unknown_service, milliseconds{0}));
+        return effects;
+    }
+    const auto& entry = state.m_services[service->second];
+    if (request.m_deadline <= now) {
+        effects.m_answers.push_back(refusal(request, answer_reason::deadline, milliseconds{0}));
+        return effects;
+    }
+    const auto number = add_request(state, request, service->second, now);
+    const auto& pool = state.m_pools[entry.m_pool];
+    if (pool.m_queue.m_requests.empty() && start_request(state, number, now, effects)) {
+        return effects;
+    }
+    if (pool.m_serving == 0) {
+        refuse_request(state, number, answer_reason::no_upstream, no_upstream_retry, effects);
+    }
+    else {
+        admit(state, number, now, effects);
+        dispatch_pool(state, entry.m_pool, now, effects);
+    }
+    return effects;
 }
 
-auto return_slots(routing_state&, time_point) -> routing_effects
+auto complete(routing_state& state, const attempt_id attempt, const attempt_outcome outcome, const time_point now)
+    -> routing_effects
 {
-    return {};
+    routing_effects effects;
+    const auto found = state.m_attempts.find(attempt.value());
+    if (found == state.m_attempts.end() || found->second.m_ended) {
+        return effects;
+    }
+    auto& entry = found->second;
+    if (entry.m_number == 0) {
+        complete_probe(state, attempt.value(), outcome, now);
+        dispatch_freed(state, now, effects);
+        return effects;
+    }
+    entry.m_ended = true;
+    const auto number = entry.m_number;
+    const auto hold_until = judge_upstream(state, entry, outcome, now);
+    if (!may_still_run(outcome)) {
+        end_running(state, entry);
+    }
+    release_slot(state, attempt, hold_until, now);
+    if (state.m_requests.contains(number)) {
+        retry_or_finish(state, number, outcome, now, effects);
+    }
+    dispatch_freed(state, now, effects);
+    return effects;
 }
 
-auto in_flight(const routing_state& state, const vm_id& vm) -> int
+auto cancel(routing_state& state, const request_id& request, const time_point now) -> routing_effects
 {
-    const auto found = state.m_upstreams.find(vm);
-    return found == state.m_upstreams.end() ? 0 : found->second.m_in_use;
+    routing_effects effects;
+    const auto found = state.m_request_numbers.find(request);
+    if (found != state.m_request_numbers.end()) {
+        forget_request(state, found->second);
+        dispatch_freed(state, now, effects);
+    }
+    return effects;
 }
 
-auto pool_pressures(const routing_state& state) -> std::vector<pool_pressure>
+auto tick(routing_state& state, const time_point now) -> routing_effects
 {
-    std::map<pool_id, pool_pressure> pressures;
-    for (const auto& [vm, upstream] : state.m_upstreams) {
-        auto& pressure = pressures[upstream.m_pool];
-        pressure.m_slots += upstream.m_slots;
-        pressure.m_in_use += upstream.m_in_use;
-    }
-    std::vector<pool_pressure> list;
-    for (auto& [pool, pressure] : pressures) {
-        const auto waiting = state.m_waiting.find(pool);
-        pressure.m_pool = pool;
-        pressure.m_waiting = waiting == state.m_waiting.end() ? 0 : static_cast<int>(waiting->second.size());
-        list.push_back(pressure);
-    }
-    return list;
+    routing_effects effects;
+    while (!state.m_timers.empty() && state.m_timers.top().m_time <= now) {
+        const auto timer = state.m_timers.top();
+        state.m_timers.pop();
+        run_timer(state, timer, now, effects);
+    }
+    for (const auto key : expire_loans(state.m_ledger, now)) {
+        refresh_upstream(state, key.m_upstream);
+    }
+    return_idle_loans(state, effects);
+    dispatch_freed(state, now, effects);
+    ask_peers(state, now, effects);
+    return effects;
 }
 
 } // namespace cicadalug
--- /dev/null
+++ b/packages/core/test/cicadalug/routing/router.cpp
@@ -0,0 +1,245 @@
+#include "router_fixture.hpp"
+
+#include <cicadalug/routing/router.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace {
+
+using namespace cicadalug;
+using namespace cicadalug::test;
+
+constexpr time_point start{seconds{1'000}};
+constexpr time_point late = start + seconds{10};
+
+class router : public testing::Test {
+protected:
+    auto use(const fleet_view& view) -> void { std::ignore = apply_view(m_state, view, m_now); }
+
+    [[nodiscard]] auto send(const std::string& id, const std::string& service = "s") -> routing_effects
+    {
+        return submit(m_state, make_request(id, late, service), m_now);
+    }
+
+    /** @brief Sends idempotent requests one after the other, each with the same outcome after 1 ms. */
+    auto run_jobs(const int count, const std::set<std::string>& failing) -> std::map<std::string, int>
+    {
+        std::map<std::string, int> starts;
+        for (auto number = 0; number < count; ++number) {
+            auto request = make_request("job-" + std::to_string(m_jobs++), m_now + seconds{10});
+            request.m_idempotent = true;
+            auto effects = submit(m_state, request, m_now);
+            while (!effects.m_starts.empty()) {
+                const auto attempt = effects.m_starts.front();
+                ++starts[attempt.m_vm.str()];
+                const auto fails = failing.contains(attempt.m_vm.str());
+                m_now += fails ? milliseconds{1} : milliseconds{100};
+                effects = complete(m_state, attempt.m_attempt,
+                                   fails ? attempt_outcome::failed : attempt_outcome::answered, m_now);
+            }
+            std::ignore = tick(m_state, m_now);
+        }
+        return starts;
+    }
+
+    routing_state m_state{make_state()};
+    time_point m_now{start};
+    int m_jobs{0};
+};
+
+// Guards against work for a VM that leaves, drains or is out of the list, and against a drain confirmed too early.
+TEST_F(router, leaving_and_draining_vms_get_no_new_work)
+{
+    auto view = make_view(3, 0, 0, 0);
+    use(view);
+    const auto first = send("1").m_starts.at(0);
+    view.m_leaving.insert(vm_id{"p-0"});
+    view.m_vms[vm_id{"p-1"}].m_phase = vm_phase::announced;
+    view.m_vms.erase(vm_id{"p-2"});
+    use(view);
+    EXPECT_TRUE(send("2").m_starts.empty());
+    EXPECT_EQ(in_flight(m_state, first.m_vm), 1);
+    std::ignore = complete(m_state, first.m_attempt, attempt_outcome::answered, m_now);
+    EXPECT_EQ(in_flight(m_state, first.m_vm), 0);
+}
+
+// Guards against a drain confirmed while a job with an unknown end may still run.
+TEST_F(router, a_silent_attempt_keeps_its_slot_until_its_bound)
+{
+    use(make_view(1, 1, 0, 0, 1));
+    const auto attempt = send("1").m_starts.at(0);
+    const auto effects = complete(m_state, attempt.m_attempt, attempt_outcome::silent, m_now + seconds{5});
+    EXPECT_EQ(effects.m_answers.at(0).m_kind, answer_kind::unknown);
+    EXPECT_EQ(in_flight(m_state, attempt.m_vm), 1);
+    std::ignore = tick(m_state, late - milliseconds{1});
+    EXPECT_EQ(in_flight(m_state, attempt.m_vm), 1);
+    std::ignore = tick(m_state, late);
+    EXPECT_EQ(in_flight(m_state, attempt.m_vm), 0);
+}
+
+// Guards against an upstream that fails everything at once and thereby takes most of the work.
+TEST_F(router, fast_failures_do_not_attract_work)
+{
+    use(make_view(4, 4, 0, 0));
+    auto starts = run_jobs(200, {"p-0"});
+    EXPECT_LT(starts["p-0"], 20);
+}
+
+// Guards against ejection below the promise: two of four may go, and the third bad one stays as a last choice.
+TEST_F(router, ejection_stops_at_the_promise_and_probes_bring_back)
+{
+    use(make_view(4, 2, 0, 0));
+    const std::set<std::string> failing{"p-0", "p-1", "p-2", "p-3"};
+    run_jobs(20, failing);
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 4);
+    std::set<std::string> probed;
+    for (auto step = 0; step < 400; ++step) {
+        m_now += milliseconds{10};
+        for (const auto& probe : tick(m_state, m_now).m_probes) {
+            probed.insert(probe.m_vm.str());
+            std::ignore = complete(m_state, probe.m_attempt, attempt_outcome::answered, m_now);
+        }
+    }
+    EXPECT_EQ(probed, failing);
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 8);
+}
+
+// Guards against a retry budget that is ignored, and against one used up by jobs that never run.
+TEST_F(router, retries_stay_within_the_budget_and_never_runs_is_free)
+{
+    use(make_view(4, 4, 0, 0));
+    auto retries = 0;
+    for (auto number = 0; number < 100; ++number) {
+        const auto id = std::to_string(number);
+        auto attempt = send("never-" + id).m_starts.at(0);
+        const auto effects = complete(m_state, attempt.m_attempt, attempt_outcome::never_runs, m_now);
+        EXPECT_EQ(effects.m_answers.at(0).m_reason, answer_reason::never_runs);
+        EXPECT_EQ(effects.m_answers.at(0).m_kind, answer_kind::not_run);
+    }
+    for (auto number = 0; number < 100; ++number) {
+        auto effects = send(std::to_string(number));
+        while (!effects.m_starts.empty()) {
+            const auto attempt = effects.m_starts.at(0);
+            effects = complete(m_state, attempt.m_attempt, attempt_outcome::no_slot, m_now);
+            retries += effects.m_starts.empty() ? 0 : 1;
+        }
+        EXPECT_LE(effects.m_answers.size(), 1U);
+        m_now += milliseconds{200};
+        std::ignore = tick(m_state, m_now);
+    }
+    EXPECT_LE(retries, 30);
+    EXPECT_GE(retries, 20);
+}
+
+// Guards against a retry on the upstream that just refused.
+TEST_F(router, a_retry_prefers_another_upstream)
+{
+    use(make_view(4, 4, 0, 0, 8));
+    auto effects = send("1");
+    std::set<std::string> tried;
+    for (auto count = 0; count < 4; ++count) {
+        tried.insert(effects.m_starts.at(0).m_vm.str());
+        effects = complete(m_state, effects.m_starts.at(0).m_attempt, attempt_outcome::connect_failed, m_now);
+    }
+    EXPECT_EQ(tried.size(), 4U);
+    EXPECT_EQ(effects.m_answers.at(0).m_kind, answer_kind::not_run);
+}
+
+// Guards against overflow that takes the spare pool's promised capacity, and against no overflow at all.
+TEST_F(router, overflows_to_the_spare_pool_down_to_its_promise)
+{
+    use(make_view(1, 1, 4, 3));
+    std::map<std::string, int> starts;
+    for (auto number = 0; number < 8; ++number) {
+        for (const auto& attempt : send(std::to_string(number)).m_starts) {
+            ++starts[attempt.m_vm.str().substr(0, 2)];
+        }
+    }
+    EXPECT_EQ(starts["p-"], 2);
+    EXPECT_EQ(starts["sp"], 2);
+    EXPECT_EQ(send("own", "c").m_starts.size(), 1U);
+}
+
+// Guards against an unbounded queue, against a refusal without a time, and against urgent work refused for normal work.
+TEST_F(router, a_full_queue_refuses_with_a_time_and_urgent_work_displaces_normal_work)
+{
+    use(make_view(1, 1, 0, 0));
+    for (auto number = 0; number < 10; ++number) {
+        EXPECT_TRUE(send(std::to_string(number)).m_answers.empty());
+    }
+    const auto refused = send("10").m_answers.at(0);
+    EXPECT_EQ(refused.m_reason, answer_reason::queue_full);
+    EXPECT_GT(refused.m_retry_after, milliseconds{0});
+    auto urgent = make_request("urgent", late);
+    urgent.m_urgent = true;
+    EXPECT_EQ(submit(m_state, urgent, m_now).m_answers.at(0).m_request, request_id{"9"});
+}
+
+// Guards against requests that wait although their deadline cannot be met.
+TEST_F(router, a_request_that_cannot_meet_its_deadline_is_refused_early)
+{
+    use(make_view(1, 1, 0, 0, 1));
+    std::ignore = send("1");
+    const auto refused = submit(m_state, make_request("2", m_now + milliseconds{120}), m_now).m_answers.at(0);
+    EXPECT_EQ(refused.m_reason, answer_reason::deadline);
+    EXPECT_GT(refused.m_retry_after, milliseconds{0});
+}
+
+// Guards against cancelled requests that keep their places.
+TEST_F(router, a_wave_of_cancellations_frees_the_queue_at_once)
+{
+    auto view = make_view(1, 1, 0, 0);
+    view.m_services[service_id{"s"}].m_queue_limit = 10'000;
+    use(view);
+    for (auto number = 0; number < 5'000; ++number) {
+        std::ignore = submit(m_state, make_request(std::to_string(number), m_now + seconds{3'600}), m_now);
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_waiting, 4'998);
+    for (auto number = 4'999; number >= 0; --number) {
+        EXPECT_TRUE(cancel(m_state, request_id{std::to_string(number)}, m_now).m_answers.empty());
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_waiting, 0);
+}
+
+// Guards against an idle peer whose slots stay out of reach, and against a loan that outlives the need.
+TEST_F(router, borrows_from_an_idle_peer_and_returns)
+{
+    const auto view = make_view(4, 4, 0, 0);
+    auto peer = make_state("b");
+    use(view);
+    std::ignore = apply_view(peer, view, m_now);
+    std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
+    std::ignore = apply_peers(peer, {{entry_vm_id{"a"}, incarnation{1}}}, m_now);
+    const auto own = pool_pressures(m_state).at(0).m_slots;
+    EXPECT_EQ(own + pool_pressures(peer).at(0).m_slots, 8);
+    std::vector<start_attempt> started;
+    for (auto number = 0; number < 8; ++number) {
+        for (const auto& attempt : send(std::to_string(number)).m_starts) {
+            started.push_back(attempt);
+        }
+    }
+    EXPECT_EQ(static_cast<int>(started.size()), own);
+    auto asked = tick(m_state, m_now);
+    const auto granted = receive(peer, asked.m_messages.at(0).m_message, m_now);
+    for (const auto& attempt : receive(m_state, granted.m_messages.at(0).m_message, m_now).m_starts) {
+        started.push_back(attempt);
+    }
+    EXPECT_GT(static_cast<int>(started.size()), own);
+    for (auto next = std::size_t{0}; next < started.size(); ++next) {
+        const auto effects = complete(m_state, started[next].m_attempt, attempt_outcome::answered, m_now);
+        started.insert(started.end(), effects.m_starts.begin(), effects.m_starts.end());
+    }
+    for (const auto& message : tick(m_state, m_now).m_messages) {
+        std::ignore = receive(peer, message.m_message, m_now);
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, own);
+    EXPECT_EQ(pool_pressures(peer).at(0).m_slots, 8 - own);
+}
+
+} // namespace
