--- a/packages/core/src/cicadalug/model/fwd.hpp
+++ b/packages/core/src/cicadalug/model/fwd.hpp
@@ -1,6 +1,8 @@
 #ifndef CICADALUG_MODEL_FWD_HPP
 #define CICADALUG_MODEL_FWD_HPP
 
+#include <cstdint>
+
 namespace cicadalug {
 
 struct pool;
@@ -12,6 +14,8 @@
 struct vm_assignment;
 struct planning_policy;
 struct fleet_view;
+enum class resource_kind : std::uint8_t;
+struct resource;
 
 } // namespace cicadalug
 
