--- /dev/null
+++ b/packages/runtime/src/cicadalug/telemetry/span.hpp
@@ -0,0 +1,48 @@
+#ifndef CICADALUG_TELEMETRY_SPAN_HPP
+#define CICADALUG_TELEMETRY_SPAN_HPP
+
+#include <cicadalug/telemetry/trace_context.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Wall-clock time of a span, in ns since 1970. */
+using span_time = std::chrono::sys_time<std::chrono::nanoseconds>;
+
+/** @brief Name and value that describe a span. */
+struct span_attribute {
+    std::string m_name;
+    std::string m_value;
+};
+
+/** @brief One hop of a trace, finished. */
+struct span {
+    trace_context m_context;
+    /** @brief Context of the caller; nothing for the first span of a trace. */
+    std::optional<trace_context> m_parent;
+    std::string m_name;
+    span_time m_begin;
+    span_time m_end;
+    std::vector<span_attribute> m_attributes;
+    /** @brief True if the hop failed. */
+    bool m_failed{false};
+};
+
+/**
+ * @brief Forms the body of an OTLP/HTTP export request in JSON.
+ * @param spans The spans.
+ * @param entry_vm Value of the resource attribute "service.instance.id".
+ * @return The JSON value of an ExportTraceServiceRequest.
+ */
+[[nodiscard]] auto otlp_request(std::span<const span> spans, const std::string& entry_vm) -> nlohmann::json;
+
+} // namespace cicadalug
+
+#endif
