Add the versioned map of replication and its digests

Copies of resources and VM records merge by the highest store-wide version, with tombstones, so that late, repeated or reordered messages cannot revert a key.

The first form of the property test found a fault: a copy that read the store whole, but had never known a removed key, took the old value over from a peer. A map now notes the revision of each whole read; an older entry that the read did not have becomes a tombstone with that revision and dies out.

--- /dev/null
+++ b/packages/core/src/cicadalug/replication/versioned_map.cpp
@@ -0,0 +1,104 @@
+#include <cicadalug/replication/versioned_map.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cicadalug {
+
+namespace {
+
+[[nodiscard]] auto has_prefix(const std::string_view text, const std::string_view prefix) noexcept -> bool
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+/** @brief Returns the revision of the last whole read that covers a key, zero if there is none. */
+[[nodiscard]] auto revision_of_read(const versioned_map& map, const std::string_view key) -> version
+{
+    version revision;
+    for (const auto& [prefix, read] : map.m_reads) {
+        if (has_prefix(key, prefix)) {
+            revision = std::max(revision, read);
+        }
+    }
+    return revision;
+}
+
+} // namespace
+
+auto merge(versioned_map& map, const versioned_entry& entry) -> bool
+{
+    if (entry.m_value.m_version == version{}) {
+        return false;
+    }
+    auto& known = map.m_entries[entry.m_key];
+    if (known.m_version >= entry.m_value.m_version) {
+        return false;
+    }
+    if (known.m_version != version{}) {
+        toggle(map.m_digest, entry.m_key, known.m_version);
+    }
+    const auto read = revision_of_read(map, entry.m_key);
+    known = entry.m_value.m_version <= read ? versioned_value{read, {}, true} : entry.m_value;
+    if (known.m_deleted) {
+        known.m_value.clear();
+    }
+    toggle(map.m_digest, entry.m_key, known.m_version);
+    map.m_highest = std::max(map.m_highest, known.m_version);
+    return true;
+}
+
+auto merge_range(versioned_map& map, const std::string_view prefix, const version revision,
+                 const std::vector<versioned_entry>& entries) -> std::vector<versioned_entry>
+{
+    std::vector<versioned_entry> changed;
+    std::set<std::string_view> present;
+    for (const auto& entry : entries) {
+        present.insert(entry.m_key);
+        if (merge(map, entry)) {
+            changed.push_back(entry);
+        }
+    }
+    std::vector<versioned_entry> removed;
+    for (auto at = map.m_entries.lower_bound(prefix); at != map.m_entries.end() && has_prefix(at->first, prefix);
+         ++at) {
+        if (!at->second.m_deleted && at->second.m_version <= revision && present.count(at->first) == 0) {
+            removed.push_back({at->first, {revision, {}, true}});
+        }
+    }
+    for (const auto& entry : removed) {
+        if (merge(map, entry)) {
+            changed.push_back(entry);
+        }
+    }
+    auto& read = map.m_reads[std::string{prefix}];
+    read = std::max(read, revision);
+    return changed;
+}
+
+auto entries_above(const versioned_map& map, const version above) -> std::vector<versioned_entry>
+{
+    std::vector<versioned_entry> entries;
+    for (const auto& [key, value] : map.m_entries) {
+        if (value.m_version > above) {
+            entries.push_back({key, value});
+        }
+    }
+    std::sort(entries.begin(), entries.end(),
+              [](const auto& left, const auto& right) { return left.m_value.m_version < right.m_value.m_version; });
+    return entries;
+}
+
+auto entries_in_differing_buckets(const versioned_map& map, const map_digest& peer) -> std::vector<versioned_entry>
+{
+    std::vector<versioned_entry> entries;
+    for (const auto& [key, value] : map.m_entries) {
+        const auto bucket = bucket_of(key);
+        if (map.m_digest.m_buckets.at(bucket) != peer.m_buckets.at(bucket)) {
+            entries.push_back({key, value});
+        }
+    }
+    return entries;
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/core/test/cicadalug/replication/versioned_map.cpp
@@ -0,0 +1,153 @@
+#include <cicadalug/replication/versioned_map.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cicadalug;
+
+/** @brief The store as a naive model: the last write of each key, and every write that ever was. */
+struct store_model {
+    std::map<std::string, versioned_value> m_current;
+    std::vector<versioned_entry> m_history;
+};
+
+struct replica_model {
+    versioned_map m_map;
+    /** @brief Highest version of each key seen since the start; a lower one later is a reversion. */
+    std::map<std::string, version> m_seen;
+    int m_partition{0};
+};
+
+auto write(store_model& store) -> void
+{
+    const auto key = "res/k" + std::to_string(*rc::gen::inRange(0, 5));
+    const version next{store.m_history.size() + 1};
+    const auto deleted = *rc::gen::weightedElement<bool>({{3, false}, {1, true}});
+    versioned_value value{next, deleted ? std::string{} : "v" + std::to_string(next.value()), deleted};
+    store.m_current[key] = value;
+    store.m_history.push_back({key, value});
+}
+
+auto check(replica_model& replica, const store_model& store) -> void
+{
+    map_digest digest;
+    for (const auto& [key, value] : replica.m_map.m_entries) {
+        RC_ASSERT(value.m_version >= replica.m_seen[key]);
+        const auto& written = store.m_history.at(value.m_version.value() - 1);
+        // A tombstone of a whole read has the revision of the read, at which another key may have been written.
+        RC_ASSERT(value.m_deleted || (written.m_key == key && written.m_value == value));
+        replica.m_seen[key] = value.m_version;
+        toggle(digest, key, value.m_version);
+    }
+    RC_ASSERT(digest == replica.m_map.m_digest);
+}
+
+/** @brief One exchange of anti-entropy in both directions. */
+auto exchange(versioned_map& left, versioned_map& right) -> void
+{
+    for (const auto& entry : entries_in_differing_buckets(right, left.m_digest)) {
+        merge(left, entry);
+    }
+    for (const auto& entry : entries_in_differing_buckets(left, right.m_digest)) {
+        merge(right, entry);
+    }
+}
+
+auto read_store(const store_model& store, versioned_map& map) -> void
+{
+    std::vector<versioned_entry> present;
+    for (const auto& [key, value] : store.m_current) {
+        if (!value.m_deleted) {
+            present.push_back({key, value});
+        }
+    }
+    static_cast<void>(merge_range(map, "res/", version{store.m_history.size()}, present));
+}
+
+auto step(store_model& store, std::vector<replica_model>& replicas) -> void
+{
+    auto& replica = replicas.at(*rc::gen::inRange<std::size_t>(0, replicas.size()));
+    auto& other = replicas.at(*rc::gen::inRange<std::size_t>(0, replicas.size()));
+    switch (*rc::gen::inRange(0, 7)) {
+    case 0:
+        write(store);
+        break;
+    case 1: // Any old message, late or once more; most are never delivered at all.
+    case 2:
+        if (!store.m_history.empty()) {
+            merge(replica.m_map, store.m_history.at(*rc::gen::inRange<std::size_t>(0, store.m_history.size())));
+        }
+        break;
+    case 3: // A restart loses the memory; the new process learns from a peer of its side.
+        replica.m_map = {};
+        replica.m_seen.clear();
+        if (&other != &replica && other.m_partition == replica.m_partition) {
+            for (const auto& entry : entries_above(other.m_map, version{})) {
+                merge(replica.m_map, entry);
+            }
+        }
+        break;
+    case 4:
+        if (other.m_partition == replica.m_partition) {
+            exchange(replica.m_map, other.m_map);
+        }
+        break;
+    case 5:
+        read_store(store, replica.m_map);
+        break;
+    default:
+        replica.m_partition = *rc::gen::inRange(0, 2);
+    }
+}
+
+// Guards against a late, repeated or reordered message, a restart or a healed partition that reverts a key or brings a
+// deleted one back, and against replicas that stay different.
+RC_GTEST_PROP(versioned_map, never_reverts_and_converges, ())
+{
+    store_model store;
+    std::vector<replica_model> replicas(4);
+    const auto steps = *rc::gen::inRange(1, 120);
+    for (int count = 0; count < steps; ++count) {
+        step(store, replicas);
+        for (auto& replica : replicas) {
+            check(replica, store);
+        }
+    }
+    // The partition heals, and one replica reads the store.
+    read_store(store, replicas.front().m_map);
+    for (std::size_t round = 0; round < replicas.size(); ++round) {
+        for (std::size_t at = 1; at < replicas.size(); ++at) {
+            exchange(replicas.at(at - 1).m_map, replicas.at(at).m_map);
+        }
+    }
+    for (const auto& replica : replicas) {
+        RC_ASSERT(replica.m_map.m_digest == replicas.front().m_map.m_digest);
+        RC_ASSERT(replica.m_map.m_entries == replicas.front().m_map.m_entries);
+        for (const auto& [key, value] : replica.m_map.m_entries) {
+            RC_ASSERT(value.m_deleted == store.m_current.at(key).m_deleted);
+            RC_ASSERT(value.m_value == store.m_current.at(key).m_value);
+        }
+        for (const auto& [key, value] : store.m_current) {
+            RC_ASSERT(value.m_deleted || replica.m_map.m_entries.count(key) == 1);
+        }
+    }
+}
+
+// Guards against an old value of a key that comes back after the tombstone.
+TEST(versioned_map, old_message_after_a_tombstone_changes_nothing)
+{
+    versioned_map map;
+    EXPECT_TRUE(merge(map, {"res/a", {version{3}, {}, true}}));
+    EXPECT_FALSE(merge(map, {"res/a", {version{2}, "old", false}}));
+    EXPECT_TRUE(map.m_entries.at("res/a").m_deleted);
+}
+
+} // namespace
