--- a/packages/core/src/cicadalug/base/ids.hpp
+++ b/packages/core/src/cicadalug/base/ids.hpp
@@ -28,6 +28,9 @@
 /** @brief Identifies one write to the key-value service, unique among all writers. */
 using write_id = strong_id<struct write_tag>;
 
+/** @brief Identifies one lease of the key-value service. */
+using lease_id = strong_id<struct lease_tag>;
+
 /** @brief Start number of a process; a later start of the same entry VM has a higher one. */
 using incarnation = strong_number<struct incarnation_tag, std::uint64_t>;
 
--- /dev/null
+++ b/packages/core/src/cicadalug/membership/heartbeat.hpp
@@ -0,0 +1,40 @@
+#ifndef CICADALUG_MEMBERSHIP_HEARTBEAT_HPP
+#define CICADALUG_MEMBERSHIP_HEARTBEAT_HPP
+
+#include <cicadalug/base/ids.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Demand on a pool as one entry VM sees it. */
+struct pool_pressure {
+    pool_id m_pool;
+    /** @brief Requests in flight and waiting, in thousandths of the slots that the entry VM may use. */
+    std::uint16_t m_per_mille{0};
+
+    [[nodiscard]] friend auto operator==(const pool_pressure&, const pool_pressure&) -> bool = default;
+};
+
+/** @brief What an entry VM tells the others about itself. */
+struct heartbeat {
+    entry_vm_id m_id;
+    availability_zone_id m_availability_zone;
+    incarnation m_incarnation;
+    /** @brief Counts the heartbeats of an incarnation. */
+    std::uint64_t m_sequence{0};
+    /** @brief Highest version applied. */
+    version m_applied;
+    /** @brief Folded digest of the copy. */
+    std::uint64_t m_digest{0};
+    /** @brief Epoch if the entry VM holds the control lease of its zone, zero otherwise. */
+    epoch m_control_epoch;
+    std::vector<pool_pressure> m_pressure;
+
+    [[nodiscard]] friend auto operator==(const heartbeat&, const heartbeat&) -> bool = default;
+};
+
+} // namespace cicadalug
+
+#endif
