--- a/packages/core/test/cicadalug/replication/versioned_map.cpp
+++ b/packages/core/test/cicadalug/replication/versioned_map.cpp
@@ -43,7 +43,8 @@
         RC_ASSERT(value.m_version >= replica.m_seen[key]);
         const auto& written = store.m_history.at(value.m_version.value() - 1);
         // A tombstone of a whole read has the revision of the read, at which another key may have been written.
-        RC_ASSERT(value.m_deleted || (written.m_key == key && written.m_value == value));
+        const auto is_written = written.m_key == key && written.m_value == value;
+        RC_ASSERT(value.m_deleted || is_written);
         replica.m_seen[key] = value.m_version;
         toggle(digest, key, value.m_version);
     }
--- /dev/null
+++ b/packages/runtime/test/cicadalug/datagram/datagram_socket.cpp
@@ -0,0 +1,58 @@
+#include <cicadalug/datagram/datagram_socket.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace cicadalug;
+namespace asio = boost::asio;
+
+/** @brief Binds and frees a port, so that two sockets can know each other's address before they open. */
+[[nodiscard]] auto free_endpoint(asio::io_context& context) -> udp_endpoint
+{
+    const asio::ip::udp::socket socket{context, {asio::ip::address_v4::loopback(), 0}};
+    return socket.local_endpoint();
+}
+
+// Guards against acting on a datagram of a stranger, or of an entry VM that uses the id of another one.
+TEST(datagram_socket, drops_and_counts_strangers_and_malformed_datagrams)
+{
+    asio::io_context context;
+    const auto first = free_endpoint(context);
+    const auto second = free_endpoint(context);
+    int delivered = 0;
+    datagram_socket receiver{context.get_executor(),
+                             first,
+                             entry_vm_id{"e1"},
+                             incarnation{1},
+                             {{entry_vm_id{"e2"}, second}},
+                             [&](const auto&) {
+                                 ++delivered;
+                             }};
+    datagram_socket peer{context.get_executor(),
+                         second,
+                         entry_vm_id{"e2"},
+                         incarnation{1},
+                         {{entry_vm_id{"e1"}, first}},
+                         [](const auto&) {
+                         }};
+    datagram_socket stranger{context.get_executor(),
+                             free_endpoint(context),
+                             entry_vm_id{"e2"},
+                             incarnation{9},
+                             {{entry_vm_id{"e1"}, first}},
+                             [](const auto&) {
+                             }};
+    asio::ip::udp::socket raw{context, {asio::ip::address_v4::loopback(), 0}};
+    peer.send(entry_vm_id{"e1"}, drained{});
+    stranger.send(entry_vm_id{"e1"}, drained{});
+    raw.send_to(asio::buffer("garbage", 7), first);
+    context.run_for(std::chrono::milliseconds{200});
+    EXPECT_EQ(delivered, 1);
+    EXPECT_EQ(receiver.counts().m_received, 3U);
+    EXPECT_EQ(receiver.counts().m_unknown_sender, 1U);
+    EXPECT_EQ(receiver.counts().m_malformed, 1U);
+}
+
+} // namespace
