--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/order_path.cpp
@@ -0,0 +1,348 @@
+#include <cicadalug/request/order_path.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Time beyond the deadline in which the issuer may still say that it does not know. */
+constexpr milliseconds forward_margin{200};
+
+constexpr milliseconds longest_claim_call{2'000};
+
+using steady = std::chrono::steady_clock;
+
+[[nodiscard]] auto now() -> time_point
+{
+    return time_point{std::chrono::duration_cast<microseconds>(steady::now().time_since_epoch())};
+}
+
+[[nodiscard]] auto digest_of_content(const service_id& target, const std::string& body) -> content_digest
+{
+    const auto text = target.str() + '\n' + body;
+    return content_digest{XXH3_64bits(text.data(), text.size())};
+}
+
+[[nodiscard]] auto make_outcome(const answer_kind kind, std::string detail) -> request_outcome
+{
+    request_outcome outcome;
+    outcome.m_kind = kind;
+    outcome.m_detail = std::move(detail);
+    return outcome;
+}
+
+[[nodiscard]] auto rejected(const std::string& place, const std::string& reason) -> request_outcome
+{
+    auto outcome = make_outcome(answer_kind::not_run, reason);
+    outcome.m_response = refusal(http::status::bad_request, findings{place, reason});
+    return outcome;
+}
+
+[[nodiscard]] auto to_outcome(const kept_answer& kept) -> request_outcome
+{
+    request_outcome outcome;
+    outcome.m_kind = answer_kind::answered;
+    outcome.m_response.emplace(http::int_to_status(kept.m_status), 11U);
+    if (!kept.m_content_type.empty()) {
+        outcome.m_response->set(http::field::content_type, kept.m_content_type);
+    }
+    outcome.m_response->body() = kept.m_body;
+    return outcome;
+}
+
+[[nodiscard]] auto to_kept(const http_response& response) -> kept_answer
+{
+    return {response.result_int(), std::string{response[http::field::content_type]}, response.body()};
+}
+
+/** @brief Reads the outcome that another entry VM reports; without one nothing is known. */
+[[nodiscard]] auto to_outcome(result<http_response, http_failure> answer) -> request_outcome
+{
+    if (!answer) {
+        return make_outcome(answer_kind::unknown, "the entry VM that may run the order cannot be reached");
+    }
+    auto response = std::move(answer).assume_value();
+    const auto reported = response["X-Outcome"];
+    auto outcome = make_outcome(reported == "answered"  ? answer_kind::answered
+                                : reported == "not-run" ? answer_kind::not_run
+                                                        : answer_kind::unknown,
+                                {});
+    if (!reported.empty()) {
+        outcome.m_response = std::move(response);
+    }
+    return outcome;
+}
+
+/** @brief Reads the number of tickets that a request asks for. */
+[[nodiscard]] auto wanted_tickets(const http_request& request, findings& found) -> int
+{
+    if (request.method() != http::verb::post) {
+        found.add("method", "is not POST");
+    }
+    if (request.body().empty()) {
+        return 1;
+    }
+    const auto body = nlohmann::json::parse(request.body(), nullptr, false);
+    const auto valid = body.is_object() && body.contains("count") && body["count"].is_number_integer();
+    const auto count = valid ? body["count"].get<std::int64_t>() : 0;
+    if (count < 1 || count > 100) {
+        found.add("body", R"(is not {"count": 1 to 100})");
+        return 0;
+    }
+    return static_cast<int>(count);
+}
+
+} // namespace
+
+/** @brief Caller that waits for an order that another connection runs. */
+struct order_path::waiter {
+    waiter(const asio::any_io_executor& executor, const waiter_id id) : m_id{id}, m_ended{executor} {}
+
+    const waiter_id m_id;
+    /** @brief Used, like the outcome, on its executor only. */
+    asio::steady_timer m_ended;
+    std::optional<request_outcome> m_outcome;
+};
+
+order_path::order_path(journal_state journal, std::shared_ptr<claim_store> claims, runner run)
+    : m_self{journal.m_self}, m_incarnation{journal.m_incarnation}, m_claims{std::move(claims)}, m_run{std::move(run)},
+      m_journal{std::move(journal)}
+{
+}
+
+auto order_path::apply_peers(const std::vector<peer_entry_vm>& peers) -> void
+{
+    const std::lock_guard lock{m_peers_mutex};
+    m_peers.clear();
+    for (const auto& peer : peers) {
+        m_peers.insert_or_assign(peer.m_id, peer);
+    }
+}
+
+auto order_path::find_peer(const entry_vm_id& id) const -> std::optional<peer_entry_vm>
+{
+    const std::lock_guard lock{m_peers_mutex};
+    const auto found = m_peers.find(id);
+    return found == m_peers.end() ? std::nullopt : std::optional{found->second};
+}
+
+auto order_path::issue_tickets(http_exchange& exchange) -> asio::awaitable<void>
+{
+    findings found;
+    const auto count = wanted_tickets(exchange.request(), found);
+    if (!found.empty()) {
+        co_await exchange.respond(findings_response(http::status::bad_request, found));
+        co_return;
+    }
+    auto list = nlohmann::json::array();
+    {
+        const std::lock_guard lock{m_journal_mutex};
+        const auto issued = issue(m_journal, count, now());
+        if (issued) {
+            for (const auto& ticket : issued.assume_value()) {
+                list.push_back(to_string(ticket));
+            }
+        }
+        else {
+            found = issued.assume_error();
+        }
+    }
+    if (!found.empty()) {
+        auto response = findings_response(http::status::service_unavailable, found);
+        response.set(http::field::retry_after, "1");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const nlohmann::json body{{"tickets", list}};
+    co_await exchange.respond(json_response(http::status::ok, body));
+}
+
+auto order_path::present(http_exchange& exchange, const presented_order& order) -> asio::awaitable<request_outcome>
+{
+    if (!order.m_request.m_ticket.empty()) {
+        co_return co_await present_with_ticket(exchange, order);
+    }
+    co_return co_await present_with_key(exchange, order);
+}
+
+auto order_path::present_with_ticket(http_exchange& exchange, const presented_order& order)
+    -> asio::awaitable<request_outcome>
+{
+    const auto parsed = parse_ticket(order.m_request.m_ticket);
+    if (!parsed) {
+        co_return rejected("X-Ticket", parsed.assume_error().to_string());
+    }
+    const auto& presented = parsed.assume_value();
+    if (presented.m_issuer != m_self) {
+        co_return co_await forward(exchange, order, presented.m_issuer, presented.m_incarnation);
+    }
+    const auto content = digest_of_content(order.m_request.m_service, exchange.request().body());
+    const auto executor = co_await asio::this_coro::executor;
+    const auto waiting = add_waiter(executor);
+    presentation decision;
+    {
+        const std::lock_guard lock{m_journal_mutex};
+        decision = present_ticket(m_journal, presented, content, waiting->m_id, now());
+    }
+    co_return co_await carry_out(exchange, order, key_of(presented), std::move(decision), waiting);
+}
+
+auto order_path::present_with_key(http_exchange& exchange, const presented_order& order)
+    -> asio::awaitable<request_outcome>
+{
+    const auto& request = order.m_request;
+    if (!m_claims) {
+        co_return make_outcome(answer_kind::not_run, "claims of idempotency keys are not available");
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(order.m_deadline - steady::now());
+    const auto claimed = co_await m_claims->acquire(digest_of(request.m_service, request.m_idempotency_key),
+                                                    std::min(left, longest_claim_call));
+    if (!claimed) {
+        co_return make_outcome(answer_kind::not_run, "the key-value service cannot be reached");
+    }
+    const auto& grant = claimed.assume_value();
+    if (grant.m_in_force.m_owner != m_self || grant.m_in_force.m_incarnation != m_incarnation) {
+        co_return co_await forward(exchange, order, grant.m_in_force.m_owner, grant.m_in_force.m_incarnation);
+    }
+    const order_key key{"key:" + request.m_service.str() + ':' + request.m_idempotency_key};
+    const auto content = digest_of_content(request.m_service, exchange.request().body());
+    const auto executor = co_await asio::this_coro::executor;
+    const auto waiting = add_waiter(executor);
+    presentation decision;
+    {
+        const std::lock_guard lock{m_journal_mutex};
+        decision = present_claimed(m_journal, key, grant.m_newly_claimed, content, waiting->m_id, now());
+    }
+    co_return co_await carry_out(exchange, order, key, std::move(decision), waiting);
+}
+
+auto order_path::carry_out(http_exchange& exchange, const presented_order& order, const order_key& key,
+                           presentation decision, std::shared_ptr<waiter> waiting) -> asio::awaitable<request_outcome>
+{
+    if (decision.m_action == presentation_action::wait) {
+        co_return co_await wait_for(order, key, std::move(waiting));
+    }
+    remove_waiter(key, *waiting);
+    switch (decision.m_action) {
+    case presentation_action::run:
+        co_return co_await run_and_record(exchange, order, key);
+    case presentation_action::answer:
+        co_return to_outcome(decision.m_answer.value_or(kept_answer{}));
+    case presentation_action::not_run:
+        co_return make_outcome(answer_kind::not_run, std::move(decision.m_reason));
+    case presentation_action::reject:
+        co_return rejected(order.m_request.m_ticket.empty() ? "Idempotency-Key" : "X-Ticket", decision.m_reason);
+    case presentation_action::unknown:
+    case presentation_action::wait:
+        break;
+    }
+    co_return make_outcome(answer_kind::unknown, std::move(decision.m_reason));
+}
+
+auto order_path::run_and_record(http_exchange& exchange, const presented_order& order, const order_key& key)
+    -> asio::awaitable<request_outcome>
+{
+    auto outcome = make_outcome(answer_kind::unknown, "the order was interrupted");
+    try {
+        outcome = co_await m_run(exchange, order);
+    }
+    catch (...) {
+        record(key, outcome);
+        throw;
+    }
+    record(key, outcome);
+    co_return std::move(outcome);
+}
+
+auto order_path::record(const order_key& key, const request_outcome& outcome) -> void
+{
+    const auto answered = outcome.m_kind == answer_kind::answered && outcome.m_response;
+    const auto ended = answered                                 ? order_outcome::answered
+                       : outcome.m_kind == answer_kind::not_run ? order_outcome::not_run
+                                                                : order_outcome::unknown;
+    std::vector<std::shared_ptr<waiter>> waiting;
+    {
+        const std::lock_guard lock{m_journal_mutex};
+        const auto ids =
+            finish(m_journal, key, ended, answered ? std::optional{to_kept(*outcome.m_response)} : std::nullopt, now());
+        for (const auto& id : ids) {
+            if (auto node = m_waiters.extract(id)) {
+                waiting.push_back(std::move(node.mapped()));
+            }
+        }
+    }
+    for (auto& entry : waiting) {
+        const auto executor = entry->m_ended.get_executor();
+        asio::post(executor, [entry, copy = outcome]() mutable {
+            entry->m_outcome = std::move(copy);
+            entry->m_ended.cancel();
+        });
+    }
+}
+
+auto order_path::wait_for(const presented_order& order, const order_key& key, std::shared_ptr<waiter> waiting)
+    -> asio::awaitable<request_outcome>
+{
+    waiting->m_ended.expires_at(order.m_deadline);
+    boost::system::error_code ignored;
+    if (!waiting->m_outcome) {
+        co_await waiting->m_ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (waiting->m_outcome) {
+        co_return std::move(*waiting->m_outcome);
+    }
+    remove_waiter(key, *waiting);
+    co_return make_outcome(answer_kind::unknown, "the order is still running");
+}
+
+auto order_path::forward(http_exchange& exchange, const presented_order& order, const entry_vm_id& owner,
+                         const incarnation owner_incarnation) -> asio::awaitable<request_outcome>
+{
+    if (order.m_forwarded || owner == m_self) {
+        co_return make_outcome(answer_kind::unknown, "the entry VM that may run the order is gone");
+    }
+    const auto peer = find_peer(owner);
+    if (!peer) {
+        co_return make_outcome(answer_kind::unknown, "the entry VM that may run the order is not known");
+    }
+    if (peer->m_incarnation > owner_incarnation) {
+        co_return make_outcome(answer_kind::unknown, "the entry VM that may run the order was restarted");
+    }
+    http_request request{exchange.request()};
+    request.target("/internal/orders/" + order.m_request.m_service.str());
+    request.set("X-Request-Id", order.m_id.str());
+    request.set("traceparent", order.m_traceparent);
+    const auto left = std::chrono::ceil<milliseconds>(order.m_deadline - steady::now());
+    request.set("X-Deadline-Ms", std::to_string(std::max(left, milliseconds{1}).count()));
+    request.keep_alive(false);
+    const auto timeout = std::max(left, milliseconds{1}) + forward_margin;
+    auto executor = co_await asio::this_coro::executor;
+    auto answer = co_await http_fetch(std::move(executor), peer->m_endpoint, std::move(request), timeout);
+    co_return to_outcome(std::move(answer));
+}
+
+auto order_path::add_waiter(const asio::any_io_executor& executor) -> std::shared_ptr<waiter>
+{
+    const std::lock_guard lock{m_journal_mutex};
+    m_last_waiter = m_last_waiter + waiter_id{1};
+    return m_waiters.emplace(m_last_waiter, std::make_shared<waiter>(executor, m_last_waiter)).first->second;
+}
+
+auto order_path::remove_waiter(const order_key& key, const waiter& waiting) -> void
+{
+    const std::lock_guard lock{m_journal_mutex};
+    m_waiters.erase(waiting.m_id);
+    stop_waiting(m_journal, key, waiting.m_id);
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/request_outcome.cpp
@@ -0,0 +1,142 @@
+#include <cicadalug/request/request_outcome.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Headers that describe one connection, and those that the entry VM sets itself. */
+constexpr std::array<const char*, 11> dropped_headers{
+    "Connection",        "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "TE",         "Trailer",
+    "Transfer-Encoding", "Upgrade",    "X-Outcome",          "X-Request-Id",     "traceparent"};
+
+[[nodiscard]] auto reason_text(const answer_reason reason) -> std::string
+{
+    switch (reason) {
+    case answer_reason::unknown_service:
+        return "the service does not exist";
+    case answer_reason::no_upstream:
+        return "no upstream of the pool takes work";
+    case answer_reason::queue_full:
+        return "the queue of the service is full";
+    case answer_reason::deadline:
+        return "the answer cannot come before the deadline";
+    case answer_reason::not_accepted:
+        return "no upstream accepted the request";
+    case answer_reason::retry_budget:
+        return "the retry budget of the service is used up";
+    case answer_reason::never_runs:
+        return "an upstream said that the request can never run";
+    case answer_reason::no_answer:
+        return "the upstream did not answer";
+    case answer_reason::none:
+        break;
+    }
+    return "no answer of an upstream";
+}
+
+[[nodiscard]] auto not_run_status(const answer_reason reason) -> http::status
+{
+    switch (reason) {
+    case answer_reason::unknown_service:
+        return http::status::not_found;
+    case answer_reason::never_runs:
+        return http::status::bad_request;
+    default:
+        return http::status::service_unavailable;
+    }
+}
+
+[[nodiscard]] auto pass_on(http_response response) -> http_response
+{
+    for (const auto* const header : dropped_headers) {
+        response.erase(header);
+    }
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace
+
+auto make_upstream_request(const request_id& id, const service_id& target, const http_request& caller) -> http_request
+{
+    http_request request{http::verb::post, "/run", 11};
+    request.set(http::field::host, "upstream");
+    request.set("X-Request-Id", id.str());
+    request.set("X-Service", target.str());
+    for (const auto field : {http::field::content_type, http::field::content_encoding}) {
+        if (const auto found = caller.find(field); found != caller.end()) {
+            request.set(field, found->value());
+        }
+    }
+    request.body() = caller.body();
+    return request;
+}
+
+auto to_attempt_result(result<http_response, http_failure> answer) -> attempt_result
+{
+    if (!answer) {
+        auto& failure = answer.assume_error();
+        const auto outcome = failure.m_progress == http_progress::not_sent ? attempt_outcome::connect_failed
+                             : failure.m_timed_out                         ? attempt_outcome::silent
+                                                                           : attempt_outcome::connection_lost;
+        return {outcome, std::nullopt, std::move(failure.m_message)};
+    }
+    auto response = std::move(answer).assume_value();
+    const auto refused = response["X-Not-Run"];
+    if (response.result() == http::status::service_unavailable && refused == "no-slot") {
+        return {attempt_outcome::no_slot, std::nullopt, "no free slot"};
+    }
+    if (response.result() == http::status::service_unavailable && refused == "leaving") {
+        return {attempt_outcome::leaving, std::nullopt, "leaving"};
+    }
+    if (response.result() == http::status::unprocessable_entity && response["X-Never-Runs"] == "true") {
+        return {attempt_outcome::never_runs, std::nullopt, response.body()};
+    }
+    const auto failed = http::to_status_class(response.result()) == http::status_class::server_error;
+    return {failed ? attempt_outcome::failed : attempt_outcome::answered, std::move(response), {}};
+}
+
+auto to_response(request_outcome outcome) -> http_response
+{
+    if (outcome.m_response) {
+        auto response = pass_on(std::move(*outcome.m_response));
+        response.set("X-Outcome", std::string{to_string(outcome.m_kind)});
+        return response;
+    }
+    const auto not_run = outcome.m_kind == answer_kind::not_run;
+    const auto status = not_run ? not_run_status(outcome.m_reason) : http::status::gateway_timeout;
+    auto text = outcome.m_detail.empty() ? reason_text(outcome.m_reason) : outcome.m_detail;
+    auto response = findings_response(status, findings{"request", std::move(text)});
+    response.set("X-Outcome", not_run ? "not-run" : "unknown");
+    if (status == http::status::service_unavailable) {
+        const auto wait = std::max(std::chrono::ceil<seconds>(outcome.m_retry_after), seconds{1});
+        response.set(http::field::retry_after, std::to_string(wait.count()));
+    }
+    return response;
+}
+
+auto refusal(const http::status status, const findings& found) -> http_response
+{
+    auto response = findings_response(status, found);
+    response.set("X-Outcome", "not-run");
+    return response;
+}
+
+auto to_string(const answer_kind kind) -> std::string_view
+{
+    switch (kind) {
+    case answer_kind::answered:
+        return "answered";
+    case answer_kind::not_run:
+        return "not-run";
+    case answer_kind::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/request_outcome.hpp
@@ -0,0 +1,79 @@
+#ifndef CICADALUG_REQUEST_REQUEST_OUTCOME_HPP
+#define CICADALUG_REQUEST_REQUEST_OUTCOME_HPP
+
+#include <cicadalug/base/ids.hpp>
+#include <cicadalug/base/time.hpp>
+#include <cicadalug/http/http_connection.hpp>
+#include <cicadalug/routing/attempt_outcome.hpp>
+#include <cicadalug/routing/routing_effects.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cicadalug {
+
+/** @brief What a caller is told of its request. */
+struct request_outcome {
+    answer_kind m_kind{answer_kind::unknown};
+    answer_reason m_reason{answer_reason::none};
+    /** @brief When it makes sense to come back, for not_run. */
+    milliseconds m_retry_after{0};
+    /** @brief Whole answer of the upstream, or of the entry VM that an order was forwarded to. */
+    std::optional<http_response> m_response;
+    /** @brief Further text for the caller, may be empty. */
+    std::string m_detail;
+    /** @brief True if the caller went away first. */
+    bool m_caller_gone{false};
+};
+
+/** @brief How an attempt ended, with the answer that was read. */
+struct attempt_result {
+    attempt_outcome m_outcome{attempt_outcome::silent};
+    std::optional<http_response> m_response;
+    std::string m_detail;
+};
+
+/**
+ * @brief Makes the request to an upstream.
+ * @param id Id of the request.
+ * @param target Service of the request.
+ * @param caller Request of the caller; its body and the headers that describe it are passed on.
+ * @return The request, without a traceparent.
+ */
+[[nodiscard]] auto make_upstream_request(const request_id& id, const service_id& target, const http_request& caller)
+    -> http_request;
+
+/**
+ * @brief Says how an attempt ended.
+ * @param answer Answer of the upstream, or why there is none.
+ * @return The result; its response is set if the upstream ran the request.
+ */
+[[nodiscard]] auto to_attempt_result(result<http_response, http_failure> answer) -> attempt_result;
+
+/**
+ * @brief Makes the response for an outcome.
+ * @param outcome The outcome.
+ * @return The answer if there is one; else 400, 404 or 503 for not_run and 504 for unknown. With X-Outcome, and with
+ * Retry-After for 503.
+ */
+[[nodiscard]] auto to_response(request_outcome outcome) -> http_response;
+
+/**
+ * @brief Makes the response for a request that is refused before it can run.
+ * @param status 400, 404 or 413.
+ * @param found All faults.
+ * @return The response, with X-Outcome not-run.
+ */
+[[nodiscard]] auto refusal(http::status status, const findings& found) -> http_response;
+
+/**
+ * @brief Returns the value of the X-Outcome header.
+ * @param kind What is known.
+ * @return "answered", "not-run" or "unknown".
+ */
+[[nodiscard]] auto to_string(answer_kind kind) -> std::string_view;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/request_path.hpp
@@ -0,0 +1,143 @@
+#ifndef CICADALUG_REQUEST_REQUEST_PATH_HPP
+#define CICADALUG_REQUEST_REQUEST_PATH_HPP
+
+#include <cicadalug/http/http_server.hpp>
+#include <cicadalug/model/fleet_view.hpp>
+#include <cicadalug/order/journal.hpp>
+#include <cicadalug/request/claim_store.hpp>
+#include <cicadalug/request/pause_detector.hpp>
+#include <cicadalug/request/peer_entry_vm.hpp>
+#include <cicadalug/request/upstream_pool.hpp>
+#include <cicadalug/routing/router.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Limits of the request path. */
+struct request_path_limits {
+    upstream_pool_limits m_upstreams;
+    pause_limits m_pause;
+    journal_limits m_orders;
+};
+
+/** @brief Number of requests by what their callers were told. */
+struct request_counts {
+    std::uint64_t m_answered{0};
+    std::uint64_t m_not_run{0};
+    std::uint64_t m_unknown{0};
+    /** @brief Requests whose caller went away before the outcome. */
+    std::uint64_t m_caller_gone{0};
+};
+
+/**
+ * @brief Carries callers' requests to upstreams and tells each caller the outcome.
+ *
+ * Requests run as coroutines on the strand of their connection. The tables are the routing state, the requests without
+ * an outcome, the connections to upstreams, the order journal and its peers; each has one mutex. Lock order: no mutex
+ * is taken while another one is held.
+ * @note Thread safety: all functions can be called concurrently.
+ */
+class request_path {
+public:
+    /** @brief Sends a slot message to a peer; may lose it. */
+    using message_sender = std::function<void(const entry_vm_id&, const slot_message&)>;
+
+    /**
+     * @brief Starts the request path. It refuses requests until a view is applied.
+     * @param context Runs the path with any number of threads; outlives it.
+     * @param limits Limits.
+     * @param routing Empty state with the settings of this entry VM.
+     * @param claims Claims of bare idempotency keys; without it orders with a bare key are not run.
+     */
+    request_path(asio::io_context& context, const request_path_limits& limits, routing_state routing,
+                 std::shared_ptr<claim_store> claims = nullptr);
+
+    request_path(const request_path&) = delete;
+    request_path(request_path&&) = delete;
+    auto operator=(const request_path&) -> request_path& = delete;
+    auto operator=(request_path&&) -> request_path& = delete;
+
+    /** @brief Stops the timer. Requests without an outcome go on as long as their context runs. */
+    ~request_path();
+
+    /**
+     * @brief Answers POST /v1/services/{service}/requests, POST /v1/tickets and orders that other entry VMs forward
+     * (POST /internal/orders/{service}).
+     * @param exchange The request.
+     */
+    [[nodiscard]] auto handle(http_exchange& exchange) -> asio::awaitable<void>;
+
+    /**
+     * @brief Tells whether a target belongs to the request path.
+     * @param target Path and query of a request.
+     * @return True if handle() answers it, false if it is for another part of the daemon.
+     */
+    [[nodiscard]] static auto accepts(std::string_view target) -> bool;
+
+    /**
+     * @brief Takes a new view of the fleet.
+     * @param view The view, not null.
+     */
+    auto apply_view(std::shared_ptr<const fleet_view> view) -> void;
+
+    /**
+     * @brief Takes the entry VMs of all zones.
+     * @param peers The entry VMs; whether this one is among them does not matter.
+     */
+    auto apply_peers(const std::vector<peer_entry_vm>& peers) -> void;
+
+    /** @brief Takes a slot message of a peer. */
+    auto receive(const slot_message& message) -> void;
+
+    /** @brief Sets the way to send slot messages. @pre Called before the first view. */
+    auto on_slot_message(message_sender sender) -> void;
+
+    /** @brief Takes the news that a peer or the platform was heard, which ends the wait after a pause. */
+    auto heard() -> void;
+
+    /**
+     * @brief Tells whether work may still run on a VM, for the drain confirmation.
+     * @param vm The VM.
+     * @return Number of attempts that are in flight or whose run-time bound has not passed.
+     */
+    [[nodiscard]] auto in_flight(const vm_id& vm) const -> int;
+
+    /**
+     * @brief Returns the load of each pool.
+     * @return One entry for each pool.
+     */
+    [[nodiscard]] auto pressures() const -> std::vector<pool_pressure>;
+
+    /**
+     * @brief Returns the number of outcomes since the start.
+     * @return The counts.
+     */
+    [[nodiscard]] auto counts() const -> request_counts;
+
+    /**
+     * @brief Returns the number of detected pauses of the process.
+     * @return Pauses since the start.
+     */
+    [[nodiscard]] auto pauses() const -> int;
+
+    /**
+     * @brief Finishes for a graceful stop: returns once all queued and running requests have ended and borrowed slots
+     * are given back. New requests are still served meanwhile; the server has to stop accepting them first.
+     */
+    [[nodiscard]] auto drain() -> asio::awaitable<void>;
+
+    /** @brief State shared with running requests. */
+    class state;
+
+private:
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -0,0 +1,166 @@
+#include <cicadalug/request/request_path_state.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief How often an attempt looks whether the view is current again after a pause. */
+constexpr milliseconds stale_interval{10};
+
+[[nodiscard]] auto time_left(const time_point until, const time_point now) -> milliseconds
+{
+    return std::max(std::chrono::ceil<milliseconds>(until - now), milliseconds{0});
+}
+
+/** @brief Says how a probe ended. An upstream that refuses work for lack of a slot is fit for work. */
+[[nodiscard]] auto probe_outcome(const attempt_outcome outcome) -> attempt_outcome
+{
+    return outcome == attempt_outcome::no_slot ? attempt_outcome::answered : outcome;
+}
+
+[[nodiscard]] auto to_request_outcome(const final_answer& answer) -> request_outcome
+{
+    request_outcome outcome;
+    outcome.m_kind = answer.m_kind;
+    outcome.m_reason = answer.m_reason;
+    outcome.m_retry_after = answer.m_retry_after;
+    return outcome;
+}
+
+} // namespace
+
+auto request_path::state::carry_out(const routing_effects& effects, completed_attempt* completed) -> void
+{
+    for (const auto& answer : effects.m_answers) {
+        auto outcome = to_request_outcome(answer);
+        if (completed != nullptr && completed->m_request == answer.m_request) {
+            if (answer.m_kind == answer_kind::answered) {
+                outcome.m_response = std::move(completed->m_result.m_response);
+            }
+            else {
+                outcome.m_detail = completed->m_result.m_detail;
+            }
+        }
+        if (outcome.m_kind == answer_kind::answered && !outcome.m_response) {
+            LOG(ERROR) << "event=answer_missing request=" << answer.m_request;
+            outcome.m_kind = answer_kind::unknown;
+        }
+        m_requests.finish(answer.m_request, std::move(outcome));
+    }
+    // Starts are posted, so that a chain of attempts that end at once does not nest.
+    for (const auto& attempt : effects.m_starts) {
+        ++m_attempts;
+        asio::post(m_context, [self = shared_from_this(), attempt] { self->start(attempt); });
+    }
+    for (const auto& probe : effects.m_probes) {
+        asio::post(m_context, [self = shared_from_this(), probe] { self->start(probe); });
+    }
+    for (const auto& message : effects.m_messages) {
+        if (m_send) {
+            m_send(message.m_to, message.m_message);
+        }
+    }
+}
+
+auto request_path::state::complete_attempt(const attempt_id attempt, const attempt_outcome outcome,
+                                           completed_attempt* completed) -> void
+{
+    std::unique_lock lock{m_routing_mutex};
+    const auto effects = complete(m_routing, attempt, outcome, now());
+    lock.unlock();
+    carry_out(effects, completed);
+}
+
+auto request_path::state::start(const start_attempt& start) -> void
+{
+    auto pending = m_requests.begin_attempt(start.m_request);
+    if (!pending) {
+        // The caller went away, or was told an outcome, between the decision and here.
+        complete_attempt(start.m_attempt, attempt_outcome::cancelled, nullptr);
+        --m_attempts;
+        return;
+    }
+    auto leased = m_upstreams.acquire(start.m_vm);
+    if (!leased) {
+        end_attempt(start, *pending, {attempt_outcome::no_slot, std::nullopt, "no free connection"});
+        return;
+    }
+    const auto executor = leased->executor();
+    asio::co_spawn(executor, run_attempt(start, std::move(pending), std::move(*leased)), asio::detached);
+}
+
+auto request_path::state::run_attempt(const start_attempt start, std::shared_ptr<pending_request> pending,
+                                      upstream_pool::lease leased) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    co_await wait_until_current(start.m_give_up_at);
+    const auto left = time_left(start.m_give_up_at, now());
+    auto request = pending->m_upstream_request;
+    request.set("traceparent", to_string(continue_trace(to_string(pending->m_trace))));
+    auto answer = co_await m_upstreams.exchange(std::move(leased), std::move(request), left);
+    auto attempted = to_attempt_result(std::move(answer));
+    if (left == milliseconds{0}) {
+        // Nothing was sent, and the upstream is not to blame.
+        attempted.m_outcome = attempt_outcome::no_slot;
+    }
+    end_attempt(start, *pending, std::move(attempted));
+}
+
+auto request_path::state::end_attempt(const start_attempt& start, pending_request& pending, attempt_result result)
+    -> void
+{
+    const auto outcome = result.m_outcome;
+    if (!is_not_run(outcome) && !result.m_response) {
+        LOG(INFO) << "event=attempt_without_answer request=" << start.m_request << " vm=" << start.m_vm << " reason=\""
+                  << result.m_detail << '"';
+    }
+    m_requests.end_attempt(pending, outcome);
+    completed_attempt completed{start.m_request, std::move(result)};
+    complete_attempt(start.m_attempt, outcome, &completed);
+    --m_attempts;
+}
+
+auto request_path::state::start(const start_probe& start) -> void
+{
+    auto leased = m_upstreams.acquire(start.m_vm);
+    if (!leased) {
+        complete_attempt(start.m_attempt, attempt_outcome::connect_failed, nullptr);
+        return;
+    }
+    const auto executor = leased->executor();
+    asio::co_spawn(executor, run_probe(start, std::move(*leased)), asio::detached);
+}
+
+auto request_path::state::run_probe(const start_probe start, upstream_pool::lease leased) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    http_request request{http::verb::get, "/healthz", 11};
+    request.set(http::field::host, "upstream");
+    const auto left = time_left(start.m_give_up_at, now());
+    auto answer = co_await m_upstreams.exchange(std::move(leased), std::move(request), left);
+    const auto probed = to_attempt_result(std::move(answer));
+    complete_attempt(start.m_attempt, probe_outcome(probed.m_outcome), nullptr);
+}
+
+auto request_path::state::wait_until_current(const time_point give_up_at) -> asio::awaitable<void>
+{
+    while (m_pauses.is_stale(now()) && now() < give_up_at) {
+        asio::steady_timer timer{co_await asio::this_coro::executor, stale_interval};
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/request_table.hpp
@@ -0,0 +1,104 @@
+#ifndef CICADALUG_REQUEST_REQUEST_TABLE_HPP
+#define CICADALUG_REQUEST_REQUEST_TABLE_HPP
+
+#include <cicadalug/request/request_outcome.hpp>
+#include <cicadalug/request/trace_header.hpp>
+#include <cicadalug/routing/routing_request.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace cicadalug {
+
+/** @brief Request of a caller that has no outcome yet. */
+struct pending_request {
+    /**
+     * @brief Constructs a request without an outcome.
+     * @param executor Strand of the caller's connection.
+     * @param routing What the routing decisions need; its id is unique, while callers may use an id twice.
+     * @param upstream_request What is sent to an upstream.
+     * @param trace Trace of the request.
+     */
+    pending_request(const asio::any_io_executor& executor, routing_request routing, http_request upstream_request,
+                    trace_header trace)
+        : m_routing{std::move(routing)},
+          m_upstream_request{std::move(upstream_request)}, m_trace{std::move(trace)}, m_ended{executor}
+    {
+    }
+
+    const routing_request m_routing;
+    const http_request m_upstream_request;
+    const trace_header m_trace;
+
+    /** @brief Cancelled when the outcome is there. Used, like the outcome, on its executor only. */
+    asio::steady_timer m_ended;
+    std::optional<request_outcome> m_outcome;
+
+    /** @brief Guarded by the mutex of the table, like the members below. */
+    bool m_started{false};
+    int m_running_attempts{0};
+    /** @brief True once an attempt ended without certainty that the request was not run. */
+    bool m_maybe_ran{false};
+};
+
+/**
+ * @brief Requests that have no outcome yet. A request leaves the table with its outcome, so it gets exactly one.
+ * @note Thread safety: all functions can be called concurrently. One mutex guards the table; no other lock is taken
+ * while it is held.
+ */
+class request_table {
+public:
+    /** @brief Adds a request. @pre Its id is not in the table. */
+    auto add(std::shared_ptr<pending_request> pending) -> void;
+
+    /**
+     * @brief Begins an attempt.
+     * @param id The request.
+     * @return The request, or nothing if it has its outcome, so that nothing may be sent.
+     */
+    [[nodiscard]] auto begin_attempt(const request_id& id) -> std::shared_ptr<pending_request>;
+
+    /**
+     * @brief Ends an attempt.
+     * @param pending The request.
+     * @param outcome How the attempt ended.
+     */
+    auto end_attempt(pending_request& pending, attempt_outcome outcome) -> void;
+
+    /**
+     * @brief Ends a request and hands its outcome to the caller's connection. The outcome not_run becomes unknown if an
+     * attempt may have run the request.
+     * @param id The request; one that is not in the table is ignored.
+     * @param outcome The outcome.
+     * @return True if this call ended the request.
+     */
+    auto finish(const request_id& id, request_outcome outcome) -> bool;
+
+    /**
+     * @brief Ends a request whose caller went away.
+     * @param id The request.
+     * @param keep_started True to leave a request alone that was started.
+     * @return True if this call ended the request.
+     */
+    auto abandon(const request_id& id, bool keep_started) -> bool;
+
+    /**
+     * @brief Returns the number of requests without an outcome.
+     * @return The number of requests.
+     */
+    [[nodiscard]] auto size() const -> std::size_t;
+
+private:
+    mutable std::mutex m_mutex;
+    std::unordered_map<request_id, std::shared_ptr<pending_request>> m_requests;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.hpp
@@ -0,0 +1,143 @@
+#ifndef CICADALUG_REQUEST_UPSTREAM_POOL_HPP
+#define CICADALUG_REQUEST_UPSTREAM_POOL_HPP
+
+#include <cicadalug/base/ids.hpp>
+#include <cicadalug/http/http_connection.hpp>
+#include <cicadalug/model/fleet_view.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Limits of the connections to upstreams. */
+struct upstream_pool_limits {
+    /**
+     * @brief Time after which an idle connection is closed. Between the two ends a firewall or an address translator
+     * may forget an idle connection without telling either of them; what is sent on it then goes nowhere.
+     */
+    milliseconds m_idle_age{5'000};
+    /** @brief Time to open a connection. A failure within it means that the request was not run. */
+    milliseconds m_connect_timeout{1'000};
+};
+
+/**
+ * @brief Connections to the upstreams, at most the connection limit of each VM. A connection is kept only after its
+ * answer was read to its end, and is checked before it is used again.
+ * @note Thread safety: all functions can be called concurrently. One mutex guards the table; no other lock is taken
+ * while it is held.
+ */
+class upstream_pool {
+public:
+    using strand = asio::strand<asio::io_context::executor_type>;
+
+    /** @brief Permission for one exchange with a VM, with an idle connection if there was one. */
+    class lease;
+
+    /**
+     * @brief Constructs an empty pool.
+     * @param context Runs the connections; outlives the pool.
+     * @param limits Limits of all connections.
+     */
+    upstream_pool(asio::io_context& context, const upstream_pool_limits& limits);
+
+    /**
+     * @brief Takes over addresses and connection limits, and closes idle connections of VMs that are gone or moved.
+     * @param view The view.
+     */
+    auto apply_view(const fleet_view& view) -> void;
+
+    /**
+     * @brief Reserves one of the VM's connections.
+     * @param vm The VM.
+     * @return The lease, or nothing if the VM is unknown or its limit is reached.
+     */
+    [[nodiscard]] auto acquire(const vm_id& vm) -> std::optional<lease>;
+
+    /**
+     * @brief Makes one exchange. An idle connection that turns out closed before a byte was sent is replaced by a new
+     * one.
+     * @pre Runs on the executor of the lease; called once for each lease.
+     * @param leased The lease, given back at the end.
+     * @param request The request.
+     * @param timeout Time for the exchange, connecting included.
+     * @return The whole answer, or the failure.
+     */
+    [[nodiscard]] auto exchange(lease leased, http_request request, milliseconds timeout)
+        -> asio::awaitable<result<http_response, http_failure>>;
+
+    /** @brief Closes idle connections that are older than the age limit. */
+    auto close_aged() -> void;
+
+    /**
+     * @brief Returns the number of open connections to a VM.
+     * @param vm The VM.
+     * @return Idle ones and ones in use.
+     */
+    [[nodiscard]] auto open_connections(const vm_id& vm) const -> std::size_t;
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    struct idle_connection {
+        std::unique_ptr<http_connection> m_connection;
+        strand m_strand;
+        clock::time_point m_since;
+    };
+
+    struct vm_connections {
+        tcp_endpoint m_endpoint;
+        std::size_t m_limit{0};
+        std::size_t m_in_use{0};
+        /** @brief Raised when all connections become suspect; older ones are not kept after their exchange. */
+        std::uint64_t m_generation{0};
+        /** @brief The connection used last is at the back and is used first, so that surplus ones age. */
+        std::vector<idle_connection> m_idle;
+    };
+
+    [[nodiscard]] auto exchange_on(lease& leased, const http_request& request, clock::time_point deadline)
+        -> asio::awaitable<result<http_response, http_failure>>;
+    auto give_back(lease& leased, bool suspect) -> void;
+
+    asio::io_context& m_context;
+    const upstream_pool_limits m_limits;
+    mutable std::mutex m_mutex;
+    std::unordered_map<vm_id, vm_connections> m_vms;
+};
+
+class upstream_pool::lease {
+public:
+    /**
+     * @brief Returns the executor on which the exchange has to run.
+     * @return The strand of the connection.
+     */
+    [[nodiscard]] auto executor() const -> const strand& { return m_strand; }
+
+private:
+    friend class upstream_pool;
+
+    lease(vm_id vm, tcp_endpoint endpoint, std::uint64_t generation, strand executor,
+          std::unique_ptr<http_connection> connection)
+        : m_vm{std::move(vm)}, m_endpoint{std::move(endpoint)}, m_generation{generation}, m_strand{std::move(executor)},
+          m_connection{std::move(connection)}
+    {
+    }
+
+    vm_id m_vm;
+    tcp_endpoint m_endpoint;
+    std::uint64_t m_generation;
+    strand m_strand;
+    std::unique_ptr<http_connection> m_connection;
+};
+
+} // namespace cicadalug
+
+#endif
--- a/packages/runtime/src/cicadalug/http/http_connection.cpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.cpp
@@ -20,6 +20,9 @@
 /** @brief Largest answer body that is accepted, in bytes. */
 constexpr std::uint64_t max_response_body{16'777'216};
 
+/** @brief Number of interim responses (1xx) that are passed over before the answer. */
+constexpr int max_interim_responses{8};
+
 [[nodiscard]] auto failure(const http_progress progress, const boost::system::error_code& error) -> http_failure
 {
     return {progress, error == beast::error::timeout, error.message()};
@@ -51,17 +54,33 @@
     m_stream.expires_after(timeout);
     const auto sent = co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+        close();
         co_return failure(sent == 0 ? http_progress::not_sent : http_progress::maybe_sent, error);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_response_body);
-    co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error || !parser.is_done()) {
-        close();
-        co_return failure(http_progress::maybe_sent, error);
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(max_response_body);
+        co_await http::async_read_header(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error && http::to_status_class(parser.get().result()) == http::status_class::informational) {
+            continue;
+        }
+        if (!error && parser.need_eof()) {
+            // The end of the connection would look the same as the end of the answer.
+            close();
+            co_return http_failure{http_progress::maybe_sent, false, "the answer states no length"};
+        }
+        if (!error && !parser.is_done()) {
+            co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error) {
+            close();
+            co_return failure(http_progress::maybe_sent, error);
+        }
+        m_open = parser.get().keep_alive() && m_buffer.size() == 0;
+        co_return parser.release();
     }
-    m_open = parser.get().keep_alive() && m_buffer.size() == 0;
-    co_return parser.release();
+    close();
+    co_return http_failure{http_progress::maybe_sent, false, "no answer after the interim responses"};
 }
 
 auto http_connection::reusable() -> bool
--- a/packages/runtime/src/cicadalug/http/http_connection.hpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.hpp
@@ -53,7 +53,8 @@
      * @pre reusable() is true.
      * @param request The request; its content length is set here.
      * @param timeout Time for the exchange.
-     * @return The whole answer, or the failure.
+     * @return The whole answer, or the failure. Interim responses (1xx) are passed over. An answer whose end is the end
+     * of the connection is a failure, because a cut one looks the same.
      */
     [[nodiscard]] auto exchange(http_request request, milliseconds timeout)
         -> asio::awaitable<result<http_response, http_failure>>;
--- a/packages/runtime/src/cicadalug/http/http_server.cpp
+++ b/packages/runtime/src/cicadalug/http/http_server.cpp
@@ -35,17 +35,18 @@
 
 constexpr milliseconds accept_retry_interval{50};
 
+/** @brief Time and size of what is read and dropped after a rejection. */
+constexpr milliseconds discard_time{1'000};
+constexpr std::size_t discard_bytes{16'777'216};
+
 /** @brief Returns the status for a request that cannot be read, or nothing if the connection just ends. */
 [[nodiscard]] auto rejection_status(const boost::system::error_code& error) -> std::optional<http::status>
 {
     if (error == http::error::body_limit) {
         return http::status::payload_too_large;
     }
-    if (error == http::error::header_limit) {
-        return http::status::request_header_fields_too_large;
-    }
     if (error == beast::error::timeout) {
-        return http::status::request_timeout;
+        return http::status::bad_request;
     }
     if (error == http::error::end_of_stream || error.category() != http::make_error_code(http::error{}).category()) {
         return std::nullopt;
@@ -53,6 +54,20 @@
     return http::status::bad_request;
 }
 
+/** @brief Counts a request from its first byte to its answer. */
+class in_flight_count {
+public:
+    explicit in_flight_count(std::atomic<std::size_t>& count) : m_count{count} { ++m_count; }
+    in_flight_count(const in_flight_count&) = delete;
+    in_flight_count(in_flight_count&&) = delete;
+    auto operator=(const in_flight_count&) -> in_flight_count& = delete;
+    auto operator=(in_flight_count&&) -> in_flight_count& = delete;
+    ~in_flight_count() { --m_count; }
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
 } // namespace
 
 class http_server::state {
@@ -67,6 +82,7 @@
     const http_server_limits m_limits;
     const http_handler m_handler;
     std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_keep_alive_ended{false};
     std::atomic<std::size_t> m_in_flight{0};
     /** @brief Guards m_connections only; no other lock is taken while it is held. */
     std::mutex m_mutex;
@@ -106,32 +122,37 @@
     bool m_keep_alive{true};
 
 private:
+    [[nodiscard]] auto wait_for_request() -> asio::awaitable<bool>;
     [[nodiscard]] auto read(boost::system::error_code& error) -> asio::awaitable<http_request>;
     [[nodiscard]] auto handle(http_request request) -> asio::awaitable<void>;
     [[nodiscard]] auto reject(http::status status, const std::string& reason) -> asio::awaitable<void>;
+    [[nodiscard]] auto discard_rest() -> asio::awaitable<void>;
 
     bool m_idle{false};
     std::shared_ptr<std::function<void()>> m_peer_callback;
 };
 
+auto http_exchange::connection::wait_for_request() -> asio::awaitable<bool>
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    // An idle connection that times out or closes is not a request that failed.
+    boost::system::error_code error;
+    m_idle = true;
+    m_stream.expires_after(m_server->m_limits.m_idle_timeout);
+    const auto received =
+        co_await m_stream.async_read_some(m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+    m_idle = false;
+    m_buffer.commit(received);
+    co_return !error;
+}
+
 auto http_exchange::connection::read(boost::system::error_code& error) -> asio::awaitable<http_request>
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(m_server->m_limits.m_header_bytes);
     parser.body_limit(m_server->m_limits.m_body_bytes);
-    if (m_buffer.size() == 0) {
-        m_idle = true;
-        m_stream.expires_after(m_server->m_limits.m_idle_timeout);
-        const auto received =
-            co_await m_stream.async_read_some(m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
-        m_idle = false;
-        m_buffer.commit(received);
-        if (error) {
-            // An idle connection that times out or closes is not a request that failed.
-            error = http::error::end_of_stream;
-            co_return http_request{};
-        }
-    }
     m_stream.expires_after(m_server->m_limits.m_read_timeout);
     co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     co_return error ? http_request{} : parser.release();
@@ -139,7 +160,8 @@
 
 auto http_exchange::connection::run() -> asio::awaitable<void>
 {
-    while (m_keep_alive && !m_server->m_draining) {
+    while (m_keep_alive && !m_server->m_draining && co_await wait_for_request()) {
+        const in_flight_count counted{m_server->m_in_flight};
         boost::system::error_code error;
         auto request = co_await read(error);
         if (error) {
@@ -158,7 +180,6 @@
 
 auto http_exchange::connection::handle(http_request request) -> asio::awaitable<void>
 {
-    ++m_server->m_in_flight;
     http_exchange exchange{*this, std::move(request)};
     std::string failure;
     try {
@@ -178,23 +199,39 @@
         co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
         m_keep_alive = !error;
     }
-    --m_server->m_in_flight;
 }
 
 auto http_exchange::connection::reject(const http::status status, const std::string& reason) -> asio::awaitable<void>
 {
     m_keep_alive = false;
     auto response = findings_response(status, findings{"request", reason});
+    response.set("X-Outcome", "not-run");
     response.keep_alive(false);
     boost::system::error_code error;
     m_stream.expires_after(m_server->m_limits.m_write_timeout);
     co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, error));
+    co_await discard_rest();
+}
+
+auto http_exchange::connection::discard_rest() -> asio::awaitable<void>
+{
+    // Closing a socket with unread data resets the connection, and the peer may lose the response.
+    boost::system::error_code error;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    m_stream.expires_after(discard_time);
+    std::size_t discarded{0};
+    while (!error && discarded < discard_bytes) {
+        m_buffer.clear();
+        discarded += co_await m_stream.async_read_some(m_buffer.prepare(65'536),
+                                                       asio::redirect_error(asio::use_awaitable, error));
+    }
 }
 
 auto http_exchange::connection::close_if_idle() -> void
 {
     asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-        if (self->m_idle) {
+        boost::system::error_code ignored;
+        if (self->m_idle && self->m_stream.socket().available(ignored) == 0) {
             self->m_stream.cancel();
         }
     });
@@ -253,7 +290,7 @@
     m_answered = true;
     m_connection.stop_watching_peer();
     response.version(m_request.version());
-    response.keep_alive(m_connection.m_keep_alive && !m_connection.m_server->m_draining);
+    response.keep_alive(m_connection.m_keep_alive && !m_connection.m_server->m_keep_alive_ended);
     boost::system::error_code error;
     m_connection.m_stream.expires_after(m_connection.m_server->m_limits.m_write_timeout);
     co_await http::async_write(m_connection.m_stream, response, asio::redirect_error(asio::use_awaitable, error));
@@ -361,8 +398,14 @@
     return m_state->m_acceptor.local_endpoint();
 }
 
+auto http_server::stop_keep_alive() noexcept -> void
+{
+    m_state->m_keep_alive_ended = true;
+}
+
 auto http_server::drain() -> void
 {
+    m_state->m_keep_alive_ended = true;
     m_state->m_draining = true;
     asio::dispatch(m_state->m_acceptor.get_executor(), [server = m_state] {
         boost::system::error_code ignored;
--- a/packages/runtime/src/cicadalug/http/http_server.hpp
+++ b/packages/runtime/src/cicadalug/http/http_server.hpp
@@ -144,12 +144,19 @@
      */
     [[nodiscard]] auto endpoint() const -> tcp_endpoint;
 
+    /**
+     * @brief Makes each further answer the last one of its connection. Called some time before drain(), it lets peers
+     * learn from an answer that they have to connect elsewhere, instead of from a closed connection.
+     */
+    auto stop_keep_alive() noexcept -> void;
+
     /** @brief Stops accepting and closes idle connections. Requests in flight are answered, then their connection
      * is closed. */
     auto drain() -> void;
 
     /**
-     * @brief Returns the number of requests read but not yet answered.
+     * @brief Returns the number of requests whose first byte was read and whose answer was not yet
+     * written.
      * @return The number of requests in flight.
      */
     [[nodiscard]] auto requests_in_flight() const noexcept -> std::size_t;
--- a/test/standin/upstream_standin.cpp
+++ b/test/standin/upstream_standin.cpp
@@ -6,90 +6,260 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
 
-#include <atomic>
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
-#include <mutex>
+#include <optional>
+#include <set>
+#include <stdexcept>
 #include <string>
 
-// Stand-in for an upstream worker: slots, run time, and a log of each execution, against which tests check what callers
-// were told.
+// Stand-in for an upstream worker: slots, run time, faults that a control port switches, and a log of each execution,
+// against which tests check what callers were told. All of it runs on one thread.
 
 namespace {
 
 using namespace cicadalug;
 
-struct upstream_options {
-    std::string m_listen{"127.0.0.1:0"};
+/** @brief What the stand-in does with requests; the control port changes it while it runs. */
+struct upstream_behaviour {
     int m_slots{8};
     int m_run_ms{20};
-    std::string m_execution_log;
+    /** @brief Added between the end of the run, when the slot is free again, and the answer. */
+    int m_late_ms{0};
+    /** @brief Answers everything with 500 at once, after it was started. */
+    bool m_fail{false};
+    /** @brief Refuses new work as an upstream that is leaving. */
+    bool m_leaving{false};
+    /** @brief Refuses each job as one that can never run. */
+    bool m_never_runs{false};
+    /** @brief "length": half a body of a stated length; "chunked": no last chunk; "close": no stated length. */
+    std::string m_cut;
+    /** @brief Answers with the id and the body of the previous request. */
+    bool m_crossed{false};
+    /** @brief Sends each answer twice, so that a late one waits on the idle connection. */
+    bool m_twice{false};
+    /** @brief Accepts requests and never answers, on open and on new connections. */
+    bool m_silent{false};
+    /** @brief Runs the requests that it never answers. */
+    bool m_silent_runs{false};
 };
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(upstream_behaviour, m_slots, m_run_ms, m_late_ms, m_fail, m_leaving,
+                                                m_never_runs, m_cut, m_crossed, m_twice, m_silent, m_silent_runs)
+
+/** @brief Ends the connection of the exchange without more bytes. */
+[[noreturn]] auto close_connection() -> void
+{
+    throw std::runtime_error{"the stand-in closes the connection"};
+}
+
 class upstream {
 public:
-    explicit upstream(upstream_options options) : m_options{std::move(options)} {}
+    upstream(upstream_behaviour behaviour, std::string execution_log)
+        : m_behaviour{std::move(behaviour)}, m_execution_log{std::move(execution_log)}
+    {
+    }
 
     [[nodiscard]] auto handle(http_exchange& exchange) -> asio::awaitable<void>
     {
-        if (m_running.fetch_add(1) >= m_options.m_slots) {
-            --m_running;
-            http_response refusal{http::status::service_unavailable, 11};
-            refusal.set("X-Not-Run", "no-slot");
-            refusal.prepare_payload();
-            co_await exchange.respond(std::move(refusal));
+        m_seen.insert(exchange.peer());
+        const std::string id{exchange.request()["X-Request-Id"]};
+        if (m_behaviour.m_silent || m_silenced.contains(exchange.peer())) {
+            ++m_swallowed;
+            if (m_behaviour.m_silent_runs && exchange.request().method() == http::verb::post) {
+                co_await run(id);
+            }
+            co_await wait_for_close(exchange);
+            close_connection();
+        }
+        if (exchange.request().method() == http::verb::get) {
+            ++m_probes;
+            http_response health{m_behaviour.m_fail ? http::status::internal_server_error : http::status::ok, 11};
+            health.prepare_payload();
+            co_await exchange.respond(std::move(health));
             co_return;
         }
-        const std::string id{exchange.request()["X-Request-Id"]};
+        if (const auto refusal = refuse()) {
+            ++m_refused;
+            co_await exchange.respond(*refusal);
+            co_return;
+        }
+        if (m_behaviour.m_fail) {
+            record(id);
+            http_response failed{http::status::internal_server_error, 11};
+            failed.set("X-Request-Id", id);
+            failed.body() = "failed " + id;
+            failed.prepare_payload();
+            co_await exchange.respond(std::move(failed));
+            co_return;
+        }
+        co_await run(id);
+        co_await pause(m_behaviour.m_late_ms);
+        co_await answer(exchange, id);
+    }
+
+    /** @brief Changes the behaviour by the members of a JSON object, without their prefix, and reports the state. */
+    [[nodiscard]] auto control(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        const auto changes = nlohmann::json::parse(exchange.request().body(), nullptr, false);
+        nlohmann::json behaviour = m_behaviour;
+        if (changes.is_object()) {
+            for (const auto& [name, value] : changes.items()) {
+                behaviour["m_" + name] = value;
+            }
+            m_behaviour = behaviour.get<upstream_behaviour>();
+            if (changes.contains("silence_open")) {
+                m_silenced = changes["silence_open"].get<bool>() ? m_seen : std::set<tcp_endpoint>{};
+            }
+        }
+        const nlohmann::json state{{"behaviour", behaviour}, {"executions", m_executions},
+                                   {"running", m_running},   {"most_running", m_most_running},
+                                   {"refused", m_refused},   {"swallowed", m_swallowed},
+                                   {"probes", m_probes},     {"connections_seen", m_seen.size()}};
+        co_await exchange.respond(json_response(http::status::ok, state));
+    }
+
+private:
+    [[nodiscard]] auto refuse() const -> std::optional<http_response>
+    {
+        if (m_behaviour.m_never_runs) {
+            http_response refusal{http::status::unprocessable_entity, 11};
+            refusal.set("X-Never-Runs", "true");
+            refusal.prepare_payload();
+            return refusal;
+        }
+        if (!m_behaviour.m_leaving && m_running < m_behaviour.m_slots) {
+            return std::nullopt;
+        }
+        http_response refusal{http::status::service_unavailable, 11};
+        refusal.set("X-Not-Run", m_behaviour.m_leaving ? "leaving" : "no-slot");
+        refusal.prepare_payload();
+        return refusal;
+    }
+
+    [[nodiscard]] auto run(const std::string& id) -> asio::awaitable<void>
+    {
         record(id);
-        asio::steady_timer timer{co_await asio::this_coro::executor, milliseconds{m_options.m_run_ms}};
-        co_await timer.async_wait(asio::use_awaitable);
+        m_most_running = std::max(m_most_running, ++m_running);
+        co_await pause(m_behaviour.m_run_ms);
         --m_running;
-        http_response answer{http::status::ok, 11};
-        answer.body() = "done " + id + ' ' + exchange.request().body();
-        answer.prepare_payload();
-        co_await exchange.respond(std::move(answer));
     }
 
-private:
+    [[nodiscard]] static auto pause(const int duration_ms) -> asio::awaitable<void>
+    {
+        if (duration_ms > 0) {
+            asio::steady_timer timer{co_await asio::this_coro::executor, milliseconds{duration_ms}};
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    [[nodiscard]] static auto wait_for_close(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        bool closed{false};
+        exchange.on_peer_closed([&closed] { closed = true; });
+        while (!closed) {
+            co_await pause(50);
+        }
+    }
+
+    [[nodiscard]] auto answer(http_exchange& exchange, const std::string& id) -> asio::awaitable<void>
+    {
+        http_response response{http::status::ok, 11};
+        response.set("X-Request-Id", id);
+        response.body() = "done " + id + ' ' + exchange.request().body();
+        response.prepare_payload();
+        if (m_behaviour.m_crossed && m_previous) {
+            response = *m_previous;
+        }
+        m_previous = response;
+        const auto half = response.body().substr(0, response.body().size() / 2);
+        if (m_behaviour.m_cut == "chunked") {
+            if (co_await exchange.begin_stream("text/plain")) {
+                [[maybe_unused]] const auto written = co_await exchange.write_chunk(half);
+            }
+            close_connection();
+        }
+        if (!m_behaviour.m_cut.empty()) {
+            response.body() = half;
+            if (m_behaviour.m_cut == "close") {
+                response.erase(http::field::content_length);
+            }
+            co_await exchange.respond(std::move(response));
+            close_connection();
+        }
+        co_await exchange.respond(response);
+        if (m_behaviour.m_twice) {
+            co_await exchange.respond(response);
+        }
+    }
+
     auto record(const std::string& id) -> void
     {
-        if (!m_options.m_execution_log.empty()) {
-            const std::lock_guard lock{m_mutex};
-            std::ofstream{m_options.m_execution_log, std::ios::app} << id << std::endl;
+        ++m_executions;
+        if (!m_execution_log.empty()) {
+            std::ofstream{m_execution_log, std::ios::app} << id << std::endl;
         }
     }
 
-    upstream_options m_options;
-    std::atomic<int> m_running{0};
-    std::mutex m_mutex;
+    upstream_behaviour m_behaviour;
+    const std::string m_execution_log;
+    int m_running{0};
+    int m_most_running{0};
+    int m_executions{0};
+    int m_refused{0};
+    int m_swallowed{0};
+    int m_probes{0};
+    std::optional<http_response> m_previous;
+    std::set<tcp_endpoint> m_seen;
+    std::set<tcp_endpoint> m_silenced;
 };
 
 } // namespace
 
 auto main(int argc, char** argv) -> int
 {
-    upstream_options options;
+    upstream_behaviour behaviour;
+    std::string listen{"127.0.0.1:0"};
+    std::string control;
+    std::string execution_log;
     CLI::App app{"Stand-in for an upstream worker"};
-    app.add_option("--listen", options.m_listen, "Address and port");
-    app.add_option("--slots", options.m_slots, "Requests that run at a time");
-    app.add_option("--run-ms", options.m_run_ms, "Run time of a request, in ms");
-    app.add_option("--execution-log", options.m_execution_log, "File that gets the id of each request that runs");
+    app.add_option("--listen", listen, "Address and port");
+    app.add_option("--control", control, "Address and port of the control port (POST a JSON object of changes)");
+    app.add_option("--execution-log", execution_log, "File that gets the id of each request that runs, one a line");
+    app.add_option("--slots", behaviour.m_slots, "Requests that run at a time");
+    app.add_option("--run-ms", behaviour.m_run_ms, "Run time of a request, in ms");
+    app.add_option("--late-ms", behaviour.m_late_ms, "Time between the end of a run and its answer, in ms");
+    app.add_option("--cut", behaviour.m_cut, "Cut each answer in half: length, chunked or close");
+    app.add_flag("--fail", behaviour.m_fail, "Fail everything at once");
+    app.add_flag("--leaving", behaviour.m_leaving, "Refuse new work as leaving");
+    app.add_flag("--never-runs", behaviour.m_never_runs, "Refuse each job as one that can never run");
+    app.add_flag("--crossed", behaviour.m_crossed, "Answer with the answer to the previous request");
+    app.add_flag("--twice", behaviour.m_twice, "Send each answer twice");
+    app.add_flag("--silent", behaviour.m_silent, "Never answer");
+    app.add_flag("--silent-runs", behaviour.m_silent_runs, "Run what is never answered");
     CLI11_PARSE(app, argc, argv);
 
     findings found;
-    const auto endpoint = parse_endpoint(options.m_listen, "--listen", found);
+    const auto endpoint = parse_endpoint(listen, "--listen", found);
+    const auto control_endpoint = control.empty() ? tcp_endpoint{} : parse_endpoint(control, "--control", found);
     if (!found.empty()) {
         std::cerr << found.to_string() << '\n';
         return 2;
     }
     asio::io_context context;
-    upstream worker{options};
+    upstream worker{behaviour, execution_log};
     const http_server server{context, endpoint, {}, [&worker](http_exchange& exchange) {
                                  return worker.handle(exchange);
                              }};
+    std::optional<http_server> control_server;
+    if (!control.empty()) {
+        control_server.emplace(context, control_endpoint, http_server_limits{},
+                               [&worker](http_exchange& exchange) { return worker.control(exchange); });
+    }
     asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&context](const auto&, int) { context.stop(); });
     context.run();
