Add the settings of cicadalugd in YAML

Cause: an entry VM learns its addresses, its zone and its peers from its settings only. Decision: an entry VM has three addresses: callers, operators (also used by other entry VMs) and datagrams; callers and operators must differ, because callers must not reach the operators' API.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/request/forwarder.hpp>
+#include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -7,6 +8,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -16,12 +18,31 @@
 
     std::string listen{"127.0.0.1:8080"};
     std::vector<std::string> upstreams;
+    std::string settings_file;
+    bool check{false};
     CLI::App app{"cicadalugd: routes callers' work to upstreams"};
+    const auto* file_option = app.add_option("--settings", settings_file, "YAML file with the settings");
+    app.add_flag("--check", check, "Validate the settings and exit: 0 without findings, 2 with findings")
+        ->needs("--settings");
     app.add_option("--listen", listen, "Address and port");
     app.add_option("--upstream", upstreams, "Address and port of an upstream");
     CLI11_PARSE(app, argc, argv);
 
     findings found;
+    if (*file_option) {
+        const auto read = load_settings(settings_file);
+        if (!read) {
+            std::cerr << read.assume_error().to_string() << '\n';
+            return 2;
+        }
+        if (check) {
+            std::cout << settings_file << ": no findings\n";
+            return 0;
+        }
+        std::ostringstream address;
+        address << read.assume_value().m_callers;
+        listen = address.str();
+    }
     const auto endpoint = parse_endpoint(listen, "--listen", found);
     std::vector<tcp_endpoint> endpoints;
     endpoints.reserve(upstreams.size());
