--- a/packages/daemon/src/cicadalug/request/fwd.hpp
+++ b/packages/daemon/src/cicadalug/request/fwd.hpp
@@ -11,9 +11,9 @@
 struct peer_entry_vm;
 struct request_outcome;
 class request_path;
+struct request_telemetry;
 struct request_path_limits;
 class request_table;
-struct trace_header;
 class upstream_pool;
 struct upstream_pool_limits;
 
--- a/packages/daemon/src/cicadalug/request/order_path.cpp
+++ b/packages/daemon/src/cicadalug/request/order_path.cpp
@@ -321,7 +321,7 @@
     http_request request{exchange.request()};
     request.target("/internal/orders/" + order.m_request.m_service.str());
     request.set("X-Request-Id", order.m_id.str());
-    request.set("traceparent", order.m_traceparent);
+    request.set("traceparent", to_traceparent(order.m_span.m_context));
     const auto left = std::chrono::ceil<milliseconds>(order.m_deadline - steady::now());
     request.set("X-Deadline-Ms", std::to_string(std::max(left, milliseconds{1}).count()));
     request.keep_alive(false);
--- a/packages/daemon/src/cicadalug/request/order_path.hpp
+++ b/packages/daemon/src/cicadalug/request/order_path.hpp
@@ -7,6 +7,7 @@
 #include <cicadalug/request/claim_store.hpp>
 #include <cicadalug/request/peer_entry_vm.hpp>
 #include <cicadalug/request/request_outcome.hpp>
+#include <cicadalug/telemetry/span.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -26,7 +27,9 @@
     caller_request m_request;
     /** @brief Id under which the outcome is reported. */
     request_id m_id;
-    std::string m_traceparent;
+    /** @brief Span of this hop; ended with the outcome. */
+    span m_span;
+    std::chrono::steady_clock::time_point m_begin;
     std::chrono::steady_clock::time_point m_deadline;
     /** @brief True if another entry VM forwarded it; it is not forwarded again. */
     bool m_forwarded{false};
--- a/packages/daemon/src/cicadalug/request/peer_entry_vm.hpp
+++ b/packages/daemon/src/cicadalug/request/peer_entry_vm.hpp
@@ -12,7 +12,7 @@
     availability_zone_id m_availability_zone;
     /** @brief Highest incarnation that was heard. */
     incarnation m_incarnation;
-    /** @brief Address of its HTTP server, for forwarded orders. */
+    /** @brief Its address for other entry VMs, to which orders are forwarded. */
     tcp_endpoint m_endpoint;
     /** @brief True while its heartbeats arrive, so that it gets a share of the slots. */
     bool m_live{true};
--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -63,14 +64,14 @@
 } // namespace
 
 request_path::state::state(asio::io_context& context, const request_path_limits& limits, routing_state routing,
-                           std::shared_ptr<claim_store> claims)
+                           std::shared_ptr<claim_store> claims, request_telemetry telemetry)
     : m_context{context}, m_limits{limits}, m_id_prefix{routing.m_settings.m_self.str() + '-' +
                                                         std::to_string(routing.m_settings.m_incarnation.value()) + '-'},
-      m_routing{std::move(routing)}, m_upstreams{context, limits.m_upstreams}, m_pauses{limits.m_pause, now()},
-      m_orders{make_journal(m_routing.m_settings, limits.m_orders), std::move(claims),
-               [this](http_exchange& exchange, const presented_order& order) {
-                   return run(exchange, order, true);
-               }}
+      m_telemetry{std::move(telemetry)}, m_routing{std::move(routing)}, m_upstreams{context, limits.m_upstreams},
+      m_pauses{limits.m_pause, now()}, m_orders{make_journal(m_routing.m_settings, limits.m_orders), std::move(claims),
+                                                [this](http_exchange& exchange, const presented_order& order) {
+                                                    return run(exchange, order, true);
+                                                }}
 {
 }
 
@@ -96,6 +97,7 @@
         route([](routing_state& routing, const time_point at) { return tick(routing, at); });
         if (ticks % ticks_per_clean_up == 0) {
             m_upstreams.close_aged();
+            report_slots();
         }
         timer.expires_after(tick_interval);
         boost::system::error_code ignored;
@@ -103,6 +105,21 @@
     }
 }
 
+auto request_path::state::report_slots() const -> void
+{
+    if (!m_telemetry.m_metrics) {
+        return;
+    }
+    std::unique_lock lock{m_routing_mutex};
+    const auto pressures = pool_pressures(m_routing);
+    lock.unlock();
+    for (const auto& pressure : pressures) {
+        const auto free = std::max(pressure.m_slots - pressure.m_in_use, 0);
+        m_telemetry.m_metrics->set_slots(pressure.m_pool, "free", static_cast<std::size_t>(free));
+        m_telemetry.m_metrics->set_slots(pressure.m_pool, "in_use", static_cast<std::size_t>(pressure.m_in_use));
+    }
+}
+
 auto request_path::state::make_order(const http_exchange& exchange, caller_request request, const fleet_view& current)
     -> presented_order
 {
@@ -113,7 +130,8 @@
     order.m_deadline = std::chrono::steady_clock::now() + request.m_deadline.value_or(default_deadline);
     order.m_id = request.m_id.empty() ? request_id{m_id_prefix + std::to_string(++m_last_request)} : request.m_id;
     const auto traceparent = exchange.request()["traceparent"];
-    order.m_traceparent = to_string(continue_trace({traceparent.data(), traceparent.size()}));
+    order.m_span = begin_span("request", parse_traceparent({traceparent.data(), traceparent.size()}));
+    order.m_begin = std::chrono::steady_clock::now();
     order.m_request = std::move(request);
     return order;
 }
@@ -192,7 +210,7 @@
     const auto executor = co_await asio::this_coro::executor;
     const auto pending = std::make_shared<pending_request>(
         executor, routing, make_upstream_request(order.m_id, request.m_service, exchange.request()),
-        continue_trace(order.m_traceparent));
+        order.m_span.m_context);
     m_requests.add(pending);
     exchange.on_peer_closed([self = shared_from_this(), id, keep_started] { self->abandon(id, keep_started); });
     route([&](routing_state& current, const time_point at) { return submit(current, pending->m_routing, at); });
@@ -241,10 +259,28 @@
     }
 }
 
+auto request_path::state::report(const presented_order& order, const request_outcome& outcome) const -> void
+{
+    auto ended = order.m_span;
+    ended.m_attributes = {{"request", order.m_id.str()},
+                          {"service", order.m_request.m_service.str()},
+                          {"outcome", std::string{to_string(outcome.m_kind)}}};
+    ended.m_failed = outcome.m_kind != answer_kind::answered;
+    end_span(m_telemetry, std::move(ended));
+    const auto current = view();
+    // The name of an unknown service comes from the caller, so it must not become a label.
+    if (m_telemetry.m_metrics && current && current->m_services.contains(order.m_request.m_service)) {
+        const auto elapsed = std::chrono::steady_clock::now() - order.m_begin;
+        m_telemetry.m_metrics->request_finished(order.m_request.m_service, to_string(outcome.m_kind),
+                                                std::chrono::duration_cast<microseconds>(elapsed));
+    }
+}
+
 auto request_path::state::respond(http_exchange& exchange, const presented_order& order, request_outcome outcome)
     -> asio::awaitable<void>
 {
     count(outcome);
+    report(order, outcome);
     if (outcome.m_kind == answer_kind::unknown || outcome.m_caller_gone) {
         LOG(INFO) << "event=request_ended request=" << order.m_id << " service=" << order.m_request.m_service
                   << " outcome=" << to_string(outcome.m_kind) << " caller_gone=" << outcome.m_caller_gone
@@ -252,13 +288,13 @@
     }
     auto response = to_response(std::move(outcome));
     response.set("X-Request-Id", order.m_id.str());
-    response.set("traceparent", order.m_traceparent);
+    response.set("traceparent", to_traceparent(order.m_span.m_context));
     co_await exchange.respond(std::move(response));
 }
 
 request_path::request_path(asio::io_context& context, const request_path_limits& limits, routing_state routing,
-                           std::shared_ptr<claim_store> claims)
-    : m_state{std::make_shared<state>(context, limits, std::move(routing), std::move(claims))}
+                           std::shared_ptr<claim_store> claims, request_telemetry telemetry)
+    : m_state{std::make_shared<state>(context, limits, std::move(routing), std::move(claims), std::move(telemetry))}
 {
     asio::co_spawn(asio::make_strand(context), m_state->run_timer(), asio::detached);
 }
@@ -274,14 +310,22 @@
     if (path == tickets_target) {
         return m_state->m_orders.issue_tickets(exchange);
     }
-    return path.starts_with(forwarded_prefix) ? m_state->handle_forwarded_order(exchange)
-                                              : m_state->handle_request(exchange);
+    return m_state->handle_request(exchange);
+}
+
+auto request_path::handle_forwarded(http_exchange& exchange) -> asio::awaitable<void>
+{
+    return m_state->handle_forwarded_order(exchange);
+}
+
+auto request_path::is_forwarded(const std::string_view target) -> bool
+{
+    return target.starts_with(forwarded_prefix);
 }
 
-auto request_path::accepts(const std::string_view target) -> bool
+auto request_path::is_configured() const -> bool
 {
-    const auto path = path_of(target);
-    return path == tickets_target || path.starts_with(service_prefix) || path.starts_with(forwarded_prefix);
+    return m_state->view() != nullptr;
 }
 
 auto request_path::apply_view(std::shared_ptr<const fleet_view> view) -> void
--- a/packages/daemon/src/cicadalug/request/request_path.hpp
+++ b/packages/daemon/src/cicadalug/request/request_path.hpp
@@ -7,6 +7,7 @@
 #include <cicadalug/request/claim_store.hpp>
 #include <cicadalug/request/pause_detector.hpp>
 #include <cicadalug/request/peer_entry_vm.hpp>
+#include <cicadalug/request/request_telemetry.hpp>
 #include <cicadalug/request/upstream_pool.hpp>
 #include <cicadalug/routing/router.hpp>
 
@@ -53,9 +54,10 @@
      * @param limits Limits.
      * @param routing Empty state with the settings of this entry VM.
      * @param claims Claims of bare idempotency keys; without it orders with a bare key are not run.
+     * @param telemetry Where spans and metrics go.
      */
     request_path(asio::io_context& context, const request_path_limits& limits, routing_state routing,
-                 std::shared_ptr<claim_store> claims = nullptr);
+                 std::shared_ptr<claim_store> claims = nullptr, request_telemetry telemetry = {});
 
     request_path(const request_path&) = delete;
     request_path(request_path&&) = delete;
@@ -66,18 +68,29 @@
     ~request_path();
 
     /**
-     * @brief Answers POST /v1/services/{service}/requests, POST /v1/tickets and orders that other entry VMs forward
-     * (POST /internal/orders/{service}).
+     * @brief Answers a caller: POST /v1/services/{service}/requests and POST /v1/tickets.
      * @param exchange The request.
      */
     [[nodiscard]] auto handle(http_exchange& exchange) -> asio::awaitable<void>;
 
     /**
-     * @brief Tells whether a target belongs to the request path.
+     * @brief Answers another entry VM that forwards an order: POST /internal/orders/{service}. Not for callers.
+     * @param exchange The request.
+     */
+    [[nodiscard]] auto handle_forwarded(http_exchange& exchange) -> asio::awaitable<void>;
+
+    /**
+     * @brief Tells whether a target is that of a forwarded order.
      * @param target Path and query of a request.
-     * @return True if handle() answers it, false if it is for another part of the daemon.
+     * @return True if handle_forwarded() answers it.
+     */
+    [[nodiscard]] static auto is_forwarded(std::string_view target) -> bool;
+
+    /**
+     * @brief Tells whether a view was applied, so that requests can be served.
+     * @return True after the first apply_view().
      */
-    [[nodiscard]] static auto accepts(std::string_view target) -> bool;
+    [[nodiscard]] auto is_configured() const -> bool;
 
     /**
      * @brief Takes a new view of the fleet.
--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -108,16 +108,36 @@
     co_await wait_until_current(start.m_give_up_at);
     const auto left = time_left(start.m_give_up_at, now());
     auto request = pending->m_upstream_request;
-    request.set("traceparent", to_string(continue_trace(to_string(pending->m_trace))));
+    auto attempt_span = begin_span("attempt", pending->m_trace);
+    request.set("traceparent", to_traceparent(attempt_span.m_context));
     auto answer = co_await m_upstreams.exchange(std::move(leased), std::move(request), left);
     auto attempted = to_attempt_result(std::move(answer));
     if (left == milliseconds{0}) {
         // Nothing was sent, and the upstream is not to blame.
         attempted.m_outcome = attempt_outcome::no_slot;
     }
+    report_attempt(start, *pending, attempted.m_outcome, std::move(attempt_span));
     end_attempt(start, *pending, std::move(attempted));
 }
 
+auto request_path::state::report_attempt(const start_attempt& start, const pending_request& pending,
+                                         const attempt_outcome outcome, span attempt_span) const -> void
+{
+    const std::string name{to_string(outcome)};
+    const auto current = view();
+    const auto record = current->m_vms.find(start.m_vm);
+    const auto pool = record == current->m_vms.end() ? pool_id{} : record->second.m_pool;
+    attempt_span.m_attributes = {{"request", std::string{pending.m_upstream_request["X-Request-Id"]}},
+                                 {"vm", start.m_vm.str()},
+                                 {"pool", pool.str()},
+                                 {"outcome", name}};
+    attempt_span.m_failed = outcome != attempt_outcome::answered;
+    end_span(m_telemetry, std::move(attempt_span));
+    if (m_telemetry.m_metrics) {
+        m_telemetry.m_metrics->attempt_finished(pool, name);
+    }
+}
+
 auto request_path::state::end_attempt(const start_attempt& start, pending_request& pending, attempt_result result)
     -> void
 {
--- a/packages/daemon/src/cicadalug/request/request_path_state.hpp
+++ b/packages/daemon/src/cicadalug/request/request_path_state.hpp
@@ -16,11 +16,12 @@
 class request_path::state : public std::enable_shared_from_this<state> {
 public:
     state(asio::io_context& context, const request_path_limits& limits, routing_state routing,
-          std::shared_ptr<claim_store> claims);
+          std::shared_ptr<claim_store> claims, request_telemetry telemetry);
 
     /** @brief Runs until the path is stopped: looks at the clock, and lets time pass for the routing decisions. */
     [[nodiscard]] auto run_timer() -> asio::awaitable<void>;
 
+    [[nodiscard]] auto view() const -> std::shared_ptr<const fleet_view>;
     [[nodiscard]] auto handle_request(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto handle_forwarded_order(http_exchange& exchange) -> asio::awaitable<void>;
 
@@ -51,6 +52,7 @@
     std::atomic<std::uint64_t> m_unknown{0};
     std::atomic<std::uint64_t> m_caller_gone{0};
     message_sender m_send;
+    const request_telemetry m_telemetry;
 
     mutable std::mutex m_routing_mutex;
     routing_state m_routing;
@@ -69,7 +71,6 @@
         attempt_result m_result;
     };
 
-    [[nodiscard]] auto view() const -> std::shared_ptr<const fleet_view>;
     [[nodiscard]] auto make_order(const http_exchange& exchange, caller_request request, const fleet_view& current)
         -> presented_order;
     [[nodiscard]] auto respond(http_exchange& exchange, const presented_order& order, request_outcome outcome)
@@ -78,6 +79,10 @@
         -> asio::awaitable<request_outcome>;
     auto abandon(const request_id& id, bool keep_started) -> void;
     auto count(const request_outcome& outcome) -> void;
+    auto report(const presented_order& order, const request_outcome& outcome) const -> void;
+    auto report_slots() const -> void;
+    auto report_attempt(const start_attempt& start, const pending_request& pending, attempt_outcome outcome,
+                        span attempt_span) const -> void;
 
     auto carry_out(const routing_effects& effects, completed_attempt* completed) -> void;
     auto start(const start_attempt& start) -> void;
--- a/packages/daemon/src/cicadalug/request/request_table.hpp
+++ b/packages/daemon/src/cicadalug/request/request_table.hpp
@@ -2,8 +2,8 @@
 #define CICADALUG_REQUEST_REQUEST_TABLE_HPP
 
 #include <cicadalug/request/request_outcome.hpp>
-#include <cicadalug/request/trace_header.hpp>
 #include <cicadalug/routing/routing_request.hpp>
+#include <cicadalug/telemetry/trace_context.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,18 +23,18 @@
      * @param executor Strand of the caller's connection.
      * @param routing What the routing decisions need; its id is unique, while callers may use an id twice.
      * @param upstream_request What is sent to an upstream.
-     * @param trace Trace of the request.
+     * @param trace Context of the span of the request.
      */
     pending_request(const asio::any_io_executor& executor, routing_request routing, http_request upstream_request,
-                    trace_header trace)
-        : m_routing{std::move(routing)},
-          m_upstream_request{std::move(upstream_request)}, m_trace{std::move(trace)}, m_ended{executor}
+                    const trace_context& trace)
+        : m_routing{std::move(routing)}, m_upstream_request{std::move(upstream_request)}, m_trace{trace}, m_ended{
+                                                                                                              executor}
     {
     }
 
     const routing_request m_routing;
     const http_request m_upstream_request;
-    const trace_header m_trace;
+    const trace_context m_trace;
 
     /** @brief Cancelled when the outcome is there. Used, like the outcome, on its executor only. */
     asio::steady_timer m_ended;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/request/request_path.hpp>
 #include <cicadalug/request/static_fleet.hpp>
+#include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,7 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,6 +29,8 @@
 constexpr milliseconds last_requests_delay{50};
 
 struct daemon_options {
+    std::string m_settings_file;
+    bool m_check{false};
     std::string m_listen{"127.0.0.1:8080"};
     std::string m_id{"entry-1"};
     std::string m_zone{"zone-1"};
@@ -40,6 +44,9 @@
 
 [[nodiscard]] auto parse_options(CLI::App& app, daemon_options& options, int argc, char** argv) -> int
 {
+    app.add_option("--settings", options.m_settings_file, "YAML file with the settings");
+    app.add_flag("--check", options.m_check, "Validate the settings and exit: 0 without findings, 2 with findings")
+        ->needs("--settings");
     app.add_option("--listen", options.m_listen, "Address and port");
     app.add_option("--id", options.m_id, "Name of this entry VM");
     app.add_option("--zone", options.m_zone, "Availability zone of this entry VM");
@@ -54,6 +61,24 @@
     return -1;
 }
 
+/** @brief Takes the options that a settings file names from it. */
+auto read_settings(daemon_options& options, findings& found) -> void
+{
+    const auto read = load_settings(options.m_settings_file);
+    if (!read) {
+        found.append(read.assume_error());
+        return;
+    }
+    const auto& values = read.assume_value();
+    std::ostringstream address;
+    address << values.m_callers;
+    options.m_listen = address.str();
+    options.m_id = values.m_entry_vm.str();
+    options.m_zone = values.m_availability_zone.str();
+    options.m_threads = values.m_worker_threads;
+    options.m_drain_delay_ms = static_cast<int>(values.m_balancer_delay.count());
+}
+
 [[nodiscard]] auto parse_peers(const daemon_options& options, findings& found) -> std::vector<peer_entry_vm>
 {
     std::vector<peer_entry_vm> peers;
@@ -118,6 +143,13 @@
         return code;
     }
     findings found;
+    if (!options.m_settings_file.empty()) {
+        read_settings(options, found);
+    }
+    if (options.m_check && found.empty()) {
+        std::cout << options.m_settings_file << ": no findings\n";
+        return 0;
+    }
     const auto endpoint = parse_endpoint(options.m_listen, "--listen", found);
     const auto peers = parse_peers(options, found);
     static_fleet fleet{availability_zone_id{options.m_zone}, {}, options.m_upstreams, options.m_slots};
@@ -135,12 +167,18 @@
     const routing_settings settings{entry_vm_id{options.m_id}, start_number(), fleet.m_availability_zone};
     request_path requests{context, {}, routing_state{settings}};
     requests.apply_peers(peers);
-    requests.apply_view(make_view(fleet));
+    if (!options.m_upstreams.empty()) {
+        requests.apply_view(make_view(fleet));
+    }
     std::atomic<bool> ready{true};
     http_server server{context, endpoint, {}, [&](http_exchange& exchange) {
                            const auto target = exchange.request().target();
-                           return target == "/healthz" || target == "/readyz" ? answer_health(exchange, ready)
-                                                                              : requests.handle(exchange);
+                           if (target == "/healthz" || target == "/readyz") {
+                               return answer_health(exchange, ready && requests.is_configured());
+                           }
+                           return request_path::is_forwarded({target.data(), target.size()})
+                                      ? requests.handle_forwarded(exchange)
+                                      : requests.handle(exchange);
                        }};
     asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&](const boost::system::error_code& error, int) {
