--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -138,6 +138,7 @@
 
 auto request_path::state::handle_request(http_exchange& exchange) -> asio::awaitable<void>
 {
+    const auto self = shared_from_this();
     findings found;
     auto request = parse_caller_request(exchange.request(), found);
     const auto current = view();
@@ -168,6 +169,7 @@
 
 auto request_path::state::handle_forwarded_order(http_exchange& exchange) -> asio::awaitable<void>
 {
+    const auto self = shared_from_this();
     findings found;
     http_request rewritten{exchange.request()};
     rewritten.target(std::string{service_prefix} +
--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -154,6 +154,8 @@
 
 auto request_path::state::start(const start_probe& start) -> void
 {
+    // A probe on an open connection that went silent would say nothing about new ones.
+    m_upstreams.distrust(start.m_vm);
     auto leased = m_upstreams.acquire(start.m_vm);
     if (!leased) {
         complete_attempt(start.m_attempt, attempt_outcome::connect_failed, nullptr);
--- a/packages/daemon/src/cicadalug/request/upstream_pool.cpp
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.cpp
@@ -152,6 +152,16 @@
     }
 }
 
+auto upstream_pool::distrust(const vm_id& vm) -> void
+{
+    std::vector<idle_connection> closed;
+    const std::lock_guard lock{m_mutex};
+    if (const auto found = m_vms.find(vm); found != m_vms.end()) {
+        ++found->second.m_generation;
+        closed.swap(found->second.m_idle);
+    }
+}
+
 auto upstream_pool::close_aged() -> void
 {
     std::vector<idle_connection> closed;
--- a/packages/daemon/src/cicadalug/request/upstream_pool.hpp
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.hpp
@@ -74,6 +74,12 @@
     [[nodiscard]] auto exchange(lease leased, http_request request, milliseconds timeout)
         -> asio::awaitable<result<http_response, http_failure>>;
 
+    /**
+     * @brief Closes all idle connections to a VM, and those in use after their exchange.
+     * @param vm The VM.
+     */
+    auto distrust(const vm_id& vm) -> void;
+
     /** @brief Closes idle connections that are older than the age limit. */
     auto close_aged() -> void;
 
--- a/packages/runtime/src/cicadalug/http/http_server.cpp
+++ b/packages/runtime/src/cicadalug/http/http_server.cpp
@@ -153,8 +153,20 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(m_server->m_limits.m_header_bytes);
     parser.body_limit(m_server->m_limits.m_body_bytes);
-    m_stream.expires_after(m_server->m_limits.m_read_timeout);
+    // The time limit of the stream would close it, and the peer could not be told why.
+    m_stream.expires_never();
+    asio::steady_timer limit{m_stream.get_executor(), m_server->m_limits.m_read_timeout};
+    const auto reading = std::make_shared<bool>(true);
+    limit.async_wait([self = shared_from_this(), reading](const boost::system::error_code& cancelled) {
+        if (!cancelled && *reading) {
+            self->m_stream.cancel();
+        }
+    });
     co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    *reading = false;
+    if (error == asio::error::operation_aborted) {
+        error = beast::error::timeout;
+    }
     co_return error ? http_request{} : parser.release();
 }
 
--- a/packages/runtime/test/cicadalug/http/http_server.cpp
+++ b/packages/runtime/test/cicadalug/http/http_server.cpp
@@ -4,8 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -73,6 +77,28 @@
     EXPECT_EQ(answer.assume_value().result(), http::status::payload_too_large);
 }
 
+// Guards against a caller that holds a connection with half a request, and against handling such a request.
+TEST_F(http_server_test, rejects_a_request_that_does_not_end)
+{
+    http_server_limits limits;
+    limits.m_read_timeout = milliseconds{100};
+    std::atomic<int> handled{0};
+    const http_server server{m_context, local_endpoint(), limits, [&](http_exchange& exchange) {
+                                 ++handled;
+                                 return echo(exchange);
+                             }};
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect(server.endpoint());
+    asio::write(socket, asio::buffer(std::string{"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf"}));
+    beast::flat_buffer buffer;
+    http_response response;
+    http::read(socket, buffer, response);
+    EXPECT_EQ(response.result(), http::status::bad_request);
+    EXPECT_EQ(response["X-Outcome"], "not-run");
+    EXPECT_EQ(handled, 0);
+}
+
 // Guards against a stop that cuts a request in flight.
 TEST_F(http_server_test, drain_answers_requests_in_flight)
 {
