--- a/packages/core/src/cicadalug/routing/deadline_rule.hpp
+++ b/packages/core/src/cicadalug/routing/deadline_rule.hpp
@@ -9,6 +9,21 @@
 
 namespace cicadalug {
 
+/** @brief An upstream is blamed for silence after this multiple of the 99th percentile, since single jobs run longer.
+ */
+inline constexpr int overdue_factor = 4;
+inline constexpr microseconds least_overdue{seconds{1}};
+
+/**
+ * @brief Computes the run-time bound: a job without an answer for so long is overdue, and is not expected to run on.
+ * @param times Run times of its service.
+ * @return The bound, from the start of the attempt.
+ */
+[[nodiscard]] inline auto overdue_bound(const run_time& times) noexcept -> microseconds
+{
+    return std::max(least_overdue, overdue_factor * percentile(times, 0.99));
+}
+
 /**
  * @brief Computes the time that a request needs from its start on, so that it meets its deadline with good odds.
  * @param times Run times of its service.
--- a/packages/core/src/cicadalug/routing/dispatch_steps.cpp
+++ b/packages/core/src/cicadalug/routing/dispatch_steps.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/routing/deadline_rule.hpp>
+#include <cicadalug/routing/overflow.hpp>
 #include <cicadalug/routing/routing_steps.hpp>
 
 #include <algorithm>
@@ -9,22 +10,12 @@
 
 namespace {
 
-// An upstream is blamed for silence after this multiple of the 99th percentile, since single jobs run longer.
-constexpr int overdue_factor = 4;
-constexpr microseconds least_overdue{seconds{1}};
-
-[[nodiscard]] auto overdue_bound(const run_time& times) -> microseconds
-{
-    return std::max(least_overdue, overdue_factor * percentile(times, 0.99));
-}
-
-/** @brief Time after which a connection is closed. A job that must not run twice is awaited until its deadline. */
-[[nodiscard]] auto give_up_time(const routing_request& request, const microseconds overdue, const time_point now)
-    -> time_point
+/** @brief Time after which a connection is closed; earlier than the end of the hold only if a retry is possible. */
+[[nodiscard]] auto give_up_time(const routing_request& request, const microseconds overdue, const time_point hold_until,
+                                const time_point now) -> time_point
 {
-    const auto remaining = request.m_deadline - now;
-    return request.m_idempotent ? std::min(request.m_deadline, now + std::max(overdue, remaining / 4))
-                                : request.m_deadline;
+    const auto retry_at = now + std::max<microseconds>(overdue, (request.m_deadline - now) / 4);
+    return request.m_idempotent && retry_at < request.m_deadline ? retry_at : hold_until;
 }
 
 /** @brief Tells whether the answer of a waiting request would come too late if it started now. */
@@ -57,7 +48,7 @@
     const auto overdue = overdue_bound(service.m_run_time);
     state.m_timers.push({now + overdue, timer_kind::attempt_overdue, attempt.value()});
     effects.m_starts.push_back({live.m_request.m_id, state.m_ledger.m_vms[slot.m_upstream], attempt,
-                                give_up_time(live.m_request, overdue, now)});
+                                give_up_time(live.m_request, overdue, hold_until, now)});
     refresh_upstream(state, slot.m_upstream);
 }
 
@@ -68,7 +59,7 @@
     if (state.m_pools[pool].m_free == 0) {
         return false;
     }
-    const auto bound = percentile(state.m_services[live.m_service].m_run_time, 0.99);
+    const auto bound = overdue_bound(state.m_services[live.m_service].m_run_time);
     const auto hold_until = std::max(live.m_request.m_deadline, now + bound);
     slot_key slot;
     const auto is_tried = [&live](const upstream_index upstream) {
@@ -86,15 +77,13 @@
     return true;
 }
 
-} // namespace
-
-auto spare_capacity_of(const routing_state& state, const routing_pool& spare) noexcept -> spare_capacity
+[[nodiscard]] auto spare_capacity_of(const routing_pool& spare) noexcept -> spare_capacity
 {
-    static_cast<void>(state);
-    return {spare.m_slots, promised_share(spare.m_share_slots, spare.m_promised_vms, spare.m_all_members),
-            spare.m_overflow, static_cast<int>(spare.m_queue.m_requests.size())};
+    return {spare.m_slots, spare.m_promised_slots, spare.m_overflow, static_cast<int>(spare.m_queue.m_requests.size())};
 }
 
+} // namespace
+
 auto start_request(routing_state& state, const request_number number, const time_point now, routing_effects& effects)
     -> bool
 {
@@ -103,7 +92,7 @@
         return true;
     }
     return state.m_spare_pool && *state.m_spare_pool != pool &&
-           may_overflow(spare_capacity_of(state, state.m_pools[*state.m_spare_pool])) &&
+           may_overflow(spare_capacity_of(state.m_pools[*state.m_spare_pool])) &&
            start_in_pool(state, number, *state.m_spare_pool, now, effects);
 }
 
--- a/packages/core/src/cicadalug/routing/overflow.hpp
+++ b/packages/core/src/cicadalug/routing/overflow.hpp
@@ -16,18 +16,37 @@
 };
 
 /**
- * @brief Computes the slots that the promise of a pool needs of one entry VM's share.
- * @param slots Slots of the share.
- * @param promised_vms Promised capacity of the pool in VMs.
- * @param member_vms Members of the pool, the VMs out of service included.
- * @return Number of slots, rounded up, at most as many as the share would have with all members.
+ * @brief Computes the slots that the promise of a pool needs in one availability zone.
+ * @param slots Slots of the pool in the zone.
+ * @param promised_vms Promised capacity of the pool in VMs, of all zones.
+ * @param member_vms Members of the pool in all zones, the VMs out of service included.
+ * @return Number of slots, rounded up.
  */
-[[nodiscard]] constexpr auto promised_share(const int slots, const int promised_vms, const int member_vms) noexcept
+[[nodiscard]] constexpr auto promised_slots(const int slots, const int promised_vms, const int member_vms) noexcept
     -> int
 {
     return member_vms <= 0 ? 0 : (slots * promised_vms + member_vms - 1) / member_vms;
 }
 
+/**
+ * @brief Divides the slots above the promise among the entry VMs of a zone, in proportion to their shares. The parts
+ * add up to the whole: rounding in each entry VM would leave about half a slot of each unused.
+ * @param before Slots in the shares of the entry VMs that come before.
+ * @param own Slots in the own share.
+ * @param all Slots of the pool in the zone.
+ * @param promised Slots among them that the promise needs.
+ * @return Slots of the own share that the promise needs.
+ */
+[[nodiscard]] constexpr auto promised_share(const int before, const int own, const int all, const int promised) noexcept
+    -> int
+{
+    if (all <= 0) {
+        return 0;
+    }
+    const auto surplus = all > promised ? all - promised : 0;
+    return own - ((before + own) * surplus / all - before * surplus / all);
+}
+
 /**
  * @brief Tells whether a request of another pool may use a slot of the spare pool.
  * @param spare State of the spare pool.
--- a/packages/core/src/cicadalug/routing/router.cpp
+++ b/packages/core/src/cicadalug/routing/router.cpp
@@ -282,7 +282,7 @@
     for (const auto key : expire_loans(state.m_ledger, now)) {
         refresh_upstream(state, key.m_upstream);
     }
-    return_idle_loans(state, effects);
+    return_idle_loans(state, now, effects);
     dispatch_freed(state, now, effects);
     ask_peers(state, now, effects);
     return effects;
--- a/packages/core/src/cicadalug/routing/router_slots.cpp
+++ b/packages/core/src/cicadalug/routing/router_slots.cpp
@@ -70,7 +70,7 @@
 {
     routing_effects effects;
     state.m_shutting_down = true;
-    return_idle_loans(state, effects);
+    return_idle_loans(state, now, effects);
     dispatch_freed(state, now, effects);
     return effects;
 }
--- a/packages/core/src/cicadalug/routing/router_view.cpp
+++ b/packages/core/src/cicadalug/routing/router_view.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/routing/overflow.hpp>
 #include <cicadalug/routing/router.hpp>
 #include <cicadalug/routing/routing_steps.hpp>
 
@@ -182,6 +183,26 @@
     }
 }
 
+/** @brief Computes the part of the spare pool's promise that falls on the own share. */
+auto update_spare_pool(routing_state& state) -> void
+{
+    auto& pool = state.m_pools[*state.m_spare_pool];
+    auto before = 0;
+    auto all = 0;
+    auto members = state.m_members;
+    for (const auto member : state.m_members.m_hashes) {
+        members.m_self = member;
+        for (const auto upstream : pool.m_upstreams) {
+            const auto slots = std::popcount(
+                own_share(members, state.m_ledger.m_vms[upstream], state.m_upstreams[upstream].m_slot_count));
+            all += slots;
+            before += member < state.m_members.m_self ? slots : 0;
+        }
+    }
+    pool.m_promised_slots =
+        promised_share(before, pool.m_share_slots, all, promised_slots(all, pool.m_promised_vms, pool.m_all_members));
+}
+
 /** @brief Brings everything up to date that depends on the own share or on the members of the pools. */
 auto update_pools(routing_state& state, const time_point now) -> void
 {
@@ -200,6 +221,9 @@
         }
         update_ejections(state, number, now);
     }
+    if (state.m_spare_pool) {
+        update_spare_pool(state);
+    }
 }
 
 auto dispatch_all(routing_state& state, const time_point now, routing_effects& effects) -> void
--- a/packages/core/src/cicadalug/routing/routing_effects.hpp
+++ b/packages/core/src/cicadalug/routing/routing_effects.hpp
@@ -14,7 +14,12 @@
 /** @brief Identifies one attempt or one probe of this entry VM's process. */
 using attempt_id = strong_number<struct attempt_tag, std::uint64_t>;
 
-/** @brief Send a request to an upstream, and report the end of the attempt with complete(). */
+/**
+ * @brief Send a request to an upstream, and report the end of the attempt with complete().
+ *
+ * The attempt outlives its request: after the caller was told `unknown` at the deadline, or went away, the answer is
+ * still awaited until m_give_up_at. The slot is then free as soon as the job ends, and not after the run-time bound.
+ */
 struct start_attempt {
     request_id m_request;
     vm_id m_vm;
--- a/packages/core/src/cicadalug/routing/routing_state.hpp
+++ b/packages/core/src/cicadalug/routing/routing_state.hpp
@@ -66,6 +66,8 @@
     int m_serving{0};
     /** @brief Slots of the own share on all upstreams of the zone, whether they take work or not. */
     int m_share_slots{0};
+    /** @brief Slots of the own share that the promise needs; known for the spare pool. */
+    int m_promised_slots{0};
     /** @brief Usable and free slots of upstreams that take work and are not ejected. */
     int m_slots{0};
     int m_free{0};
--- a/packages/core/src/cicadalug/routing/routing_steps.hpp
+++ b/packages/core/src/cicadalug/routing/routing_steps.hpp
@@ -2,7 +2,6 @@
 #define CICADALUG_ROUTING_ROUTING_STEPS_HPP
 
 #include <cicadalug/base/time.hpp>
-#include <cicadalug/routing/overflow.hpp>
 #include <cicadalug/routing/routing_effects.hpp>
 #include <cicadalug/routing/routing_state.hpp>
 
@@ -21,9 +20,6 @@
 /** @brief Schedules the next probe of an upstream, if it needs one and none is scheduled. */
 auto schedule_probe(routing_state& state, upstream_index upstream, time_point now) -> void;
 
-/** @brief Returns the state of the spare pool for may_overflow(). */
-[[nodiscard]] auto spare_capacity_of(const routing_state& state, const routing_pool& spare) noexcept -> spare_capacity;
-
 /** @brief Starts a request on a free slot of its pool or, if there is none, of the spare pool. */
 [[nodiscard]] auto start_request(routing_state& state, request_number number, time_point now, routing_effects& effects)
     -> bool;
@@ -54,8 +50,8 @@
 /** @brief Frees the slot of an ended attempt, or keeps it in use until a time. */
 auto release_slot(routing_state& state, attempt_id attempt, time_point until, time_point now) -> void;
 
-/** @brief Gives back borrowed slots that are not needed. */
-auto return_idle_loans(routing_state& state, routing_effects& effects) -> void;
+/** @brief Gives back borrowed slots that are not needed, or whose term is too short for another request. */
+auto return_idle_loans(routing_state& state, time_point now, routing_effects& effects) -> void;
 
 /** @brief Asks peers for slots for the pools that have waiting requests. */
 auto ask_peers(routing_state& state, time_point now, routing_effects& effects) -> void;
