--- a/packages/core/src/cicadalug/fleet/vm_record.hpp
+++ b/packages/core/src/cicadalug/fleet/vm_record.hpp
@@ -38,6 +38,8 @@
     withdrawn,
     /** @brief The VM disappeared from the platform's list. */
     gone,
+    /** @brief An operator's drain or an earlier failure kept the VM until the rest of the wave had ended. */
+    held,
 };
 
 /** @brief The one entry of a VM in the key-value service. Having one entry, a VM has one pool. */
--- a/packages/core/src/cicadalug/fleet/vm_record_json.cpp
+++ b/packages/core/src/cicadalug/fleet/vm_record_json.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::string_view phase_names[]{"serving", "announced", "draining", "rebooting", "returning", "set_aside"};
-constexpr std::string_view outcome_names[]{"none", "done", "not_drained", "not_returned", "withdrawn", "gone"};
+constexpr std::string_view outcome_names[]{"none", "done", "not_drained", "not_returned", "withdrawn", "gone", "held"};
 
 template<typename Value>
 auto put(nlohmann::json& json, const char* name, const Value& value, const Value& absent) -> void
