--- /dev/null
+++ b/packages/core/test/cicadalug/fleet/planner.cpp
@@ -0,0 +1,38 @@
+#include <cicadalug/fleet/planner.hpp>
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace cicadalug;
+
+// Guards against a move for a surge of seconds, and against demand that lasts and is never answered.
+TEST(planner, moves_for_lasting_demand_only)
+{
+    planner_state state;
+    const pool_id spare{"spare"};
+    const pool_demand spare_demand{0.0, 6, 4, 2};
+    const planning_policy policy;
+    int moved = 0;
+    for (int second = 0; second < 3'600; second += 10) {
+        const auto surge = second % 600 < 20;
+        const auto plan = plan_moves(state, {{pool_id{"a"}, {surge ? 15.0 : 0.5, 10, 2, 4}}}, spare, spare_demand,
+                                     policy, time_point{seconds{second}});
+        moved += static_cast<int>(plan.m_transfers.size());
+    }
+    EXPECT_EQ(moved, 0);
+    for (int second = 3'600; second < 9'000 && moved == 0; second += 10) {
+        const auto plan = plan_moves(state, {{pool_id{"a"}, {10.0, 10, 2, 4}}}, spare, spare_demand, policy,
+                                     time_point{seconds{second}});
+        moved += plan.m_transfers.empty() ? 0 : plan.m_transfers.front().m_vms;
+    }
+    EXPECT_GT(moved, 0);
+}
+
+// Guards against weights that have no effect: a deployment that weighs moves most waits longer before it moves.
+TEST(planner, weights_change_the_lasting_term)
+{
+    EXPECT_GT(lasting_term({1.0, 1.0, 4.0}), lasting_term({1.0, 4.0, 1.0}));
+}
+
+} // namespace
