--- a/packages/core/src/cicadalug/model/resource.cpp
+++ b/packages/core/src/cicadalug/model/resource.cpp
@@ -399,6 +399,16 @@
 
 } // namespace
 
+auto complete_spec(const resource& item) -> result<json>
+{
+    json spec;
+    auto found = read_any(item, [&spec](const auto& aggregate, const findings&) { spec = to_spec(aggregate); });
+    if (!found.empty()) {
+        return found;
+    }
+    return spec;
+}
+
 auto apply_resource(fleet_view& view, const resource& item) -> findings
 {
     findings found;
--- a/packages/core/src/cicadalug/model/resource.hpp
+++ b/packages/core/src/cicadalug/model/resource.hpp
@@ -3,7 +3,6 @@
 
 #include <cicadalug/base/ids.hpp>
 #include <cicadalug/base/result.hpp>
-#include <cicadalug/model/fwd.hpp>
 #include <cicadalug/model/resource_kind.hpp>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +12,9 @@
 
 namespace cicadalug {
 
+// Declared here, because the linter takes model/fwd.hpp's service for Asio's where both are included.
+struct fleet_view;
+
 /** @brief One declared resource of the operators, as it is stored and passed between entry VMs. */
 struct resource {
     resource_kind m_kind{resource_kind::pool};
@@ -72,6 +74,14 @@
  */
 [[nodiscard]] auto validate_resource(const resource& item, const fleet_view& view) -> findings;
 
+/**
+ * @brief Fills in the members that the spec of a resource leaves out, so that two specs can be compared.
+ * @param item The resource, not deleted.
+ * @return The complete spec, or the faults of the spec.
+ * @note Thread safety: can be called concurrently.
+ */
+[[nodiscard]] auto complete_spec(const resource& item) -> result<nlohmann::json>;
+
 /**
  * @brief Puts a resource into a view, or takes a deleted one out, and raises the version of the view.
  * @param view The view, not yet shared.
--- a/packages/core/test/cicadalug/model/resource.cpp
+++ b/packages/core/test/cicadalug/model/resource.cpp
@@ -97,6 +97,16 @@
               "name: the one resource of kind policy is named 'default'");
 }
 
+// Guards against a difference that is shown, and a write that is made, for a member that only spells out a default.
+TEST(resource, complete_spec_fills_in_defaults)
+{
+    const auto spec = [](const std::string& text) {
+        return complete_spec(parse_resource(text).assume_value()).assume_value();
+    };
+    EXPECT_EQ(spec(R"({"kind":"pool","name":"p","spec":{}})"),
+              spec(R"({"kind":"pool","name":"p","spec":{"spare":false}})"));
+}
+
 // Guards against a service that loses its pool.
 TEST(resource, deleting_a_used_pool_is_refused)
 {
--- /dev/null
+++ b/packages/ctl/src/cicadalug/command/fwd.hpp
@@ -0,0 +1,13 @@
+#ifndef CICADALUG_COMMAND_FWD_HPP
+#define CICADALUG_COMMAND_FWD_HPP
+
+namespace cicadalug {
+
+struct command_context;
+struct apply_options;
+struct watch_options;
+struct wave_options;
+
+} // namespace cicadalug
+
+#endif
