--- /dev/null
+++ b/packages/ctl/test/cicadalug/examples.cpp
@@ -0,0 +1,76 @@
+#include <cicadalug/document/resource_document.hpp>
+#include <cicadalug/model/fleet_view.hpp>
+#include <cicadalug/settings/settings.hpp>
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace cicadalug;
+
+struct deployment {
+    const char* m_folder;
+    std::size_t m_zones;
+    const char* m_spare;
+};
+
+class examples : public ::testing::TestWithParam<deployment> {
+protected:
+    [[nodiscard]] auto path(const std::string& rest) const -> std::string
+    {
+        return std::string{CICADALUG_EXAMPLES "/"} + GetParam().m_folder + rest;
+    }
+};
+
+// Guards against examples that fall behind the program, and that contradict the sizes of the design page.
+TEST_P(examples, resources_are_valid_together)
+{
+    findings found;
+    auto documents = load_resource_documents(path("/resources"), found);
+    const auto waves = load_resource_documents(path("/waves"), found);
+    documents.insert(documents.end(), waves.begin(), waves.end());
+    fleet_view view;
+    for (const auto& document : documents) {
+        found.append(apply_resource(view, document.m_resource));
+    }
+    for (const auto& document : documents) {
+        append_located(document, validate_resource(document.m_resource, view), found);
+    }
+    EXPECT_TRUE(found.empty()) << found.to_string();
+    EXPECT_EQ(view.m_services.size(), 5U);
+    EXPECT_EQ(view.m_waves.size(), 1U);
+    EXPECT_TRUE(view.m_pools.at(pool_id{GetParam().m_spare}).m_spare);
+}
+
+// Guards against entry VMs that disagree about their addresses, so that heartbeats get lost.
+TEST_P(examples, settings_of_all_entry_vms_agree)
+{
+    std::map<entry_vm_id, settings> all;
+    std::set<availability_zone_id> zones;
+    for (const auto& entry : std::filesystem::directory_iterator{path("/settings")}) {
+        const auto read = load_settings(entry.path().string());
+        ASSERT_TRUE(read) << read.assume_error().to_string();
+        zones.insert(read.assume_value().m_availability_zone);
+        all.emplace(read.assume_value().m_entry_vm, read.assume_value());
+    }
+    EXPECT_EQ(zones.size(), GetParam().m_zones);
+    for (const auto& [id, own] : all) {
+        EXPECT_EQ(own.m_peers.size() + 1, all.size());
+        for (const auto& peer : own.m_peers) {
+            const auto& other = all.at(peer.m_entry_vm);
+            EXPECT_EQ(peer.m_datagrams, other.m_datagrams);
+            EXPECT_EQ(peer.m_operators, other.m_operators);
+            EXPECT_EQ(peer.m_availability_zone, other.m_availability_zone);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(deployments, examples,
+                         ::testing::Values(deployment{"co-operative", 3, "member-portal"},
+                                           deployment{"samahang", 4, "common-desk"}));
+
+} // namespace
