--- a/packages/core/src/cicadalug/replication/map_digest.cpp
+++ b/packages/core/src/cicadalug/replication/map_digest.cpp
@@ -23,6 +23,14 @@
     digest.m_buckets.at(bucket_of(key)) ^= XXH3_64bits_withSeed(key.data(), key.size(), entry_version.value());
 }
 
+auto combine(map_digest left, const map_digest& right) noexcept -> map_digest
+{
+    for (std::size_t bucket = 0; bucket < digest_buckets; ++bucket) {
+        left.m_buckets.at(bucket) ^= right.m_buckets.at(bucket);
+    }
+    return left;
+}
+
 auto fold(const map_digest& digest) noexcept -> std::uint64_t
 {
     std::uint64_t folded{0};
--- a/packages/core/src/cicadalug/replication/map_digest.hpp
+++ b/packages/core/src/cicadalug/replication/map_digest.hpp
@@ -41,6 +41,14 @@
  */
 auto toggle(map_digest& digest, std::string_view key, version entry_version) noexcept -> void;
 
+/**
+ * @brief Combines the digests of two maps without common keys.
+ * @param left One digest.
+ * @param right The other.
+ * @return The digest of both maps together.
+ */
+[[nodiscard]] auto combine(map_digest left, const map_digest& right) noexcept -> map_digest;
+
 /**
  * @brief Folds a digest into one number for heartbeats.
  * @param digest The digest.
--- a/packages/core/src/cicadalug/replication/versioned_map.cpp
+++ b/packages/core/src/cicadalug/replication/versioned_map.cpp
@@ -89,12 +89,13 @@
     return entries;
 }
 
-auto entries_in_differing_buckets(const versioned_map& map, const map_digest& peer) -> std::vector<versioned_entry>
+auto entries_in_differing_buckets(const versioned_map& map, const map_digest& own, const map_digest& peer)
+    -> std::vector<versioned_entry>
 {
     std::vector<versioned_entry> entries;
     for (const auto& [key, value] : map.m_entries) {
         const auto bucket = bucket_of(key);
-        if (map.m_digest.m_buckets.at(bucket) != peer.m_buckets.at(bucket)) {
+        if (own.m_buckets.at(bucket) != peer.m_buckets.at(bucket)) {
             entries.push_back({key, value});
         }
     }
--- a/packages/core/src/cicadalug/replication/versioned_map.hpp
+++ b/packages/core/src/cicadalug/replication/versioned_map.hpp
@@ -77,10 +77,11 @@
 /**
  * @brief Returns the entries that a peer may lack, tombstones included.
  * @param map The map.
- * @param peer Digest of the peer.
+ * @param own Digest to compare; other than m_digest if it covers several maps.
+ * @param peer Digest of the peer over the same keys.
  * @return All entries of the buckets in which the digests differ.
  */
-[[nodiscard]] auto entries_in_differing_buckets(const versioned_map& map, const map_digest& peer)
+[[nodiscard]] auto entries_in_differing_buckets(const versioned_map& map, const map_digest& own, const map_digest& peer)
     -> std::vector<versioned_entry>;
 
 } // namespace cicadalug
--- a/packages/core/test/cicadalug/replication/versioned_map.cpp
+++ b/packages/core/test/cicadalug/replication/versioned_map.cpp
@@ -54,10 +54,10 @@
 /** @brief One exchange of anti-entropy in both directions. */
 auto exchange(versioned_map& left, versioned_map& right) -> void
 {
-    for (const auto& entry : entries_in_differing_buckets(right, left.m_digest)) {
+    for (const auto& entry : entries_in_differing_buckets(right, right.m_digest, left.m_digest)) {
         merge(left, entry);
     }
-    for (const auto& entry : entries_in_differing_buckets(left, right.m_digest)) {
+    for (const auto& entry : entries_in_differing_buckets(left, left.m_digest, right.m_digest)) {
         merge(right, entry);
     }
 }
