Add replication, membership and the operators' API to the daemon

An entry VM learns the configuration from a peer of its zone, the platform, or a peer of another zone, in this order. The holder of control/{zone} keeps the two watches of the zone, reads the platform's list, and passes changes on by datagram; digests in heartbeats repair what was lost. The operators' API writes by compare-and-swap with preconditions and reports all findings together. The platform's list is stored at list/{zone} when it changes, so that the other entry VMs of the zone know the leaving VMs without a platform call each.

--- /dev/null
+++ b/packages/daemon/src/cicadalug/api/resource_api.hpp
@@ -0,0 +1,78 @@
+#ifndef CICADALUG_API_RESOURCE_API_HPP
+#define CICADALUG_API_RESOURCE_API_HPP
+
+#include <cicadalug/http/http_server.hpp>
+#include <cicadalug/http/target.hpp>
+#include <cicadalug/membership/membership_service.hpp>
+#include <cicadalug/model/resource.hpp>
+#include <cicadalug/platform/platform_client.hpp>
+#include <cicadalug/platform/write_id_source.hpp>
+#include <cicadalug/replication/replica.hpp>
+
+#include <atomic>
+#include <functional>
+
+namespace cicadalug {
+
+/**
+ * @brief Operators' calls below /v1/resources and /v1/watch.
+ * @note Thread safety: all functions can be called concurrently.
+ */
+class resource_api {
+public:
+    /** @brief Returns the status of a resource as JSON, null if there is none. */
+    using status_source = std::function<nlohmann::json(const resource&)>;
+
+    /**
+     * @brief Constructs the calls.
+     * @param platform Where resources are written.
+     * @param ids Write ids of this process.
+     * @param copy Where resources are read.
+     * @param members Carries a written resource to the others at once.
+     */
+    resource_api(platform_client& platform, write_id_source& ids, replica& copy, membership_service& members);
+
+    /** @brief Sets what fills the member "status". @pre No request has been handled. */
+    auto set_status_source(status_source function) -> void { m_status = std::move(function); }
+
+    /**
+     * @brief Answers a call below /v1/resources.
+     * @param exchange The call.
+     * @param target Its target.
+     */
+    [[nodiscard]] auto handle(http_exchange& exchange, http_target target) -> asio::awaitable<void>;
+
+    /**
+     * @brief Answers GET /v1/watch with one JSON line for each changed resource, in the order in which the changes
+     * reached this entry VM, and a line {"version"} each second without one.
+     * @param exchange The call.
+     * @param target Its target; `after` is a version, all by default.
+     */
+    [[nodiscard]] auto watch(http_exchange& exchange, http_target target) -> asio::awaitable<void>;
+
+    /** @brief Ends all watches within a second or so, for a graceful shutdown. */
+    auto end_watches() noexcept -> void { m_ending = true; }
+
+private:
+    [[nodiscard]] auto shown(const versioned_entry& entry) const -> nlohmann::json;
+    [[nodiscard]] auto list(const std::string& kind) const -> http_response;
+    [[nodiscard]] auto read(const std::string& kind, const std::string& name) const -> http_response;
+    [[nodiscard]] auto answer_read(const std::string& kind, const std::string& name) const -> http_response;
+    [[nodiscard]] auto answer_write(const http_request& request, std::string kind, std::string name)
+        -> asio::awaitable<http_response>;
+    [[nodiscard]] auto change(const http_request& request, const std::string& kind, const std::string& name,
+                              findings& found) const -> resource;
+    [[nodiscard]] auto write(resource item, version expected, bool create) -> asio::awaitable<http_response>;
+    [[nodiscard]] auto lines(const std::vector<versioned_entry>& entries) const -> std::string;
+
+    platform_client& m_platform;
+    write_id_source& m_ids;
+    replica& m_copy;
+    membership_service& m_members;
+    status_source m_status;
+    std::atomic<bool> m_ending{false};
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.hpp
@@ -0,0 +1,44 @@
+#ifndef CICADALUG_ENTRY_VM_ENTRY_VM_HPP
+#define CICADALUG_ENTRY_VM_ENTRY_VM_HPP
+
+#include <cicadalug/base/result.hpp>
+#include <cicadalug/entry_vm/entry_vm_settings.hpp>
+
+#include <memory>
+
+namespace cicadalug {
+
+/**
+ * @brief One entry VM: wires the replica, membership, control, the operators' API and the request path.
+ * @note Thread safety: run() is called once; the other functions can be called concurrently with it.
+ */
+class entry_vm {
+public:
+    /**
+     * @brief Makes an entry VM; nothing runs yet.
+     * @param settings What it has to know.
+     * @return The entry VM, or all faults of the settings, addresses that are not available included.
+     */
+    [[nodiscard]] static auto make(entry_vm_settings settings) -> result<std::unique_ptr<entry_vm>>;
+
+    entry_vm(const entry_vm&) = delete;
+    entry_vm(entry_vm&&) = delete;
+    auto operator=(const entry_vm&) -> entry_vm& = delete;
+    auto operator=(entry_vm&&) -> entry_vm& = delete;
+    ~entry_vm();
+
+    /** @brief Runs until SIGTERM or SIGINT and a graceful shutdown. */
+    auto run() -> void;
+
+    /** @brief All parts of an entry VM. */
+    class parts;
+
+private:
+    explicit entry_vm(std::unique_ptr<parts> made);
+
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/entry_vm/fwd.hpp
@@ -0,0 +1,11 @@
+#ifndef CICADALUG_ENTRY_VM_FWD_HPP
+#define CICADALUG_ENTRY_VM_FWD_HPP
+
+namespace cicadalug {
+
+struct entry_vm_settings;
+class entry_vm;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/membership/control_keeper.hpp
@@ -0,0 +1,84 @@
+#ifndef CICADALUG_DAEMON_MEMBERSHIP_CONTROL_KEEPER_HPP
+#define CICADALUG_DAEMON_MEMBERSHIP_CONTROL_KEEPER_HPP
+
+#include <cicadalug/membership/control_lease.hpp>
+#include <cicadalug/membership/membership_state.hpp>
+#include <cicadalug/platform/platform_client.hpp>
+#include <cicadalug/platform/write_id_source.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace cicadalug {
+
+/**
+ * @brief Gets and keeps the control lease of a zone: makes the calls that the state machine of control_lease.hpp asks
+ * for. Functions without a note are called on the executor.
+ */
+class control_keeper {
+public:
+    using begin_handler = std::function<void(epoch)>;
+    using end_handler = std::function<void()>;
+
+    /**
+     * @brief Constructs a follower.
+     * @param executor Runs the calls; a strand if the context has several threads.
+     * @param platform The platform.
+     * @param ids Write ids of this process.
+     * @param self This entry VM.
+     * @param zone Its zone.
+     * @param settings Times of the lease.
+     */
+    control_keeper(const boost::asio::any_io_executor& executor, platform_client& platform, write_id_source& ids,
+                   const entry_vm_id& self, const availability_zone_id& zone, const control_settings& settings);
+
+    /** @brief Sets what is called when control begins and ends. @pre No tick has been made. */
+    auto on_control(begin_handler begin, end_handler end) -> void;
+
+    /** @brief Lets time pass. */
+    auto tick(const membership_state& table, time_point now) -> void;
+
+    /** @brief The process was paused. */
+    auto paused(time_point now) -> void;
+
+    /** @brief Gives the lease back and waits for it. The platform may be down; then the lease ends by itself. */
+    [[nodiscard]] auto give_up() -> boost::asio::awaitable<void>;
+
+    /** @brief Returns the epoch while control is held. @note Thread safety: can be called concurrently. */
+    [[nodiscard]] auto held_epoch() const -> std::optional<epoch>;
+
+    /** @brief Returns the epoch for heartbeats: also while epochs are raised or the lease is verified; zero for a
+     * follower. @note Thread safety: can be called concurrently. */
+    [[nodiscard]] auto announced_epoch() const -> epoch;
+
+private:
+    template<typename Function>
+    [[nodiscard]] auto change(Function function) -> control_effects;
+    auto perform(const control_effects& effects) -> void;
+    [[nodiscard]] auto call(control_effect effect) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto grant(control_effect effect) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto write_key(control_effect effect) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto renew(control_effect effect) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto raise(control_effect effect) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto raise_record(kv_entry record, epoch target) -> boost::asio::awaitable<bool>;
+    auto fail(std::uint64_t attempt) -> void;
+
+    boost::asio::any_io_executor m_executor;
+    platform_client& m_platform;
+    write_id_source& m_ids;
+    const entry_vm_id m_self;
+    const availability_zone_id m_zone;
+    begin_handler m_begin;
+    end_handler m_end;
+    /** @brief Guards m_state only; no other lock is taken while it is held. */
+    mutable std::mutex m_mutex;
+    control_state m_state;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/replication/peer_sync.hpp
@@ -0,0 +1,70 @@
+#ifndef CICADALUG_DAEMON_REPLICATION_PEER_SYNC_HPP
+#define CICADALUG_DAEMON_REPLICATION_PEER_SYNC_HPP
+
+#include <cicadalug/membership/membership_service.hpp>
+#include <cicadalug/platform/platform_client.hpp>
+#include <cicadalug/replication/replica.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cicadalug {
+
+/**
+ * @brief Keeps copies equal without the platform: learns the configuration at the start from a peer or else from the
+ * platform, takes in changes that peers tell, and compares digests with each heartbeat.
+ * @note Thread safety: all functions are called on the executor.
+ */
+class peer_sync {
+public:
+    /**
+     * @brief Constructs the service.
+     * @param executor Runs the transfers; a strand if the context has several threads.
+     * @param platform The platform.
+     * @param copy The copy.
+     * @param members Knows the peers.
+     * @param zone Zone of the copy.
+     */
+    peer_sync(const boost::asio::any_io_executor& executor, platform_client& platform, replica& copy,
+              membership_service& members, const availability_zone_id& zone);
+
+    /** @brief Learns the configuration, however long that takes. */
+    [[nodiscard]] auto load() -> boost::asio::awaitable<void>;
+
+    /** @brief Takes in a datagram of a peer. */
+    auto receive(const datagram& message) -> void;
+
+    /** @brief Fills version and digest of a heartbeat. */
+    auto fill(const availability_zone_id& receiver_zone, heartbeat& filled) const -> void;
+
+private:
+    struct peer_comparison {
+        /** @brief Own and the peer's folded digest at the last heartbeat, and how long they have differed. */
+        std::uint64_t m_own{0};
+        std::uint64_t m_peer{0};
+        int m_different{0};
+        bool m_running{false};
+    };
+
+    [[nodiscard]] auto load_from_peers(bool own_zone) -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto load_from_platform() -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto fetch(entry_vm_id peer, std::string query, milliseconds timeout) -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto reconcile(entry_vm_id peer) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto fetch_value(entry_vm_id peer, std::string key) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto scope_for(const availability_zone_id& zone) const -> replica_scope;
+    auto compare(const heartbeat& beat) -> void;
+
+    boost::asio::any_io_executor m_executor;
+    platform_client& m_platform;
+    replica& m_copy;
+    membership_service& m_members;
+    const availability_zone_id m_zone;
+    std::map<entry_vm_id, peer_comparison> m_comparisons;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/replication/zone_watcher.hpp
@@ -0,0 +1,67 @@
+#ifndef CICADALUG_DAEMON_REPLICATION_ZONE_WATCHER_HPP
+#define CICADALUG_DAEMON_REPLICATION_ZONE_WATCHER_HPP
+
+#include <cicadalug/membership/membership_service.hpp>
+#include <cicadalug/platform/platform_client.hpp>
+#include <cicadalug/platform/write_id_source.hpp>
+#include <cicadalug/replication/replica.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace cicadalug {
+
+/**
+ * @brief Keeps the watches of a zone and reads the platform's list, while this entry VM holds control, and passes
+ * changes on to the others of the zone. So the number of platform calls grows with zones, not with entry VMs.
+ * @note Thread safety: all functions are called on the executor.
+ */
+class zone_watcher {
+public:
+    /**
+     * @brief Constructs a watcher that does nothing yet.
+     * @param executor Runs the watches; a strand if the context has several threads.
+     * @param platform The platform.
+     * @param ids Write ids of this process.
+     * @param copy Gets the changes.
+     * @param members Carries the changes to the others.
+     * @param zone The zone.
+     * @param list_interval Time between two reads of the list.
+     */
+    zone_watcher(const boost::asio::any_io_executor& executor, platform_client& platform, write_id_source& ids,
+                 replica& copy, membership_service& members, const availability_zone_id& zone,
+                 milliseconds list_interval);
+
+    /** @brief Starts to watch. */
+    auto begin() -> void;
+
+    /** @brief Stops to watch. */
+    auto end() -> void;
+
+private:
+    [[nodiscard]] auto current(std::uint64_t term) const noexcept -> bool { return m_active && term == m_term; }
+    [[nodiscard]] auto watch(std::string prefix, std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto read_all(std::string prefix) -> boost::asio::awaitable<version>;
+    [[nodiscard]] auto follow(std::string prefix, version after, std::uint64_t term) -> boost::asio::awaitable<version>;
+    [[nodiscard]] auto poll_list(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto publish_list(platform_list list) -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto pause(milliseconds time) -> boost::asio::awaitable<void>;
+    auto take(const std::vector<versioned_entry>& entries) -> void;
+
+    boost::asio::any_io_executor m_executor;
+    platform_client& m_platform;
+    write_id_source& m_ids;
+    replica& m_copy;
+    membership_service& m_members;
+    const availability_zone_id m_zone;
+    const milliseconds m_list_interval;
+    bool m_active{false};
+    /** @brief Number of the term of control; coroutines of earlier terms end. */
+    std::uint64_t m_term{0};
+};
+
+} // namespace cicadalug
+
+#endif
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,26 +1,87 @@
+#include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/request/forwarder.hpp>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
 
 #include <csignal>
+#include <cstdint>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
-auto main(int argc, char** argv) -> int
+namespace {
+
+using namespace cicadalug;
+
+/** @brief Reads "id,zone,address,datagram address". */
+[[nodiscard]] auto parse_entry_vm(const std::string& text, findings& found) -> entry_vm_info
+{
+    std::istringstream stream{text};
+    std::vector<std::string> fields;
+    for (std::string field; std::getline(stream, field, ',');) {
+        fields.push_back(field);
+    }
+    if (fields.size() != 4) {
+        found.add("--entry-vm", "is not id,zone,address,datagram address: " + text);
+        return {};
+    }
+    return {entry_vm_id{fields[0]}, availability_zone_id{fields[1]}, fields[2], fields[3]};
+}
+
+[[nodiscard]] auto run_entry_vm(entry_vm_settings settings, const std::vector<std::string>& known) -> int
 {
-    using namespace cicadalug;
+    findings found;
+    for (const auto& text : known) {
+        settings.m_entry_vms.push_back(parse_entry_vm(text, found));
+    }
+    if (found.empty()) {
+        auto made = entry_vm::make(std::move(settings));
+        if (made) {
+            made.assume_value()->run();
+            return 0;
+        }
+        found = made.assume_error();
+    }
+    std::cerr << found.to_string() << '\n';
+    return 2;
+}
 
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    entry_vm_settings settings;
+    std::string id;
+    std::string zone;
+    std::vector<std::string> known;
+    std::int64_t balancer_delay_ms{settings.m_balancer_delay.count()};
     std::string listen{"127.0.0.1:8080"};
     std::vector<std::string> upstreams;
     CLI::App app{"cicadalugd: routes callers' work to upstreams"};
     app.add_option("--listen", listen, "Address and port");
     app.add_option("--upstream", upstreams, "Address and port of an upstream");
+    app.add_option("--id", id, "Name of this entry VM; without it, requests are only forwarded to --upstream");
+    app.add_option("--zone", zone, "Availability zone of this entry VM");
+    app.add_option("--datagram-listen", settings.m_datagram_listen, "Address and port for datagrams");
+    app.add_option("--platform", settings.m_platform, "Address and port of the platform");
+    app.add_option("--entry-vm", known, "An entry VM of the deployment: id,zone,address,datagram address");
+    app.add_option("--balancer-delay-ms", balancer_delay_ms, "Time from failing readiness to the end of accepting");
     CLI11_PARSE(app, argc, argv);
 
+    if (!id.empty()) {
+        settings.m_id = entry_vm_id{id};
+        settings.m_availability_zone = availability_zone_id{zone};
+        settings.m_listen = listen;
+        settings.m_balancer_delay = milliseconds{balancer_delay_ms};
+        return run_entry_vm(std::move(settings), known);
+    }
     findings found;
     const auto endpoint = parse_endpoint(listen, "--listen", found);
     std::vector<tcp_endpoint> endpoints;
--- /dev/null
+++ b/test/process/deployment.cpp
@@ -0,0 +1,214 @@
+#include "deployment.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <numeric>
+#include <thread>
+#include <utility>
+
+namespace cicadalug::process_test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds poll_interval{10};
+constexpr int platform_port{7'900};
+constexpr int first_http_port{8'000};
+constexpr int first_datagram_port{8'500};
+
+[[nodiscard]] auto at_port(const std::string& address, const std::size_t port) -> std::string
+{
+    return address + ':' + std::to_string(port);
+}
+
+} // namespace
+
+auto call(const http::verb verb, const std::string& endpoint, const std::string& target, const json& body,
+          const std::string& if_match, const milliseconds timeout) -> call_answer
+{
+    findings found;
+    http_request request{verb, beast::string_view{target.data(), target.size()}, 11};
+    if (if_match == "*") {
+        request.set(http::field::if_none_match, "*");
+    }
+    else if (!if_match.empty()) {
+        request.set(http::field::if_match, if_match);
+    }
+    if (!body.is_null()) {
+        request.body() = body.dump();
+    }
+    const auto answer = http_fetch_blocking(parse_endpoint(endpoint, "endpoint", found), std::move(request), timeout);
+    if (!answer) {
+        return {};
+    }
+    return {answer.assume_value().result_int(), json::parse(answer.assume_value().body(), nullptr, false)};
+}
+
+auto wait_until(const std::function<bool()>& condition, const milliseconds limit) -> std::optional<milliseconds>
+{
+    const auto start = std::chrono::steady_clock::now();
+    while (true) {
+        const auto holds = condition();
+        const auto taken = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+        if (holds) {
+            return taken;
+        }
+        if (taken > limit) {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+deployment::deployment(const std::vector<std::size_t>& zones)
+    : m_platform_address{at_port(loopback_address(), platform_port)},
+      m_state_file{std::filesystem::temp_directory_path() / ("cicadalug-platform-" + std::to_string(::getpid()))}
+{
+    for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+        const std::string zone_name(1, static_cast<char>('a' + zone));
+        for (std::size_t number = 0; number < zones[zone]; ++number) {
+            const auto index = m_entry_vms.size();
+            m_entry_vms.push_back({zone_name + std::to_string(number + 1), zone_name,
+                                   at_port(loopback_address(), first_http_port + index),
+                                   at_port(loopback_address(), first_datagram_port + index), nullptr});
+        }
+    }
+}
+
+deployment::~deployment()
+{
+    m_entry_vms.clear();
+    m_platform.reset();
+    std::error_code ignored;
+    std::filesystem::remove(m_state_file, ignored);
+}
+
+auto deployment::start_platform() -> void
+{
+    m_platform = std::make_unique<child_process>(
+        CICADALUG_STANDIN_DIRECTORY "/platform_standin",
+        std::vector<std::string>{"--listen", m_platform_address, "--state", m_state_file});
+    static_cast<void>(wait_for_port(m_platform_address));
+}
+
+auto deployment::stop_platform() -> void
+{
+    m_platform->signal(SIGTERM);
+    m_platform->wait();
+}
+
+auto deployment::control(const json& switches) const -> json
+{
+    const auto verb = switches.is_null() ? http::verb::get : http::verb::post;
+    return call(verb, m_platform_address, "/control", switches).m_body;
+}
+
+auto deployment::start(const std::size_t index) -> void
+{
+    auto& started = m_entry_vms.at(index);
+    started.m_process.reset();
+    std::vector<std::string> arguments{"--id",
+                                       started.m_id,
+                                       "--zone",
+                                       started.m_zone,
+                                       "--listen",
+                                       started.m_address,
+                                       "--datagram-listen",
+                                       started.m_datagram_address,
+                                       "--platform",
+                                       m_platform_address,
+                                       "--balancer-delay-ms",
+                                       "100"};
+    for (const auto& each : m_entry_vms) {
+        arguments.emplace_back("--entry-vm");
+        arguments.push_back(each.m_id + ',' + each.m_zone + ',' + each.m_address + ',' + each.m_datagram_address);
+    }
+    started.m_process = std::make_unique<child_process>(CICADALUG_CICADALUGD, arguments);
+    static_cast<void>(wait_for_port(started.m_address));
+}
+
+auto deployment::start_all() -> void
+{
+    for (std::size_t index = 0; index < count(); ++index) {
+        start(index);
+    }
+}
+
+auto deployment::kill(const std::size_t index) -> void
+{
+    m_entry_vms.at(index).m_process.reset();
+}
+
+auto deployment::ready(const std::size_t index) const -> bool
+{
+    return call(http::verb::get, address(index), "/readyz", nullptr, {}, milliseconds{1'000}).m_status == 200;
+}
+
+auto deployment::wait_ready(const milliseconds limit) const -> bool
+{
+    const auto all_ready = [&] {
+        for (std::size_t index = 0; index < count(); ++index) {
+            if (m_entry_vms[index].m_process && (!ready(index) || holder(index, m_entry_vms[index].m_zone).empty())) {
+                return false;
+            }
+        }
+        return true;
+    };
+    return wait_until(all_ready, limit).has_value();
+}
+
+auto deployment::holder(const std::size_t seen_by, const std::string& zone) const -> std::string
+{
+    const auto status = call(http::verb::get, address(seen_by), "/v1/status", nullptr, {}, milliseconds{1'000}).m_body;
+    if (status.is_object()) {
+        for (const auto& each : status["availability_zones"]) {
+            if (each["availability_zone"] == zone) {
+                return each.value("control_holder", "");
+            }
+        }
+    }
+    return {};
+}
+
+auto deployment::index_of(const std::string& id) const -> std::size_t
+{
+    const auto found =
+        std::find_if(m_entry_vms.begin(), m_entry_vms.end(), [&](const auto& each) { return each.m_id == id; });
+    return static_cast<std::size_t>(found - m_entry_vms.begin());
+}
+
+auto deployment::put_room(const std::size_t index, const std::string& name, const int limit_watts,
+                          const std::string& if_match) const -> call_answer
+{
+    return call(http::verb::put, address(index), "/v1/resources/room/" + name,
+                {{"kind", "room"}, {"name", name}, {"spec", {{"limit_watts", limit_watts}}}}, if_match);
+}
+
+auto deployment::room_version(const std::size_t index, const std::string& name) const -> std::uint64_t
+{
+    const auto answer =
+        call(http::verb::get, address(index), "/v1/resources/room/" + name, nullptr, {}, milliseconds{1'000});
+    return answer.m_status == 200 ? answer.m_body.value("version", std::uint64_t{0}) : 0;
+}
+
+auto deployment::wait_for_room(const std::string& name, const std::uint64_t version, const milliseconds limit,
+                               std::vector<std::size_t> indices) const -> std::optional<milliseconds>
+{
+    if (indices.empty()) {
+        indices.resize(count());
+        std::iota(indices.begin(), indices.end(), std::size_t{0});
+    }
+    return wait_until(
+        [&] {
+            return std::all_of(indices.begin(), indices.end(),
+                               [&](const auto index) { return room_version(index, name) >= version; });
+        },
+        limit);
+}
+
+} // namespace cicadalug::process_test
