--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/request/forwarder.hpp>
+#include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -64,7 +65,12 @@
     std::int64_t balancer_delay_ms{settings.m_balancer_delay.count()};
     std::string listen{"127.0.0.1:8080"};
     std::vector<std::string> upstreams;
+    std::string settings_file;
+    bool check{false};
     CLI::App app{"cicadalugd: routes callers' work to upstreams"};
+    const auto* file_option = app.add_option("--settings", settings_file, "YAML file with the settings");
+    app.add_flag("--check", check, "Validate the settings and exit: 0 without findings, 2 with findings")
+        ->needs("--settings");
     app.add_option("--listen", listen, "Address and port");
     app.add_option("--upstream", upstreams, "Address and port of an upstream");
     app.add_option("--id", id, "Name of this entry VM; without it, requests are only forwarded to --upstream");
@@ -83,6 +89,20 @@
         return run_entry_vm(std::move(settings), known);
     }
     findings found;
+    if (*file_option) {
+        const auto read = load_settings(settings_file);
+        if (!read) {
+            std::cerr << read.assume_error().to_string() << '\n';
+            return 2;
+        }
+        if (check) {
+            std::cout << settings_file << ": no findings\n";
+            return 0;
+        }
+        std::ostringstream address;
+        address << read.assume_value().m_callers;
+        listen = address.str();
+    }
     const auto endpoint = parse_endpoint(listen, "--listen", found);
     std::vector<tcp_endpoint> endpoints;
     endpoints.reserve(upstreams.size());
