--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,200 +1,116 @@
-#include <cicadalug/http/http_server.hpp>
-#include <cicadalug/request/request_path.hpp>
-#include <cicadalug/request/static_fleet.hpp>
+#include <cicadalug/entry_vm/entry_vm.hpp>
+#include <cicadalug/request/static_entry_vm.hpp>
 #include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
 
-#include <atomic>
-#include <chrono>
-#include <csignal>
+#include <cstdint>
 #include <iostream>
 #include <sstream>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace {
 
 using namespace cicadalug;
 
-/** @brief Time in which requests on open connections arrive that were under way when the server stopped to listen. */
-constexpr milliseconds last_requests_delay{50};
-
-struct daemon_options {
-    std::string m_settings_file;
-    bool m_check{false};
-    std::string m_listen{"127.0.0.1:8080"};
-    std::string m_id{"entry-1"};
-    std::string m_zone{"zone-1"};
-    std::vector<std::string> m_upstreams;
-    std::vector<std::string> m_services{"quotes"};
-    std::vector<std::string> m_peers;
-    int m_slots{8};
-    int m_threads{2};
-    int m_drain_delay_ms{0};
-};
-
-[[nodiscard]] auto parse_options(CLI::App& app, daemon_options& options, int argc, char** argv) -> int
+/** @brief Reads "id,zone,address,datagram address". */
+[[nodiscard]] auto parse_entry_vm(const std::string& text, findings& found) -> entry_vm_info
 {
-    app.add_option("--settings", options.m_settings_file, "YAML file with the settings");
-    app.add_flag("--check", options.m_check, "Validate the settings and exit: 0 without findings, 2 with findings")
-        ->needs("--settings");
-    app.add_option("--listen", options.m_listen, "Address and port");
-    app.add_option("--id", options.m_id, "Name of this entry VM");
-    app.add_option("--zone", options.m_zone, "Availability zone of this entry VM");
-    app.add_option("--upstream", options.m_upstreams, "Address and port of an upstream");
-    app.add_option("--service", options.m_services, "Service that callers may name");
-    app.add_option("--peer", options.m_peers, "Another entry VM of the zone, as id=address:port");
-    app.add_option("--slots", options.m_slots, "Slots of each upstream");
-    app.add_option("--threads", options.m_threads, "Worker threads")->check(CLI::Range(1, 64));
-    app.add_option("--drain-delay-ms", options.m_drain_delay_ms,
-                   "Time between the failing of /readyz and the end of listening, for the load balancer to notice");
-    CLI11_PARSE(app, argc, argv);
-    return -1;
-}
-
-/** @brief Takes the options that a settings file names from it. */
-auto read_settings(daemon_options& options, findings& found) -> void
-{
-    const auto read = load_settings(options.m_settings_file);
-    if (!read) {
-        found.append(read.assume_error());
-        return;
+    std::istringstream stream{text};
+    std::vector<std::string> fields;
+    for (std::string field; std::getline(stream, field, ',');) {
+        fields.push_back(field);
     }
-    const auto& values = read.assume_value();
-    std::ostringstream address;
-    address << values.m_callers;
-    options.m_listen = address.str();
-    options.m_id = values.m_entry_vm.str();
-    options.m_zone = values.m_availability_zone.str();
-    options.m_threads = values.m_worker_threads;
-    options.m_drain_delay_ms = static_cast<int>(values.m_balancer_delay.count());
-}
-
-[[nodiscard]] auto parse_peers(const daemon_options& options, findings& found) -> std::vector<peer_entry_vm>
-{
-    std::vector<peer_entry_vm> peers;
-    for (const auto& text : options.m_peers) {
-        const auto split = text.find('=');
-        if (split == std::string::npos) {
-            found.add("--peer", "is not id=address:port: " + text);
-            continue;
-        }
-        peers.push_back({entry_vm_id{text.substr(0, split)},
-                         availability_zone_id{options.m_zone},
-                         {},
-                         parse_endpoint(text.substr(split + 1), "--peer", found),
-                         true});
+    if (fields.size() != 4) {
+        found.add("--entry-vm", "is not id,zone,address,datagram address: " + text);
+        return {};
     }
-    return peers;
-}
-
-[[nodiscard]] auto start_number() -> incarnation
-{
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return incarnation{static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count())};
+    return {entry_vm_id{fields[0]}, availability_zone_id{fields[1]}, fields[2], fields[3]};
 }
 
-[[nodiscard]] auto pause(const milliseconds duration) -> asio::awaitable<void>
+[[nodiscard]] auto run_entry_vm(entry_vm_settings settings, const std::vector<std::string>& known) -> int
 {
-    asio::steady_timer timer{co_await asio::this_coro::executor, duration};
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
-/** @brief Ends the process without cutting a request: the balancer first, then the callers, then the upstreams. */
-[[nodiscard]] auto stop_gracefully(asio::io_context& context, http_server& server, request_path& requests,
-                                   std::atomic<bool>& ready, const milliseconds delay) -> asio::awaitable<void>
-{
-    ready = false;
-    server.stop_keep_alive();
-    co_await pause(delay);
-    server.drain();
-    co_await pause(last_requests_delay);
-    while (server.requests_in_flight() > 0) {
-        co_await pause(milliseconds{10});
+    findings found;
+    for (const auto& text : known) {
+        settings.m_entry_vms.push_back(parse_entry_vm(text, found));
     }
-    co_await requests.drain();
-    context.stop();
-}
-
-[[nodiscard]] auto answer_health(http_exchange& exchange, const bool ready) -> asio::awaitable<void>
-{
-    const auto healthy = ready || exchange.request().target() == "/healthz";
-    http_response response{healthy ? http::status::ok : http::status::service_unavailable, 11};
-    response.prepare_payload();
-    co_await exchange.respond(std::move(response));
+    if (found.empty()) {
+        auto made = entry_vm::make(std::move(settings));
+        if (made) {
+            made.assume_value()->run();
+            return 0;
+        }
+        found = made.assume_error();
+    }
+    std::cerr << found.to_string() << '\n';
+    return 2;
 }
 
 } // namespace
 
 auto main(int argc, char** argv) -> int
 {
-    daemon_options options;
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    entry_vm_settings settings;
+    std::string id;
+    std::string zone;
+    std::vector<std::string> known;
+    std::int64_t balancer_delay_ms{settings.m_balancer_delay.count()};
+    std::string listen{"127.0.0.1:8080"};
+    static_entry_vm_settings fixed;
+    std::string settings_file;
+    bool check{false};
     CLI::App app{"cicadalugd: routes callers' work to upstreams"};
-    if (const auto code = parse_options(app, options, argc, argv); code >= 0) {
-        return code;
+    const auto* file_option = app.add_option("--settings", settings_file, "YAML file with the settings");
+    app.add_flag("--check", check, "Validate the settings and exit: 0 without findings, 2 with findings")
+        ->needs("--settings");
+    app.add_option("--listen", listen, "Address and port");
+    app.add_option("--id", id, "Name of this entry VM");
+    app.add_option("--upstream", fixed.m_upstreams, "Serve without a platform: address and port of an upstream");
+    app.add_option("--service", fixed.m_services, "Serve without a platform: a service of all upstreams");
+    app.add_option("--peer", fixed.m_peers, "Serve without a platform: another entry VM, as id=address:port");
+    app.add_option("--slots", fixed.m_slots, "Serve without a platform: slots of each upstream");
+    app.add_option("--threads", fixed.m_threads, "Serve without a platform: worker threads")->check(CLI::Range(1, 64));
+    app.add_option("--zone", zone, "Availability zone of this entry VM");
+    app.add_option("--datagram-listen", settings.m_datagram_listen, "Address and port for datagrams");
+    app.add_option("--platform", settings.m_platform, "Address and port of the platform");
+    app.add_option("--entry-vm", known, "An entry VM of the deployment: id,zone,address,datagram address");
+    app.add_option("--balancer-delay-ms", balancer_delay_ms, "Time from failing readiness to the end of accepting");
+    CLI11_PARSE(app, argc, argv);
+
+    if (!id.empty() && fixed.m_upstreams.empty()) {
+        settings.m_id = entry_vm_id{id};
+        settings.m_availability_zone = availability_zone_id{zone};
+        settings.m_listen = listen;
+        settings.m_balancer_delay = milliseconds{balancer_delay_ms};
+        return run_entry_vm(std::move(settings), known);
     }
     findings found;
-    if (!options.m_settings_file.empty()) {
-        read_settings(options, found);
-    }
-    if (options.m_check && found.empty()) {
-        std::cout << options.m_settings_file << ": no findings\n";
-        return 0;
-    }
-    const auto endpoint = parse_endpoint(options.m_listen, "--listen", found);
-    const auto peers = parse_peers(options, found);
-    static_fleet fleet{availability_zone_id{options.m_zone}, {}, options.m_upstreams, options.m_slots};
-    for (const auto& upstream : options.m_upstreams) {
-        [[maybe_unused]] const auto checked = parse_endpoint(upstream, "--upstream", found);
-    }
-    for (const auto& service : options.m_services) {
-        fleet.m_services.emplace_back(service);
+    if (*file_option) {
+        const auto read = load_settings(settings_file);
+        if (!read) {
+            std::cerr << read.assume_error().to_string() << '\n';
+            return 2;
+        }
+        if (check) {
+            std::cout << settings_file << ": no findings\n";
+            return 0;
+        }
+        std::ostringstream address;
+        address << read.assume_value().m_callers;
+        listen = address.str();
     }
+    fixed.m_listen = listen;
+    fixed.m_id = id.empty() ? fixed.m_id : id;
+    fixed.m_zone = zone.empty() ? fixed.m_zone : zone;
+    fixed.m_balancer_delay = milliseconds{balancer_delay_ms};
+    found.append(run_static_entry_vm(fixed));
     if (!found.empty()) {
         std::cerr << found.to_string() << '\n';
         return 2;
     }
-    asio::io_context context{options.m_threads};
-    const routing_settings settings{entry_vm_id{options.m_id}, start_number(), fleet.m_availability_zone};
-    request_path requests{context, {}, routing_state{settings}};
-    requests.apply_peers(peers);
-    if (!options.m_upstreams.empty()) {
-        requests.apply_view(make_view(fleet));
-    }
-    std::atomic<bool> ready{true};
-    http_server server{context, endpoint, {}, [&](http_exchange& exchange) {
-                           const auto target = exchange.request().target();
-                           if (target == "/healthz" || target == "/readyz") {
-                               return answer_health(exchange, ready && requests.is_configured());
-                           }
-                           return request_path::is_forwarded({target.data(), target.size()})
-                                      ? requests.handle_forwarded(exchange)
-                                      : requests.handle(exchange);
-                       }};
-    asio::signal_set signals{context, SIGTERM, SIGINT};
-    signals.async_wait([&](const boost::system::error_code& error, int) {
-        if (!error) {
-            asio::co_spawn(asio::make_strand(context),
-                           stop_gracefully(context, server, requests, ready, milliseconds{options.m_drain_delay_ms}),
-                           asio::detached);
-        }
-    });
-    std::vector<std::thread> threads;
-    for (int index = 1; index < options.m_threads; ++index) {
-        threads.emplace_back([&context] { context.run(); });
-    }
-    context.run();
-    for (auto& thread : threads) {
-        thread.join();
-    }
     return 0;
 }
--- a/test/process/request_faults.cpp
+++ b/test/process/request_faults.cpp
@@ -152,7 +152,7 @@
     request_scene scene;
     scene.add_upstream({"--run-ms", "40"});
     scene.add_upstream({"--run-ms", "40"});
-    scene.add_entry_vm({"--drain-delay-ms", "100"});
+    scene.add_entry_vm({"--balancer-delay-ms", "100"});
     std::thread stop{[&] {
         EXPECT_TRUE(scene.wait_for_executions(100));
         scene.entry_vm().signal(SIGTERM);
