--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm_settings.hpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm_settings.hpp
@@ -5,6 +5,7 @@
 #include <cicadalug/base/time.hpp>
 #include <cicadalug/membership/control_lease.hpp>
 #include <cicadalug/membership/membership_state.hpp>
+#include <cicadalug/settings/settings.hpp>
 
 #include <string>
 #include <vector>
@@ -32,6 +33,13 @@
     int m_threads{2};
 };
 
+/**
+ * @brief Makes the settings of an entry VM from those of a file.
+ * @param read Settings of a file, which are valid.
+ * @return The settings, with the entry VM itself in the list of all.
+ */
+[[nodiscard]] auto make_entry_vm_settings(const settings& read) -> entry_vm_settings;
+
 } // namespace cicadalug
 
 #endif
