Start the entry VM from the settings file

entry_vm takes the settings that cicadalugd reads from YAML in place of a struct of its own, and serves callers and operators on separate addresses. The process tests write a settings file for each entry VM.

The pressure in heartbeats is named pressure_report, because routing has a pool_pressure of another shape.

--- a/packages/core/src/cicadalug/membership/heartbeat.hpp
+++ b/packages/core/src/cicadalug/membership/heartbeat.hpp
@@ -9,12 +9,12 @@
 namespace cicadalug {
 
 /** @brief Demand on a pool as one entry VM sees it. */
-struct pool_pressure {
+struct pressure_report {
     pool_id m_pool;
     /** @brief Requests in flight and waiting, in thousandths of the slots that the entry VM may use. */
     std::uint16_t m_per_mille{0};
 
-    [[nodiscard]] friend auto operator==(const pool_pressure&, const pool_pressure&) -> bool = default;
+    [[nodiscard]] friend auto operator==(const pressure_report&, const pressure_report&) -> bool = default;
 };
 
 /** @brief What an entry VM tells the others about itself. */
@@ -30,7 +30,7 @@
     std::uint64_t m_digest{0};
     /** @brief Epoch if the entry VM holds the control lease of its zone, zero otherwise. */
     epoch m_control_epoch;
-    std::vector<pool_pressure> m_pressure;
+    std::vector<pressure_report> m_pressure;
 
     [[nodiscard]] friend auto operator==(const heartbeat&, const heartbeat&) -> bool = default;
 };
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -24,6 +24,9 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <optional>
+#include <sstream>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -35,32 +38,29 @@
 /** @brief Time for requests in flight to end in a graceful shutdown. */
 constexpr milliseconds drain_limit{30'000};
 constexpr milliseconds drain_check_interval{50};
+/** @brief Time between two reads of the platform's list by the control holder of a zone. */
+constexpr milliseconds list_interval{2'000};
 
-/** @brief Endpoints of the settings. */
-struct endpoints {
-    tcp_endpoint m_listen;
-    tcp_endpoint m_platform;
-    udp_endpoint m_datagram;
-};
+template<typename Endpoint>
+[[nodiscard]] auto show(const Endpoint& endpoint) -> std::string
+{
+    std::ostringstream text;
+    text << endpoint;
+    return text.str();
+}
 
-[[nodiscard]] auto parse_endpoints(const entry_vm_settings& settings, findings& found) -> endpoints
+[[nodiscard]] auto own_info(const settings& given) -> entry_vm_info
 {
-    const auto datagram = parse_endpoint(settings.m_datagram_listen, "datagram_listen", found);
-    endpoints parsed{parse_endpoint(settings.m_listen, "listen", found),
-                     parse_endpoint(settings.m_platform, "platform", found),
-                     {datagram.address(), datagram.port()}};
-    for (const auto& info : settings.m_entry_vms) {
-        static_cast<void>(parse_endpoint(info.m_address, "entry_vms." + info.m_id.str() + ".address", found));
-        static_cast<void>(
-            parse_endpoint(info.m_datagram_address, "entry_vms." + info.m_id.str() + ".datagram_address", found));
-    }
-    if (settings.m_id.empty()) {
-        found.add("id", "is missing");
-    }
-    if (settings.m_availability_zone.empty()) {
-        found.add("availability_zone", "is missing");
+    return {given.m_entry_vm, given.m_availability_zone, show(given.m_operators), show(given.m_datagrams)};
+}
+
+[[nodiscard]] auto peer_infos(const settings& given) -> std::vector<entry_vm_info>
+{
+    std::vector<entry_vm_info> infos;
+    for (const auto& peer : given.m_peers) {
+        infos.push_back({peer.m_entry_vm, peer.m_availability_zone, show(peer.m_operators), show(peer.m_datagrams)});
     }
-    return parsed;
+    return infos;
 }
 
 /** @brief Makes the incarnation of this process. There is no disk to count starts on, so it is the time in
@@ -72,6 +72,21 @@
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count())};
 }
 
+[[nodiscard]] auto target_of(const http_exchange& exchange) -> http_target
+{
+    const auto raw = exchange.request().target();
+    return parse_target({raw.data(), raw.size()});
+}
+
+/** @brief Answer to a caller as long as no request path is wired in. */
+[[nodiscard]] auto not_run_response() -> http_response
+{
+    auto response = findings_response(http::status::service_unavailable, findings{"target", "no request path"});
+    response.set("X-Outcome", "not-run");
+    response.set(http::field::retry_after, "1");
+    return response;
+}
+
 [[nodiscard]] auto text_response(const http::status status, const std::string& text) -> http_response
 {
     http_response response{status, 11};
@@ -85,17 +100,19 @@
 
 class entry_vm::parts {
 public:
-    parts(entry_vm_settings settings, const endpoints& addresses);
+    explicit parts(settings given);
 
     auto run() -> void;
 
 private:
     auto connect_parts() -> void;
-    [[nodiscard]] auto handle(http_exchange& exchange) -> asio::awaitable<void>;
+    [[nodiscard]] auto handle_operators(http_exchange& exchange) -> asio::awaitable<void>;
+    [[nodiscard]] auto handle_callers(http_exchange& exchange) -> asio::awaitable<void>;
+    [[nodiscard]] auto health(const http_target& target) const -> std::optional<http_response>;
     [[nodiscard]] auto answer(const http_target& target) const -> http_response;
     [[nodiscard]] auto shut_down() -> asio::awaitable<void>;
 
-    const entry_vm_settings m_settings;
+    const settings m_settings;
     asio::io_context m_context;
     const asio::any_io_executor m_strand{asio::make_strand(m_context)};
     const incarnation m_incarnation{make_incarnation()};
@@ -108,29 +125,25 @@
     peer_sync m_sync;
     resource_api m_resources;
     std::atomic<bool> m_stopping{false};
-    http_server m_server;
+    http_server m_operators_server;
+    http_server m_callers_server;
 };
 
-entry_vm::parts::parts(entry_vm_settings settings, const endpoints& addresses)
-    : m_settings{std::move(settings)}, m_ids{m_settings.m_id, m_incarnation}, m_platform{m_context.get_executor(),
-                                                                                         addresses.m_platform,
-                                                                                         {}},
-      m_replica{m_settings.m_availability_zone}, m_members{m_strand, m_settings, addresses.m_datagram, m_incarnation},
-      m_control{m_strand, m_platform, m_ids, m_settings.m_id, m_settings.m_availability_zone, m_settings.m_control},
-      m_watcher{m_strand,
-                m_platform,
-                m_ids,
-                m_replica,
-                m_members,
-                m_settings.m_availability_zone,
-                m_settings.m_list_interval},
+entry_vm::parts::parts(settings given)
+    : m_settings{std::move(given)}, m_ids{m_settings.m_entry_vm, m_incarnation},
+      m_platform{m_context.get_executor(), m_settings.m_platform, {}}, m_replica{m_settings.m_availability_zone},
+      m_members{m_strand, own_info(m_settings), peer_infos(m_settings), m_incarnation},
+      m_control{m_strand, m_platform, m_ids, m_settings.m_entry_vm, m_settings.m_availability_zone, {}},
+      m_watcher{m_strand, m_platform, m_ids, m_replica, m_members, m_settings.m_availability_zone, list_interval},
       m_sync{m_strand, m_platform, m_replica, m_members, m_settings.m_availability_zone},
-      m_resources{m_platform, m_ids, m_replica, m_members}, m_server{m_context,
-                                                                     addresses.m_listen,
-                                                                     {},
-                                                                     [this](http_exchange& exchange) {
-                                                                         return handle(exchange);
-                                                                     }}
+      m_resources{m_platform, m_ids, m_replica, m_members}, m_operators_server{m_context, m_settings.m_operators,
+                                                                               m_settings.m_limits,
+                                                                               [this](http_exchange& exchange) {
+                                                                                   return handle_operators(exchange);
+                                                                               }},
+      m_callers_server{m_context, m_settings.m_callers, m_settings.m_limits, [this](http_exchange& exchange) {
+                           return handle_callers(exchange);
+                       }}
 {
     connect_parts();
 }
@@ -158,7 +171,7 @@
     });
 }
 
-auto entry_vm::parts::answer(const http_target& target) const -> http_response
+auto entry_vm::parts::health(const http_target& target) const -> std::optional<http_response>
 {
     if (target.m_path == "/healthz") {
         return text_response(http::status::ok, "ok");
@@ -168,6 +181,14 @@
         return ready ? text_response(http::status::ok, "ready")
                      : text_response(http::status::service_unavailable, "not ready");
     }
+    return std::nullopt;
+}
+
+auto entry_vm::parts::answer(const http_target& target) const -> http_response
+{
+    if (auto healthy = health(target)) {
+        return std::move(*healthy);
+    }
     if (target.m_path == snapshot_path) {
         return snapshot_response(m_replica, m_settings.m_availability_zone, target);
     }
@@ -180,10 +201,9 @@
     return findings_response(http::status::not_found, findings{"target", "no such path: " + target.m_path});
 }
 
-auto entry_vm::parts::handle(http_exchange& exchange) -> asio::awaitable<void>
+auto entry_vm::parts::handle_operators(http_exchange& exchange) -> asio::awaitable<void>
 {
-    const auto raw = exchange.request().target();
-    const auto target = parse_target({raw.data(), raw.size()});
+    const auto target = target_of(exchange);
     if (target.m_path.starts_with("/v1/resources/")) {
         co_await m_resources.handle(exchange, target);
     }
@@ -191,20 +211,30 @@
         co_await m_resources.watch(exchange, target);
     }
     else {
-        co_await exchange.respond(answer(target));
+        auto response = answer(target);
+        co_await exchange.respond(std::move(response));
     }
 }
 
+auto entry_vm::parts::handle_callers(http_exchange& exchange) -> asio::awaitable<void>
+{
+    auto healthy = health(target_of(exchange));
+    auto response = healthy ? std::move(*healthy) : not_run_response();
+    co_await exchange.respond(std::move(response));
+}
+
 auto entry_vm::parts::shut_down() -> asio::awaitable<void>
 {
-    LOG(INFO) << "event=shutdown_begins entry_vm=" << m_settings.m_id;
+    LOG(INFO) << "event=shutdown_begins entry_vm=" << m_settings.m_entry_vm;
     m_stopping = true;
     asio::steady_timer timer{m_strand, m_settings.m_balancer_delay};
     co_await timer.async_wait(asio::use_awaitable);
     m_resources.end_watches();
-    m_server.drain();
+    m_callers_server.drain();
+    m_operators_server.drain();
     const auto limit = monotonic_now() + drain_limit;
-    while (m_server.requests_in_flight() > 0 && monotonic_now() < limit) {
+    while (m_callers_server.requests_in_flight() + m_operators_server.requests_in_flight() > 0 &&
+           monotonic_now() < limit) {
         timer.expires_after(drain_check_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -222,32 +252,27 @@
             asio::co_spawn(m_strand, shut_down(), asio::detached);
         }
     });
-    LOG(INFO) << "event=started entry_vm=" << m_settings.m_id << " zone=" << m_settings.m_availability_zone
-              << " incarnation=" << m_incarnation << " listen=" << m_server.endpoint();
+    LOG(INFO) << "event=started entry_vm=" << m_settings.m_entry_vm << " zone=" << m_settings.m_availability_zone
+              << " incarnation=" << m_incarnation << " operators=" << m_operators_server.endpoint();
     std::vector<std::thread> workers;
-    for (int count = 1; count < std::max(1, m_settings.m_threads); ++count) {
+    for (int count = 1; count < std::max(1, m_settings.m_worker_threads); ++count) {
         workers.emplace_back([this] { m_context.run(); });
     }
     m_context.run();
     for (auto& worker : workers) {
         worker.join();
     }
-    LOG(INFO) << "event=stopped entry_vm=" << m_settings.m_id;
+    LOG(INFO) << "event=stopped entry_vm=" << m_settings.m_entry_vm;
 }
 
 entry_vm::entry_vm(std::unique_ptr<parts> made) : m_parts{std::move(made)} {}
 
 entry_vm::~entry_vm() = default;
 
-auto entry_vm::make(entry_vm_settings settings) -> result<std::unique_ptr<entry_vm>>
+auto entry_vm::make(settings given) -> result<std::unique_ptr<entry_vm>>
 {
-    findings found;
-    const auto addresses = parse_endpoints(settings, found);
-    if (!found.empty()) {
-        return found;
-    }
     try {
-        return std::unique_ptr<entry_vm>{new entry_vm{std::make_unique<parts>(std::move(settings), addresses)}};
+        return std::unique_ptr<entry_vm>{new entry_vm{std::make_unique<parts>(std::move(given))}};
     }
     catch (const boost::system::system_error& error) {
         return findings{"listen", error.what()};
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.hpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.hpp
@@ -2,7 +2,7 @@
 #define CICADALUG_ENTRY_VM_ENTRY_VM_HPP
 
 #include <cicadalug/base/result.hpp>
-#include <cicadalug/entry_vm/entry_vm_settings.hpp>
+#include <cicadalug/settings/settings.hpp>
 
 #include <memory>
 
@@ -16,10 +16,10 @@
 public:
     /**
      * @brief Makes an entry VM; nothing runs yet.
-     * @param settings What it has to know.
-     * @return The entry VM, or all faults of the settings, addresses that are not available included.
+     * @param given What it has to know.
+     * @return The entry VM, or a finding if an address is not available.
      */
-    [[nodiscard]] static auto make(entry_vm_settings settings) -> result<std::unique_ptr<entry_vm>>;
+    [[nodiscard]] static auto make(settings given) -> result<std::unique_ptr<entry_vm>>;
 
     entry_vm(const entry_vm&) = delete;
     entry_vm(entry_vm&&) = delete;
--- a/packages/daemon/src/cicadalug/entry_vm/fwd.hpp
+++ b/packages/daemon/src/cicadalug/entry_vm/fwd.hpp
@@ -3,7 +3,6 @@
 
 namespace cicadalug {
 
-struct entry_vm_settings;
 class entry_vm;
 
 } // namespace cicadalug
--- a/packages/daemon/src/cicadalug/membership/membership_service.cpp
+++ b/packages/daemon/src/cicadalug/membership/membership_service.cpp
@@ -24,37 +24,42 @@
 /** @brief A longer gap between two ticks means that the process was paused. */
 constexpr milliseconds pause_limit{1'000};
 
-[[nodiscard]] auto peers_of(const entry_vm_settings& settings) -> std::map<entry_vm_id, udp_endpoint>
-{
-    std::map<entry_vm_id, udp_endpoint> peers;
-    for (const auto& info : settings.m_entry_vms) {
-        findings ignored;
-        const auto endpoint = parse_endpoint(info.m_datagram_address, info.m_id.str(), ignored);
-        if (info.m_id != settings.m_id && ignored.empty()) {
-            peers[info.m_id] = udp_endpoint{endpoint.address(), endpoint.port()};
-        }
+[[nodiscard]] auto datagram_endpoint(const entry_vm_info& info) -> udp_endpoint
+{
+    findings ignored;
+    const auto endpoint = parse_endpoint(info.m_datagram_address, info.m_id.str(), ignored);
+    return {endpoint.address(), endpoint.port()};
+}
+
+[[nodiscard]] auto endpoints_of(const std::vector<entry_vm_info>& peers) -> std::map<entry_vm_id, udp_endpoint>
+{
+    std::map<entry_vm_id, udp_endpoint> endpoints;
+    for (const auto& info : peers) {
+        endpoints[info.m_id] = datagram_endpoint(info);
     }
-    return peers;
+    return endpoints;
 }
 
-[[nodiscard]] auto make_state(const entry_vm_settings& settings, const incarnation started) -> membership_state
+[[nodiscard]] auto make_table(const entry_vm_info& own, std::vector<entry_vm_info> known, const incarnation started)
+    -> membership_state
 {
-    auto state = make_membership(settings.m_id, started, settings.m_entry_vms);
-    auto& own = state.m_entry_vms.at(settings.m_id);
-    own.m_info.m_availability_zone = settings.m_availability_zone;
-    own.m_heartbeat.m_availability_zone = settings.m_availability_zone;
-    return state;
+    known.push_back(own);
+    return make_membership(own.m_id, started, known);
 }
 
 } // namespace
 
-membership_service::membership_service(const asio::any_io_executor& executor, const entry_vm_settings& settings,
-                                       const udp_endpoint& local, const incarnation started)
-    : m_executor{executor}, m_self{settings.m_id}, m_zone{settings.m_availability_zone},
-      m_incarnation{started}, m_state{make_state(settings, started)},
-      m_socket{executor, local, settings.m_id, started, peers_of(settings), [this](const datagram& message) {
-                   receive(message);
-               }}
+membership_service::membership_service(const asio::any_io_executor& executor, const entry_vm_info& own,
+                                       const std::vector<entry_vm_info>& peers, const incarnation started)
+    : m_executor{executor}, m_self{own.m_id}, m_zone{own.m_availability_zone},
+      m_incarnation{started}, m_state{make_table(own, peers, started)}, m_socket{executor,
+                                                                                 datagram_endpoint(own),
+                                                                                 own.m_id,
+                                                                                 started,
+                                                                                 endpoints_of(peers),
+                                                                                 [this](const datagram& message) {
+                                                                                     receive(message);
+                                                                                 }}
 {
 }
 
--- a/packages/daemon/src/cicadalug/membership/membership_service.hpp
+++ b/packages/daemon/src/cicadalug/membership/membership_service.hpp
@@ -2,7 +2,6 @@
 #define CICADALUG_DAEMON_MEMBERSHIP_MEMBERSHIP_SERVICE_HPP
 
 #include <cicadalug/datagram/datagram_socket.hpp>
-#include <cicadalug/entry_vm/entry_vm_settings.hpp>
 #include <cicadalug/membership/membership_state.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -32,13 +31,13 @@
     /**
      * @brief Opens the datagram socket.
      * @param executor Runs the service; a strand if the context has several threads.
-     * @param settings Settings of the entry VM.
-     * @param local Address and port for datagrams.
+     * @param own This entry VM.
+     * @param peers All others of the deployment.
      * @param started Incarnation of this process.
      * @throws boost::system::system_error if the address is not available.
      */
-    membership_service(const boost::asio::any_io_executor& executor, const entry_vm_settings& settings,
-                       const udp_endpoint& local, incarnation started);
+    membership_service(const boost::asio::any_io_executor& executor, const entry_vm_info& own,
+                       const std::vector<entry_vm_info>& peers, incarnation started);
 
     /** @brief Sets what fills in version, digest, control epoch and pressure of a heartbeat. */
     auto set_heartbeat_source(heartbeat_source function) -> void { m_heartbeat_source = std::move(function); }
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -9,9 +9,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
-#include <cstdint>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -19,37 +17,16 @@
 
 using namespace cicadalug;
 
-/** @brief Reads "id,zone,address,datagram address". */
-[[nodiscard]] auto parse_entry_vm(const std::string& text, findings& found) -> entry_vm_info
+/** @brief Runs an entry VM until it is told to stop. @return Exit code of the program. */
+[[nodiscard]] auto run_entry_vm(const settings& given) -> int
 {
-    std::istringstream stream{text};
-    std::vector<std::string> fields;
-    for (std::string field; std::getline(stream, field, ',');) {
-        fields.push_back(field);
-    }
-    if (fields.size() != 4) {
-        found.add("--entry-vm", "is not id,zone,address,datagram address: " + text);
-        return {};
-    }
-    return {entry_vm_id{fields[0]}, availability_zone_id{fields[1]}, fields[2], fields[3]};
-}
-
-[[nodiscard]] auto run_entry_vm(entry_vm_settings settings, const std::vector<std::string>& known) -> int
-{
-    findings found;
-    for (const auto& text : known) {
-        settings.m_entry_vms.push_back(parse_entry_vm(text, found));
-    }
-    if (found.empty()) {
-        auto made = entry_vm::make(std::move(settings));
-        if (made) {
-            made.assume_value()->run();
-            return 0;
-        }
-        found = made.assume_error();
+    const auto made = entry_vm::make(given);
+    if (!made) {
+        std::cerr << made.assume_error().to_string() << '\n';
+        return 2;
     }
-    std::cerr << found.to_string() << '\n';
-    return 2;
+    made.assume_value()->run();
+    return 0;
 }
 
 } // namespace
@@ -58,11 +35,6 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    entry_vm_settings settings;
-    std::string id;
-    std::string zone;
-    std::vector<std::string> known;
-    std::int64_t balancer_delay_ms{settings.m_balancer_delay.count()};
     std::string listen{"127.0.0.1:8080"};
     std::vector<std::string> upstreams;
     std::string settings_file;
@@ -73,22 +45,8 @@
         ->needs("--settings");
     app.add_option("--listen", listen, "Address and port");
     app.add_option("--upstream", upstreams, "Address and port of an upstream");
-    app.add_option("--id", id, "Name of this entry VM; without it, requests are only forwarded to --upstream");
-    app.add_option("--zone", zone, "Availability zone of this entry VM");
-    app.add_option("--datagram-listen", settings.m_datagram_listen, "Address and port for datagrams");
-    app.add_option("--platform", settings.m_platform, "Address and port of the platform");
-    app.add_option("--entry-vm", known, "An entry VM of the deployment: id,zone,address,datagram address");
-    app.add_option("--balancer-delay-ms", balancer_delay_ms, "Time from failing readiness to the end of accepting");
     CLI11_PARSE(app, argc, argv);
 
-    if (!id.empty()) {
-        settings.m_id = entry_vm_id{id};
-        settings.m_availability_zone = availability_zone_id{zone};
-        settings.m_listen = listen;
-        settings.m_balancer_delay = milliseconds{balancer_delay_ms};
-        return run_entry_vm(std::move(settings), known);
-    }
-    findings found;
     if (*file_option) {
         const auto read = load_settings(settings_file);
         if (!read) {
@@ -99,10 +57,9 @@
             std::cout << settings_file << ": no findings\n";
             return 0;
         }
-        std::ostringstream address;
-        address << read.assume_value().m_callers;
-        listen = address.str();
+        return run_entry_vm(read.assume_value());
     }
+    findings found;
     const auto endpoint = parse_endpoint(listen, "--listen", found);
     std::vector<tcp_endpoint> endpoints;
     endpoints.reserve(upstreams.size());
--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <numeric>
 #include <thread>
 #include <utility>
@@ -19,6 +20,7 @@
 constexpr milliseconds poll_interval{10};
 constexpr int platform_port{7'900};
 constexpr int first_http_port{8'000};
+constexpr int first_callers_port{8'250};
 constexpr int first_datagram_port{8'500};
 
 [[nodiscard]] auto at_port(const std::string& address, const std::size_t port) -> std::string
@@ -75,6 +77,7 @@
             const auto index = m_entry_vms.size();
             m_entry_vms.push_back({zone_name + std::to_string(number + 1), zone_name,
                                    at_port(loopback_address(), first_http_port + index),
+                                   at_port(loopback_address(), first_callers_port + index),
                                    at_port(loopback_address(), first_datagram_port + index), nullptr});
         }
     }
@@ -82,9 +85,12 @@
 
 deployment::~deployment()
 {
-    m_entry_vms.clear();
-    m_platform.reset();
     std::error_code ignored;
+    for (auto& each : m_entry_vms) {
+        each.m_process.reset();
+        std::filesystem::remove(m_state_file + '-' + each.m_id + ".yaml", ignored);
+    }
+    m_platform.reset();
     std::filesystem::remove(m_state_file, ignored);
 }
 
@@ -108,27 +114,30 @@
     return call(verb, m_platform_address, "/control", switches).m_body;
 }
 
+auto deployment::write_settings(const std::size_t index) const -> std::string
+{
+    const auto& own = m_entry_vms.at(index);
+    auto path = m_state_file + '-' + own.m_id + ".yaml";
+    std::ofstream file{path};
+    file << "entry_vm: " << own.m_id << "\navailability_zone: " << own.m_zone
+         << "\nlisten:\n  callers: " << own.m_callers_address << "\n  operators: " << own.m_address
+         << "\n  datagrams: " << own.m_datagram_address << "\nplatform: " << m_platform_address
+         << "\nbalancer_delay_ms: 100\npeers:\n";
+    for (const auto& each : m_entry_vms) {
+        if (each.m_id != own.m_id) {
+            file << "  - entry_vm: " << each.m_id << "\n    availability_zone: " << each.m_zone
+                 << "\n    operators: " << each.m_address << "\n    datagrams: " << each.m_datagram_address << '\n';
+        }
+    }
+    return path;
+}
+
 auto deployment::start(const std::size_t index) -> void
 {
     auto& started = m_entry_vms.at(index);
     started.m_process.reset();
-    std::vector<std::string> arguments{"--id",
-                                       started.m_id,
-                                       "--zone",
-                                       started.m_zone,
-                                       "--listen",
-                                       started.m_address,
-                                       "--datagram-listen",
-                                       started.m_datagram_address,
-                                       "--platform",
-                                       m_platform_address,
-                                       "--balancer-delay-ms",
-                                       "100"};
-    for (const auto& each : m_entry_vms) {
-        arguments.emplace_back("--entry-vm");
-        arguments.push_back(each.m_id + ',' + each.m_zone + ',' + each.m_address + ',' + each.m_datagram_address);
-    }
-    started.m_process = std::make_unique<child_process>(CICADALUG_CICADALUGD, arguments);
+    started.m_process = std::make_unique<child_process>(CICADALUG_CICADALUGD,
+                                                        std::vector<std::string>{"--settings", write_settings(index)});
     static_cast<void>(wait_for_port(started.m_address));
 }
 
--- a/test/process/deployment.hpp
+++ b/test/process/deployment.hpp
@@ -64,6 +64,10 @@
     {
         return m_entry_vms.at(index).m_address;
     }
+    [[nodiscard]] auto callers_address(std::size_t index) const -> const std::string&
+    {
+        return m_entry_vms.at(index).m_callers_address;
+    }
     [[nodiscard]] auto id(std::size_t index) const -> const std::string& { return m_entry_vms.at(index).m_id; }
 
     /** @brief Waits until all started entry VMs are ready and each zone has a control holder. */
@@ -87,11 +91,15 @@
     struct member {
         std::string m_id;
         std::string m_zone;
+        /** @brief Address for operators and other entry VMs. */
         std::string m_address;
+        std::string m_callers_address;
         std::string m_datagram_address;
         std::unique_ptr<child_process> m_process;
     };
 
+    [[nodiscard]] auto write_settings(std::size_t index) const -> std::string;
+
     std::string m_platform_address;
     std::string m_state_file;
     std::unique_ptr<child_process> m_platform;
