Add tests for faults that the first tests did not see

Cause: a trial with 31 faults put into a scratch copy, one at a time; these passed all tests: a repeated slot request is granted twice, a slot is used past the end of its loan, a slot that failed fast is free at once, a loan outlives its lender, the retries of a job that never runs are not given back. Change: uses in the slot property last up to 810 ms instead of 250 ms, so that they outlast term and margin; unit tests for the other four, and for ejection of a rack, of a silent upstream and for the word of a leaving one. tick() also starts overflow when the spare pool became free for it without a slot coming free. Failed on the way: the first version of the silent upstream test answered jobs early, so that the silent upstream got too few.

--- a/packages/core/src/cicadalug/routing/dispatch_steps.cpp
+++ b/packages/core/src/cicadalug/routing/dispatch_steps.cpp
@@ -171,7 +171,8 @@
     for (const auto pool : freed) {
         dispatch_pool(state, pool, now, effects);
     }
-    if (state.m_spare_pool && freed.contains(*state.m_spare_pool)) {
+    if (state.m_spare_pool && freed.contains(*state.m_spare_pool) &&
+        may_overflow(spare_capacity_of(state.m_pools[*state.m_spare_pool]))) {
         std::vector<std::pair<queue_place, pool_index>> waiting;
         for (const auto pool : state.m_waiting_pools) {
             waiting.emplace_back(state.m_pools[pool].m_queue.m_requests.get<internal::by_place>().begin()->m_place,
--- a/packages/core/src/cicadalug/routing/router.cpp
+++ b/packages/core/src/cicadalug/routing/router.cpp
@@ -283,6 +283,10 @@
         refresh_upstream(state, key.m_upstream);
     }
     return_idle_loans(state, now, effects);
+    if (state.m_spare_pool && !state.m_waiting_pools.empty()) {
+        // The spare pool may have become free for overflow without a slot of it becoming free.
+        state.m_freed_pools.insert(*state.m_spare_pool);
+    }
     dispatch_freed(state, now, effects);
     ask_peers(state, now, effects);
     return effects;
--- a/packages/core/test/cicadalug/routing/router.cpp
+++ b/packages/core/test/cicadalug/routing/router.cpp
@@ -91,6 +91,77 @@
     EXPECT_LT(starts["p-0"], 20);
 }
 
+// Guards against an upstream whose slots fail fast, come free at once and take the whole queue.
+TEST_F(router, a_slot_that_failed_fast_takes_no_more_work_than_a_sound_one)
+{
+    use(make_view(2, 2, 0, 0));
+    std::vector<start_attempt> started;
+    for (auto number = 0; number < 8; ++number) {
+        const auto effects = send(std::to_string(number));
+        started.insert(started.end(), effects.m_starts.begin(), effects.m_starts.end());
+    }
+    ASSERT_EQ(started.size(), 4U);
+    for (const auto& attempt : started) {
+        if (attempt.m_vm == vm_id{"p-0"}) {
+            EXPECT_TRUE(complete(m_state, attempt.m_attempt, attempt_outcome::failed, m_now).m_starts.empty());
+        }
+    }
+    EXPECT_EQ(tick(m_state, m_now + milliseconds{99}).m_starts.size(), 0U);
+    EXPECT_EQ(tick(m_state, m_now + milliseconds{100}).m_starts.size(), 2U);
+}
+
+// Guards against a rack without power that gets work until each of its upstreams has failed several times.
+TEST_F(router, a_rack_that_fails_together_is_ejected_at_once)
+{
+    use(make_view(8, 4, 0, 0));
+    std::map<vm_id, attempt_id> first;
+    for (auto number = 0; number < 16; ++number) {
+        const auto attempt = send(std::to_string(number)).m_starts.at(0);
+        first.try_emplace(attempt.m_vm, attempt.m_attempt);
+    }
+    for (const auto* vm : {"p-0", "p-1", "p-2"}) {
+        EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 16);
+        std::ignore = complete(m_state, first.at(vm_id{vm}), attempt_outcome::connect_failed, m_now);
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 8);
+}
+
+// Guards against an upstream that accepts connections and never answers.
+TEST_F(router, a_silent_upstream_is_ejected_before_its_requests_end)
+{
+    use(make_view(2, 1, 0, 0, 4));
+    std::vector<start_attempt> started;
+    started.reserve(8);
+    for (auto number = 0; number < 8; ++number) {
+        started.push_back(send(std::to_string(number)).m_starts.at(0));
+    }
+    for (const auto& attempt : started) {
+        if (attempt.m_vm == vm_id{"p-1"}) {
+            std::ignore = complete(m_state, attempt.m_attempt, attempt_outcome::answered, m_now + milliseconds{50});
+        }
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 8);
+    std::ignore = tick(m_state, m_now + seconds{2});
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 4);
+}
+
+// Guards against more work for an upstream that said it is leaving, while the list lags.
+TEST_F(router, the_word_of_a_leaving_upstream_counts_until_a_probe)
+{
+    use(make_view(2, 2, 0, 0));
+    const auto first = send("1").m_starts.at(0);
+    const auto again = complete(m_state, first.m_attempt, attempt_outcome::leaving, m_now).m_starts.at(0);
+    EXPECT_NE(again.m_vm, first.m_vm);
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 2);
+    for (auto step = 0; step < 200; ++step) {
+        m_now += milliseconds{10};
+        for (const auto& probe : tick(m_state, m_now).m_probes) {
+            std::ignore = complete(m_state, probe.m_attempt, attempt_outcome::answered, m_now);
+        }
+    }
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_slots, 4);
+}
+
 // Guards against ejection below the promise: two of four may go, and the third bad one stays as a last choice.
 TEST_F(router, ejection_stops_at_the_promise_and_probes_bring_back)
 {
@@ -137,6 +208,23 @@
     EXPECT_GE(retries, 20);
 }
 
+// Guards against retries of jobs that turn out never to run, which would leave none for the others.
+TEST_F(router, a_retried_job_that_never_runs_gives_its_retry_back)
+{
+    use(make_view(4, 4, 0, 0));
+    for (auto number = 0; number < 100; ++number) {
+        auto request = make_request(std::to_string(number), m_now + seconds{10});
+        request.m_idempotent = true;
+        const auto first = submit(m_state, request, m_now).m_starts.at(0);
+        const auto effects = complete(m_state, first.m_attempt, attempt_outcome::failed, m_now);
+        ASSERT_EQ(effects.m_starts.size(), 1U) << number;
+        const auto last = complete(m_state, effects.m_starts.at(0).m_attempt, attempt_outcome::never_runs, m_now);
+        EXPECT_EQ(last.m_answers.at(0).m_kind, answer_kind::unknown);
+        m_now += milliseconds{200};
+        std::ignore = tick(m_state, m_now);
+    }
+}
+
 // Guards against a retry on the upstream that just refused.
 TEST_F(router, a_retry_prefers_another_upstream)
 {
--- a/packages/core/test/cicadalug/routing/slot_ledger.cpp
+++ b/packages/core/test/cicadalug/routing/slot_ledger.cpp
@@ -7,6 +7,7 @@
 #include <bit>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -102,7 +103,7 @@
     auto use(const std::size_t entry, const std::size_t step) -> void
     {
         const auto upstream = static_cast<upstream_index>(step % upstream_count);
-        const milliseconds hold{10 + 20 * static_cast<int>(step % 13)};
+        const milliseconds hold{10 + 20 * static_cast<int>(step % 41)};
         if (const auto slot = take_slot(m_ledgers[entry], upstream, local(entry) + hold)) {
             const slot_key key{upstream, *slot};
             for (const auto& other : m_uses) {
@@ -166,15 +167,32 @@
 {
     slot_ledger lender;
     const auto upstream = intern_upstream(lender, vm_id{"vm"});
-    lender.m_slots[upstream].m_owned = 0b1;
+    lender.m_slots[upstream].m_owned = 0b11;
     const time_point start{seconds{1}};
-    const slot_request request{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 4, 500};
+    const slot_request request{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 500};
     ASSERT_TRUE(lend_slots(lender, request, {upstream}, 4, start));
     EXPECT_FALSE(lend_slots(lender, request, {upstream}, 4, start));
+    EXPECT_TRUE(take_slot(lender, upstream, start));
     expire_loans(lender, start + milliseconds{500} + loan_margin - microseconds{1});
     EXPECT_FALSE(take_slot(lender, upstream, start));
     expire_loans(lender, start + milliseconds{500} + loan_margin);
     EXPECT_TRUE(take_slot(lender, upstream, start));
 }
 
+// Guards against the use of a slot whose lender was replaced or is unreachable, since another entry VM owns it then.
+TEST(slot_ledger, slots_of_a_lender_that_is_gone_are_not_used)
+{
+    for (const auto& live : {std::unordered_map<entry_vm_id, incarnation>{},
+                             std::unordered_map<entry_vm_id, incarnation>{{entry_vm_id{"b"}, incarnation{2}}},
+                             std::unordered_map<entry_vm_id, incarnation>{{entry_vm_id{"b"}, incarnation{1}}}}) {
+        slot_ledger ledger;
+        const auto upstream = intern_upstream(ledger, vm_id{"vm"});
+        const auto request = ask_for_slots(ledger, entry_vm_id{"b"}, pool_id{"p"}, 1, seconds{1}, time_point{});
+        accept_grant(ledger, {entry_vm_id{"b"}, incarnation{1}, {}, request.m_sequence, {{vm_id{"vm"}, 0}}}, {});
+        drop_orphaned_loans(ledger, live);
+        const auto is_known = live.contains(entry_vm_id{"b"}) && live.at(entry_vm_id{"b"}) == incarnation{1};
+        EXPECT_EQ(take_slot(ledger, upstream, time_point{}).has_value(), is_known);
+    }
+}
+
 } // namespace
