Test quotas, moved services and shutdown through the router

Cause: the quotas were only tested on the queue alone, and two paths of the router had no test: a service that changes pools while requests wait, and graceful shutdown with loans in both directions. Change: three tests of the router; no change of the code.

--- a/packages/core/test/cicadalug/routing/router.cpp
+++ b/packages/core/test/cicadalug/routing/router.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 namespace {
@@ -279,6 +280,44 @@
     EXPECT_GT(refused.m_retry_after, milliseconds{0});
 }
 
+// Guards against one team that keeps the slots from the others, and against urgent work that waits behind normal work.
+TEST_F(router, a_team_at_its_quota_waits_while_others_wait)
+{
+    auto view = make_view(2, 2, 0, 0);
+    view.m_teams[team_id{"big"}] = {team_id{"big"}, 0.5};
+    use(view);
+    std::vector<start_attempt> started;
+    for (auto number = 0; number < 10; ++number) {
+        auto request = make_request(std::to_string(number), late);
+        request.m_team = team_id{number < 6 ? "big" : "small"};
+        request.m_urgent = number == 9;
+        const auto effects = submit(m_state, request, m_now);
+        started.insert(started.end(), effects.m_starts.begin(), effects.m_starts.end());
+    }
+    ASSERT_EQ(started.size(), 4U);
+    const auto next = [&](const std::size_t number) {
+        const auto effects = complete(m_state, started[number].m_attempt, attempt_outcome::answered, m_now);
+        started.insert(started.end(), effects.m_starts.begin(), effects.m_starts.end());
+        return effects.m_starts.at(0).m_request;
+    };
+    EXPECT_EQ(next(0), request_id{"9"});
+    EXPECT_EQ(next(1), request_id{"6"});
+    EXPECT_EQ(next(2), request_id{"4"});
+}
+
+// Guards against requests left in the queue of a pool that their service no longer uses.
+TEST_F(router, waiting_requests_follow_their_service_to_another_pool)
+{
+    auto view = make_view(1, 1, 2, 2);
+    use(view);
+    for (auto number = 0; number < 4; ++number) {
+        std::ignore = send(std::to_string(number));
+    }
+    view.m_services[service_id{"s"}].m_pool = pool_id{"spare"};
+    EXPECT_EQ(apply_view(m_state, view, m_now).m_starts.size(), 2U);
+    EXPECT_EQ(pool_pressures(m_state).at(0).m_waiting, 0);
+}
+
 // Guards against cancelled requests that keep their places.
 TEST_F(router, a_wave_of_cancellations_frees_the_queue_at_once)
 {
@@ -330,4 +369,34 @@
     EXPECT_EQ(pool_pressures(peer).at(0).m_slots, 8 - own);
 }
 
+// Guards against an entry VM that keeps borrowed slots, or lends more, while it shuts down.
+TEST_F(router, a_graceful_shutdown_returns_borrowed_slots_and_lends_none)
+{
+    use(make_view(4, 4, 0, 0));
+    std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
+    const slot_request wish{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000};
+    EXPECT_EQ(receive(m_state, wish, m_now).m_messages.size(), 1U);
+    const slot_request strange{entry_vm_id{"x"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000};
+    EXPECT_TRUE(receive(m_state, strange, m_now).m_messages.empty());
+    for (auto number = 0; number < 12; ++number) {
+        std::ignore = send(std::to_string(number));
+    }
+    const auto asked = std::get<slot_request>(tick(m_state, m_now).m_messages.at(0).m_message);
+    auto peer = make_state("b");
+    std::ignore = apply_view(peer, make_view(4, 4, 0, 0), m_now);
+    std::ignore = apply_peers(peer, {{entry_vm_id{"a"}, incarnation{1}}}, m_now);
+    const auto grant = receive(peer, asked, m_now).m_messages.at(0).m_message;
+    const auto started = receive(m_state, grant, m_now).m_starts;
+    ASSERT_FALSE(started.empty());
+    EXPECT_TRUE(return_slots(m_state, m_now).m_messages.empty());
+    for (auto number = 0; number < 12; ++number) {
+        std::ignore = cancel(m_state, request_id{std::to_string(number)}, m_now);
+    }
+    std::ignore = complete(m_state, started.at(0).m_attempt, attempt_outcome::answered, m_now);
+    EXPECT_EQ(tick(m_state, m_now).m_messages.size(), 1U);
+    auto later = wish;
+    later.m_sequence = 2;
+    EXPECT_TRUE(receive(m_state, later, m_now).m_messages.empty());
+}
+
 } // namespace
