--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -45,6 +45,12 @@
 {
     for (const auto& answer : effects.m_answers) {
         auto outcome = to_request_outcome(answer);
+        const auto unanswered =
+            answer.m_kind == answer_kind::unknown ? m_requests.running_on(answer.m_request) : std::nullopt;
+        if (unanswered) {
+            // Its attempt is still awaited, so a caller that tries again must not meet the next silent connection.
+            m_upstreams.distrust(*unanswered);
+        }
         if (completed != nullptr && completed->m_request == answer.m_request) {
             if (answer.m_kind == answer_kind::answered) {
                 outcome.m_response = std::move(completed->m_result.m_response);
--- a/packages/daemon/src/cicadalug/request/static_entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/request/standalone.cpp
@@ -1,6 +1,6 @@
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/request/request_path.hpp>
-#include <cicadalug/request/static_entry_vm.hpp>
+#include <cicadalug/request/standalone.hpp>
 #include <cicadalug/request/static_fleet.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,9 +14,8 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <string>
+#include <cstdint>
 #include <thread>
-#include <vector>
 
 namespace cicadalug {
 
@@ -25,17 +24,17 @@
 /** @brief Time in which requests on open connections arrive that were under way when the server stopped to listen. */
 constexpr milliseconds last_requests_delay{50};
 
-[[nodiscard]] auto parse_peers(const static_entry_vm_settings& settings, findings& found) -> std::vector<peer_entry_vm>
+[[nodiscard]] auto parse_peers(const standalone_options& options, findings& found) -> std::vector<peer_entry_vm>
 {
     std::vector<peer_entry_vm> peers;
-    for (const auto& text : settings.m_peers) {
+    for (const auto& text : options.m_peers) {
         const auto split = text.find('=');
         if (split == std::string::npos) {
             found.add("--peer", "is not id=address:port: " + text);
             continue;
         }
         peers.push_back({entry_vm_id{text.substr(0, split)},
-                         availability_zone_id{settings.m_zone},
+                         availability_zone_id{options.m_availability_zone},
                          {},
                          parse_endpoint(text.substr(split + 1), "--peer", found),
                          true});
@@ -81,26 +80,28 @@
 
 } // namespace
 
-auto run_static_entry_vm(const static_entry_vm_settings& settings) -> findings
+auto run_standalone(const standalone_options& options) -> result<int>
 {
     findings found;
-    const auto endpoint = parse_endpoint(settings.m_listen, "--listen", found);
-    const auto peers = parse_peers(settings, found);
-    static_fleet fleet{availability_zone_id{settings.m_zone}, {}, settings.m_upstreams, settings.m_slots};
-    for (const auto& upstream : settings.m_upstreams) {
+    const auto endpoint = parse_endpoint(options.m_listen, "--listen", found);
+    const auto peers = parse_peers(options, found);
+    static_fleet fleet{availability_zone_id{options.m_availability_zone}, {}, options.m_upstreams, options.m_slots};
+    for (const auto& upstream : options.m_upstreams) {
         [[maybe_unused]] const auto checked = parse_endpoint(upstream, "--upstream", found);
     }
-    for (const auto& service : settings.m_services) {
+    for (const auto& service : options.m_services) {
         fleet.m_services.emplace_back(service);
     }
     if (!found.empty()) {
         return found;
     }
-    asio::io_context context{settings.m_threads};
-    const routing_settings routing{entry_vm_id{settings.m_id}, start_number(), fleet.m_availability_zone};
-    request_path requests{context, {}, routing_state{routing}};
+    asio::io_context context{options.m_threads};
+    const routing_settings settings{entry_vm_id{options.m_id}, start_number(), fleet.m_availability_zone};
+    request_path requests{context, {}, routing_state{settings}};
     requests.apply_peers(peers);
-    requests.apply_view(make_view(fleet));
+    if (!options.m_upstreams.empty()) {
+        requests.apply_view(make_view(fleet));
+    }
     std::atomic<bool> ready{true};
     http_server server{context, endpoint, {}, [&](http_exchange& exchange) {
                            const auto target = exchange.request().target();
@@ -115,19 +116,19 @@
     signals.async_wait([&](const boost::system::error_code& error, int) {
         if (!error) {
             asio::co_spawn(asio::make_strand(context),
-                           stop_gracefully(context, server, requests, ready, settings.m_balancer_delay),
+                           stop_gracefully(context, server, requests, ready, milliseconds{options.m_drain_delay_ms}),
                            asio::detached);
         }
     });
     std::vector<std::thread> threads;
-    for (int index = 1; index < settings.m_threads; ++index) {
+    for (int index = 1; index < options.m_threads; ++index) {
         threads.emplace_back([&context] { context.run(); });
     }
     context.run();
     for (auto& thread : threads) {
         thread.join();
     }
-    return {};
+    return 0;
 }
 
 } // namespace cicadalug
--- a/packages/daemon/src/cicadalug/request/upstream_pool.hpp
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.hpp
@@ -75,7 +75,8 @@
         -> asio::awaitable<result<http_response, http_failure>>;
 
     /**
-     * @brief Closes all idle connections to a VM, and those in use after their exchange.
+     * @brief Closes the idle connections to a VM and keeps those in use only for their present exchange. Used when a
+     * connection is silent: open ones can go silent together while new ones work.
      * @param vm The VM.
      */
     auto distrust(const vm_id& vm) -> void;
@@ -111,7 +112,7 @@
 
     [[nodiscard]] auto exchange_on(lease& leased, const http_request& request, clock::time_point deadline)
         -> asio::awaitable<result<http_response, http_failure>>;
-    auto give_back(lease& leased, bool suspect) -> void;
+    auto give_back(lease& leased) -> void;
 
     asio::io_context& m_context;
     const upstream_pool_limits m_limits;
