--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -45,6 +45,12 @@
 {
     for (const auto& answer : effects.m_answers) {
         auto outcome = to_request_outcome(answer);
+        const auto unanswered =
+            answer.m_kind == answer_kind::unknown ? m_requests.running_on(answer.m_request) : std::nullopt;
+        if (unanswered) {
+            // Its attempt is still awaited, so a caller that tries again must not meet the next silent connection.
+            m_upstreams.distrust(*unanswered);
+        }
         if (completed != nullptr && completed->m_request == answer.m_request) {
             if (answer.m_kind == answer_kind::answered) {
                 outcome.m_response = std::move(completed->m_result.m_response);
@@ -85,7 +91,7 @@
 
 auto request_path::state::start(const start_attempt& start) -> void
 {
-    auto pending = m_requests.begin_attempt(start.m_request);
+    auto pending = m_requests.begin_attempt(start.m_request, start.m_vm);
     if (!pending) {
         // The caller went away, or was told an outcome, between the decision and here.
         complete_attempt(start.m_attempt, attempt_outcome::cancelled, nullptr);
--- a/packages/daemon/src/cicadalug/request/request_table.cpp
+++ b/packages/daemon/src/cicadalug/request/request_table.cpp
@@ -31,7 +31,7 @@
     m_requests.emplace(id, std::move(pending));
 }
 
-auto request_table::begin_attempt(const request_id& id) -> std::shared_ptr<pending_request>
+auto request_table::begin_attempt(const request_id& id, const vm_id& vm) -> std::shared_ptr<pending_request>
 {
     const std::lock_guard lock{m_mutex};
     const auto found = m_requests.find(id);
@@ -40,9 +40,20 @@
     }
     found->second->m_started = true;
     ++found->second->m_running_attempts;
+    found->second->m_vm = vm;
     return found->second;
 }
 
+auto request_table::running_on(const request_id& id) const -> std::optional<vm_id>
+{
+    const std::lock_guard lock{m_mutex};
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second->m_running_attempts == 0) {
+        return std::nullopt;
+    }
+    return found->second->m_vm;
+}
+
 auto request_table::end_attempt(pending_request& pending, const attempt_outcome outcome) -> void
 {
     const std::lock_guard lock{m_mutex};
--- a/packages/daemon/src/cicadalug/request/request_table.hpp
+++ b/packages/daemon/src/cicadalug/request/request_table.hpp
@@ -43,6 +43,8 @@
     /** @brief Guarded by the mutex of the table, like the members below. */
     bool m_started{false};
     int m_running_attempts{0};
+    /** @brief VM of the latest attempt. */
+    vm_id m_vm;
     /** @brief True once an attempt ended without certainty that the request was not run. */
     bool m_maybe_ran{false};
 };
@@ -60,9 +62,17 @@
     /**
      * @brief Begins an attempt.
      * @param id The request.
+     * @param vm VM of the attempt.
      * @return The request, or nothing if it has its outcome, so that nothing may be sent.
      */
-    [[nodiscard]] auto begin_attempt(const request_id& id) -> std::shared_ptr<pending_request>;
+    [[nodiscard]] auto begin_attempt(const request_id& id, const vm_id& vm) -> std::shared_ptr<pending_request>;
+
+    /**
+     * @brief Tells on which VM an attempt of a request runs.
+     * @param id The request.
+     * @return The VM of the latest attempt, or nothing if no attempt runs.
+     */
+    [[nodiscard]] auto running_on(const request_id& id) const -> std::optional<vm_id>;
 
     /**
      * @brief Ends an attempt.
--- a/packages/daemon/test/cicadalug/request/request_table.cpp
+++ b/packages/daemon/test/cicadalug/request/request_table.cpp
@@ -35,7 +35,7 @@
 
 TEST_F(request_table_test, not_run_stays_not_run_after_a_refused_attempt)
 {
-    ASSERT_TRUE(m_table.begin_attempt(m_id));
+    ASSERT_TRUE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     m_table.end_attempt(*m_pending, attempt_outcome::no_slot);
     EXPECT_TRUE(finish(answer_kind::not_run));
     EXPECT_EQ(told(), answer_kind::not_run);
@@ -44,9 +44,9 @@
 // Guards against "not-run" for a request whose earlier attempt may have run.
 TEST_F(request_table_test, not_run_becomes_unknown_after_a_lost_attempt)
 {
-    ASSERT_TRUE(m_table.begin_attempt(m_id));
+    ASSERT_TRUE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     m_table.end_attempt(*m_pending, attempt_outcome::connection_lost);
-    ASSERT_TRUE(m_table.begin_attempt(m_id));
+    ASSERT_TRUE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     m_table.end_attempt(*m_pending, attempt_outcome::no_slot);
     EXPECT_TRUE(finish(answer_kind::not_run));
     EXPECT_EQ(told(), answer_kind::unknown);
@@ -55,7 +55,7 @@
 // Guards against "not-run" for a request that is being sent.
 TEST_F(request_table_test, not_run_becomes_unknown_during_an_attempt)
 {
-    ASSERT_TRUE(m_table.begin_attempt(m_id));
+    ASSERT_TRUE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     EXPECT_TRUE(finish(answer_kind::not_run));
     EXPECT_EQ(told(), answer_kind::unknown);
 }
@@ -65,7 +65,7 @@
 {
     EXPECT_TRUE(finish(answer_kind::not_run));
     EXPECT_FALSE(finish(answer_kind::answered));
-    EXPECT_FALSE(m_table.begin_attempt(m_id));
+    EXPECT_FALSE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     EXPECT_EQ(told(), answer_kind::not_run);
     EXPECT_EQ(m_table.size(), 0U);
 }
@@ -73,7 +73,7 @@
 // Guards against an order that is given up while it runs because its caller left.
 TEST_F(request_table_test, started_order_is_kept_when_its_caller_leaves)
 {
-    ASSERT_TRUE(m_table.begin_attempt(m_id));
+    ASSERT_TRUE(m_table.begin_attempt(m_id, vm_id{"vm-1"}));
     EXPECT_FALSE(m_table.abandon(m_id, true));
     EXPECT_TRUE(m_table.abandon(m_id, false));
     EXPECT_EQ(told(), answer_kind::unknown);
