Report an answer of unknown shape and test deeply nested files

Cause: a member of an unexpected type in an answer ended cicadalugctl with an uncaught exception; nesting of YAML files was bounded but not tested. Change: cicadalugctl reports such an answer and ends with code 1; tests for it and for 200,000 nested brackets in settings and in resource files.

--- a/packages/ctl/src/cicadalug/command/program.cpp
+++ b/packages/ctl/src/cicadalug/command/program.cpp
@@ -87,7 +87,14 @@
         if (!found.empty()) {
             return static_cast<int>(report_invalid(context, found));
         }
-        return static_cast<int>(m_command(context));
+        try {
+            return static_cast<int>(m_command(context));
+        }
+        catch (const nlohmann::json::exception& failure) {
+            // Members of an answer have other types than this program knows.
+            error << "the answer of the entry VM was not understood: " << failure.what() << '\n';
+            return static_cast<int>(exit_code::unavailable);
+        }
     }
 
 private:
--- a/packages/ctl/test/cicadalug/command/program.cpp
+++ b/packages/ctl/test/cicadalug/command/program.cpp
@@ -180,6 +180,14 @@
     EXPECT_EQ(run({"wave", "resume", "autumn"}).m_code, 4);
 }
 
+// Guards against an answer of another program version that ends the process.
+TEST_F(program, answer_of_unknown_shape_is_an_error)
+{
+    m_api.m_items["/v1/resources/pool/odd"] = {{"name", 5}, {"spec", "text"}, {"version", "x"}};
+    EXPECT_EQ(run({"list", "pool"}).m_code, 1);
+    EXPECT_EQ(run({"delete", "pool", "odd"}).m_code, 1);
+}
+
 // Guards against exit codes that change; scripts rely on them.
 TEST_F(program, exit_codes)
 {
--- a/packages/ctl/test/cicadalug/document/resource_document.cpp
+++ b/packages/ctl/test/cicadalug/document/resource_document.cpp
@@ -37,6 +37,9 @@
     found = {};
     EXPECT_TRUE(parse_resource_documents("&a [*a]", "f", found).empty());
     EXPECT_FALSE(found.empty());
+    found = {};
+    EXPECT_TRUE(parse_resource_documents(std::string(200'000, '['), "f", found).empty());
+    EXPECT_FALSE(found.empty());
 }
 
 RC_GTEST_PROP(resource_document, damaged_text_gives_findings, (std::string text))
--- a/packages/runtime/test/cicadalug/settings/settings.cpp
+++ b/packages/runtime/test/cicadalug/settings/settings.cpp
@@ -70,6 +70,7 @@
               "f:2:1: unknown key 'availabilty_zone'; did you mean 'availability_zone'?\n"
               "f:8:1: 'platform' is given more than once");
     EXPECT_EQ(parse_settings("a: [", "f").assume_error().items().size(), 1U);
+    EXPECT_EQ(parse_settings(std::string(200'000, '['), "f").assume_error().items().size(), 1U);
     EXPECT_EQ(parse_settings("", "f").assume_error().items().size(), 1U);
 }
 
