--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -45,12 +45,6 @@
 {
     for (const auto& answer : effects.m_answers) {
         auto outcome = to_request_outcome(answer);
-        const auto unanswered =
-            answer.m_kind == answer_kind::unknown ? m_requests.running_on(answer.m_request) : std::nullopt;
-        if (unanswered) {
-            // Its attempt is still awaited, so a caller that tries again must not meet the next silent connection.
-            m_upstreams.distrust(*unanswered);
-        }
         if (completed != nullptr && completed->m_request == answer.m_request) {
             if (answer.m_kind == answer_kind::answered) {
                 outcome.m_response = std::move(completed->m_result.m_response);
@@ -112,7 +106,9 @@
 {
     const auto self = shared_from_this();
     co_await wait_until_current(start.m_give_up_at);
-    const auto left = time_left(start.m_give_up_at, now());
+    // An attempt may outlive its request, but must not begin after the caller was told the outcome.
+    const auto wanted = m_requests.contains(start.m_request);
+    const auto left = wanted ? time_left(start.m_give_up_at, now()) : milliseconds{0};
     auto request = pending->m_upstream_request;
     auto attempt_span = begin_span("attempt", pending->m_trace);
     request.set("traceparent", to_traceparent(attempt_span.m_context));
--- a/packages/daemon/src/cicadalug/request/request_table.hpp
+++ b/packages/daemon/src/cicadalug/request/request_table.hpp
@@ -43,7 +43,7 @@
     /** @brief Guarded by the mutex of the table, like the members below. */
     bool m_started{false};
     int m_running_attempts{0};
-    /** @brief VM of the latest attempt. */
+    /** @brief VM of the last attempt. */
     vm_id m_vm;
     /** @brief True once an attempt ended without certainty that the request was not run. */
     bool m_maybe_ran{false};
@@ -62,17 +62,24 @@
     /**
      * @brief Begins an attempt.
      * @param id The request.
-     * @param vm VM of the attempt.
+     * @param vm Where it is sent.
      * @return The request, or nothing if it has its outcome, so that nothing may be sent.
      */
     [[nodiscard]] auto begin_attempt(const request_id& id, const vm_id& vm) -> std::shared_ptr<pending_request>;
 
     /**
-     * @brief Tells on which VM an attempt of a request runs.
+     * @brief Tells whether a request still waits for its outcome, so that sending it is of use.
      * @param id The request.
-     * @return The VM of the latest attempt, or nothing if no attempt runs.
+     * @return True if it is in the table.
      */
-    [[nodiscard]] auto running_on(const request_id& id) const -> std::optional<vm_id>;
+    [[nodiscard]] auto contains(const request_id& id) const -> bool;
+
+    /**
+     * @brief Returns where a request is running.
+     * @param pending The request.
+     * @return VM whose answer is awaited, empty without one.
+     */
+    [[nodiscard]] auto running_on(const pending_request& pending) const -> vm_id;
 
     /**
      * @brief Ends an attempt.
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,10 +1,11 @@
 #include <cicadalug/entry_vm/entry_vm.hpp>
-#include <cicadalug/request/standalone.hpp>
+#include <cicadalug/request/static_entry_vm.hpp>
 #include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 
@@ -16,24 +17,25 @@
 struct daemon_options {
     std::string m_settings_file;
     bool m_check{false};
-    standalone_options m_standalone;
+    static_entry_vm_settings m_static;
+    std::int64_t m_balancer_delay_ms{0};
 };
 
 auto add_options(CLI::App& app, daemon_options& options) -> void
 {
-    auto& standalone = options.m_standalone;
+    auto& fixed = options.m_static;
     app.add_option("--settings", options.m_settings_file, "YAML file with the settings");
     app.add_flag("--check", options.m_check, "Validate the settings and exit: 0 without findings, 2 with findings")
         ->needs("--settings");
-    app.add_option("--id", standalone.m_id, "Without settings: name of this entry VM");
-    app.add_option("--zone", standalone.m_availability_zone, "Without settings: availability zone of this entry VM");
-    app.add_option("--listen", standalone.m_listen, "Without settings: address and port for callers");
-    app.add_option("--upstream", standalone.m_upstreams, "Without settings: address and port of an upstream");
-    app.add_option("--service", standalone.m_services, "Without settings: service that callers may name");
-    app.add_option("--peer", standalone.m_peers, "Without settings: another entry VM, as id=address:port");
-    app.add_option("--slots", standalone.m_slots, "Without settings: slots of each upstream");
-    app.add_option("--threads", standalone.m_threads, "Without settings: worker threads")->check(CLI::Range(1, 64));
-    app.add_option("--drain-delay-ms", standalone.m_drain_delay_ms,
+    app.add_option("--id", fixed.m_id, "Without settings: name of this entry VM");
+    app.add_option("--zone", fixed.m_zone, "Without settings: availability zone of this entry VM");
+    app.add_option("--listen", fixed.m_listen, "Without settings: address and port for callers");
+    app.add_option("--upstream", fixed.m_upstreams, "Without settings: address and port of an upstream");
+    app.add_option("--service", fixed.m_services, "Without settings: service that callers may name");
+    app.add_option("--peer", fixed.m_peers, "Without settings: another entry VM, as id=address:port");
+    app.add_option("--slots", fixed.m_slots, "Without settings: slots of each upstream");
+    app.add_option("--threads", fixed.m_threads, "Without settings: worker threads")->check(CLI::Range(1, 64));
+    app.add_option("--balancer-delay-ms,--drain-delay-ms", options.m_balancer_delay_ms,
                    "Without settings: time from failing readiness to the end of listening");
 }
 
@@ -55,12 +57,17 @@
     return 0;
 }
 
-[[nodiscard]] auto run(const daemon_options& options) -> result<int>
+[[nodiscard]] auto run(daemon_options& options) -> result<int>
 {
     if (!options.m_settings_file.empty()) {
         return run_from_file(options);
     }
-    return run_standalone(options.m_standalone);
+    options.m_static.m_balancer_delay = milliseconds{options.m_balancer_delay_ms};
+    const auto found = run_static_entry_vm(options.m_static);
+    if (!found.empty()) {
+        return found;
+    }
+    return 0;
 }
 
 } // namespace
