--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -232,6 +232,10 @@
             pending->m_ended.expires_at(std::chrono::steady_clock::time_point::max());
         }
     }
+    if (pending->m_outcome->m_kind == answer_kind::unknown && !pending->m_outcome->m_caller_gone) {
+        // The attempt goes on, but its connection may have gone silent together with the idle ones.
+        m_upstreams.distrust(m_requests.running_on(*pending));
+    }
     co_return std::move(*pending->m_outcome);
 }
 
--- a/packages/daemon/src/cicadalug/request/request_table.cpp
+++ b/packages/daemon/src/cicadalug/request/request_table.cpp
@@ -44,16 +44,6 @@
     return found->second;
 }
 
-auto request_table::running_on(const request_id& id) const -> std::optional<vm_id>
-{
-    const std::lock_guard lock{m_mutex};
-    const auto found = m_requests.find(id);
-    if (found == m_requests.end() || found->second->m_running_attempts == 0) {
-        return std::nullopt;
-    }
-    return found->second->m_vm;
-}
-
 auto request_table::end_attempt(pending_request& pending, const attempt_outcome outcome) -> void
 {
     const std::lock_guard lock{m_mutex};
@@ -101,6 +91,12 @@
     return m_requests.contains(id);
 }
 
+auto request_table::running_on(const pending_request& pending) const -> vm_id
+{
+    const std::lock_guard lock{m_mutex};
+    return pending.m_running_attempts > 0 ? pending.m_vm : vm_id{};
+}
+
 auto request_table::size() const -> std::size_t
 {
     const std::lock_guard lock{m_mutex};
--- a/packages/daemon/src/cicadalug/request/upstream_pool.cpp
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.cpp
@@ -100,10 +100,8 @@
     if (failed && leased.m_connection) {
         leased.m_connection->close();
     }
-    if (failed && answer.assume_error().m_timed_out && answer.assume_error().m_progress == http_progress::maybe_sent) {
-        distrust(leased.m_vm);
-    }
-    give_back(leased);
+    give_back(leased, failed && answer.assume_error().m_timed_out &&
+                          answer.assume_error().m_progress == http_progress::maybe_sent);
     co_return std::move(answer);
 }
 
@@ -133,19 +131,9 @@
     co_return co_await leased.m_connection->exchange(request, time_left(deadline));
 }
 
-auto upstream_pool::distrust(const vm_id& vm) -> void
+auto upstream_pool::give_back(lease& leased, const bool suspect) -> void
 {
     std::vector<idle_connection> closed;
-    const std::lock_guard lock{m_mutex};
-    const auto found = m_vms.find(vm);
-    if (found != m_vms.end()) {
-        ++found->second.m_generation;
-        closed.swap(found->second.m_idle);
-    }
-}
-
-auto upstream_pool::give_back(lease& leased) -> void
-{
     const std::lock_guard lock{m_mutex};
     const auto found = m_vms.find(leased.m_vm);
     if (found == m_vms.end()) {
@@ -153,12 +141,27 @@
     }
     auto& connections = found->second;
     --connections.m_in_use;
+    if (suspect) {
+        // Open connections can go silent together while new ones work, so none of them is used again.
+        ++connections.m_generation;
+        closed.swap(connections.m_idle);
+    }
     if (leased.m_connection && leased.m_generation == connections.m_generation && connections.m_limit > 0 &&
         leased.m_connection->reusable()) {
         connections.m_idle.push_back({std::move(leased.m_connection), leased.m_strand, clock::now()});
     }
 }
 
+auto upstream_pool::distrust(const vm_id& vm) -> void
+{
+    std::vector<idle_connection> closed;
+    const std::lock_guard lock{m_mutex};
+    if (const auto found = m_vms.find(vm); found != m_vms.end()) {
+        ++found->second.m_generation;
+        closed.swap(found->second.m_idle);
+    }
+}
+
 auto upstream_pool::close_aged() -> void
 {
     std::vector<idle_connection> closed;
--- a/packages/daemon/src/cicadalug/request/upstream_pool.hpp
+++ b/packages/daemon/src/cicadalug/request/upstream_pool.hpp
@@ -75,8 +75,7 @@
         -> asio::awaitable<result<http_response, http_failure>>;
 
     /**
-     * @brief Closes the idle connections to a VM and keeps those in use only for their present exchange. Used when a
-     * connection is silent: open ones can go silent together while new ones work.
+     * @brief Closes all idle connections to a VM, and those in use after their exchange.
      * @param vm The VM.
      */
     auto distrust(const vm_id& vm) -> void;
@@ -112,7 +111,7 @@
 
     [[nodiscard]] auto exchange_on(lease& leased, const http_request& request, clock::time_point deadline)
         -> asio::awaitable<result<http_response, http_failure>>;
-    auto give_back(lease& leased) -> void;
+    auto give_back(lease& leased, bool suspect) -> void;
 
     asio::io_context& m_context;
     const upstream_pool_limits m_limits;
