Tell callers that wait for an order that they are still there

Cause: when the caller of a queued order left, a caller that waited for the same order was counted as gone too. A deadline that had passed gave the claim of a key a negative time limit. Change: the outcome that is handed to those who wait does not say that the caller left; the time limit is at least 0.

--- a/packages/daemon/src/cicadalug/request/order_path.cpp
+++ b/packages/daemon/src/cicadalug/request/order_path.cpp
@@ -204,7 +204,8 @@
     if (!m_claims) {
         co_return make_outcome(answer_kind::not_run, "claims of idempotency keys are not available");
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(order.m_deadline - steady::now());
+    const auto left =
+        std::max(std::chrono::duration_cast<milliseconds>(order.m_deadline - steady::now()), milliseconds{0});
     const auto claimed = co_await m_claims->acquire(digest_of(request.m_service, request.m_idempotency_key),
                                                     std::min(left, longest_claim_call));
     if (!claimed) {
@@ -281,9 +282,12 @@
             }
         }
     }
+    auto told = outcome;
+    // Those who wait are still there, even if the caller whose request was to run has left.
+    told.m_caller_gone = false;
     for (auto& entry : waiting) {
         const auto executor = entry->m_ended.get_executor();
-        asio::post(executor, [entry, copy = outcome]() mutable {
+        asio::post(executor, [entry, copy = told]() mutable {
             entry->m_outcome = std::move(copy);
             entry->m_ended.cancel();
         });
