Wire the request path into the entry VM

Readiness means that the request path has a view. Spans go to the collector of the settings, metrics to /metrics of the operators' address.

A planned stop of a control holder left its zone without one for 3.7 s, because its last heartbeat still claimed control.

--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -2,13 +2,18 @@
 #include <cicadalug/api/status_api.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
+#include <cicadalug/entry_vm/request_wiring.hpp>
 #include <cicadalug/membership/control_keeper.hpp>
 #include <cicadalug/membership/membership_service.hpp>
 #include <cicadalug/platform/http_platform_client.hpp>
+#include <cicadalug/replication/kv_claim_store.hpp>
 #include <cicadalug/replication/peer_sync.hpp>
 #include <cicadalug/replication/replica.hpp>
 #include <cicadalug/replication/snapshot.hpp>
 #include <cicadalug/replication/zone_watcher.hpp>
+#include <cicadalug/request/request_path.hpp>
+#include <cicadalug/telemetry/metrics.hpp>
+#include <cicadalug/telemetry/otlp_exporter.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +29,8 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <map>
+#include <memory>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -78,13 +85,28 @@
     return parse_target({raw.data(), raw.size()});
 }
 
-/** @brief Answer to a caller as long as no request path is wired in. */
-[[nodiscard]] auto not_run_response() -> http_response
+/** @brief Starts the export of spans if the settings name a collector. */
+[[nodiscard]] auto make_exporter(asio::io_context& context, const settings& given) -> std::unique_ptr<otlp_exporter>
 {
-    auto response = findings_response(http::status::service_unavailable, findings{"target", "no request path"});
-    response.set("X-Outcome", "not-run");
-    response.set(http::field::retry_after, "1");
-    return response;
+    if (!given.m_trace_collector) {
+        return nullptr;
+    }
+    otlp_settings exported;
+    exported.m_collector = *given.m_trace_collector;
+    exported.m_entry_vm = given.m_entry_vm.str();
+    return std::make_unique<otlp_exporter>(context, exported);
+}
+
+[[nodiscard]] auto make_telemetry(otlp_exporter* exporter, const std::shared_ptr<metrics>& counted) -> request_telemetry
+{
+    request_telemetry telemetry;
+    telemetry.m_metrics = counted;
+    if (exporter != nullptr) {
+        telemetry.m_add_span = [exporter](span item) {
+            exporter->add(std::move(item));
+        };
+    }
+    return telemetry;
 }
 
 [[nodiscard]] auto text_response(const http::status status, const std::string& text) -> http_response
@@ -110,7 +132,9 @@
     [[nodiscard]] auto handle_callers(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto health(const http_target& target) const -> std::optional<http_response>;
     [[nodiscard]] auto answer(const http_target& target) const -> http_response;
+    [[nodiscard]] auto load() -> asio::awaitable<void>;
     [[nodiscard]] auto shut_down() -> asio::awaitable<void>;
+    auto count_entry_vms() -> void;
 
     const settings m_settings;
     asio::io_context m_context;
@@ -124,6 +148,10 @@
     zone_watcher m_watcher;
     peer_sync m_sync;
     resource_api m_resources;
+    const std::shared_ptr<metrics> m_metrics{std::make_shared<metrics>()};
+    const std::unique_ptr<otlp_exporter> m_exporter;
+    request_path m_requests;
+    request_wiring m_wiring;
     std::atomic<bool> m_stopping{false};
     http_server m_operators_server;
     http_server m_callers_server;
@@ -136,7 +164,14 @@
       m_control{m_strand, m_platform, m_ids, m_settings.m_entry_vm, m_settings.m_availability_zone, {}},
       m_watcher{m_strand, m_platform, m_ids, m_replica, m_members, m_settings.m_availability_zone, list_interval},
       m_sync{m_strand, m_platform, m_replica, m_members, m_settings.m_availability_zone},
-      m_resources{m_platform, m_ids, m_replica, m_members}, m_operators_server{m_context, m_settings.m_operators,
+      m_resources{m_platform, m_ids, m_replica, m_members}, m_exporter{make_exporter(m_context, m_settings)},
+      m_requests{m_context,
+                 {},
+                 routing_state{routing_settings{m_settings.m_entry_vm, m_incarnation, m_settings.m_availability_zone}},
+                 std::make_shared<kv_claim_store>(m_platform, m_ids, m_settings.m_entry_vm,
+                                                  m_settings.m_availability_zone, m_incarnation),
+                 make_telemetry(m_exporter.get(), m_metrics)},
+      m_wiring{m_strand, m_requests, m_replica, m_members}, m_operators_server{m_context, m_settings.m_operators,
                                                                                m_settings.m_limits,
                                                                                [this](http_exchange& exchange) {
                                                                                    return handle_operators(exchange);
@@ -153,6 +188,7 @@
     m_members.set_heartbeat_source([this](const auto& zone, auto& filled) {
         m_sync.fill(zone, filled);
         filled.m_control_epoch = m_control.announced_epoch();
+        m_wiring.fill(filled);
     });
     m_members.on_datagram([this](const auto& message) { m_sync.receive(message); });
     m_members.on_pause([this](const auto /*pause*/) { m_control.paused(monotonic_now()); });
@@ -161,8 +197,10 @@
             m_control.tick(m_members.table(), now);
         }
     });
+    m_members.on_change([this](const auto& /*change*/) { count_entry_vms(); });
     m_control.on_control([this](const auto /*held*/) { m_watcher.begin(); }, [this] { m_watcher.end(); });
-    m_replica.subscribe([this](const auto& /*view*/, const auto& changed) {
+    m_replica.subscribe([this](const auto& view, const auto& changed) {
+        m_metrics->set_configuration_version(view->m_version);
         for (const auto& entry : changed) {
             if (entry.m_key == list_key(m_settings.m_availability_zone)) {
                 m_members.apply_platform_list(parse_platform_list(entry.m_value.m_value).m_entry_vms);
@@ -177,7 +215,7 @@
         return text_response(http::status::ok, "ok");
     }
     if (target.m_path == "/readyz") {
-        const auto ready = m_replica.loaded() && !m_stopping;
+        const auto ready = m_requests.is_configured() && !m_stopping;
         return ready ? text_response(http::status::ok, "ready")
                      : text_response(http::status::service_unavailable, "not ready");
     }
@@ -195,6 +233,9 @@
     if (target.m_path == "/v1/status") {
         return json_response(http::status::ok, status_json(m_members, m_replica, m_control.announced_epoch()));
     }
+    if (target.m_path == "/metrics") {
+        return text_response(http::status::ok, m_metrics->text());
+    }
     if (target.m_path == "/v1/vms") {
         return json_response(http::status::ok, vms_json(*m_replica.view()));
     }
@@ -204,7 +245,11 @@
 auto entry_vm::parts::handle_operators(http_exchange& exchange) -> asio::awaitable<void>
 {
     const auto target = target_of(exchange);
-    if (target.m_path.starts_with("/v1/resources/")) {
+    const auto raw = exchange.request().target();
+    if (request_path::is_forwarded({raw.data(), raw.size()})) {
+        co_await m_requests.handle_forwarded(exchange);
+    }
+    else if (target.m_path.starts_with("/v1/resources/")) {
         co_await m_resources.handle(exchange, target);
     }
     else if (target.m_path == "/v1/watch") {
@@ -219,14 +264,37 @@
 auto entry_vm::parts::handle_callers(http_exchange& exchange) -> asio::awaitable<void>
 {
     auto healthy = health(target_of(exchange));
-    auto response = healthy ? std::move(*healthy) : not_run_response();
-    co_await exchange.respond(std::move(response));
+    if (healthy) {
+        co_await exchange.respond(std::move(*healthy));
+    }
+    else {
+        co_await m_requests.handle(exchange);
+    }
+}
+
+auto entry_vm::parts::count_entry_vms() -> void
+{
+    std::map<entry_vm_state, std::size_t> counts{
+        {entry_vm_state::live, 0}, {entry_vm_state::suspect, 0}, {entry_vm_state::unreachable, 0}};
+    for (const auto& [id, entry] : m_members.table().m_entry_vms) {
+        ++counts[entry.m_state];
+    }
+    for (const auto& [state, count] : counts) {
+        m_metrics->set_entry_vms(to_string(state), count);
+    }
+}
+
+auto entry_vm::parts::load() -> asio::awaitable<void>
+{
+    co_await m_sync.load();
+    m_wiring.apply_view();
 }
 
 auto entry_vm::parts::shut_down() -> asio::awaitable<void>
 {
     LOG(INFO) << "event=shutdown_begins entry_vm=" << m_settings.m_entry_vm;
     m_stopping = true;
+    m_callers_server.stop_keep_alive();
     asio::steady_timer timer{m_strand, m_settings.m_balancer_delay};
     co_await timer.async_wait(asio::use_awaitable);
     m_resources.end_watches();
@@ -238,14 +306,19 @@
         timer.expires_after(drain_check_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    co_await m_requests.drain();
     co_await m_control.give_up();
+    // Without this news, the others would wait until this entry VM is unreachable before one of them takes control.
+    m_members.announce();
+    timer.expires_after(drain_check_interval);
+    co_await timer.async_wait(asio::use_awaitable);
     m_context.stop();
 }
 
 auto entry_vm::parts::run() -> void
 {
     m_members.start();
-    asio::co_spawn(m_strand, m_sync.load(), asio::detached);
+    asio::co_spawn(m_strand, load(), asio::detached);
     asio::signal_set signals{m_context, SIGTERM, SIGINT};
     signals.async_wait([this](const auto& error, int) {
         if (!error) {
--- /dev/null
+++ b/packages/daemon/src/cicadalug/entry_vm/request_wiring.cpp
@@ -0,0 +1,116 @@
+#include <cicadalug/entry_vm/request_wiring.hpp>
+#include <cicadalug/membership/drain_reporter.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace cicadalug {
+
+namespace {
+
+constexpr milliseconds drain_report_interval{250};
+/** @brief Room for pressures in a heartbeat, in bytes; the most loaded pools come first. */
+constexpr std::size_t pressure_room{900};
+/** @brief Bytes of a pressure besides the name of its pool. */
+constexpr std::size_t pressure_overhead{4};
+
+[[nodiscard]] auto per_mille(const pool_pressure& pressure) -> std::uint16_t
+{
+    constexpr int highest{65'535};
+    const auto used = static_cast<std::int64_t>(pressure.m_in_use + pressure.m_waiting) * 1'000;
+    return static_cast<std::uint16_t>(std::min<std::int64_t>(used / std::max(1, pressure.m_slots), highest));
+}
+
+} // namespace
+
+request_wiring::request_wiring(const boost::asio::any_io_executor& executor, request_path& requests, replica& copy,
+                               membership_service& members)
+    : m_executor{executor}, m_requests{requests}, m_copy{copy}, m_members{members}
+{
+    m_requests.on_slot_message([this](const entry_vm_id& to, const slot_message& message) {
+        std::visit([&](const auto& body) { m_members.send(to, body); }, message);
+    });
+    m_copy.subscribe([this](const auto& /*view*/, const auto& /*changed*/) {
+        boost::asio::post(m_executor, [this] { apply_view(); });
+    });
+    m_members.on_datagram([this](const datagram& message) { receive(message); });
+    m_members.on_change([this](const membership_change& /*change*/) { apply_peers(); });
+    m_members.on_tick([this](const time_point now) { report_drained(now); });
+}
+
+auto request_wiring::apply_view() -> void
+{
+    // Always the newest one, so that the order of two posted calls does not matter.
+    auto view = m_copy.view();
+    if (m_copy.loaded() && view != m_applied) {
+        m_requests.apply_view(view);
+        m_applied = std::move(view);
+    }
+}
+
+auto request_wiring::apply_peers() -> void
+{
+    std::vector<peer_entry_vm> peers;
+    for (const auto& [id, entry] : m_members.table().m_entry_vms) {
+        findings ignored;
+        const auto has_shares = entry.m_state == entry_vm_state::live || entry.m_state == entry_vm_state::suspect;
+        peers.push_back({id, entry.m_info.m_availability_zone, entry.m_heartbeat.m_incarnation,
+                         parse_endpoint(entry.m_info.m_address, id.str(), ignored), has_shares});
+    }
+    m_requests.apply_peers(peers);
+}
+
+auto request_wiring::receive(const datagram& message) -> void
+{
+    m_requests.heard();
+    if (const auto* request = std::get_if<slot_request>(&message.m_body)) {
+        m_requests.receive(*request);
+    }
+    else if (const auto* grant = std::get_if<slot_grant>(&message.m_body)) {
+        m_requests.receive(*grant);
+    }
+    else if (const auto* given_back = std::get_if<slot_return>(&message.m_body)) {
+        m_requests.receive(*given_back);
+    }
+    else if (const auto* confirmed = std::get_if<drained>(&message.m_body); confirmed != nullptr && m_drained) {
+        m_drained(message.m_sender, message.m_incarnation, *confirmed);
+    }
+}
+
+auto request_wiring::report_drained(const time_point now) -> void
+{
+    if (!m_applied || now < m_next_report) {
+        return;
+    }
+    m_next_report = now + drain_report_interval;
+    const auto messages =
+        drain_confirmations_of(*m_applied, [this](const vm_id& vm) { return m_requests.in_flight(vm); });
+    const auto table = m_members.table();
+    for (const auto& message : messages) {
+        // To all of the zone: the sender may not know yet who holds control.
+        m_members.send_to_zone(message);
+        if (m_drained) {
+            m_drained(table.m_self, m_members.own_incarnation(), message);
+        }
+    }
+}
+
+auto request_wiring::fill(heartbeat& filled) const -> void
+{
+    auto pressures = m_requests.pressures();
+    std::sort(pressures.begin(), pressures.end(),
+              [](const auto& left, const auto& right) { return per_mille(left) > per_mille(right); });
+    std::size_t used = 0;
+    for (const auto& pressure : pressures) {
+        used += pressure.m_pool.str().size() + pressure_overhead;
+        if (used > pressure_room) {
+            break;
+        }
+        filled.m_pressure.push_back({pressure.m_pool, per_mille(pressure)});
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/daemon/src/cicadalug/entry_vm/request_wiring.hpp
@@ -0,0 +1,60 @@
+#ifndef CICADALUG_ENTRY_VM_REQUEST_WIRING_HPP
+#define CICADALUG_ENTRY_VM_REQUEST_WIRING_HPP
+
+#include <cicadalug/membership/membership_service.hpp>
+#include <cicadalug/replication/replica.hpp>
+#include <cicadalug/request/request_path.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace cicadalug {
+
+/**
+ * @brief Connects the request path with the replica and with membership: views, peers, slot messages, drain
+ * confirmations and pressure.
+ * @note Thread safety: functions without a note are called on the executor.
+ */
+class request_wiring {
+public:
+    /** @brief Gets a drain confirmation of an entry VM of the zone, this one included. */
+    using drained_handler = std::function<void(const entry_vm_id&, incarnation, const drained&)>;
+
+    /**
+     * @brief Connects. @pre Neither the replica nor membership has started.
+     * @param executor Runs the connection; that of membership.
+     * @param requests The request path.
+     * @param copy Gives the views.
+     * @param members Gives the peers and carries datagrams.
+     */
+    request_wiring(const boost::asio::any_io_executor& executor, request_path& requests, replica& copy,
+                   membership_service& members);
+
+    /** @brief Sets what gets drain confirmations; the control loop of the holder. @pre Membership has not started. */
+    auto on_drained(drained_handler function) -> void { m_drained = std::move(function); }
+
+    /** @brief Applies the current view if a whole configuration was learned. */
+    auto apply_view() -> void;
+
+    /** @brief Fills the pressure of a heartbeat. */
+    auto fill(heartbeat& filled) const -> void;
+
+private:
+    auto apply_peers() -> void;
+    auto receive(const datagram& message) -> void;
+    auto report_drained(time_point now) -> void;
+
+    boost::asio::any_io_executor m_executor;
+    request_path& m_requests;
+    replica& m_copy;
+    membership_service& m_members;
+    drained_handler m_drained;
+    std::shared_ptr<const fleet_view> m_applied;
+    time_point m_next_report;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/cicadalug/membership/drain_reporter.hpp
@@ -0,0 +1,24 @@
+#ifndef CICADALUG_DAEMON_MEMBERSHIP_DRAIN_REPORTER_HPP
+#define CICADALUG_DAEMON_MEMBERSHIP_DRAIN_REPORTER_HPP
+
+#include <cicadalug/datagram/datagram.hpp>
+#include <cicadalug/model/fleet_view.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace cicadalug {
+
+/**
+ * @brief Lists the announced VMs on which nothing of this entry VM is in flight. The list is sent again and again until
+ * the phase changes, because datagrams are lost and the control holder may change.
+ * @param view View that the request path has applied, so that no new work can begin on these VMs.
+ * @param in_flight Tells the number of attempts on a VM whose run-time bound has not passed.
+ * @return Messages of at most 20 VMs each, with the announcement that each confirmation is for.
+ */
+[[nodiscard]] auto drain_confirmations_of(const fleet_view& view, const std::function<int(const vm_id&)>& in_flight)
+    -> std::vector<drained>;
+
+} // namespace cicadalug
+
+#endif
--- a/packages/daemon/src/cicadalug/membership/membership_service.hpp
+++ b/packages/daemon/src/cicadalug/membership/membership_service.hpp
@@ -57,6 +57,9 @@
     /** @brief Starts the heartbeats. */
     auto start() -> void;
 
+    /** @brief Sends a heartbeat to the zone at once, for news that should not wait for the next one. */
+    auto announce() -> void { beat_zone(); }
+
     /** @brief Returns the table. @note Thread safety: can be called concurrently. */
     [[nodiscard]] auto table() const -> membership_state;
 
