--- a/packages/ctl/test/cicadalug/command/program.cpp
+++ b/packages/ctl/test/cicadalug/command/program.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <map>
@@ -94,6 +95,12 @@
     std::string m_error;
 };
 
+/** @brief Returns a file name of this process: tests of this file run as processes of their own, at the same time. */
+[[nodiscard]] auto document_file() -> std::string
+{
+    return ::testing::TempDir() + "cicadalugctl-test-" + std::to_string(::getpid()) + ".yaml";
+}
+
 class program : public ::testing::Test {
 protected:
     [[nodiscard]] auto run(std::vector<std::string> arguments) const -> program_result
@@ -108,7 +115,7 @@
     [[nodiscard]] auto apply_text(const std::string& text, const std::vector<std::string>& options = {}) const
         -> program_result
     {
-        const auto file = ::testing::TempDir() + "cicadalugctl-test.yaml";
+        const auto file = document_file();
         std::ofstream{file} << text;
         std::vector<std::string> arguments{"apply", file};
         arguments.insert(arguments.end(), options.begin(), options.end());
@@ -159,7 +166,7 @@
     const auto result = apply_text("kind: pool\nname: quotes\nspec: {}\n---\n"
                                    "kind: service\nname: quotes\nspec:\n  pool: qotes\n  promissed_vms: 4\n");
     EXPECT_EQ(result.m_code, 2);
-    const auto file = ::testing::TempDir() + "cicadalugctl-test.yaml";
+    const auto file = document_file();
     EXPECT_EQ(result.m_error,
               file + ":8:3: spec.promised_vms: is missing\n" + file +
                   ":9:18: spec.promissed_vms: unknown member 'promissed_vms'; did you mean 'promised_vms'?\n" + file +
@@ -180,6 +187,14 @@
     EXPECT_EQ(run({"wave", "resume", "autumn"}).m_code, 4);
 }
 
+// Guards against an answer of another program version that ends the process.
+TEST_F(program, answer_of_unknown_shape_is_an_error)
+{
+    m_api.m_items["/v1/resources/pool/odd"] = {{"name", 5}, {"spec", "text"}, {"version", "x"}};
+    EXPECT_EQ(run({"list", "pool"}).m_code, 1);
+    EXPECT_EQ(run({"delete", "pool", "odd"}).m_code, 1);
+}
+
 // Guards against exit codes that change; scripts rely on them.
 TEST_F(program, exit_codes)
 {
--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -138,6 +138,7 @@
 
 auto request_path::state::handle_request(http_exchange& exchange) -> asio::awaitable<void>
 {
+    const auto self = shared_from_this();
     findings found;
     auto request = parse_caller_request(exchange.request(), found);
     const auto current = view();
@@ -168,6 +169,7 @@
 
 auto request_path::state::handle_forwarded_order(http_exchange& exchange) -> asio::awaitable<void>
 {
+    const auto self = shared_from_this();
     findings found;
     http_request rewritten{exchange.request()};
     rewritten.target(std::string{service_prefix} +
@@ -230,6 +232,10 @@
             pending->m_ended.expires_at(std::chrono::steady_clock::time_point::max());
         }
     }
+    if (pending->m_outcome->m_kind == answer_kind::unknown && !pending->m_outcome->m_caller_gone) {
+        // The attempt goes on, but its connection may have gone silent together with the idle ones.
+        m_upstreams.distrust(m_requests.running_on(*pending));
+    }
     co_return std::move(*pending->m_outcome);
 }
 
--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -85,7 +85,7 @@
 
 auto request_path::state::start(const start_attempt& start) -> void
 {
-    auto pending = m_requests.begin_attempt(start.m_request);
+    auto pending = m_requests.begin_attempt(start.m_request, start.m_vm);
     if (!pending) {
         // The caller went away, or was told an outcome, between the decision and here.
         complete_attempt(start.m_attempt, attempt_outcome::cancelled, nullptr);
@@ -106,7 +106,9 @@
 {
     const auto self = shared_from_this();
     co_await wait_until_current(start.m_give_up_at);
-    const auto left = time_left(start.m_give_up_at, now());
+    // An attempt may outlive its request, but must not begin after the caller was told the outcome.
+    const auto wanted = m_requests.contains(start.m_request);
+    const auto left = wanted ? time_left(start.m_give_up_at, now()) : milliseconds{0};
     auto request = pending->m_upstream_request;
     auto attempt_span = begin_span("attempt", pending->m_trace);
     request.set("traceparent", to_traceparent(attempt_span.m_context));
@@ -154,6 +156,8 @@
 
 auto request_path::state::start(const start_probe& start) -> void
 {
+    // A probe on an open connection that went silent would say nothing about new ones.
+    m_upstreams.distrust(start.m_vm);
     auto leased = m_upstreams.acquire(start.m_vm);
     if (!leased) {
         complete_attempt(start.m_attempt, attempt_outcome::connect_failed, nullptr);
--- a/packages/daemon/src/cicadalug/request/request_table.cpp
+++ b/packages/daemon/src/cicadalug/request/request_table.cpp
@@ -31,7 +31,7 @@
     m_requests.emplace(id, std::move(pending));
 }
 
-auto request_table::begin_attempt(const request_id& id) -> std::shared_ptr<pending_request>
+auto request_table::begin_attempt(const request_id& id, const vm_id& vm) -> std::shared_ptr<pending_request>
 {
     const std::lock_guard lock{m_mutex};
     const auto found = m_requests.find(id);
@@ -40,6 +40,7 @@
     }
     found->second->m_started = true;
     ++found->second->m_running_attempts;
+    found->second->m_vm = vm;
     return found->second;
 }
 
@@ -84,6 +85,18 @@
     return true;
 }
 
+auto request_table::contains(const request_id& id) const -> bool
+{
+    const std::lock_guard lock{m_mutex};
+    return m_requests.contains(id);
+}
+
+auto request_table::running_on(const pending_request& pending) const -> vm_id
+{
+    const std::lock_guard lock{m_mutex};
+    return pending.m_running_attempts > 0 ? pending.m_vm : vm_id{};
+}
+
 auto request_table::size() const -> std::size_t
 {
     const std::lock_guard lock{m_mutex};
