Lend the surplus of the spare pool, and bound the slot requests

Slot requests also grew with the number of waiting pools: at 800 ms and 377 pools, about 94 KB/s, above the limit of 7 KB/s for control. Change: slots of the spare pool can be borrowed for overflow, down to the promise; one pool asks at a time, at most every 50 ms in all.

--- a/packages/core/src/cicadalug/routing/dispatch_steps.cpp
+++ b/packages/core/src/cicadalug/routing/dispatch_steps.cpp
@@ -77,13 +77,13 @@
     return true;
 }
 
-[[nodiscard]] auto spare_capacity_of(const routing_pool& spare) noexcept -> spare_capacity
+} // namespace
+
+auto spare_capacity_of(const routing_pool& spare) noexcept -> spare_capacity
 {
     return {spare.m_slots, spare.m_promised_slots, spare.m_overflow, static_cast<int>(spare.m_queue.m_requests.size())};
 }
 
-} // namespace
-
 auto start_request(routing_state& state, const request_number number, const time_point now, routing_effects& effects)
     -> bool
 {
@@ -117,6 +117,9 @@
     if (pool.m_queue.m_requests.empty()) {
         pool.m_ask_interval = milliseconds{0};
         state.m_waiting_pools.erase(live.m_pool);
+        if (state.m_spare_pool && state.m_waiting_pools.empty()) {
+            state.m_pools[*state.m_spare_pool].m_ask_interval = milliseconds{0};
+        }
     }
 }
 
--- a/packages/core/src/cicadalug/routing/loan_steps.cpp
+++ b/packages/core/src/cicadalug/routing/loan_steps.cpp
@@ -2,6 +2,9 @@
 #include <cicadalug/routing/routing_steps.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <optional>
 
 namespace cicadalug::internal {
 
@@ -10,9 +13,11 @@
 // Time in which a loan can be used again and again; after it, the rest of the term only covers jobs that were started.
 constexpr milliseconds loan_use_time{2'000};
 constexpr milliseconds longest_loan{60'000};
-// The first interval is a few round trips between zones' racks; the last keeps a long surge within the traffic limit.
+// A pool that gets nothing asks less and less often.
 constexpr milliseconds first_ask_interval{25};
-constexpr milliseconds longest_ask_interval{800};
+constexpr milliseconds longest_ask_interval{200};
+// Bounds the traffic, however many pools wait: 20 requests of about 100 bytes a second to each peer of the zone.
+constexpr milliseconds least_ask_gap{50};
 
 /** @brief Longest time that a request of a pool keeps a slot, apart from deadlines that callers set themselves. */
 [[nodiscard]] auto longest_hold(const routing_pool& pool) -> microseconds
@@ -20,6 +25,35 @@
     return std::max<microseconds>(pool.m_longest_deadline, overdue_bound(pool.m_run_time));
 }
 
+/** @brief A pool that slots are wanted for. */
+struct wanted_slots {
+    pool_index m_pool{0};
+    std::size_t m_waiting{0};
+    bool m_overflow{false};
+};
+
+/** @brief Chooses the pool that may have asked for the longest time, of those with waiting requests. */
+[[nodiscard]] auto choose_wanted(const routing_state& state, const time_point now) -> std::optional<wanted_slots>
+{
+    std::optional<wanted_slots> chosen;
+    const auto consider = [&](const wanted_slots& wanted) {
+        const auto next = state.m_pools[wanted.m_pool].m_next_ask;
+        if (wanted.m_waiting > 0 && next <= now && (!chosen || next < state.m_pools[chosen->m_pool].m_next_ask)) {
+            chosen = wanted;
+        }
+    };
+    std::size_t others_waiting{0};
+    for (const auto pool : state.m_waiting_pools) {
+        const auto waiting = state.m_pools[pool].m_queue.m_requests.size();
+        others_waiting += state.m_spare_pool == pool ? 0 : waiting;
+        consider({pool, waiting, false});
+    }
+    if (state.m_spare_pool && !state.m_waiting_pools.contains(*state.m_spare_pool)) {
+        consider({*state.m_spare_pool, others_waiting, true});
+    }
+    return chosen;
+}
+
 } // namespace
 
 auto return_idle_loans(routing_state& state, const time_point now, routing_effects& effects) -> void
@@ -48,20 +82,21 @@
     if (!state.m_settings.m_borrowing || state.m_shutting_down || state.m_peers.empty()) {
         return;
     }
-    for (const auto number : state.m_waiting_pools) {
-        auto& pool = state.m_pools[number];
-        if (now < pool.m_next_ask) {
-            continue;
-        }
-        pool.m_ask_interval = std::clamp(2 * pool.m_ask_interval, first_ask_interval, longest_ask_interval);
-        pool.m_next_ask = now + pool.m_ask_interval;
-        const auto waiting = static_cast<std::uint32_t>(pool.m_queue.m_requests.size());
-        const auto peers = static_cast<std::uint32_t>(state.m_peers.size());
-        const auto count = std::min(max_slots_per_grant, (waiting + peers - 1) / peers);
-        const auto term = std::min(longest_loan, std::chrono::ceil<milliseconds>(longest_hold(pool) + loan_use_time));
-        for (const auto& [peer, incarnation] : state.m_peers) {
-            effects.m_messages.push_back({peer, ask_for_slots(state.m_ledger, peer, pool.m_id, count, term, now)});
-        }
+    const auto wanted = now < state.m_next_ask ? std::nullopt : choose_wanted(state, now);
+    if (!wanted) {
+        return;
+    }
+    auto& pool = state.m_pools[wanted->m_pool];
+    pool.m_ask_interval = std::clamp(2 * pool.m_ask_interval, first_ask_interval, longest_ask_interval);
+    pool.m_next_ask = now + pool.m_ask_interval;
+    state.m_next_ask = now + least_ask_gap;
+    const auto peers = state.m_peers.size();
+    const auto count = std::min<std::size_t>(max_slots_per_grant, (wanted->m_waiting + peers - 1) / peers);
+    const auto term = std::min(longest_loan, std::chrono::ceil<milliseconds>(longest_hold(pool) + loan_use_time));
+    for (const auto& [peer, incarnation] : state.m_peers) {
+        auto request = ask_for_slots(state.m_ledger, peer, pool.m_id, static_cast<std::uint32_t>(count), term, now);
+        request.m_overflow = wanted->m_overflow;
+        effects.m_messages.push_back({peer, request});
     }
 }
 
--- a/packages/core/src/cicadalug/routing/overflow.hpp
+++ b/packages/core/src/cicadalug/routing/overflow.hpp
@@ -47,6 +47,17 @@
     return own - ((before + own) * surplus / all - before * surplus / all);
 }
 
+/**
+ * @brief Computes how many more slots of the spare pool may be used by, or lent for, requests of other pools.
+ * @param spare State of the spare pool.
+ * @return Number of slots above the promise, at least 0.
+ */
+[[nodiscard]] constexpr auto surplus_slots(const spare_capacity& spare) noexcept -> int
+{
+    const auto surplus = spare.m_slots - spare.m_overflow - spare.m_promised;
+    return spare.m_waiting == 0 && surplus > 0 ? surplus : 0;
+}
+
 /**
  * @brief Tells whether a request of another pool may use a slot of the spare pool.
  * @param spare State of the spare pool.
@@ -54,7 +65,7 @@
  */
 [[nodiscard]] constexpr auto may_overflow(const spare_capacity& spare) noexcept -> bool
 {
-    return spare.m_waiting == 0 && spare.m_slots - spare.m_overflow - 1 >= spare.m_promised;
+    return surplus_slots(spare) > 0;
 }
 
 } // namespace cicadalug
--- a/packages/core/src/cicadalug/routing/router_slots.cpp
+++ b/packages/core/src/cicadalug/routing/router_slots.cpp
@@ -17,6 +17,19 @@
     }
 }
 
+/** @brief Computes how many slots of a pool may be lent. */
+[[nodiscard]] auto lending_limit(const routing_state& state, const routing_pool& pool, const bool overflow)
+    -> std::uint32_t
+{
+    // A peer that wants slots for overflow gets them only from an entry VM that wants none for itself.
+    if (!pool.m_queue.m_requests.empty() || (overflow && !state.m_waiting_pools.empty())) {
+        return 0;
+    }
+    // Half of the free slots are kept for own callers, who come at the same rate.
+    const auto half = pool.m_free / 2;
+    return static_cast<std::uint32_t>(overflow ? std::min(half, surplus_slots(spare_capacity_of(pool))) : half);
+}
+
 auto take(routing_state& state, const slot_request& request, const time_point now, routing_effects& effects) -> void
 {
     const auto found = state.m_pool_numbers.find(request.m_pool);
@@ -31,8 +44,7 @@
             upstreams.push_back(upstream);
         }
     }
-    // Half of the free slots are kept for own callers, who come at the same rate.
-    const auto limit = pool.m_queue.m_requests.empty() ? static_cast<std::uint32_t>(pool.m_free / 2) : 0;
+    const auto limit = lending_limit(state, pool, request.m_overflow);
     if (auto grant = lend_slots(state.m_ledger, request, upstreams, limit, now)) {
         for (const auto upstream : upstreams) {
             refresh_upstream(state, upstream);
--- a/packages/core/src/cicadalug/routing/routing_state.hpp
+++ b/packages/core/src/cicadalug/routing/routing_state.hpp
@@ -178,6 +178,8 @@
     /** @brief Pools with a slot that became free during the present event. */
     std::set<pool_index> m_freed_pools{};
     std::priority_queue<routing_timer, std::vector<routing_timer>, std::greater<>> m_timers{};
+    /** @brief When peers may be asked for slots of any pool again. */
+    time_point m_next_ask{};
     request_number m_last_request{0};
     std::uint64_t m_last_attempt{0};
     bool m_shutting_down{false};
--- a/packages/core/src/cicadalug/routing/routing_steps.hpp
+++ b/packages/core/src/cicadalug/routing/routing_steps.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_ROUTING_ROUTING_STEPS_HPP
 
 #include <cicadalug/base/time.hpp>
+#include <cicadalug/routing/overflow.hpp>
 #include <cicadalug/routing/routing_effects.hpp>
 #include <cicadalug/routing/routing_state.hpp>
 
@@ -20,6 +21,9 @@
 /** @brief Schedules the next probe of an upstream, if it needs one and none is scheduled. */
 auto schedule_probe(routing_state& state, upstream_index upstream, time_point now) -> void;
 
+/** @brief Returns the state of the spare pool that the overflow rules need. */
+[[nodiscard]] auto spare_capacity_of(const routing_pool& spare) noexcept -> spare_capacity;
+
 /** @brief Starts a request on a free slot of its pool or, if there is none, of the spare pool. */
 [[nodiscard]] auto start_request(routing_state& state, request_number number, time_point now, routing_effects& effects)
     -> bool;
--- a/packages/core/src/cicadalug/routing/slot_ledger.cpp
+++ b/packages/core/src/cicadalug/routing/slot_ledger.cpp
@@ -75,7 +75,8 @@
     std::erase_if(ledger.m_asked, [now](const auto& entry) { return entry.second.m_until <= now; });
     const auto sequence = ++ledger.m_last_sequence;
     ledger.m_asked[sequence] = {lender, now + term};
-    return {ledger.m_self, ledger.m_incarnation, sequence, pool, count, static_cast<std::uint32_t>(term.count())};
+    return {ledger.m_self, ledger.m_incarnation, sequence, pool, count, static_cast<std::uint32_t>(term.count()),
+            false};
 }
 
 auto lend_slots(slot_ledger& ledger, const slot_request& request, const std::vector<upstream_index>& upstreams,
--- a/packages/core/src/cicadalug/routing/slot_message.hpp
+++ b/packages/core/src/cicadalug/routing/slot_message.hpp
@@ -40,12 +40,14 @@
     std::uint32_t m_count{0};
     /** @brief Term in milliseconds; the borrower counts it from the sending of this request. */
     std::uint32_t m_term_ms{0};
+    /** @brief True if the slots of the spare pool are wanted for requests of other pools. */
+    bool m_overflow{false};
 
     /** @brief Reads or writes the message with a cereal archive. */
     template<typename Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(m_from, m_incarnation, m_sequence, m_pool, m_count, m_term_ms);
+        archive(m_from, m_incarnation, m_sequence, m_pool, m_count, m_term_ms, m_overflow);
     }
 };
 
--- a/packages/core/test/cicadalug/routing/router.cpp
+++ b/packages/core/test/cicadalug/routing/router.cpp
@@ -4,10 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -245,14 +247,28 @@
 {
     use(make_view(1, 1, 4, 3));
     std::map<std::string, int> starts;
+    std::vector<attempt_id> overflow;
     for (auto number = 0; number < 8; ++number) {
         for (const auto& attempt : send(std::to_string(number)).m_starts) {
             ++starts[attempt.m_vm.str().substr(0, 2)];
+            if (attempt.m_vm.str().starts_with("spare")) {
+                overflow.push_back(attempt.m_attempt);
+            }
         }
     }
     EXPECT_EQ(starts["p-"], 2);
     EXPECT_EQ(starts["sp"], 2);
     EXPECT_EQ(send("own", "c").m_starts.size(), 1U);
+    // The end of an overflow request makes room for the next one.
+    for (auto round = 0; round < 4; ++round) {
+        const auto ended = std::exchange(overflow, {});
+        for (const auto attempt : ended) {
+            for (const auto& next : complete(m_state, attempt, attempt_outcome::answered, m_now).m_starts) {
+                overflow.push_back(next.m_attempt);
+            }
+        }
+        EXPECT_EQ(overflow.size(), round < 2 ? 2U : 0U);
+    }
 }
 
 // Guards against an unbounded queue, against a refusal without a time, and against urgent work refused for normal work.
@@ -280,6 +296,19 @@
     EXPECT_GT(refused.m_retry_after, milliseconds{0});
 }
 
+// Guards against slots spent on requests that waited until their deadline came too close, while others wait.
+TEST_F(router, a_request_that_waited_too_long_is_refused_and_not_started)
+{
+    use(make_view(1, 1, 0, 0, 1));
+    const auto first = send("1").m_starts.at(0);
+    std::ignore = submit(m_state, make_request("2", m_now + milliseconds{500}), m_now);
+    std::ignore = send("3");
+    const auto effects = complete(m_state, first.m_attempt, attempt_outcome::answered, m_now + milliseconds{450});
+    EXPECT_EQ(effects.m_answers.at(1).m_request, request_id{"2"});
+    EXPECT_EQ(effects.m_answers.at(1).m_kind, answer_kind::not_run);
+    EXPECT_EQ(effects.m_starts.at(0).m_request, request_id{"3"});
+}
+
 // Guards against one team that keeps the slots from the others, and against urgent work that waits behind normal work.
 TEST_F(router, a_team_at_its_quota_waits_while_others_wait)
 {
@@ -374,9 +403,9 @@
 {
     use(make_view(4, 4, 0, 0));
     std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
-    const slot_request wish{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000};
+    const slot_request wish{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000, false};
     EXPECT_EQ(receive(m_state, wish, m_now).m_messages.size(), 1U);
-    const slot_request strange{entry_vm_id{"x"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000};
+    const slot_request strange{entry_vm_id{"x"}, incarnation{1}, 1, pool_id{"p"}, 1, 1'000, false};
     EXPECT_TRUE(receive(m_state, strange, m_now).m_messages.empty());
     for (auto number = 0; number < 12; ++number) {
         std::ignore = send(std::to_string(number));
@@ -394,9 +423,65 @@
     }
     std::ignore = complete(m_state, started.at(0).m_attempt, attempt_outcome::answered, m_now);
     EXPECT_EQ(tick(m_state, m_now).m_messages.size(), 1U);
+    for (auto number = 1; number < 20; ++number) {
+        std::ignore =
+            complete(m_state, attempt_id{static_cast<std::uint64_t>(number)}, attempt_outcome::answered, m_now);
+    }
     auto later = wish;
     later.m_sequence = 2;
     EXPECT_TRUE(receive(m_state, later, m_now).m_messages.empty());
 }
 
+// Guards against surplus slots of the spare pool that a peer with overflow cannot reach, and against lending the
+// promise.
+TEST_F(router, lends_the_surplus_of_the_spare_pool_for_overflow)
+{
+    use(make_view(1, 1, 8, 4, 4));
+    std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
+    const auto slots = [&] {
+        return pool_pressures(m_state).at(1).m_slots;
+    };
+    const auto own = slots();
+    slot_request wish{entry_vm_id{"b"}, incarnation{1}, 0, pool_id{"spare"}, 16, 60'000, true};
+    for (auto count = 0; count < 20; ++count) {
+        ++wish.m_sequence;
+        std::ignore = receive(m_state, wish, m_now);
+    }
+    EXPECT_LT(slots(), own);
+    EXPECT_GE(slots(), own / 2);
+    const auto kept = slots();
+    ++wish.m_sequence;
+    wish.m_overflow = false;
+    std::ignore = receive(m_state, wish, m_now);
+    EXPECT_LT(slots(), kept);
+}
+
+// Guards against traffic that grows with the number of pools that wait.
+TEST_F(router, slot_requests_are_limited_however_many_pools_wait)
+{
+    auto view = make_view(1, 1, 0, 0);
+    for (auto number = 0; number < 100; ++number) {
+        const auto name = std::to_string(number);
+        view.m_pools[pool_id{name}] = {pool_id{name}, false};
+        view.m_services[service_id{name}] = view.m_services[service_id{"s"}];
+        view.m_services[service_id{name}].m_pool = pool_id{name};
+        auto record = view.m_vms[vm_id{"p-0"}];
+        record.m_vm = vm_id{"vm-" + name};
+        record.m_pool = pool_id{name};
+        view.m_vms[record.m_vm] = record;
+    }
+    use(view);
+    std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
+    for (auto number = 0; number < 400; ++number) {
+        std::ignore = submit(m_state, make_request(std::to_string(number), late, std::to_string(number % 100)), m_now);
+    }
+    std::size_t messages{0};
+    for (auto step = 0; step < 100; ++step) {
+        m_now += milliseconds{10};
+        messages += tick(m_state, m_now).m_messages.size();
+    }
+    EXPECT_GE(messages, 15U);
+    EXPECT_LE(messages, 21U);
+}
+
 } // namespace
--- a/packages/core/test/cicadalug/routing/slot_ledger.cpp
+++ b/packages/core/test/cicadalug/routing/slot_ledger.cpp
@@ -169,7 +169,7 @@
     const auto upstream = intern_upstream(lender, vm_id{"vm"});
     lender.m_slots[upstream].m_owned = 0b11;
     const time_point start{seconds{1}};
-    const slot_request request{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 500};
+    const slot_request request{entry_vm_id{"b"}, incarnation{1}, 1, pool_id{"p"}, 1, 500, false};
     ASSERT_TRUE(lend_slots(lender, request, {upstream}, 4, start));
     EXPECT_FALSE(lend_slots(lender, request, {upstream}, 4, start));
     EXPECT_TRUE(take_slot(lender, upstream, start));
