Test retries of idempotent requests and an upstream that is leaving

Cause: the process tests had no upstream that leaves, and none in which a retry makes a request succeed. Change: ten idempotent requests on an upstream that cuts its answers and one that works; 80 requests around the moment in which one of two upstreams says that it is leaving, which must run nothing from then on.

--- a/test/process/request_faults.cpp
+++ b/test/process/request_faults.cpp
@@ -146,6 +146,40 @@
     EXPECT_LT(scene.control({}).at("executions").get<int>(), 120);
 }
 
+// Guards against an idempotent request that is given up although another upstream works.
+TEST(request_faults, idempotent_request_is_retried_elsewhere)
+{
+    request_scene scene;
+    scene.add_upstream({"--cut", "length"});
+    scene.add_upstream();
+    scene.add_entry_vm();
+    int answered{0};
+    for (int number = 0; number < 10; ++number) {
+        const auto answer = scene.send({'r' + std::to_string(number), "x", {{"Idempotent", "true"}}});
+        answered += answer.m_outcome == "answered" ? 1 : 0;
+        EXPECT_NE(answer.m_outcome, "not-run");
+    }
+    EXPECT_GE(answered, 9);
+}
+
+// Guards against requests that are lost, or run by an upstream that is leaving.
+TEST(request_faults, leaving_upstream_loses_no_request)
+{
+    request_scene scene;
+    scene.add_upstream();
+    scene.add_upstream();
+    scene.add_entry_vm();
+    const auto before = scene.send_many(40, 4);
+    scene.control({{"leaving", true}});
+    const auto ran = scene.control({}).at("executions").get<int>();
+    call sample;
+    sample.m_target = "/v1/services/quotes/requests/after";
+    const auto after = scene.send_many(40, 4, sample);
+    EXPECT_EQ(count_outcome(before, "answered"), 40);
+    EXPECT_EQ(count_outcome(after, "answered"), 40);
+    EXPECT_EQ(scene.control({}).at("executions").get<int>(), ran);
+}
+
 // Guards against a graceful stop that cuts requests: a request that ran has its answer.
 TEST(request_faults, graceful_stop_under_load_cuts_nothing)
 {
