--- a/packages/core/src/cicadalug/fleet/fwd.hpp
+++ b/packages/core/src/cicadalug/fleet/fwd.hpp
@@ -10,8 +10,8 @@
 struct zone_report;
 struct drain_confirmation;
 struct wave_progress;
-struct control_state;
-struct control_inputs;
+struct zone_control_state;
+struct zone_control_inputs;
 
 } // namespace cicadalug
 
--- a/packages/core/src/cicadalug/fleet/planner.cpp
+++ b/packages/core/src/cicadalug/fleet/planner.cpp
@@ -19,6 +19,9 @@
 /** @brief Share of a pool below which its lasting demand makes VMs superfluous. */
 constexpr double idle_limit = 0.4;
 
+/** @brief Time for a chosen VM to get its charge before the choice is dropped. */
+constexpr seconds pending_limit{30};
+
 [[nodiscard]] auto elapsed_seconds(const planner_state& state, const time_point now) -> double
 {
     return state.m_last ? std::chrono::duration<double>(now - *state.m_last).count() : 0.0;
@@ -47,7 +50,8 @@
     const auto share = 1.0 - std::exp(-passed / static_cast<double>(term.count()));
     double overflow = 0.0;
     for (const auto& [id, pool] : pools) {
-        auto [entry, added] = state.m_pools.try_emplace(id, planner_state::entry{pool.m_needed, std::nullopt});
+        auto [entry, added] =
+            state.m_pools.try_emplace(id, planner_state::entry{pool.m_needed, std::nullopt, std::nullopt});
         // Demand beyond a pool and its share of the spare pool cannot be served, so it does not count in full.
         const auto capped = std::min(pool.m_needed, 2.0 * pool.m_members);
         entry->second.m_lasting += added ? 0.0 : share * (capped - entry->second.m_lasting);
@@ -82,10 +86,20 @@
         }
     }
     for (const auto& [id, pool] : pools) {
-        const auto lasting = state.m_pools[id].m_lasting;
-        const auto vms = std::min(
-            {plan.m_spare_size - spare_members, pool.m_movable, pool.m_members - wanted_members(pool, lasting)});
-        if (vms > 0 && lasting < idle_limit * pool.m_members) {
+        auto& entry = state.m_pools[id];
+        if (std::max(entry.m_lasting, pool.m_needed) >= idle_limit * pool.m_members) {
+            // A surge of seconds does not show that the pool needs its VMs, so it does not start the time again.
+            if (entry.m_lasting >= idle_limit * pool.m_members) {
+                entry.m_idle_since.reset();
+            }
+            continue;
+        }
+        if (!entry.m_idle_since) {
+            entry.m_idle_since = now;
+        }
+        const auto vms = std::min({plan.m_spare_size - spare_members, pool.m_movable,
+                                   pool.m_members - wanted_members(pool, entry.m_lasting)});
+        if (vms > 0 && now - *entry.m_idle_since >= term) {
             plan.m_transfers.push_back({id, spare, vms});
             spare_members += vms;
         }
@@ -93,4 +107,34 @@
     return plan;
 }
 
+auto choose_moves(planner_state& state, const move_plan& plan, const std::map<vm_id, const vm_record*>& vms,
+                  const time_point now) -> std::map<vm_id, pool_id>
+{
+    std::erase_if(state.m_pending, [&](const auto& item) {
+        const auto found = vms.find(item.first);
+        return found == vms.end() || !found->second->m_operation.empty() ||
+               found->second->m_pool != item.second.m_from || now - item.second.m_since >= pending_limit;
+    });
+    for (const auto& transfer : plan.m_transfers) {
+        auto left = transfer.m_vms;
+        for (const auto& [id, pending] : state.m_pending) {
+            left -= pending.m_from == transfer.m_from && pending.m_to == transfer.m_to ? 1 : 0;
+        }
+        for (auto item = vms.begin(); item != vms.end() && left > 0; ++item) {
+            const auto& record = *item->second;
+            if (record.m_pool == transfer.m_from && record.m_operation.empty() &&
+                state.m_pending
+                    .try_emplace(record.m_vm, planner_state::pending_move{transfer.m_from, transfer.m_to, now})
+                    .second) {
+                --left;
+            }
+        }
+    }
+    std::map<vm_id, pool_id> moves;
+    for (const auto& [id, pending] : state.m_pending) {
+        moves.emplace(id, pending.m_to);
+    }
+    return moves;
+}
+
 } // namespace cicadalug
--- a/packages/core/src/cicadalug/fleet/planner.hpp
+++ b/packages/core/src/cicadalug/fleet/planner.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/base/ids.hpp>
 #include <cicadalug/base/time.hpp>
+#include <cicadalug/fleet/vm_record.hpp>
 #include <cicadalug/model/planning_policy.hpp>
 
 #include <map>
@@ -28,8 +29,17 @@
         /** @brief Average demand over the term that the policy makes lasting. */
         double m_lasting{0.0};
         std::optional<time_point> m_short_since;
+        /** @brief A pool that gave VMs back at once would be short again with the next change of demand. */
+        std::optional<time_point> m_idle_since;
+    };
+    /** @brief A VM that was chosen for a move and is not announced yet. */
+    struct pending_move {
+        pool_id m_from;
+        pool_id m_to;
+        time_point m_since;
     };
     std::map<pool_id, entry> m_pools;
+    std::map<vm_id, pending_move> m_pending;
     /** @brief Highest overflow of all pools together, decaying; it sets the size of the spare pool. */
     double m_overflow_peak{0.0};
     std::optional<time_point> m_last;
@@ -68,6 +78,19 @@
                               const pool_demand& spare_demand, const planning_policy& policy, time_point now)
     -> move_plan;
 
+/**
+ * @brief Chooses VMs for the transfers of a plan. A choice is kept until the VM is announced or a time limit passes:
+ * the charge of a chosen VM lowers the movable VMs, so that the next plan alone would take the choice back.
+ * @param state State to change.
+ * @param plan The plan.
+ * @param vms All VM records of the zone.
+ * @param now Present time.
+ * @return Target pool of each VM to move.
+ */
+[[nodiscard]] auto choose_moves(planner_state& state, const move_plan& plan,
+                                const std::map<vm_id, const vm_record*>& vms, time_point now)
+    -> std::map<vm_id, pool_id>;
+
 } // namespace cicadalug
 
 #endif
--- a/packages/core/src/cicadalug/fleet/control_state.hpp
+++ b/packages/core/src/cicadalug/fleet/zone_control.hpp
@@ -1,5 +1,5 @@
-#ifndef CICADALUG_FLEET_CONTROL_STATE_HPP
-#define CICADALUG_FLEET_CONTROL_STATE_HPP
+#ifndef CICADALUG_FLEET_ZONE_CONTROL_HPP
+#define CICADALUG_FLEET_ZONE_CONTROL_HPP
 
 #include <cicadalug/fleet/budget_ledger.hpp>
 #include <cicadalug/fleet/ownership.hpp>
@@ -25,7 +25,7 @@
 };
 
 /** @brief What the control holder of a zone knows. All durable parts are copies of values of the key-value service. */
-struct control_state {
+struct zone_control_state {
     availability_zone_id m_availability_zone;
     /** @brief Version of the write that took the control lease: unique and higher for each later holder. */
     epoch m_epoch;
@@ -69,7 +69,7 @@
 };
 
 /** @brief What a control step reads besides its state. */
-struct control_inputs {
+struct zone_control_inputs {
     /** @brief Resources. The VM records in it are not used: the state has the copies that the holder writes. */
     const fleet_view* m_view{nullptr};
     /** @brief VMs of the zone on the platform's list; nothing if the list could not be read. */
@@ -85,7 +85,7 @@
 };
 
 /** @brief A compare-and-swap to send to the key-value service. */
-struct control_write {
+struct zone_control_write {
     std::string m_key;
     version m_expected;
     write_id m_write_id;
@@ -99,8 +99,8 @@
 };
 
 /** @brief What to do after a control step, in any order. */
-struct control_effects {
-    std::vector<control_write> m_writes;
+struct zone_control_effects {
+    std::vector<zone_control_write> m_writes;
     std::vector<reboot_request> m_reboots;
 };
 
--- a/packages/core/src/cicadalug/fleet/control_step.cpp
+++ b/packages/core/src/cicadalug/fleet/zone_control_step.cpp
@@ -1,6 +1,6 @@
 #include <cicadalug/fleet/budget.hpp>
-#include <cicadalug/fleet/control_step.hpp>
 #include <cicadalug/fleet/wave_control.hpp>
+#include <cicadalug/fleet/zone_control_step.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -23,7 +23,7 @@
 /** @brief One control step under way: the copies it reads and the values it will write. */
 class control_pass {
 public:
-    control_pass(control_state& state, const control_inputs& inputs, const time_point now)
+    control_pass(zone_control_state& state, const zone_control_inputs& inputs, const time_point now)
         : m_state{state}, m_inputs{inputs}, m_now{now}
     {
         for (const auto& [number, shard] : m_state.m_shards) {
@@ -39,7 +39,7 @@
         find_unhealthy();
     }
 
-    auto run() -> control_effects
+    auto run() -> zone_control_effects
     {
         if (write_fences()) {
             return std::move(m_effects);
@@ -455,10 +455,10 @@
         }
     }
 
-    control_state& m_state;
-    const control_inputs& m_inputs;
+    zone_control_state& m_state;
+    const zone_control_inputs& m_inputs;
     time_point m_now;
-    control_effects m_effects;
+    zone_control_effects m_effects;
     vm_index m_vms;
     std::map<vm_id, std::size_t> m_shard_of;
     std::map<pool_id, std::vector<const vm_record*>> m_members;
@@ -490,7 +490,7 @@
 
 } // namespace
 
-auto apply_value(control_state& state, const std::string& key, const version at, const nlohmann::json& value)
+auto apply_value(zone_control_state& state, const std::string& key, const version at, const nlohmann::json& value)
     -> findings
 {
     const auto fleet_prefix = "fleet/" + state.m_availability_zone.str() + '/';
@@ -528,7 +528,7 @@
     return found;
 }
 
-auto apply_change(control_state& state, const std::string& key, const version at, const nlohmann::json& value)
+auto apply_change(zone_control_state& state, const std::string& key, const version at, const nlohmann::json& value)
     -> findings
 {
     if (state.m_in_flight.contains(key) || state.m_uncertain.contains(key)) {
@@ -537,8 +537,8 @@
     return apply_value(state, key, at, value);
 }
 
-auto apply_reread(control_state& state, const control_write& write, const version at, const nlohmann::json& value)
-    -> findings
+auto apply_reread(zone_control_state& state, const zone_control_write& write, const version at,
+                  const nlohmann::json& value) -> findings
 {
     auto found = apply_value(state, write.m_key, at, value);
     if (found.empty() && at == write.m_expected) {
@@ -547,7 +547,8 @@
     return found;
 }
 
-auto control_step(control_state& state, const control_inputs& inputs, const time_point now) -> control_effects
+auto zone_control_step(zone_control_state& state, const zone_control_inputs& inputs, const time_point now)
+    -> zone_control_effects
 {
     if (state.m_fenced || !state.m_in_flight.empty()) {
         return {};
--- a/packages/core/src/cicadalug/fleet/control_step.hpp
+++ b/packages/core/src/cicadalug/fleet/zone_control_step.hpp
@@ -1,7 +1,7 @@
-#ifndef CICADALUG_FLEET_CONTROL_STEP_HPP
-#define CICADALUG_FLEET_CONTROL_STEP_HPP
+#ifndef CICADALUG_FLEET_ZONE_CONTROL_STEP_HPP
+#define CICADALUG_FLEET_ZONE_CONTROL_STEP_HPP
 
-#include <cicadalug/fleet/control_state.hpp>
+#include <cicadalug/fleet/zone_control.hpp>
 
 namespace cicadalug {
 
@@ -13,15 +13,15 @@
  * @param value The value.
  * @return Faults of the value; the copy is then unchanged, and the key stays closed for steps.
  */
-[[nodiscard]] auto apply_value(control_state& state, const std::string& key, version at, const nlohmann::json& value)
-    -> findings;
+[[nodiscard]] auto apply_value(zone_control_state& state, const std::string& key, version at,
+                               const nlohmann::json& value) -> findings;
 
 /**
  * @brief Takes in a change seen on a watch. It is passed over while a write of the key is under way, because the answer
  * of the write brings the newer value.
  */
-[[nodiscard]] auto apply_change(control_state& state, const std::string& key, version at, const nlohmann::json& value)
-    -> findings;
+[[nodiscard]] auto apply_change(zone_control_state& state, const std::string& key, version at,
+                                const nlohmann::json& value) -> findings;
 
 /**
  * @brief Ends a write whose outcome had to be found out by reading the key again: the answer was lost, or another
@@ -32,7 +32,7 @@
  * @param value Value that was read.
  * @return Faults of the value.
  */
-[[nodiscard]] auto apply_reread(control_state& state, const control_write& write, version at,
+[[nodiscard]] auto apply_reread(zone_control_state& state, const zone_control_write& write, version at,
                                 const nlohmann::json& value) -> findings;
 
 /**
@@ -46,7 +46,8 @@
  * @param now Present time.
  * @return The writes and reboots. Nothing while a write is in flight or when the holder is fenced.
  */
-[[nodiscard]] auto control_step(control_state& state, const control_inputs& inputs, time_point now) -> control_effects;
+[[nodiscard]] auto zone_control_step(zone_control_state& state, const zone_control_inputs& inputs, time_point now)
+    -> zone_control_effects;
 
 } // namespace cicadalug
 
--- a/packages/core/test/cicadalug/fleet/fleet_world.cpp
+++ b/packages/core/test/cicadalug/fleet/fleet_world.cpp
@@ -87,9 +87,9 @@
     m_holders.push_back(std::move(actor));
 }
 
-auto fleet_world::inputs_of(const availability_zone_id& zone) const -> control_inputs
+auto fleet_world::inputs_of(const availability_zone_id& zone) const -> zone_control_inputs
 {
-    control_inputs inputs;
+    zone_control_inputs inputs;
     inputs.m_view = &m_view;
     inputs.m_listed.emplace();
     for (const auto& [id, state] : m_machines) {
@@ -110,7 +110,7 @@
 
 auto fleet_world::step(holder& actor) -> void
 {
-    auto effects = control_step(actor.m_state, inputs_of(actor.m_state.m_availability_zone), m_now);
+    auto effects = zone_control_step(actor.m_state, inputs_of(actor.m_state.m_availability_zone), m_now);
     std::move(effects.m_writes.begin(), effects.m_writes.end(), std::back_inserter(actor.m_writes));
     m_reboot_requests.insert(m_reboot_requests.end(), effects.m_reboots.begin(), effects.m_reboots.end());
 }
--- a/packages/core/test/cicadalug/fleet/fleet_world.hpp
+++ b/packages/core/test/cicadalug/fleet/fleet_world.hpp
@@ -3,7 +3,7 @@
 
 #include "kv_model.hpp"
 
-#include <cicadalug/fleet/control_step.hpp>
+#include <cicadalug/fleet/zone_control_step.hpp>
 
 #include <deque>
 #include <map>
@@ -50,9 +50,9 @@
 
 private:
     struct holder {
-        control_state m_state;
-        std::deque<control_write> m_writes;
-        std::vector<control_write> m_unresolved;
+        zone_control_state m_state;
+        std::deque<zone_control_write> m_writes;
+        std::vector<zone_control_write> m_unresolved;
     };
     struct entry_vm {
         availability_zone_id m_zone;
@@ -81,7 +81,7 @@
     auto restart(entry_vm& actor) -> void;
     auto change_wish(unsigned first, unsigned second) -> void;
     auto fail_rack(unsigned choice) -> void;
-    [[nodiscard]] auto inputs_of(const availability_zone_id& zone) const -> control_inputs;
+    [[nodiscard]] auto inputs_of(const availability_zone_id& zone) const -> zone_control_inputs;
     auto check() -> void;
     auto check_record(const vm_record& before, const vm_record& after) -> void;
     auto check_budgets(const std::map<vm_id, vm_record>& records) -> void;
--- a/packages/core/test/cicadalug/fleet/planner.cpp
+++ b/packages/core/test/cicadalug/fleet/planner.cpp
@@ -35,4 +35,18 @@
     EXPECT_GT(lasting_term({1.0, 1.0, 4.0}), lasting_term({1.0, 4.0, 1.0}));
 }
 
+// Guards against a choice that is taken back when its own charge uses up the budget, and then made again.
+TEST(planner, keeps_a_choice_until_it_is_announced)
+{
+    vm_record record;
+    record.m_vm = vm_id{"a"};
+    record.m_pool = pool_id{"p"};
+    const std::map<vm_id, const vm_record*> vms{{record.m_vm, &record}};
+    planner_state state;
+    EXPECT_EQ(choose_moves(state, {{{pool_id{"p"}, pool_id{"q"}, 1}}, 0}, vms, time_point{}).size(), 1U);
+    EXPECT_EQ(choose_moves(state, {}, vms, time_point{seconds{1}}).size(), 1U);
+    record.m_operation = operation_id{"move:a"};
+    EXPECT_EQ(choose_moves(state, {}, vms, time_point{seconds{2}}).size(), 0U);
+}
+
 } // namespace
--- a/packages/core/test/cicadalug/fleet/control_step.cpp
+++ b/packages/core/test/cicadalug/fleet/zone_control_step.cpp
@@ -31,7 +31,7 @@
 
 // Guards against a broken promise, a VM with two pools and a cut request, under lost, late and repeated messages,
 // holders that were paused or replaced between any two steps, failing racks, two waves and two operators.
-RC_GTEST_PROP(control_step, keeps_the_invariants_after_every_event, ())
+RC_GTEST_PROP(zone_control_step, keeps_the_invariants_after_every_event, ())
 {
     fleet_world world;
     for (const auto& event : *histories()) {
@@ -46,7 +46,7 @@
 }
 
 // Guards against a model that does nothing and therefore never breaks an invariant.
-TEST(control_step, maintains_every_vm_of_both_waves)
+TEST(zone_control_step, maintains_every_vm_of_both_waves)
 {
     fleet_world world;
     world.calm_down();
@@ -57,31 +57,31 @@
 }
 
 // Guards against a write that takes effect after the holder has given its purpose up: the key is overwritten first.
-TEST(control_step, overwrites_a_key_whose_write_may_come_late)
+TEST(zone_control_step, overwrites_a_key_whose_write_may_come_late)
 {
-    control_state state;
+    zone_control_state state;
     state.m_availability_zone = availability_zone_id{"z1"};
     state.m_epoch = epoch{3};
     const fleet_view view;
-    control_inputs inputs;
+    zone_control_inputs inputs;
     inputs.m_view = &view;
     inputs.m_listed.emplace();
     const auto key = vm_shard_key(state.m_availability_zone, 0);
     const auto value = vm_shard_to_json({epoch{3}, write_id{"w"}, {}});
     ASSERT_TRUE(apply_value(state, key, version{5}, value).empty());
-    EXPECT_TRUE(control_step(state, inputs, time_point{}).m_writes.empty());
+    EXPECT_TRUE(zone_control_step(state, inputs, time_point{}).m_writes.empty());
 
     ASSERT_TRUE(apply_reread(state, {key, version{5}, write_id{"late"}, {}}, version{5}, value).empty());
-    const auto writes = control_step(state, inputs, time_point{}).m_writes;
+    const auto writes = zone_control_step(state, inputs, time_point{}).m_writes;
     ASSERT_EQ(writes.size(), 1U);
     EXPECT_EQ(writes[0].m_key, key);
     EXPECT_EQ(writes[0].m_expected, version{5});
 }
 
 // Guards against a paused holder that goes on after another one took over.
-TEST(control_step, stops_at_a_higher_epoch)
+TEST(zone_control_step, stops_at_a_higher_epoch)
 {
-    control_state state;
+    zone_control_state state;
     state.m_availability_zone = availability_zone_id{"z1"};
     state.m_epoch = epoch{3};
     ASSERT_TRUE(apply_value(state, vm_shard_key(state.m_availability_zone, 0), version{5},
