Add the control loop of a zone to the daemon

VM records, ledgers and wave accounts had no writer. The loop runs the control steps while the entry VM holds the lease: it reads everything at the start of a term, follows the ledgers of other zones by a watch, reads the platform's list, probes returning VMs by a connection that sends nothing, and reads each key again whose write had no answer. Not done: the entry VM has no request path yet, so confirmations are immediate and no caller's request was under way in these tests; a reboot call has no condition on the boot, so one that a paused holder sends late can restart a VM again.

--- /dev/null
+++ b/packages/daemon/src/cicadalug/control/control_loop.cpp
@@ -0,0 +1,301 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/control/control_loop.hpp>
+#include <cicadalug/control/drain_reporter.hpp>
+#include <cicadalug/http/message.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include <memory>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+constexpr milliseconds step_interval{500};
+/** @brief Time to the next step after one that wrote: most operations need several steps in a row. */
+constexpr milliseconds next_step{20};
+constexpr milliseconds retry_interval{1'000};
+constexpr milliseconds probe_timeout{1'000};
+
+[[nodiscard]] auto pause(const milliseconds time) -> asio::awaitable<void>
+{
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+[[nodiscard]] auto value_of(const kv_entry& entry) -> nlohmann::json
+{
+    return nlohmann::json::parse(entry.m_value, nullptr, false);
+}
+
+[[nodiscard]] auto listed_of(const platform_vm& vm) -> listed_vm
+{
+    return {vm.m_vm,    vm.m_availability_zone, vm.m_rack, vm.m_room,    vm.m_address,
+            vm.m_slots, vm.m_connections,       vm.m_pool, vm.m_leaving, vm.m_boot};
+}
+
+/** @brief Tells whether a new connection works. It sends nothing, so that it cannot start a task. */
+[[nodiscard]] auto accepts_connection(const tcp_endpoint target) -> asio::awaitable<bool>
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(executor);
+    asio::steady_timer timer{executor, probe_timeout};
+    timer.async_wait([socket](const auto& error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    boost::system::error_code failed;
+    co_await socket->async_connect(target, asio::redirect_error(asio::use_awaitable, failed));
+    co_return !failed;
+}
+
+} // namespace
+
+control_loop::control_loop(const asio::any_io_executor& executor, platform_client& platform, write_id_source& ids,
+                           replica& copy, membership_service& members, const availability_zone_id& zone,
+                           const milliseconds list_interval, control_sources sources)
+    : m_executor{executor}, m_platform{platform}, m_ids{ids}, m_copy{copy}, m_members{members}, m_zone{zone},
+      m_list_interval{list_interval}, m_sources{std::move(sources)}
+{
+}
+
+auto control_loop::begin(const epoch held) -> void
+{
+    m_active = true;
+    ++m_term;
+    m_state = {};
+    m_state.m_availability_zone = m_zone;
+    m_state.m_epoch = held;
+    m_state.m_writer = m_ids.next().str();
+    m_listed.reset();
+    m_list_due = {};
+    m_unresolved.clear();
+    m_silent.clear();
+    asio::co_spawn(m_executor, run(m_term), asio::detached);
+}
+
+auto control_loop::end() -> void
+{
+    m_active = false;
+}
+
+auto control_loop::receive(const datagram& message) -> void
+{
+    const auto* confirmed = std::get_if<drained>(&message.m_body);
+    if (confirmed == nullptr || !m_active) {
+        return;
+    }
+    for (const auto& vm : confirmed->m_vms) {
+        receive_confirmation(m_state.m_confirmations, {message.m_sender, message.m_incarnation, vm.m_vm, vm.m_version});
+    }
+}
+
+auto control_loop::confirm_drains() -> void
+{
+    const auto view = m_copy.view();
+    for (auto& message : make_drained(*view, m_sources.m_has_work_in_flight)) {
+        m_members.send_to_zone(message);
+        receive({m_members.table().m_self, m_members.own_incarnation(), std::move(message)});
+    }
+}
+
+auto control_loop::take(const findings& found) const -> void
+{
+    if (!found.empty()) {
+        LOG(ERROR) << "event=value_not_readable zone=" << m_zone << " error=\"" << found.to_string() << '"';
+    }
+}
+
+auto control_loop::load_prefix(const std::string prefix, const std::uint64_t term) -> asio::awaitable<bool>
+{
+    const auto read = co_await m_platform.range(prefix);
+    if (!read || !current(term)) {
+        co_return false;
+    }
+    for (const auto& entry : read.assume_value().m_entries) {
+        take(apply_value(m_state, entry.m_key, entry.m_version, value_of(entry)));
+    }
+    co_return true;
+}
+
+auto control_loop::load(const std::uint64_t term) -> asio::awaitable<bool>
+{
+    co_return co_await load_prefix("fleet/" + m_zone.str() + '/', term) &&
+        co_await load_prefix("wave/" + m_zone.str() + '/', term) && co_await load_prefix("budget/", term);
+}
+
+auto control_loop::follow_ledgers(const std::uint64_t term) -> asio::awaitable<void>
+{
+    while (current(term)) {
+        auto opened = co_await m_platform.watch("budget/", version{1});
+        while (opened && current(term)) {
+            const auto event = co_await opened.assume_value()->next();
+            if (!event || !current(term)) {
+                break;
+            }
+            if (const auto& change = event.assume_value().m_change) {
+                take(apply_change(m_state, change->m_key, change->m_version, value_of(*change)));
+            }
+        }
+        co_await pause(retry_interval);
+    }
+}
+
+auto control_loop::read_list(const std::uint64_t term) -> asio::awaitable<void>
+{
+    const auto now = monotonic_now();
+    if (now < m_list_due) {
+        co_return;
+    }
+    m_list_due = now + m_list_interval;
+    const auto vms = co_await m_platform.list_vms();
+    if (!current(term)) {
+        co_return;
+    }
+    m_listed.reset();
+    if (vms) {
+        m_listed.emplace();
+        for (const auto& vm : vms.assume_value()) {
+            // Entry VMs are on the list without slots.
+            if (vm.m_slots > 0 && vm.m_availability_zone == m_zone) {
+                m_listed->emplace(vm.m_vm, listed_of(vm));
+            }
+        }
+    }
+}
+
+auto control_loop::make_inputs(const fleet_view& view) const -> zone_control_inputs
+{
+    zone_control_inputs inputs;
+    inputs.m_view = &view;
+    inputs.m_listed = m_listed;
+    for (const auto& [id, entry] : m_members.table().m_entry_vms) {
+        if (entry.m_info.m_availability_zone == m_zone) {
+            inputs.m_entry_vms.push_back({id, entry.m_heartbeat.m_incarnation, entry.m_state == entry_vm_state::gone});
+        }
+    }
+    inputs.m_unhealthy = m_sources.m_unhealthy();
+    inputs.m_unhealthy.insert(m_silent.begin(), m_silent.end());
+    inputs.m_needed_vms = m_sources.m_needed_vms();
+    return inputs;
+}
+
+auto control_loop::probe(const std::uint64_t term) -> asio::awaitable<void>
+{
+    std::set<vm_id> silent;
+    const auto shards = m_state.m_shards;
+    for (const auto& [number, shard] : shards) {
+        for (const auto& [id, record] : shard.m_value.m_vms) {
+            if (record.m_phase != vm_phase::returning) {
+                continue;
+            }
+            findings found;
+            const auto target = parse_endpoint(record.m_address, "address", found);
+            auto accepted = false;
+            if (found.empty()) {
+                accepted = co_await accepts_connection(target);
+            }
+            if (!accepted) {
+                silent.insert(id);
+            }
+        }
+    }
+    if (current(term)) {
+        m_silent = std::move(silent);
+    }
+}
+
+auto control_loop::write(const zone_control_write change, const std::uint64_t term) -> asio::awaitable<void>
+{
+    kv_write request;
+    request.m_key = change.m_key;
+    request.m_value = change.m_value.dump();
+    request.m_expected = change.m_expected;
+    request.m_write_id = change.m_write_id;
+    const auto written = co_await m_platform.put_once(std::move(request));
+    if (!current(term)) {
+        co_return;
+    }
+    if (written) {
+        take(apply_value(m_state, change.m_key, written.assume_value(), change.m_value));
+        co_return;
+    }
+    LOG(INFO) << "event=control_write_failed key=" << change.m_key << " error=\"" << written.assume_error().m_message
+              << '"';
+    m_unresolved.push_back(change);
+}
+
+auto control_loop::resolve(const std::uint64_t term) -> asio::awaitable<void>
+{
+    const auto open = std::exchange(m_unresolved, {});
+    for (const auto& change : open) {
+        const auto read = co_await m_platform.get(change.m_key);
+        if (!current(term)) {
+            co_return;
+        }
+        if (read) {
+            const auto& entry = read.assume_value();
+            take(apply_reread(m_state, change, entry.m_version, value_of(entry)));
+        }
+        else {
+            m_unresolved.push_back(change);
+        }
+    }
+}
+
+auto control_loop::perform(zone_control_effects effects, const std::uint64_t term) -> asio::awaitable<void>
+{
+    for (auto& change : effects.m_writes) {
+        if (!current(term)) {
+            co_return;
+        }
+        co_await write(std::move(change), term);
+    }
+    for (const auto& request : effects.m_reboots) {
+        if (!current(term)) {
+            co_return;
+        }
+        LOG(INFO) << "event=reboot vm=" << request.m_vm << " boot=" << request.m_boot;
+        static_cast<void>(co_await m_platform.reboot(request.m_vm));
+    }
+}
+
+auto control_loop::run(const std::uint64_t term) -> asio::awaitable<void>
+{
+    while (current(term) && !(co_await load(term) && m_copy.loaded())) {
+        co_await pause(retry_interval);
+    }
+    asio::co_spawn(m_executor, follow_ledgers(term), asio::detached);
+    while (current(term)) {
+        co_await resolve(term);
+        if (current(term)) {
+            co_await read_list(term);
+        }
+        if (current(term)) {
+            co_await probe(term);
+        }
+        if (!current(term)) {
+            break;
+        }
+        const auto view = m_copy.view();
+        auto effects = zone_control_step(m_state, make_inputs(*view), monotonic_now());
+        if (m_state.m_fenced) {
+            LOG(WARNING) << "event=control_fenced zone=" << m_zone << " epoch=" << m_state.m_epoch;
+            break;
+        }
+        const auto wrote = !effects.m_writes.empty();
+        co_await perform(std::move(effects), term);
+        co_await pause(wrote && m_unresolved.empty() ? next_step : step_interval);
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/daemon/src/cicadalug/control/control_loop.hpp
@@ -0,0 +1,99 @@
+#ifndef CICADALUG_CONTROL_CONTROL_LOOP_HPP
+#define CICADALUG_CONTROL_CONTROL_LOOP_HPP
+
+#include <cicadalug/fleet/zone_control_step.hpp>
+#include <cicadalug/membership/membership_service.hpp>
+#include <cicadalug/platform/platform_client.hpp>
+#include <cicadalug/platform/write_id_source.hpp>
+#include <cicadalug/replication/replica.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief What the control loop learns from the request path of its own entry VM. */
+struct control_sources {
+    /** @brief Tells for a VM whether work of this entry VM is in flight there. */
+    std::function<bool(const vm_id&)> m_has_work_in_flight;
+    /** @brief Returns the VMs that do not serve. */
+    std::function<std::set<vm_id>()> m_unhealthy;
+    /** @brief Returns the VMs of each pool that present demand needs in the zone. */
+    std::function<std::map<pool_id, int>()> m_needed_vms;
+};
+
+/**
+ * @brief Runs the control steps of a zone while this entry VM holds control. It is the only writer of VM records,
+ * ledgers and wave accounts.
+ * @note Thread safety: all functions are called on the executor.
+ */
+class control_loop {
+public:
+    /**
+     * @brief Constructs a loop that does nothing yet.
+     * @param executor Runs the loop; a strand if the context has several threads.
+     * @param platform The platform.
+     * @param ids Write ids of this process.
+     * @param copy Gives the view.
+     * @param members Gives the entry VMs of the zone.
+     * @param zone The zone.
+     * @param list_interval Time between two reads of the platform's list.
+     * @param sources Knowledge of the request path.
+     */
+    control_loop(const boost::asio::any_io_executor& executor, platform_client& platform, write_id_source& ids,
+                 replica& copy, membership_service& members, const availability_zone_id& zone,
+                 milliseconds list_interval, control_sources sources);
+
+    /** @brief Control begins with an epoch; the loop reads everything from the platform again. */
+    auto begin(epoch held) -> void;
+
+    /** @brief Control ends. */
+    auto end() -> void;
+
+    /** @brief Takes in a message of a peer; others than `drained` are ignored. */
+    auto receive(const datagram& message) -> void;
+
+    /** @brief Confirms drains of this entry VM to all of the zone. Called by every entry VM, whoever holds control. */
+    auto confirm_drains() -> void;
+
+private:
+    [[nodiscard]] auto current(std::uint64_t term) const noexcept -> bool { return m_active && term == m_term; }
+    [[nodiscard]] auto run(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto load(std::uint64_t term) -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto load_prefix(std::string prefix, std::uint64_t term) -> boost::asio::awaitable<bool>;
+    [[nodiscard]] auto follow_ledgers(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto read_list(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto perform(zone_control_effects effects, std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto write(zone_control_write change, std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto resolve(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto probe(std::uint64_t term) -> boost::asio::awaitable<void>;
+    [[nodiscard]] auto make_inputs(const fleet_view& view) const -> zone_control_inputs;
+    auto take(const findings& found) const -> void;
+
+    boost::asio::any_io_executor m_executor;
+    platform_client& m_platform;
+    write_id_source& m_ids;
+    replica& m_copy;
+    membership_service& m_members;
+    const availability_zone_id m_zone;
+    const milliseconds m_list_interval;
+    const control_sources m_sources;
+    bool m_active{false};
+    /** @brief Number of the term of control; coroutines of earlier terms end. */
+    std::uint64_t m_term{0};
+    zone_control_state m_state;
+    std::optional<std::map<vm_id, listed_vm>> m_listed;
+    time_point m_list_due;
+    /** @brief Writes with an unknown outcome; their keys are read until the platform answers. */
+    std::vector<zone_control_write> m_unresolved;
+    /** @brief VMs in phase returning that did not accept a connection. */
+    std::set<vm_id> m_silent;
+};
+
+} // namespace cicadalug
+
+#endif
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/api/resource_api.hpp>
 #include <cicadalug/api/status_api.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/control/control_loop.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/membership/control_keeper.hpp>
 #include <cicadalug/membership/membership_service.hpp>
@@ -81,6 +82,15 @@
     return response;
 }
 
+/** @brief Tells the control loop that this entry VM sends nothing to upstreams: it has no request path yet. */
+[[nodiscard]] auto no_requests() -> control_sources
+{
+    return {[](const vm_id& /*vm*/) { return false; }, [] { return std::set<vm_id>{}; },
+            [] {
+                return std::map<pool_id, int>{};
+            }};
+}
+
 } // namespace
 
 class entry_vm::parts {
@@ -105,8 +115,10 @@
     membership_service m_members;
     control_keeper m_control;
     zone_watcher m_watcher;
+    control_loop m_loop;
     peer_sync m_sync;
     resource_api m_resources;
+    time_point m_last_confirmation;
     std::atomic<bool> m_stopping{false};
     http_server m_server;
 };
@@ -124,6 +136,14 @@
                 m_members,
                 m_settings.m_availability_zone,
                 m_settings.m_list_interval},
+      m_loop{m_strand,
+             m_platform,
+             m_ids,
+             m_replica,
+             m_members,
+             m_settings.m_availability_zone,
+             m_settings.m_list_interval,
+             no_requests()},
       m_sync{m_strand, m_platform, m_replica, m_members, m_settings.m_availability_zone},
       m_resources{m_platform, m_ids, m_replica, m_members}, m_server{m_context,
                                                                      addresses.m_listen,
@@ -142,13 +162,26 @@
         filled.m_control_epoch = m_control.announced_epoch();
     });
     m_members.on_datagram([this](const auto& message) { m_sync.receive(message); });
+    m_members.on_datagram([this](const auto& message) { m_loop.receive(message); });
     m_members.on_pause([this](const auto /*pause*/) { m_control.paused(monotonic_now()); });
     m_members.on_tick([this](const auto now) {
         if (!m_stopping) {
             m_control.tick(m_members.table(), now);
         }
+        if (now - m_last_confirmation >= heartbeat_interval) {
+            m_last_confirmation = now;
+            m_loop.confirm_drains();
+        }
     });
-    m_control.on_control([this](const auto /*held*/) { m_watcher.begin(); }, [this] { m_watcher.end(); });
+    m_control.on_control(
+        [this](const auto held) {
+            m_watcher.begin();
+            m_loop.begin(held);
+        },
+        [this] {
+            m_watcher.end();
+            m_loop.end();
+        });
     m_replica.subscribe([this](const auto& /*view*/, const auto& changed) {
         for (const auto& entry : changed) {
             if (entry.m_key == list_key(m_settings.m_availability_zone)) {
--- /dev/null
+++ b/test/process/maintenance_wave.cpp
@@ -0,0 +1,128 @@
+#include "deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cicadalug;
+using namespace cicadalug::process_test;
+using nlohmann::json;
+
+constexpr int vm_count = 6;
+constexpr int promised_vms = 4;
+constexpr int first_upstream_port = 9'500;
+
+class maintenance_wave : public ::testing::Test {
+protected:
+    auto start_all() -> void
+    {
+        m_deployment.start_platform();
+        const auto address = loopback_address();
+        for (int number = 0; number < vm_count; ++number) {
+            const auto endpoint = address + ':' + std::to_string(first_upstream_port + number);
+            m_upstreams.push_back(std::make_unique<child_process>(CICADALUG_STANDIN_DIRECTORY "/upstream_standin",
+                                                                  std::vector<std::string>{"--listen", endpoint}));
+            const auto added = call(http::verb::post, m_deployment.platform_address(), "/control/vms",
+                                    {{"vm", "vm-" + std::to_string(number)},
+                                     {"availability_zone", "a"},
+                                     {"rack", "rack-" + std::to_string(number / 2)},
+                                     {"room", "hall"},
+                                     {"address", endpoint},
+                                     {"slots", 8},
+                                     {"connections", 64},
+                                     {"pool", "quotes"},
+                                     {"leaving", false},
+                                     {"boot", 1}});
+            ASSERT_EQ(added.m_status, 200U);
+        }
+        m_deployment.start_all();
+        ASSERT_TRUE(m_deployment.wait_ready());
+        put("pool", "quotes", json::object());
+        put("service", "quotes", {{"pool", "quotes"}, {"promised_vms", promised_vms}});
+        ASSERT_TRUE(
+            wait_until([this] { return ledger().value("zones", json::array()).size() == 1; }, milliseconds{15'000}));
+    }
+
+    auto put(const std::string& kind, const std::string& name, const json& spec) -> void
+    {
+        call_answer written;
+        const auto accepted = wait_until(
+            [&] {
+                written = call(http::verb::put, m_deployment.address(0), "/v1/resources/" + kind + '/' + name,
+                               {{"kind", kind}, {"name", name}, {"spec", spec}}, "*");
+                return written.m_status == 201;
+            },
+            milliseconds{5'000});
+        ASSERT_TRUE(accepted) << kind << ": " << written.m_body;
+    }
+
+    [[nodiscard]] auto value_of(const std::string& key) const -> json
+    {
+        const auto entry = call(http::verb::get, m_deployment.platform_address(), "/kv/" + key).m_body;
+        const auto value = json::parse(entry.value("value", "{}"), nullptr, false);
+        return value.is_object() ? value : json::object();
+    }
+
+    [[nodiscard]] auto ledger() const -> json { return value_of("budget/quotes"); }
+
+    [[nodiscard]] auto ended() const -> long
+    {
+        const auto vms = value_of("wave/a/night").value("vms", json::array());
+        return std::count_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.at("outcome") != "none"; });
+    }
+
+    /** @brief Waits for the end of the wave, and looks at the ledger meanwhile. */
+    auto expect_complete_account() -> void
+    {
+        const auto taken = wait_until(
+            [this] {
+                EXPECT_LE(ledger().value("charges", json::array()).size(), std::size_t{vm_count - promised_vms});
+                return value_of("wave/a/night").value("finished", false);
+            },
+            milliseconds{60'000});
+        ASSERT_TRUE(taken) << value_of("wave/a/night") << ledger();
+        std::cout << "wave ended after " << taken->count() << " ms\n";
+        const auto account = value_of("wave/a/night").at("vms");
+        EXPECT_EQ(account.size(), std::size_t{vm_count});
+        for (const auto& vm : account) {
+            EXPECT_EQ(vm.at("outcome"), "done") << vm;
+        }
+        const auto listed = call(http::verb::get, m_deployment.platform_address(), "/vms").m_body.at("vms");
+        for (const auto& vm : listed) {
+            EXPECT_EQ(vm.at("boot"), 2) << vm;
+        }
+        EXPECT_TRUE(
+            wait_until([this] { return ledger().value("charges", json::array()).empty(); }, milliseconds{5'000}));
+    }
+
+    deployment m_deployment{{2}};
+    std::vector<std::unique_ptr<child_process>> m_upstreams;
+};
+
+// Guards against a wave that forgets a VM, reboots one twice, or takes more VMs out than the budget allows.
+TEST_F(maintenance_wave, ends_with_an_account_of_every_vm)
+{
+    start_all();
+    put("wave", "night", {{"pools", {"quotes"}}});
+    expect_complete_account();
+}
+
+// Guards against a wave that stops, or starts again from its beginning, when the control holder is killed.
+TEST_F(maintenance_wave, goes_on_after_the_control_holder_was_killed)
+{
+    start_all();
+    put("wave", "night", {{"pools", {"quotes"}}});
+    ASSERT_TRUE(wait_until([this] { return ended() >= 1; }, milliseconds{30'000}));
+    const auto holder = m_deployment.index_of(m_deployment.holder(0, "a"));
+    m_deployment.kill(holder);
+    m_deployment.start(holder);
+    expect_complete_account();
+}
+
+} // namespace
