--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,55 +1,73 @@
 #include <cicadalug/entry_vm/entry_vm.hpp>
-#include <cicadalug/http/http_server.hpp>
-#include <cicadalug/request/forwarder.hpp>
+#include <cicadalug/request/static_entry_vm.hpp>
 #include <cicadalug/settings/settings.hpp>
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <glog/logging.h>
 
-#include <csignal>
 #include <cstdint>
 #include <iostream>
-#include <sstream>
 #include <string>
-#include <vector>
 
 namespace {
 
 using namespace cicadalug;
 
-/** @brief Reads "id,zone,address,datagram address". */
-[[nodiscard]] auto parse_entry_vm(const std::string& text, findings& found) -> entry_vm_info
+/** @brief Command line of cicadalugd. */
+struct daemon_options {
+    std::string m_settings_file;
+    bool m_check{false};
+    static_entry_vm_settings m_static;
+    std::int64_t m_balancer_delay_ms{0};
+};
+
+auto add_options(CLI::App& app, daemon_options& options) -> void
+{
+    auto& fixed = options.m_static;
+    app.add_option("--settings", options.m_settings_file, "YAML file with the settings");
+    app.add_flag("--check", options.m_check, "Validate the settings and exit: 0 without findings, 2 with findings")
+        ->needs("--settings");
+    app.add_option("--id", fixed.m_id, "Without settings: name of this entry VM");
+    app.add_option("--zone", fixed.m_zone, "Without settings: availability zone of this entry VM");
+    app.add_option("--listen", fixed.m_listen, "Without settings: address and port for callers");
+    app.add_option("--upstream", fixed.m_upstreams, "Without settings: address and port of an upstream");
+    app.add_option("--service", fixed.m_services, "Without settings: service that callers may name");
+    app.add_option("--peer", fixed.m_peers, "Without settings: another entry VM, as id=address:port");
+    app.add_option("--slots", fixed.m_slots, "Without settings: slots of each upstream");
+    app.add_option("--threads", fixed.m_threads, "Without settings: worker threads")->check(CLI::Range(1, 64));
+    app.add_option("--balancer-delay-ms,--drain-delay-ms", options.m_balancer_delay_ms,
+                   "Without settings: time from failing readiness to the end of listening");
+}
+
+[[nodiscard]] auto run_from_file(const daemon_options& options) -> result<int>
 {
-    std::istringstream stream{text};
-    std::vector<std::string> fields;
-    for (std::string field; std::getline(stream, field, ',');) {
-        fields.push_back(field);
+    const auto read = load_settings(options.m_settings_file);
+    if (!read) {
+        return read.assume_error();
+    }
+    if (options.m_check) {
+        std::cout << options.m_settings_file << ": no findings\n";
+        return 0;
     }
-    if (fields.size() != 4) {
-        found.add("--entry-vm", "is not id,zone,address,datagram address: " + text);
-        return {};
+    const auto made = entry_vm::make(read.assume_value());
+    if (!made) {
+        return made.assume_error();
     }
-    return {entry_vm_id{fields[0]}, availability_zone_id{fields[1]}, fields[2], fields[3]};
+    made.assume_value()->run();
+    return 0;
 }
 
-[[nodiscard]] auto run_entry_vm(entry_vm_settings settings, const std::vector<std::string>& known) -> int
+[[nodiscard]] auto run(daemon_options& options) -> result<int>
 {
-    findings found;
-    for (const auto& text : known) {
-        settings.m_entry_vms.push_back(parse_entry_vm(text, found));
+    if (!options.m_settings_file.empty()) {
+        return run_from_file(options);
     }
-    if (found.empty()) {
-        auto made = entry_vm::make(std::move(settings));
-        if (made) {
-            made.assume_value()->run();
-            return 0;
-        }
-        found = made.assume_error();
+    options.m_static.m_balancer_delay = milliseconds{options.m_balancer_delay_ms};
+    const auto found = run_static_entry_vm(options.m_static);
+    if (!found.empty()) {
+        return found;
     }
-    std::cerr << found.to_string() << '\n';
-    return 2;
+    return 0;
 }
 
 } // namespace
@@ -58,68 +76,14 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    entry_vm_settings settings;
-    std::string id;
-    std::string zone;
-    std::vector<std::string> known;
-    std::int64_t balancer_delay_ms{settings.m_balancer_delay.count()};
-    std::string listen{"127.0.0.1:8080"};
-    std::vector<std::string> upstreams;
-    std::string settings_file;
-    bool check{false};
-    CLI::App app{"cicadalugd: routes callers' work to upstreams"};
-    const auto* file_option = app.add_option("--settings", settings_file, "YAML file with the settings");
-    app.add_flag("--check", check, "Validate the settings and exit: 0 without findings, 2 with findings")
-        ->needs("--settings");
-    app.add_option("--listen", listen, "Address and port");
-    app.add_option("--upstream", upstreams, "Address and port of an upstream");
-    app.add_option("--id", id, "Name of this entry VM; without it, requests are only forwarded to --upstream");
-    app.add_option("--zone", zone, "Availability zone of this entry VM");
-    app.add_option("--datagram-listen", settings.m_datagram_listen, "Address and port for datagrams");
-    app.add_option("--platform", settings.m_platform, "Address and port of the platform");
-    app.add_option("--entry-vm", known, "An entry VM of the deployment: id,zone,address,datagram address");
-    app.add_option("--balancer-delay-ms", balancer_delay_ms, "Time from failing readiness to the end of accepting");
+    daemon_options options;
+    CLI::App app{"cicadalugd: routes callers' work to upstreams and manages the fleet of its availability zone"};
+    add_options(app, options);
     CLI11_PARSE(app, argc, argv);
-
-    if (!id.empty()) {
-        settings.m_id = entry_vm_id{id};
-        settings.m_availability_zone = availability_zone_id{zone};
-        settings.m_listen = listen;
-        settings.m_balancer_delay = milliseconds{balancer_delay_ms};
-        return run_entry_vm(std::move(settings), known);
-    }
-    findings found;
-    if (*file_option) {
-        const auto read = load_settings(settings_file);
-        if (!read) {
-            std::cerr << read.assume_error().to_string() << '\n';
-            return 2;
-        }
-        if (check) {
-            std::cout << settings_file << ": no findings\n";
-            return 0;
-        }
-        std::ostringstream address;
-        address << read.assume_value().m_callers;
-        listen = address.str();
-    }
-    const auto endpoint = parse_endpoint(listen, "--listen", found);
-    std::vector<tcp_endpoint> endpoints;
-    endpoints.reserve(upstreams.size());
-    for (const auto& upstream : upstreams) {
-        endpoints.push_back(parse_endpoint(upstream, "--upstream", found));
-    }
-    if (!found.empty()) {
-        std::cerr << found.to_string() << '\n';
+    const auto code = run(options);
+    if (!code) {
+        std::cerr << code.assume_error().to_string() << '\n';
         return 2;
     }
-    asio::io_context context;
-    forwarder requests{std::move(endpoints)};
-    const http_server server{context, endpoint, {}, [&requests](http_exchange& exchange) {
-                                 return requests.handle(exchange);
-                             }};
-    asio::signal_set signals{context, SIGTERM, SIGINT};
-    signals.async_wait([&context](const auto&, int) { context.stop(); });
-    context.run();
-    return 0;
+    return code.assume_value();
 }
