--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/api/resource_api.hpp>
 #include <cicadalug/api/status_api.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/control/control_loop.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/entry_vm/request_wiring.hpp>
 #include <cicadalug/membership/control_keeper.hpp>
@@ -118,6 +119,8 @@
     return response;
 }
 
+/** @brief Tells the control loop that this entry VM sends nothing to upstreams, as long as no request path is wired in.
+ */
 } // namespace
 
 class entry_vm::parts {
@@ -128,6 +131,7 @@
 
 private:
     auto connect_parts() -> void;
+    [[nodiscard]] auto make_sources() -> control_sources;
     [[nodiscard]] auto handle_operators(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto handle_callers(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto health(const http_target& target) const -> std::optional<http_response>;
@@ -152,6 +156,7 @@
     const std::unique_ptr<otlp_exporter> m_exporter;
     request_path m_requests;
     request_wiring m_wiring;
+    control_loop m_loop;
     std::atomic<bool> m_stopping{false};
     http_server m_operators_server;
     http_server m_callers_server;
@@ -171,11 +176,14 @@
                  std::make_shared<kv_claim_store>(m_platform, m_ids, m_settings.m_entry_vm,
                                                   m_settings.m_availability_zone, m_incarnation),
                  make_telemetry(m_exporter.get(), m_metrics)},
-      m_wiring{m_strand, m_requests, m_replica, m_members}, m_operators_server{m_context, m_settings.m_operators,
-                                                                               m_settings.m_limits,
-                                                                               [this](http_exchange& exchange) {
-                                                                                   return handle_operators(exchange);
-                                                                               }},
+      m_wiring{m_strand, m_requests, m_replica, m_members}, m_loop{m_strand,      m_platform,
+                                                                   m_ids,         m_replica,
+                                                                   m_members,     m_settings.m_availability_zone,
+                                                                   list_interval, make_sources()},
+      m_operators_server{m_context, m_settings.m_operators, m_settings.m_limits,
+                         [this](http_exchange& exchange) {
+                             return handle_operators(exchange);
+                         }},
       m_callers_server{m_context, m_settings.m_callers, m_settings.m_limits, [this](http_exchange& exchange) {
                            return handle_callers(exchange);
                        }}
@@ -183,6 +191,18 @@
     connect_parts();
 }
 
+auto entry_vm::parts::make_sources() -> control_sources
+{
+    return {[this](const vm_id& vm) { return m_requests.in_flight(vm) > 0; },
+            [this] {
+                const auto vms = m_requests.ejected();
+                return std::set<vm_id>{vms.begin(), vms.end()};
+            },
+            [this] {
+                return m_wiring.needed_vms();
+            }};
+}
+
 auto entry_vm::parts::connect_parts() -> void
 {
     m_members.set_heartbeat_source([this](const auto& zone, auto& filled) {
@@ -198,7 +218,18 @@
         }
     });
     m_members.on_change([this](const auto& /*change*/) { count_entry_vms(); });
-    m_control.on_control([this](const auto /*held*/) { m_watcher.begin(); }, [this] { m_watcher.end(); });
+    m_wiring.on_drained([this](const auto& sender, const auto started, const auto& confirmed) {
+        m_loop.receive({sender, started, confirmed});
+    });
+    m_control.on_control(
+        [this](const auto held) {
+            m_watcher.begin();
+            m_loop.begin(held);
+        },
+        [this] {
+            m_watcher.end();
+            m_loop.end();
+        });
     m_replica.subscribe([this](const auto& view, const auto& changed) {
         m_metrics->set_configuration_version(view->m_version);
         for (const auto& entry : changed) {
