--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -11,6 +11,7 @@
 #include <cicadalug/replication/replica.hpp>
 #include <cicadalug/replication/snapshot.hpp>
 #include <cicadalug/replication/zone_watcher.hpp>
+#include <cicadalug/report/fleet_metrics.hpp>
 #include <cicadalug/request/request_path.hpp>
 #include <cicadalug/telemetry/metrics.hpp>
 #include <cicadalug/telemetry/otlp_exporter.hpp>
@@ -149,6 +150,7 @@
     peer_sync m_sync;
     resource_api m_resources;
     const std::shared_ptr<metrics> m_metrics{std::make_shared<metrics>()};
+    fleet_metrics m_fleet_metrics{*m_metrics};
     const std::unique_ptr<otlp_exporter> m_exporter;
     request_path m_requests;
     request_wiring m_wiring;
@@ -201,6 +203,7 @@
     m_control.on_control([this](const auto /*held*/) { m_watcher.begin(); }, [this] { m_watcher.end(); });
     m_replica.subscribe([this](const auto& view, const auto& changed) {
         m_metrics->set_configuration_version(view->m_version);
+        m_fleet_metrics.update(*view);
         for (const auto& entry : changed) {
             if (entry.m_key == list_key(m_settings.m_availability_zone)) {
                 m_members.apply_platform_list(parse_platform_list(entry.m_value.m_value).m_entry_vms);
@@ -234,6 +237,9 @@
         return json_response(http::status::ok, status_json(m_members, m_replica, m_control.announced_epoch()));
     }
     if (target.m_path == "/metrics") {
+        if (m_exporter) {
+            m_metrics->set_spans(m_exporter->exported(), m_exporter->dropped());
+        }
         return text_response(http::status::ok, m_metrics->text());
     }
     if (target.m_path == "/v1/vms") {
--- a/packages/runtime/src/cicadalug/telemetry/metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/metrics.cpp
@@ -63,6 +63,8 @@
     Family<Gauge>& m_slots{gauge(m_registry, "cicadalug_slots", "Slots of this entry VM by state.")};
     Family<Gauge>& m_ejected{gauge(m_registry, "cicadalug_ejected_vms", "Upstreams that this entry VM ejected.")};
     Family<Gauge>& m_vms{gauge(m_registry, "cicadalug_vms", "VMs by phase of the VM record.")};
+    Family<Gauge>& m_promised{
+        gauge(m_registry, "cicadalug_promised_vms", "VMs that the services of a pool promise, over all zones.")};
     Family<Gauge>& m_buffer{
         gauge(m_registry, "cicadalug_buffer_vms", "VMs of a pool above the promises of its services.")};
     Family<Histogram>& m_roll_out_seconds{
@@ -127,6 +129,11 @@
     m_families->m_vms.Add({{"pool", pool.str()}, {"phase", std::string{phase}}}).Set(static_cast<double>(vms));
 }
 
+auto metrics::set_promised(const pool_id& pool, const std::size_t vms) -> void
+{
+    m_families->m_promised.Add({{"pool", pool.str()}}).Set(static_cast<double>(vms));
+}
+
 auto metrics::set_buffer(const pool_id& pool, const std::int64_t vms) -> void
 {
     m_families->m_buffer.Add({{"pool", pool.str()}}).Set(static_cast<double>(vms));
--- a/packages/runtime/src/cicadalug/telemetry/metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/metrics.hpp
@@ -54,6 +54,9 @@
     /** @brief Sets the number of VMs in one phase of the VM record. */
     auto set_vms(const pool_id& pool, std::string_view phase, std::size_t vms) -> void;
 
+    /** @brief Sets the promised capacity of a pool: the sum of the promises of its services. */
+    auto set_promised(const pool_id& pool, std::size_t vms) -> void;
+
     /** @brief Sets the buffer: the VMs of a pool above the promises of its services. */
     auto set_buffer(const pool_id& pool, std::int64_t vms) -> void;
 
