--- a/packages/daemon/src/cicadalug/entry_vm/request_wiring.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/request_wiring.cpp
@@ -98,6 +98,36 @@
     }
 }
 
+auto request_wiring::needed_vms() const -> std::map<pool_id, int>
+{
+    std::map<pool_id, std::int64_t> load;
+    for (const auto& pressure : m_requests.pressures()) {
+        load[pressure.m_pool] += per_mille(pressure);
+    }
+    std::int64_t entry_vms{1};
+    const auto table = m_members.table();
+    const auto& zone = table.m_entry_vms.at(table.m_self).m_info.m_availability_zone;
+    for (const auto& [id, entry] : table.m_entry_vms) {
+        if (id == table.m_self || entry.m_state != entry_vm_state::live || entry.m_info.m_availability_zone != zone) {
+            continue;
+        }
+        ++entry_vms;
+        for (const auto& pressure : entry.m_heartbeat.m_pressure) {
+            load[pressure.m_pool] += pressure.m_per_mille;
+        }
+    }
+    std::map<pool_id, std::int64_t> serving;
+    for (const auto& [id, record] : m_copy.view()->m_vms) {
+        serving[record.m_pool] += takes_new_work(record) ? 1 : 0;
+    }
+    std::map<pool_id, int> needed;
+    for (const auto& [pool, sum] : load) {
+        const auto whole = entry_vms * 1'000;
+        needed[pool] = static_cast<int>((sum * serving[pool] + whole - 1) / whole);
+    }
+    return needed;
+}
+
 auto request_wiring::fill(heartbeat& filled) const -> void
 {
     auto pressures = m_requests.pressures();
--- a/packages/daemon/src/cicadalug/request/request_path.hpp
+++ b/packages/daemon/src/cicadalug/request/request_path.hpp
@@ -120,6 +120,12 @@
      */
     [[nodiscard]] auto in_flight(const vm_id& vm) const -> int;
 
+    /**
+     * @brief Returns the VMs whose upstreams are ejected.
+     * @return The VMs, in no particular order.
+     */
+    [[nodiscard]] auto ejected() const -> std::vector<vm_id>;
+
     /**
      * @brief Returns the load of each pool.
      * @return One entry for each pool.
