Send reboots only just after the step that decided them

A holder that was paused between a step and its reboot calls could restart a VM that its successor has let serve again. Reboots are now sent before the writes of the step and only within 1 s of it; what is left out is asked for later. The loop also watches ledgers from the revision it has read instead of from the start, takes the current value from a conflict instead of reading it again, and no longer copies all records to find returning VMs. Maintenance wave, platform call and two replication process tests pass.

--- a/packages/daemon/src/cicadalug/control/control_loop.cpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -23,6 +24,8 @@
 constexpr milliseconds next_step{20};
 constexpr milliseconds retry_interval{1'000};
 constexpr milliseconds probe_timeout{1'000};
+/** @brief Time after a step for which its requests to reboot are sent: the jump of the clock that counts as a pause. */
+constexpr milliseconds reboot_ask_limit{1'000};
 
 [[nodiscard]] auto pause(const milliseconds time) -> asio::awaitable<void>
 {
@@ -124,6 +127,8 @@
     for (const auto& entry : read.assume_value().m_entries) {
         take(apply_value(m_state, entry.m_key, entry.m_version, value_of(entry)));
     }
+    // The ledgers are read last. An untouched store has revision zero; the watch then starts from its first write.
+    m_ledgers_read = std::max(read.assume_value().m_revision, version{1});
     co_return true;
 }
 
@@ -135,16 +140,19 @@
 
 auto control_loop::follow_ledgers(const std::uint64_t term) -> asio::awaitable<void>
 {
+    auto after = m_ledgers_read;
     while (current(term)) {
-        auto opened = co_await m_platform.watch("budget/", version{1});
+        auto opened = co_await m_platform.watch("budget/", after);
         while (opened && current(term)) {
             const auto event = co_await opened.assume_value()->next();
             if (!event || !current(term)) {
                 break;
             }
-            if (const auto& change = event.assume_value().m_change) {
+            const auto& change = event.assume_value().m_change;
+            if (change) {
                 take(apply_change(m_state, change->m_key, change->m_version, value_of(*change)));
             }
+            after = std::max(after, change ? change->m_version : event.assume_value().m_progress);
         }
         co_await pause(retry_interval);
     }
@@ -191,24 +199,26 @@
 
 auto control_loop::probe(const std::uint64_t term) -> asio::awaitable<void>
 {
-    std::set<vm_id> silent;
-    const auto shards = m_state.m_shards;
-    for (const auto& [number, shard] : shards) {
+    std::vector<std::pair<vm_id, std::string>> returning;
+    for (const auto& [number, shard] : m_state.m_shards) {
         for (const auto& [id, record] : shard.m_value.m_vms) {
-            if (record.m_phase != vm_phase::returning) {
-                continue;
-            }
-            findings found;
-            const auto target = parse_endpoint(record.m_address, "address", found);
-            auto accepted = false;
-            if (found.empty()) {
-                accepted = co_await accepts_connection(target);
-            }
-            if (!accepted) {
-                silent.insert(id);
+            if (record.m_phase == vm_phase::returning) {
+                returning.emplace_back(id, record.m_address);
             }
         }
     }
+    std::set<vm_id> silent;
+    for (const auto& [id, address] : returning) {
+        findings found;
+        const auto target = parse_endpoint(address, "address", found);
+        auto accepted = false;
+        if (found.empty()) {
+            accepted = co_await accepts_connection(target);
+        }
+        if (!accepted) {
+            silent.insert(id);
+        }
+    }
     if (current(term)) {
         m_silent = std::move(silent);
     }
@@ -229,6 +239,11 @@
         take(apply_value(m_state, change.m_key, written.assume_value(), change.m_value));
         co_return;
     }
+    const auto& current_entry = written.assume_error().m_current;
+    if (written.assume_error().m_kind == platform_error_kind::conflict && current_entry.m_key == change.m_key) {
+        take(apply_value(m_state, change.m_key, current_entry.m_version, value_of(current_entry)));
+        co_return;
+    }
     LOG(INFO) << "event=control_write_failed key=" << change.m_key << " error=\"" << written.assume_error().m_message
               << '"';
     m_unresolved.push_back(change);
@@ -254,18 +269,20 @@
 
 auto control_loop::perform(zone_control_effects effects, const std::uint64_t term) -> asio::awaitable<void>
 {
-    for (auto& change : effects.m_writes) {
-        if (!current(term)) {
-            co_return;
+    const auto begun = monotonic_now();
+    for (const auto& request : effects.m_reboots) {
+        // After a pause another holder may have let the VM serve again. What is left out is asked for in a later step.
+        if (!current(term) || monotonic_now() - begun > reboot_ask_limit) {
+            break;
         }
-        co_await write(std::move(change), term);
+        LOG(INFO) << "event=reboot vm=" << request.m_vm << " boot=" << request.m_boot;
+        static_cast<void>(co_await m_platform.reboot(request.m_vm));
     }
-    for (const auto& request : effects.m_reboots) {
+    for (auto& change : effects.m_writes) {
         if (!current(term)) {
             co_return;
         }
-        LOG(INFO) << "event=reboot vm=" << request.m_vm << " boot=" << request.m_boot;
-        static_cast<void>(co_await m_platform.reboot(request.m_vm));
+        co_await write(std::move(change), term);
     }
 }
 
--- a/packages/daemon/src/cicadalug/control/control_loop.hpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.hpp
@@ -86,6 +86,8 @@
     /** @brief Number of the term of control; coroutines of earlier terms end. */
     std::uint64_t m_term{0};
     zone_control_state m_state;
+    /** @brief Revision up to which the ledgers were read. */
+    version m_ledgers_read;
     std::optional<std::map<vm_id, listed_vm>> m_listed;
     time_point m_list_due;
     /** @brief Writes with an unknown outcome; their keys are read until the platform answers. */
--- a/test/process/maintenance_wave.cpp
+++ b/test/process/maintenance_wave.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -125,4 +126,21 @@
     expect_complete_account();
 }
 
+// Guards against a VM that is rebooted twice, or a charge that is kept, when answers of writes are lost and the
+// platform is down for a while.
+TEST_F(maintenance_wave, goes_on_after_lost_answers_and_an_outage)
+{
+    constexpr int lost_answers = 15;
+    constexpr milliseconds outage{3'000};
+    start_all();
+    put("wave", "night", {{"pools", {"quotes"}}});
+    m_deployment.control({{"lost_answers", lost_answers}});
+    ASSERT_TRUE(
+        wait_until([this] { return m_deployment.control().value("lost_answers", 1) == 0; }, milliseconds{20'000}));
+    m_deployment.control({{"outage", true}});
+    std::this_thread::sleep_for(outage);
+    m_deployment.control({{"outage", false}});
+    expect_complete_account();
+}
+
 } // namespace
