--- a/packages/core/src/cicadalug/routing/router.hpp
+++ b/packages/core/src/cicadalug/routing/router.hpp
@@ -115,6 +115,13 @@
  */
 [[nodiscard]] auto in_flight(const routing_state& state, const vm_id& vm) -> int;
 
+/**
+ * @brief Returns the VMs whose upstreams are ejected, for the control loop of the zone.
+ * @param state The state.
+ * @return The VMs, in no particular order.
+ */
+[[nodiscard]] auto ejected_vms(const routing_state& state) -> std::vector<vm_id>;
+
 /**
  * @brief Returns the load of each pool.
  * @param state The state.
