Test borrowing for overflow and the return of loans that are too short

Cause: trials with faults in a scratch copy showed that two rules had no test: a peer asks for the surplus of the spare pool, and a loan goes back when its rest is too short for another request. Change: one test of the router; no change of the code. Measured: the test passes, and fails with either fault. Of 38 faults tried in all, one is found by no test: lending while requests of the own queue wait. It is close to equivalent, since a free slot starts a waiting request at once.

--- a/packages/core/test/cicadalug/routing/router.cpp
+++ b/packages/core/test/cicadalug/routing/router.cpp
@@ -484,4 +484,51 @@
     EXPECT_LE(messages, 21U);
 }
 
+// Guards against overflow that stops at the own surplus while a peer's is unused, and against a loan that is kept
+// although its rest is too short for another request.
+TEST_F(router, borrows_surplus_for_overflow_and_returns_what_cannot_be_used)
+{
+    auto view = make_view(1, 1, 4, 2, 4);
+    // The run-time bound is 2.32 s here and a loan lasts 4.32 s. The test ends before jobs are overdue.
+    for (auto& [id, service] : view.m_services) {
+        service.m_default_deadline = seconds{1};
+        service.m_declared_run_time = milliseconds{500};
+    }
+    view.m_services[service_id{"s"}].m_queue_limit = 100;
+    auto peer = make_state("b");
+    use(view);
+    std::ignore = apply_view(peer, view, m_now);
+    std::ignore = apply_peers(m_state, {{entry_vm_id{"b"}, incarnation{1}}}, m_now);
+    std::ignore = apply_peers(peer, {{entry_vm_id{"a"}, incarnation{1}}}, m_now);
+    for (auto number = 0; number < 60; ++number) {
+        std::ignore = submit(m_state, make_request(std::to_string(number), m_now + milliseconds{3'200}), m_now);
+    }
+    std::vector<start_attempt> borrowed;
+    std::size_t returned{0};
+    auto overflowed = 0;
+    for (auto step = 0; step < 230; ++step) {
+        m_now += milliseconds{10};
+        for (const auto& sent : tick(m_state, m_now).m_messages) {
+            returned += std::holds_alternative<slot_return>(sent.m_message) ? 1U : 0U;
+            // Later requests are lost, so that all terms end at about the same time.
+            const auto answers =
+                step < 10 ? receive(peer, sent.m_message, m_now).m_messages : std::vector<outgoing_slot_message>{};
+            for (const auto& answer : answers) {
+                const auto starts = receive(m_state, answer.m_message, m_now).m_starts;
+                borrowed.insert(borrowed.end(), starts.begin(), starts.end());
+            }
+        }
+        if (step == 225) {
+            for (const auto& attempt : std::exchange(borrowed, {})) {
+                overflowed += attempt.m_vm.str().starts_with("spare") ? 1 : 0;
+                EXPECT_TRUE(complete(m_state, attempt.m_attempt, attempt_outcome::never_runs, m_now).m_starts.empty());
+                ++m_jobs;
+            }
+        }
+    }
+    EXPECT_GT(pool_pressures(m_state).at(0).m_waiting, 0);
+    EXPECT_GT(overflowed, 0);
+    EXPECT_GE(returned, static_cast<std::size_t>(m_jobs));
+}
+
 } // namespace
