Test the watches after a restart and count dropped datagrams in the metrics

The test of a platform restart said in a comment that it checks the watches, but only waited for readiness.

--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -135,6 +135,7 @@
     [[nodiscard]] auto load() -> asio::awaitable<void>;
     [[nodiscard]] auto shut_down() -> asio::awaitable<void>;
     auto count_entry_vms() -> void;
+    auto count_datagrams() -> void;
 
     const settings m_settings;
     asio::io_context m_context;
@@ -152,6 +153,8 @@
     const std::unique_ptr<otlp_exporter> m_exporter;
     request_path m_requests;
     request_wiring m_wiring;
+    /** @brief Dropped datagrams that the metrics have. Used on the strand only. */
+    datagram_counts m_counted;
     std::atomic<bool> m_stopping{false};
     http_server m_operators_server;
     http_server m_callers_server;
@@ -193,6 +196,7 @@
     m_members.on_datagram([this](const auto& message) { m_sync.receive(message); });
     m_members.on_pause([this](const auto /*pause*/) { m_control.paused(monotonic_now()); });
     m_members.on_tick([this](const auto now) {
+        count_datagrams();
         if (!m_stopping) {
             m_control.tick(m_members.table(), now);
         }
@@ -284,6 +288,17 @@
     }
 }
 
+auto entry_vm::parts::count_datagrams() -> void
+{
+    const auto counts = m_members.datagram_counts_so_far();
+    for (; m_counted.m_unknown_sender < counts.m_unknown_sender; ++m_counted.m_unknown_sender) {
+        m_metrics->datagram_dropped("unknown_sender");
+    }
+    for (; m_counted.m_malformed < counts.m_malformed; ++m_counted.m_malformed) {
+        m_metrics->datagram_dropped("malformed");
+    }
+}
+
 auto entry_vm::parts::load() -> asio::awaitable<void>
 {
     co_await m_sync.load();
--- a/test/process/replication.cpp
+++ b/test/process/replication.cpp
@@ -75,8 +75,15 @@
         milliseconds{10'000});
     ASSERT_TRUE(accepted);
     EXPECT_TRUE(m_deployment.wait_for_room("hall", version_of(after), target));
-    // A write of another client reaches the entry VMs by the watches only.
     ASSERT_TRUE(m_deployment.wait_ready());
+    // No entry VM tells the others of a write that was made elsewhere: it arrives by the watches only.
+    const auto stored =
+        call(http::verb::put, m_deployment.platform_address(), "/kv/res/room/annex",
+             {{"value", R"({"kind":"room","name":"annex","spec":{"limit_watts":500}})"}, {"expected_version", 0}});
+    ASSERT_EQ(stored.m_status, 200U);
+    const auto taken = m_deployment.wait_for_room("annex", version_of(stored), target);
+    ASSERT_TRUE(taken);
+    std::cout << "write of another client in force everywhere after " << taken->count() << " ms\n";
 }
 
 // Guards against a slow platform that makes writes fail or reach only some entry VMs.
