--- a/packages/core/src/cicadalug/routing/router_view.cpp
+++ b/packages/core/src/cicadalug/routing/router_view.cpp
@@ -280,6 +280,17 @@
     return found == state.m_ledger.m_indices.end() ? 0 : state.m_upstreams[found->second].m_running;
 }
 
+auto ejected_vms(const routing_state& state) -> std::vector<vm_id>
+{
+    std::vector<vm_id> vms;
+    for (upstream_index index = 0; index < state.m_upstreams.size(); ++index) {
+        if (state.m_upstreams[index].m_ejected) {
+            vms.push_back(state.m_ledger.m_vms[index]);
+        }
+    }
+    return vms;
+}
+
 auto pool_pressures(const routing_state& state) -> std::vector<pool_pressure>
 {
     std::vector<pool_pressure> pressures;
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/api/resource_api.hpp>
 #include <cicadalug/api/status_api.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/control/control_loop.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/entry_vm/request_wiring.hpp>
 #include <cicadalug/membership/control_keeper.hpp>
@@ -11,6 +12,7 @@
 #include <cicadalug/replication/replica.hpp>
 #include <cicadalug/replication/snapshot.hpp>
 #include <cicadalug/replication/zone_watcher.hpp>
+#include <cicadalug/report/fleet_metrics.hpp>
 #include <cicadalug/request/request_path.hpp>
 #include <cicadalug/telemetry/metrics.hpp>
 #include <cicadalug/telemetry/otlp_exporter.hpp>
@@ -118,6 +120,8 @@
     return response;
 }
 
+/** @brief Tells the control loop that this entry VM sends nothing to upstreams, as long as no request path is wired in.
+ */
 } // namespace
 
 class entry_vm::parts {
@@ -128,6 +132,7 @@
 
 private:
     auto connect_parts() -> void;
+    [[nodiscard]] auto make_sources() -> control_sources;
     [[nodiscard]] auto handle_operators(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto handle_callers(http_exchange& exchange) -> asio::awaitable<void>;
     [[nodiscard]] auto health(const http_target& target) const -> std::optional<http_response>;
@@ -150,9 +155,11 @@
     peer_sync m_sync;
     resource_api m_resources;
     const std::shared_ptr<metrics> m_metrics{std::make_shared<metrics>()};
+    fleet_metrics m_fleet_metrics{*m_metrics};
     const std::unique_ptr<otlp_exporter> m_exporter;
     request_path m_requests;
     request_wiring m_wiring;
+    control_loop m_loop;
     /** @brief Dropped datagrams that the metrics have. Used on the strand only. */
     datagram_counts m_counted;
     std::atomic<bool> m_stopping{false};
@@ -174,11 +181,14 @@
                  std::make_shared<kv_claim_store>(m_platform, m_ids, m_settings.m_entry_vm,
                                                   m_settings.m_availability_zone, m_incarnation),
                  make_telemetry(m_exporter.get(), m_metrics)},
-      m_wiring{m_strand, m_requests, m_replica, m_members}, m_operators_server{m_context, m_settings.m_operators,
-                                                                               m_settings.m_limits,
-                                                                               [this](http_exchange& exchange) {
-                                                                                   return handle_operators(exchange);
-                                                                               }},
+      m_wiring{m_strand, m_requests, m_replica, m_members}, m_loop{m_strand,      m_platform,
+                                                                   m_ids,         m_replica,
+                                                                   m_members,     m_settings.m_availability_zone,
+                                                                   list_interval, make_sources()},
+      m_operators_server{m_context, m_settings.m_operators, m_settings.m_limits,
+                         [this](http_exchange& exchange) {
+                             return handle_operators(exchange);
+                         }},
       m_callers_server{m_context, m_settings.m_callers, m_settings.m_limits, [this](http_exchange& exchange) {
                            return handle_callers(exchange);
                        }}
@@ -186,6 +196,18 @@
     connect_parts();
 }
 
+auto entry_vm::parts::make_sources() -> control_sources
+{
+    return {[this](const vm_id& vm) { return m_requests.in_flight(vm) > 0; },
+            [this] {
+                const auto vms = m_requests.ejected();
+                return std::set<vm_id>{vms.begin(), vms.end()};
+            },
+            [this] {
+                return m_wiring.needed_vms();
+            }};
+}
+
 auto entry_vm::parts::connect_parts() -> void
 {
     m_members.set_heartbeat_source([this](const auto& zone, auto& filled) {
@@ -202,9 +224,21 @@
         }
     });
     m_members.on_change([this](const auto& /*change*/) { count_entry_vms(); });
-    m_control.on_control([this](const auto /*held*/) { m_watcher.begin(); }, [this] { m_watcher.end(); });
+    m_wiring.on_drained([this](const auto& sender, const auto started, const auto& confirmed) {
+        m_loop.receive({sender, started, confirmed});
+    });
+    m_control.on_control(
+        [this](const auto held) {
+            m_watcher.begin();
+            m_loop.begin(held);
+        },
+        [this] {
+            m_watcher.end();
+            m_loop.end();
+        });
     m_replica.subscribe([this](const auto& view, const auto& changed) {
         m_metrics->set_configuration_version(view->m_version);
+        m_fleet_metrics.update(*view);
         for (const auto& entry : changed) {
             if (entry.m_key == list_key(m_settings.m_availability_zone)) {
                 m_members.apply_platform_list(parse_platform_list(entry.m_value.m_value).m_entry_vms);
@@ -238,6 +272,9 @@
         return json_response(http::status::ok, status_json(m_members, m_replica, m_control.announced_epoch()));
     }
     if (target.m_path == "/metrics") {
+        if (m_exporter) {
+            m_metrics->set_spans(m_exporter->exported(), m_exporter->dropped());
+        }
         return text_response(http::status::ok, m_metrics->text());
     }
     if (target.m_path == "/v1/vms") {
--- a/packages/daemon/src/cicadalug/entry_vm/request_wiring.hpp
+++ b/packages/daemon/src/cicadalug/entry_vm/request_wiring.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace cicadalug {
@@ -38,6 +39,13 @@
     /** @brief Applies the current view if a whole configuration was learned. */
     auto apply_view() -> void;
 
+    /**
+     * @brief Estimates the demand on the zone from the own load and from the heartbeats of its live entry VMs. Each has
+     * a like share of the slots, so the mean of their loads is that of the zone.
+     * @return For each pool, the number of VMs that the present load keeps busy.
+     */
+    [[nodiscard]] auto needed_vms() const -> std::map<pool_id, int>;
+
     /** @brief Fills the pressure of a heartbeat. */
     auto fill(heartbeat& filled) const -> void;
 
--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -381,6 +381,12 @@
     return cicadalug::in_flight(m_state->m_routing, vm);
 }
 
+auto request_path::ejected() const -> std::vector<vm_id>
+{
+    const std::lock_guard lock{m_state->m_routing_mutex};
+    return ejected_vms(m_state->m_routing);
+}
+
 auto request_path::pressures() const -> std::vector<pool_pressure>
 {
     const std::lock_guard lock{m_state->m_routing_mutex};
