--- a/packages/core/test/cicadalug/model/resource.cpp
+++ b/packages/core/test/cicadalug/model/resource.cpp
@@ -93,6 +93,8 @@
               "spec.pools[1]: unknown pool 'quote'; did you mean 'quotes'?");
     EXPECT_EQ(check(R"({"kind":"pool","name":"p","spec":{"spare":true}})"),
               "spec.spare: pool 'member-portal' is the spare pool already");
+    EXPECT_EQ(check(R"({"kind":"vm","name":"w1","spec":{"pool":"quote"}})"),
+              "spec.pool: unknown pool 'quote'; did you mean 'quotes'?");
     EXPECT_EQ(check(R"({"kind":"policy","name":"p","spec":{}})"),
               "name: the one resource of kind policy is named 'default'");
 }
@@ -107,6 +109,15 @@
               spec(R"({"kind":"pool","name":"p","spec":{"spare":false}})"));
 }
 
+// Guards against refusing the drain of a VM in another zone, whose record an entry VM does not have.
+TEST(resource, vm_of_another_zone_is_accepted)
+{
+    auto view = two_pools();
+    view.m_vms[vm_id{"north-w1"}].m_vm = vm_id{"north-w1"};
+    const auto drain = R"({"kind":"vm","name":"south-w1","spec":{"drain":true}})";
+    EXPECT_TRUE(parse_and_validate_resource(drain, view));
+}
+
 // Guards against a service that loses its pool.
 TEST(resource, deleting_a_used_pool_is_refused)
 {
