Show the progress of waves to operators and finish requests of any deadline on shutdown

Cause: the account of a wave was only in the key-value service, so operators could not see which VM was done; a shutdown gave up after 30 s although a request may have a later deadline; an attempt whose caller had left before anything was sent held its slot until the run-time bound. Change: GET /v1/waves/{wave} and cicadalugctl wave status show each zone and each VM; a shutdown waits for callers' requests without a limit of its own, and 50 ms for those that are being read; such an attempt ends as no_slot.

--- a/packages/ctl/src/cicadalug/command/observe.cpp
+++ b/packages/ctl/src/cicadalug/command/observe.cpp
@@ -63,6 +63,29 @@
     return exit_code::done;
 }
 
+auto wave_status(const command_context& context, const std::string& name) -> exit_code
+{
+    const auto read = context.m_client.get("/v1/waves/" + name);
+    if (!read) {
+        return report(context, read.assume_error(), "wave/" + name);
+    }
+    const auto& body = read.assume_value();
+    if (context.m_format == output_format::json) {
+        context.m_out << body.dump(2) << '\n';
+        return exit_code::done;
+    }
+    const auto zones = body.value("availability_zones", json::array());
+    auto vms = json::array();
+    for (const auto& zone : zones) {
+        for (const auto& vm : zone.value("vms", json::array())) {
+            vms.push_back(vm);
+        }
+    }
+    context.m_out << object_table(zones, {"availability_zone", "state", "total", "open", "failed"}) << '\n'
+                  << object_table(vms, {"availability_zone", "vm", "outcome"});
+    return exit_code::done;
+}
+
 auto list_vms(const command_context& context) -> exit_code
 {
     const auto read = context.m_client.get("/v1/vms");
--- a/packages/ctl/src/cicadalug/command/observe.hpp
+++ b/packages/ctl/src/cicadalug/command/observe.hpp
@@ -29,6 +29,14 @@
  */
 [[nodiscard]] auto status(const command_context& context) -> exit_code;
 
+/**
+ * @brief Shows how far a wave is in each availability zone, with an account of every VM.
+ * @param context Where from and to.
+ * @param name Name of the wave.
+ * @return The exit code.
+ */
+[[nodiscard]] auto wave_status(const command_context& context, const std::string& name) -> exit_code;
+
 /**
  * @brief Shows the VMs with their pool and phase.
  * @param context Where from and to.
--- a/packages/ctl/src/cicadalug/command/program.cpp
+++ b/packages/ctl/src/cicadalug/command/program.cpp
@@ -199,9 +199,8 @@
             add_command(*group, "resume", "Go on with a paused wave", "wave resume spring",
                         [this](const auto& context) { return set_wave_paused(context, m_options.m_name, false); });
         add_name(resume, "Name of the wave");
-        auto& show =
-            add_command(*group, "status", "Show how far a wave is", "wave status spring",
-                        [this](const auto& context) { return get(context, resource_kind::wave, m_options.m_name); });
+        auto& show = add_command(*group, "status", "Show how far a wave is", "wave status spring",
+                                 [this](const auto& context) { return wave_status(context, m_options.m_name); });
         add_name(show, "Name of the wave");
     }
 
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/api/resource_api.hpp>
 #include <cicadalug/api/status_api.hpp>
+#include <cicadalug/api/wave_api.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/control/control_loop.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
@@ -44,7 +45,9 @@
 
 namespace {
 
-/** @brief Time for requests in flight to end in a graceful shutdown. */
+/** @brief Path below which the progress of each wave is. */
+constexpr std::string_view waves_path{"/v1/waves/"};
+/** @brief Time for requests of operators to end in a graceful shutdown. */
 constexpr milliseconds drain_limit{30'000};
 constexpr milliseconds drain_check_interval{50};
 /** @brief Time between two reads of the platform's list by the control holder of a zone. */
@@ -296,6 +299,11 @@
     else if (target.m_path == "/v1/watch") {
         co_await m_resources.watch(exchange, target);
     }
+    else if (target.m_path.starts_with(waves_path)) {
+        wave_id wave{target.m_path.substr(waves_path.size())};
+        auto response = co_await wave_response(m_platform, std::move(wave));
+        co_await exchange.respond(std::move(response));
+    }
     else {
         auto response = answer(target);
         co_await exchange.respond(std::move(response));
@@ -352,9 +360,13 @@
     m_resources.end_watches();
     m_callers_server.drain();
     m_operators_server.drain();
+    // A request that has just arrived on an open connection is counted as in flight once it has been read.
+    timer.expires_after(drain_check_interval);
+    co_await timer.async_wait(asio::use_awaitable);
     const auto limit = monotonic_now() + drain_limit;
-    while (m_callers_server.requests_in_flight() + m_operators_server.requests_in_flight() > 0 &&
-           monotonic_now() < limit) {
+    // Callers' requests end at their deadlines and are never cut; an operator's stream may be.
+    while (m_callers_server.requests_in_flight() > 0 ||
+           (m_operators_server.requests_in_flight() > 0 && monotonic_now() < limit)) {
         timer.expires_after(drain_check_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -87,8 +87,9 @@
 {
     auto pending = m_requests.begin_attempt(start.m_request, start.m_vm);
     if (!pending) {
-        // The caller went away, or was told an outcome, between the decision and here.
-        complete_attempt(start.m_attempt, attempt_outcome::cancelled, nullptr);
+        // The caller went away, or was told an outcome, between the decision and here. Nothing was sent, so the slot is
+        // free at once; after `cancelled` it would be held until the run-time bound.
+        complete_attempt(start.m_attempt, attempt_outcome::no_slot, nullptr);
         --m_attempts;
         return;
     }
