Send callers' orders during the maintenance wave test

With the request path in the entry VM, the process test can show what a wave means to callers: orders that must not run twice are sent through both entry VMs one after the other while 6 VMs are drained and rebooted. The drain confirmations of the control folder are removed: membership has the same, and makes them from the view that the request path has applied, which is the one that counts.

--- a/packages/daemon/src/cicadalug/control/control_loop.cpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.cpp
@@ -1,6 +1,5 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/control/control_loop.hpp>
-#include <cicadalug/control/drain_reporter.hpp>
 #include <cicadalug/http/message.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -102,15 +101,6 @@
     }
 }
 
-auto control_loop::confirm_drains() -> void
-{
-    const auto view = m_copy.view();
-    for (auto& message : make_drained(*view, m_sources.m_has_work_in_flight)) {
-        m_members.send_to_zone(message);
-        receive({m_members.table().m_self, m_members.own_incarnation(), std::move(message)});
-    }
-}
-
 auto control_loop::take(const findings& found) const -> void
 {
     if (!found.empty()) {
--- a/packages/daemon/src/cicadalug/control/control_loop.hpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.hpp
@@ -18,8 +18,6 @@
 
 /** @brief What the control loop learns from the request path of its own entry VM. */
 struct control_sources {
-    /** @brief Tells for a VM whether work of this entry VM is in flight there. */
-    std::function<bool(const vm_id&)> m_has_work_in_flight;
     /** @brief Returns the VMs that do not serve. */
     std::function<std::set<vm_id>()> m_unhealthy;
     /** @brief Returns the VMs of each pool that present demand needs in the zone. */
@@ -57,9 +55,6 @@
     /** @brief Takes in a message of a peer; others than `drained` are ignored. */
     auto receive(const datagram& message) -> void;
 
-    /** @brief Confirms drains of this entry VM to all of the zone. Called by every entry VM, whoever holds control. */
-    auto confirm_drains() -> void;
-
 private:
     [[nodiscard]] auto current(std::uint64_t term) const noexcept -> bool { return m_active && term == m_term; }
     [[nodiscard]] auto run(std::uint64_t term) -> boost::asio::awaitable<void>;
--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -193,8 +193,7 @@
 
 auto entry_vm::parts::make_sources() -> control_sources
 {
-    return {[this](const vm_id& vm) { return m_requests.in_flight(vm) > 0; },
-            [this] {
+    return {[this] {
                 const auto vms = m_requests.ejected();
                 return std::set<vm_id>{vms.begin(), vms.end()};
             },
--- a/test/process/maintenance_wave.cpp
+++ b/test/process/maintenance_wave.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -78,6 +79,17 @@
         return std::count_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.at("outcome") != "none"; });
     }
 
+    /** @brief Sends one order, which must not run twice. */
+    [[nodiscard]] auto ask(const std::size_t index) const -> result<http_response, http_failure>
+    {
+        findings found;
+        http_request request{http::verb::post, "/v1/services/quotes/requests", 11};
+        request.set("X-Deadline-Ms", "5000");
+        request.body() = "40 brackets";
+        return http_fetch_blocking(parse_endpoint(m_deployment.callers_address(index), "endpoint", found),
+                                   std::move(request), milliseconds{6'000});
+    }
+
     /** @brief Waits for the end of the wave, and looks at the ledger meanwhile. */
     auto expect_complete_account() -> void
     {
@@ -106,12 +118,28 @@
     std::vector<std::unique_ptr<child_process>> m_upstreams;
 };
 
-// Guards against a wave that forgets a VM, reboots one twice, or takes more VMs out than the budget allows.
+// Guards against a wave that forgets a VM, reboots one twice, takes more VMs out than the budget allows, or cuts a
+// request of a caller.
 TEST_F(maintenance_wave, ends_with_an_account_of_every_vm)
 {
     start_all();
+    std::atomic<bool> over{false};
+    int asked = 0;
+    int answered = 0;
+    std::thread callers{[&] {
+        for (std::size_t turn = 0; !over; ++turn) {
+            ++asked;
+            const auto answer = ask(turn % m_deployment.count());
+            answered += answer && answer.assume_value()["X-Outcome"] == "answered" ? 1 : 0;
+        }
+    }};
     put("wave", "night", {{"pools", {"quotes"}}});
     expect_complete_account();
+    over = true;
+    callers.join();
+    std::cout << answered << " of " << asked << " requests answered during the wave\n";
+    EXPECT_GT(asked, 0);
+    EXPECT_EQ(answered, asked);
 }
 
 // Guards against a wave that stops, or starts again from its beginning, when the control holder is killed.
