Plan moves for lasting demand in the control loop

Change: plan_zone() describes the pools of a zone from the records and ledgers of its control holder and the load that the entry VMs report; the control loop passes its moves to the control step. A new holder plans anew, which only delays moves. The move itself was not seen in a process test, since the shortest term is 120 s.

--- a/packages/daemon/src/cicadalug/control/control_loop.cpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.cpp
@@ -75,6 +75,7 @@
     m_active = true;
     ++m_term;
     m_state = {};
+    m_planner = {};
     m_state.m_availability_zone = m_zone;
     m_state.m_epoch = held;
     m_state.m_writer = m_ids.next().str();
@@ -171,7 +172,7 @@
     }
 }
 
-auto control_loop::make_inputs(const fleet_view& view) const -> zone_control_inputs
+auto control_loop::make_inputs(const fleet_view& view) -> zone_control_inputs
 {
     zone_control_inputs inputs;
     inputs.m_view = &view;
@@ -184,6 +185,7 @@
     inputs.m_unhealthy = m_sources.m_unhealthy();
     inputs.m_unhealthy.insert(m_silent.begin(), m_silent.end());
     inputs.m_needed_vms = m_sources.m_needed_vms();
+    inputs.m_moves = plan_zone(m_planner, m_state, view, inputs.m_needed_vms, monotonic_now());
     return inputs;
 }
 
--- a/packages/daemon/src/cicadalug/control/control_loop.hpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_CONTROL_CONTROL_LOOP_HPP
 
 #include <cicadalug/fleet/zone_control_step.hpp>
+#include <cicadalug/fleet/zone_planning.hpp>
 #include <cicadalug/membership/membership_service.hpp>
 #include <cicadalug/platform/platform_client.hpp>
 #include <cicadalug/platform/write_id_source.hpp>
@@ -66,7 +67,7 @@
     [[nodiscard]] auto write(zone_control_write change, std::uint64_t term) -> boost::asio::awaitable<void>;
     [[nodiscard]] auto resolve(std::uint64_t term) -> boost::asio::awaitable<void>;
     [[nodiscard]] auto probe(std::uint64_t term) -> boost::asio::awaitable<void>;
-    [[nodiscard]] auto make_inputs(const fleet_view& view) const -> zone_control_inputs;
+    [[nodiscard]] auto make_inputs(const fleet_view& view) -> zone_control_inputs;
     auto take(const findings& found) const -> void;
 
     boost::asio::any_io_executor m_executor;
@@ -81,6 +82,7 @@
     /** @brief Number of the term of control; coroutines of earlier terms end. */
     std::uint64_t m_term{0};
     zone_control_state m_state;
+    planner_state m_planner;
     /** @brief Revision up to which the ledgers were read. */
     version m_ledgers_read;
     std::optional<std::map<vm_id, listed_vm>> m_listed;
