Name the example tests by their deployment

Cause: the names of four tests carried the address of an object, so they differed from run to run and could not be listed in KNOWN-RED.txt. Change: a deployment is printed by its folder.

--- a/packages/ctl/test/cicadalug/examples.cpp
+++ b/packages/ctl/test/cicadalug/examples.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <map>
+#include <ostream>
 #include <set>
 
 namespace {
@@ -18,6 +19,12 @@
     const char* m_spare;
 };
 
+/** @brief Prints a deployment by its folder, so that the name of the test is the same in each run. */
+auto PrintTo(const deployment& value, std::ostream* stream) -> void // NOLINT(readability-identifier-naming)
+{
+    *stream << value.m_folder;
+}
+
 class examples : public ::testing::TestWithParam<deployment> {
 protected:
     [[nodiscard]] auto path(const std::string& rest) const -> std::string
