Read only the zone's part of the platform's list, and only when it has changed

Cause: the control holder read the whole list twice every 2 s. An entry takes some 200 bytes, so 15,000 VMs would give 3 MB a read, against a limit of 7 KB/s a node; 50 VMs gave about 10 KB/s already. Change: the list is asked for with the zone and with the entity tag of the last answer; an unchanged list is answered with 304.

--- a/packages/daemon/src/cicadalug/control/control_loop.cpp
+++ b/packages/daemon/src/cicadalug/control/control_loop.cpp
@@ -156,7 +156,7 @@
         co_return;
     }
     m_list_due = now + m_list_interval;
-    const auto vms = co_await m_platform.list_vms();
+    const auto vms = co_await m_platform.list_vms(m_zone);
     if (!current(term)) {
         co_return;
     }
--- a/packages/daemon/src/cicadalug/replication/zone_watcher.cpp
+++ b/packages/daemon/src/cicadalug/replication/zone_watcher.cpp
@@ -139,7 +139,7 @@
     platform_list published;
     bool known = false;
     while (current(term)) {
-        const auto vms = co_await m_platform.list_vms();
+        const auto vms = co_await m_platform.list_vms(m_zone);
         if (vms && current(term)) {
             const auto list = summarize(vms.assume_value(), m_members.table());
             // The value is written when it changes, and once in each term to settle what an earlier holder wrote.
--- a/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
+++ b/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/strand.hpp>
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <utility>
 
 namespace cicadalug {
@@ -66,14 +67,28 @@
         co_return co_await run_on(strand, call_on_strand(std::move(self), std::move(request)));
     }
 
+    [[nodiscard]] static auto list_vms(std::shared_ptr<state> self, availability_zone_id zone)
+        -> asio::awaitable<platform_result<std::vector<platform_vm>>>
+    {
+        const asio::any_io_executor strand = self->m_strand;
+        co_return co_await run_on(strand, list_on_strand(std::move(self), std::move(zone)));
+    }
+
     asio::strand<asio::any_io_executor> m_strand;
     tcp_endpoint m_endpoint;
     platform_timeouts m_timeouts;
     std::atomic<std::uint64_t> m_calls{0};
 
 private:
-    [[nodiscard]] static auto call_on_strand(std::shared_ptr<state> self, http_request request)
-        -> asio::awaitable<platform_result<json>>
+    /** @brief List of VMs of a zone with the entity tag of the platform, so that an unchanged list is not sent again.
+     */
+    struct known_list {
+        std::string m_tag;
+        std::vector<platform_vm> m_vms;
+    };
+
+    [[nodiscard]] static auto exchange(std::shared_ptr<state> self, http_request request)
+        -> asio::awaitable<platform_result<http_response>>
     {
         ++self->m_calls;
         auto connection = self->take_idle();
@@ -92,15 +107,60 @@
         if (self->m_idle.size() < max_idle && connection->reusable()) {
             self->m_idle.push_back(std::move(connection));
         }
+        co_return std::move(answer).assume_value();
+    }
+
+    [[nodiscard]] static auto call_on_strand(std::shared_ptr<state> self, http_request request)
+        -> asio::awaitable<platform_result<json>>
+    {
+        const auto answer = co_await exchange(std::move(self), std::move(request));
+        if (!answer) {
+            co_return answer.assume_error();
+        }
+        co_return body_of(answer.assume_value());
+    }
+
+    [[nodiscard]] static auto list_on_strand(std::shared_ptr<state> self, const availability_zone_id zone)
+        -> asio::awaitable<platform_result<std::vector<platform_vm>>>
+    {
+        auto request = make_request(http::verb::get, "/vms?availability_zone=" + percent_encode(zone.str()));
+        if (const auto known = self->m_lists.find(zone); known != self->m_lists.end()) {
+            request.set(http::field::if_none_match, known->second.m_tag);
+        }
+        const auto answer = co_await exchange(self, std::move(request));
+        if (!answer) {
+            co_return answer.assume_error();
+        }
         const auto& response = answer.assume_value();
+        const auto known = self->m_lists.find(zone);
+        if (response.result() == http::status::not_modified && known != self->m_lists.end()) {
+            co_return known->second.m_vms;
+        }
+        const auto body = body_of(response);
+        if (!body) {
+            co_return body.assume_error();
+        }
+        auto vms = platform_vms_from_json(body.assume_value());
+        const std::string tag{response[http::field::etag]};
+        if (tag.empty()) {
+            self->m_lists.erase(zone);
+        }
+        else {
+            self->m_lists[zone] = {tag, vms};
+        }
+        co_return vms;
+    }
+
+    [[nodiscard]] static auto body_of(const http_response& response) -> platform_result<json>
+    {
         auto body = json::parse(response.body(), nullptr, false);
         if (response.result_int() / 100 != 2) {
-            co_return error_of(response, body);
+            return error_of(response, body);
         }
         if (!body.is_object()) {
-            co_return platform_error{platform_error_kind::unknown, "the answer is not a JSON object", {}};
+            return platform_error{platform_error_kind::unknown, "the answer is not a JSON object", {}};
         }
-        co_return std::move(body);
+        return body;
     }
 
     [[nodiscard]] auto take_idle() -> std::unique_ptr<http_connection>
@@ -116,6 +176,7 @@
     }
 
     std::vector<std::unique_ptr<http_connection>> m_idle;
+    std::map<availability_zone_id, known_list> m_lists;
 };
 
 namespace {
@@ -248,13 +309,10 @@
     co_return std::move(watch);
 }
 
-auto http_platform_client::list_vms() -> asio::awaitable<platform_result<std::vector<platform_vm>>>
+auto http_platform_client::list_vms(availability_zone_id zone)
+    -> asio::awaitable<platform_result<std::vector<platform_vm>>>
 {
-    auto body = co_await state::call(m_state, make_request(http::verb::get, "/vms"));
-    if (!body) {
-        co_return std::move(body).assume_error();
-    }
-    co_return platform_vms_from_json(body.assume_value());
+    co_return co_await state::list_vms(m_state, std::move(zone));
 }
 
 auto http_platform_client::reboot(const vm_id vm) -> asio::awaitable<platform_result<vm_id>>
--- a/packages/runtime/src/cicadalug/platform/http_platform_client.hpp
+++ b/packages/runtime/src/cicadalug/platform/http_platform_client.hpp
@@ -45,7 +45,8 @@
     [[nodiscard]] auto revoke_lease(lease_id lease) -> asio::awaitable<platform_result<lease_id>> override;
     [[nodiscard]] auto watch(std::string prefix, version after)
         -> asio::awaitable<platform_result<std::unique_ptr<platform_watch>>> override;
-    [[nodiscard]] auto list_vms() -> asio::awaitable<platform_result<std::vector<platform_vm>>> override;
+    [[nodiscard]] auto list_vms(availability_zone_id zone)
+        -> asio::awaitable<platform_result<std::vector<platform_vm>>> override;
     [[nodiscard]] auto reboot(vm_id vm) -> asio::awaitable<platform_result<vm_id>> override;
 
     /** @brief Returns the number of calls made so far. */
--- a/packages/runtime/src/cicadalug/platform/memory_platform.cpp
+++ b/packages/runtime/src/cicadalug/platform/memory_platform.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/platform/memory_platform.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cicadalug {
@@ -155,9 +156,15 @@
     });
 }
 
-auto memory_platform::list_vms() -> asio::awaitable<platform_result<std::vector<platform_vm>>>
+auto memory_platform::list_vms(const availability_zone_id zone)
+    -> asio::awaitable<platform_result<std::vector<platform_vm>>>
 {
-    co_return call<std::vector<platform_vm>>([&]() -> platform_result<std::vector<platform_vm>> { return m_vms; });
+    co_return call<std::vector<platform_vm>>([&]() -> platform_result<std::vector<platform_vm>> {
+        std::vector<platform_vm> listed;
+        std::copy_if(m_vms.begin(), m_vms.end(), std::back_inserter(listed),
+                     [&](const auto& vm) { return vm.m_availability_zone == zone; });
+        return listed;
+    });
 }
 
 auto memory_platform::reboot(const vm_id vm) -> asio::awaitable<platform_result<vm_id>>
--- a/packages/runtime/src/cicadalug/platform/platform_client.hpp
+++ b/packages/runtime/src/cicadalug/platform/platform_client.hpp
@@ -71,8 +71,12 @@
     [[nodiscard]] virtual auto watch(std::string prefix, version after)
         -> asio::awaitable<platform_result<std::unique_ptr<platform_watch>>> = 0;
 
-    /** @brief Reads the list of VMs, which lags. */
-    [[nodiscard]] virtual auto list_vms() -> asio::awaitable<platform_result<std::vector<platform_vm>>> = 0;
+    /**
+     * @brief Reads the part of the list of VMs that belongs to one availability zone. The list lags.
+     * @param zone The zone. The whole list would take 3 MB at 15,000 VMs, over the traffic limit of an entry VM.
+     */
+    [[nodiscard]] virtual auto list_vms(availability_zone_id zone)
+        -> asio::awaitable<platform_result<std::vector<platform_vm>>> = 0;
 
     /** @brief Asks for the reboot of a VM. A repeated call while it reboots has no effect. */
     [[nodiscard]] virtual auto reboot(vm_id vm) -> asio::awaitable<platform_result<vm_id>> = 0;
--- a/test/standin/platform_standin.cpp
+++ b/test/standin/platform_standin.cpp
@@ -68,7 +68,11 @@
             exchange.drop();
             co_return;
         }
-        co_await exchange.respond(json_response(static_cast<http::status>(reply.m_status), reply.m_body));
+        auto response = json_response(static_cast<http::status>(reply.m_status), reply.m_body);
+        if (target.m_path == "/vms") {
+            set_entity_tag(exchange.request(), response);
+        }
+        co_await exchange.respond(std::move(response));
     }
 
     [[nodiscard]] auto expire_leases() -> asio::awaitable<void>
@@ -82,6 +86,18 @@
     }
 
 private:
+    /** @brief Names the version of a body, and leaves the body out if the caller has this version. */
+    static auto set_entity_tag(const http_request& request, http_response& response) -> void
+    {
+        const auto tag = '"' + std::to_string(std::hash<std::string>{}(response.body())) + '"';
+        if (request[http::field::if_none_match] == tag) {
+            response.result(http::status::not_modified);
+            response.body().clear();
+            response.prepare_payload();
+        }
+        response.set(http::field::etag, tag);
+    }
+
     [[nodiscard]] auto answer(const http_request& request, const http_target& target) -> store_reply
     {
         const auto now = platform_store::clock::now();
@@ -106,7 +122,8 @@
             return method == http::verb::delete_ ? m_store.revoke_lease(id) : m_store.keep_alive(id, now);
         }
         if (path == "/vms" && method == http::verb::get) {
-            return m_store.list_vms(now);
+            const auto zone = target.m_query.find("availability_zone");
+            return m_store.list_vms(zone == target.m_query.end() ? std::string{} : zone->second, now);
         }
         if (path.rfind("/vms/", 0) == 0 && method == http::verb::post) {
             return m_store.reboot(path.substr(5, path.rfind('/') - 5), now);
--- a/test/standin/platform_store.hpp
+++ b/test/standin/platform_store.hpp
@@ -188,7 +188,7 @@
         m_snapshots.push_back({now, shown_vms()});
     }
 
-    [[nodiscard]] auto list_vms(const clock::time_point now) -> store_reply
+    [[nodiscard]] auto list_vms(const std::string& zone, const clock::time_point now) -> store_reply
     {
         for (const auto& [name, end] : std::exchange(m_reboots, {})) {
             if (end > now) {
@@ -204,6 +204,10 @@
                 newest = list;
             }
         }
+        auto& vms = newest["vms"];
+        std::erase_if(vms.get_ref<nlohmann::json::array_t&>(), [&zone](const nlohmann::json& vm) {
+            return !zone.empty() && vm.value("availability_zone", std::string{}) != zone;
+        });
         return {200, std::move(newest)};
     }
 
