--- a/packages/ctl/src/cicadalug/document/resource_document.cpp
+++ b/packages/ctl/src/cicadalug/document/resource_document.cpp
@@ -62,7 +62,11 @@
                 continue;
             }
             const auto& name = entry.first.Scalar();
-            const auto member = path.empty() ? name : path + '.' + name;
+            auto member = path;
+            if (!member.empty()) {
+                member += '.';
+            }
+            member += name;
             if (object.contains(name)) {
                 m_found.add(yaml_place(m_file, entry.first.Mark()), "'" + name + "' is given more than once");
             }
--- a/packages/daemon/src/cicadalug/entry_vm/request_wiring.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/request_wiring.cpp
@@ -13,8 +13,8 @@
 
 constexpr milliseconds drain_report_interval{250};
 /**
- * @brief Room for pressures in a heartbeat, in bytes; the most loaded pools come first. Two heartbeats a second to each of
- * three peers then take at most 4 KB/s, of the 7 KB/s that control may cost.
+ * @brief Room for pressures in a heartbeat, in bytes; the most loaded pools come first. Two heartbeats a second to each
+ * of three peers then take at most 4 KB/s, of the 7 KB/s that control may cost.
  */
 constexpr std::size_t pressure_room{450};
 /** @brief Bytes of a pressure besides the name of its pool. */
--- a/packages/runtime/test/cicadalug/platform/compare_and_swap.cpp
+++ b/packages/runtime/test/cicadalug/platform/compare_and_swap.cpp
@@ -28,6 +28,13 @@
     return {"res/pool/quotes", value, expected, ids.next(), {}};
 }
 
+/** @brief Returns a copy of what the store holds for a key; version zero if it holds nothing. */
+[[nodiscard]] auto entry_of(const memory_platform& platform, const std::string& key) -> kv_entry
+{
+    const auto found = platform.entries().find(key);
+    return found == platform.entries().end() ? kv_entry{} : found->second;
+}
+
 // Guards against a writer that takes its own write for the write of another after the answer was lost.
 TEST(compare_and_swap, lost_answer_is_recognized_by_the_write_id)
 {
@@ -67,24 +74,20 @@
                                                  memory_platform_fault::lost_request,
                                                  memory_platform_fault::lost_answer));
         }
-        const auto before = platform.entries();
         const auto write = make_write(ids, std::to_string(round), *rc::gen::element(seen, version{}));
+        const auto before = entry_of(platform, write.m_key);
         const auto written = run(compare_and_swap(platform, write));
-        const auto found = platform.entries().find(write.m_key);
-        const auto applied = found != platform.entries().end() && found->second.m_write_id == write.m_write_id;
+        const auto after = entry_of(platform, write.m_key);
+        const auto applied = after.m_write_id == write.m_write_id;
         if (written) {
             RC_ASSERT(applied);
-            RC_ASSERT(found->second.m_version == written.assume_value());
+            RC_ASSERT(after.m_version == written.assume_value());
         }
         else if (written.assume_error().m_kind != platform_error_kind::unknown) {
             RC_ASSERT(!applied);
-            const auto old = before.find(write.m_key);
-            RC_ASSERT(found == platform.entries().end() || found->second.m_version == version{} ||
-                      old->second == found->second);
-        }
-        if (found != platform.entries().end()) {
-            seen = found->second.m_version;
+            RC_ASSERT(before == after);
         }
+        seen = after.m_version;
     }
 }
 
