--- a/test/process/maintenance_wave.cpp
+++ b/test/process/maintenance_wave.cpp
@@ -139,6 +139,12 @@
     callers.join();
     std::cout << answered << " of " << asked << " requests answered during the wave\n";
     EXPECT_GT(asked, 0);
+    const auto shown = call(http::verb::get, m_deployment.address(0), "/v1/waves/night");
+    ASSERT_EQ(shown.m_status, 200U) << shown.m_body;
+    for (const auto& zone : shown.m_body.at("availability_zones")) {
+        EXPECT_EQ(zone.at("state"), "finished") << shown.m_body;
+        EXPECT_EQ(zone.at("open"), 0) << shown.m_body;
+    }
     EXPECT_EQ(answered, asked);
 }
 
