Use monotonic_now() in the request path

Cause: reading the change once more showed that the request path and the order path each defined the clock of the decision core again, although monotonic_now() of the runtime package is the same function. Change: both call monotonic_now(); the two copies are gone. Behaviour is unchanged. Left: the list of VMs is read by the zone watcher and by the control loop, and incarnations are made in two places.

--- a/packages/daemon/src/cicadalug/request/order_path.cpp
+++ b/packages/daemon/src/cicadalug/request/order_path.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/request/order_path.hpp>
 
 #include <boost/asio/post.hpp>
@@ -22,11 +23,6 @@
 
 using steady = std::chrono::steady_clock;
 
-[[nodiscard]] auto now() -> time_point
-{
-    return time_point{std::chrono::duration_cast<microseconds>(steady::now().time_since_epoch())};
-}
-
 [[nodiscard]] auto digest_of_content(const service_id& target, const std::string& body) -> content_digest
 {
     const auto text = target.str() + '\n' + body;
@@ -147,7 +143,7 @@
     auto list = nlohmann::json::array();
     {
         const std::lock_guard lock{m_journal_mutex};
-        const auto issued = issue(m_journal, count, now());
+        const auto issued = issue(m_journal, count, monotonic_now());
         if (issued) {
             for (const auto& ticket : issued.assume_value()) {
                 list.push_back(to_string(ticket));
@@ -192,7 +188,7 @@
     presentation decision;
     {
         const std::lock_guard lock{m_journal_mutex};
-        decision = present_ticket(m_journal, presented, content, waiting->m_id, now());
+        decision = present_ticket(m_journal, presented, content, waiting->m_id, monotonic_now());
     }
     co_return co_await carry_out(exchange, order, key_of(presented), std::move(decision), waiting);
 }
@@ -222,7 +218,7 @@
     presentation decision;
     {
         const std::lock_guard lock{m_journal_mutex};
-        decision = present_claimed(m_journal, key, grant.m_newly_claimed, content, waiting->m_id, now());
+        decision = present_claimed(m_journal, key, grant.m_newly_claimed, content, waiting->m_id, monotonic_now());
     }
     co_return co_await carry_out(exchange, order, key, std::move(decision), waiting);
 }
@@ -274,8 +270,8 @@
     std::vector<std::shared_ptr<waiter>> waiting;
     {
         const std::lock_guard lock{m_journal_mutex};
-        const auto ids =
-            finish(m_journal, key, ended, answered ? std::optional{to_kept(*outcome.m_response)} : std::nullopt, now());
+        const auto ids = finish(m_journal, key, ended,
+                                answered ? std::optional{to_kept(*outcome.m_response)} : std::nullopt, monotonic_now());
         for (const auto& id : ids) {
             if (auto node = m_waiters.extract(id)) {
                 waiting.push_back(std::move(node.mapped()));
--- a/packages/daemon/src/cicadalug/request/request_path.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/request/request_path.hpp>
 #include <cicadalug/request/request_path_state.hpp>
 
@@ -68,18 +69,15 @@
     : m_context{context}, m_limits{limits}, m_id_prefix{routing.m_settings.m_self.str() + '-' +
                                                         std::to_string(routing.m_settings.m_incarnation.value()) + '-'},
       m_telemetry{std::move(telemetry)}, m_routing{std::move(routing)}, m_upstreams{context, limits.m_upstreams},
-      m_pauses{limits.m_pause, now()}, m_orders{make_journal(m_routing.m_settings, limits.m_orders), std::move(claims),
-                                                [this](http_exchange& exchange, const presented_order& order) {
-                                                    return run(exchange, order, true);
-                                                }}
+      m_pauses{limits.m_pause, monotonic_now()}, m_orders{
+                                                     make_journal(m_routing.m_settings, limits.m_orders),
+                                                     std::move(claims),
+                                                     [this](http_exchange& exchange, const presented_order& order) {
+                                                         return run(exchange, order, true);
+                                                     }}
 {
 }
 
-auto request_path::state::now() -> time_point
-{
-    return time_point{std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch())};
-}
-
 auto request_path::state::view() const -> std::shared_ptr<const fleet_view>
 {
     const std::lock_guard lock{m_view_mutex};
@@ -91,7 +89,7 @@
     const auto self = shared_from_this();
     asio::steady_timer timer{co_await asio::this_coro::executor};
     for (int ticks = 0; !m_stopped; ++ticks) {
-        if (m_pauses.is_stale(now()) && ticks % ticks_per_clean_up == 0) {
+        if (m_pauses.is_stale(monotonic_now()) && ticks % ticks_per_clean_up == 0) {
             LOG(WARNING) << "event=stale_view reason=\"the process was paused\"";
         }
         route([](routing_state& routing, const time_point at) { return tick(routing, at); });
@@ -372,7 +370,7 @@
 
 auto request_path::heard() -> void
 {
-    m_state->m_pauses.heard(state::now());
+    m_state->m_pauses.heard(monotonic_now());
 }
 
 auto request_path::in_flight(const vm_id& vm) const -> int
--- a/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
+++ b/packages/daemon/src/cicadalug/request/request_path_attempts.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/request/request_path_state.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -78,7 +79,7 @@
                                            completed_attempt* completed) -> void
 {
     std::unique_lock lock{m_routing_mutex};
-    const auto effects = complete(m_routing, attempt, outcome, now());
+    const auto effects = complete(m_routing, attempt, outcome, monotonic_now());
     lock.unlock();
     carry_out(effects, completed);
 }
@@ -109,7 +110,7 @@
     co_await wait_until_current(start.m_give_up_at);
     // An attempt may outlive its request, but must not begin after the caller was told the outcome.
     const auto wanted = m_requests.contains(start.m_request);
-    const auto left = wanted ? time_left(start.m_give_up_at, now()) : milliseconds{0};
+    const auto left = wanted ? time_left(start.m_give_up_at, monotonic_now()) : milliseconds{0};
     auto request = pending->m_upstream_request;
     auto attempt_span = begin_span("attempt", pending->m_trace);
     request.set("traceparent", to_traceparent(attempt_span.m_context));
@@ -173,7 +174,7 @@
     const auto self = shared_from_this();
     http_request request{http::verb::get, "/healthz", 11};
     request.set(http::field::host, "upstream");
-    const auto left = time_left(start.m_give_up_at, now());
+    const auto left = time_left(start.m_give_up_at, monotonic_now());
     auto answer = co_await m_upstreams.exchange(std::move(leased), std::move(request), left);
     const auto probed = to_attempt_result(std::move(answer));
     complete_attempt(start.m_attempt, probe_outcome(probed.m_outcome), nullptr);
@@ -181,7 +182,7 @@
 
 auto request_path::state::wait_until_current(const time_point give_up_at) -> asio::awaitable<void>
 {
-    while (m_pauses.is_stale(now()) && now() < give_up_at) {
+    while (m_pauses.is_stale(monotonic_now()) && monotonic_now() < give_up_at) {
         asio::steady_timer timer{co_await asio::this_coro::executor, stale_interval};
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/packages/daemon/src/cicadalug/request/request_path_state.hpp
+++ b/packages/daemon/src/cicadalug/request/request_path_state.hpp
@@ -1,6 +1,7 @@
 #ifndef CICADALUG_REQUEST_REQUEST_PATH_STATE_HPP
 #define CICADALUG_REQUEST_REQUEST_PATH_STATE_HPP
 
+#include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/request/order_path.hpp>
 #include <cicadalug/request/request_path.hpp>
 #include <cicadalug/request/request_table.hpp>
@@ -34,13 +35,11 @@
     auto route(const Event& event) -> void
     {
         std::unique_lock lock{m_routing_mutex};
-        const auto effects = event(m_routing, now());
+        const auto effects = event(m_routing, monotonic_now());
         lock.unlock();
         carry_out(effects, nullptr);
     }
 
-    [[nodiscard]] static auto now() -> time_point;
-
     asio::io_context& m_context;
     const request_path_limits m_limits;
     const std::string m_id_prefix;
