--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,4 +1,6 @@
-include(GoogleTest)
+if(CICADALUG_TESTS)
+    include(GoogleTest)
+endif()
 
 # The seed of all property tests. A run with another one: RC_PARAMS="seed=N" build/packages/core/core_test
 set(CICADALUG_RC_PARAMS "seed=20261204 max_success=100" CACHE STRING "RapidCheck parameters of the test run")
@@ -23,7 +25,7 @@
 
 function(cicadalug_add_tests name)
     file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
-    if(NOT tests)
+    if(NOT tests OR NOT CICADALUG_TESTS)
         return()
     endif()
     add_executable(${name} ${tests})
@@ -35,6 +37,9 @@
 
 # One program for each source below benchmark/.
 function(cicadalug_add_benchmarks library)
+    if(NOT CICADALUG_TESTS)
+        return()
+    endif()
     file(GLOB benchmarks CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/benchmark/*.cpp)
     foreach(source ${benchmarks})
         get_filename_component(stem ${source} NAME_WE)
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,3 +1,5 @@
+#include <cicadalug/adapter/deployment_settings.hpp>
+#include <cicadalug/entry/entry_program.hpp>
 #include <cicadalug/entry_vm/entry_vm.hpp>
 #include <cicadalug/request/static_entry_vm.hpp>
 #include <cicadalug/settings/settings.hpp>
@@ -17,6 +19,7 @@
 struct daemon_options {
     std::string m_settings_file;
     bool m_check{false};
+    bool m_scheduler{false};
     static_entry_vm_settings m_static;
     std::int64_t m_balancer_delay_ms{0};
 };
@@ -27,6 +30,7 @@
     app.add_option("--settings", options.m_settings_file, "YAML file with the settings");
     app.add_flag("--check", options.m_check, "Validate the settings and exit: 0 without findings, 2 with findings")
         ->needs("--settings");
+    app.add_flag("--scheduler", options.m_scheduler, "Schedule jobs on a platform that hands over its own settings file");
     app.add_option("--id", fixed.m_id, "Without settings: name of this entry VM");
     app.add_option("--zone", fixed.m_zone, "Without settings: availability zone of this entry VM");
     app.add_option("--listen", fixed.m_listen, "Without settings: address and port for callers");
@@ -57,8 +61,24 @@
     return 0;
 }
 
+[[nodiscard]] auto run_scheduler() -> result<int>
+{
+    const auto settings = load_deployment_settings(deployment_settings_path());
+    if (!settings) {
+        return settings.assume_error();
+    }
+    const auto found = run_entry_program(settings.assume_value());
+    if (!found.empty()) {
+        return found;
+    }
+    return 0;
+}
+
 [[nodiscard]] auto run(daemon_options& options) -> result<int>
 {
+    if (options.m_scheduler) {
+        return run_scheduler();
+    }
     if (!options.m_settings_file.empty()) {
         return run_from_file(options);
     }
@@ -76,6 +96,7 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
+    google::InstallFailureSignalHandler();
     daemon_options options;
     CLI::App app{"cicadalugd: routes callers' work to upstreams and manages the fleet of its availability zone"};
     add_options(app, options);
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/client_api.hpp
@@ -0,0 +1,63 @@
+#ifndef CICADALUG_ENTRY_CLIENT_API_HPP
+#define CICADALUG_ENTRY_CLIENT_API_HPP
+
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/entry/decider.hpp>
+#include <cicadalug/entry/job_intake.hpp>
+#include <cicadalug/entry/leadership.hpp>
+#include <cicadalug/http/http_pool.hpp>
+#include <cicadalug/http/http_server.hpp>
+#include <cicadalug/scheduler/queue_config.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace cicadalug {
+
+/** @brief What the client interface uses of an entry VM. */
+struct client_api_parts {
+    asio::any_io_executor m_executor;
+    store_client* m_store{nullptr};
+    job_intake* m_intake{nullptr};
+    leadership* m_leadership{nullptr};
+    /** @brief Decider of this entry VM's own term, or null. */
+    const std::shared_ptr<decider>* m_decider{nullptr};
+    /** @brief Configuration in force, or null before there is one. */
+    const std::shared_ptr<const fleet_config>* m_config{nullptr};
+};
+
+/**
+ * @brief Answers clients: takes jobs, tells their state, cancels them, and counts waiting jobs.
+ * @note Thread safety: all functions on the executor of the parts.
+ */
+class client_api {
+public:
+    explicit client_api(const client_api_parts& parts) : m_parts{parts} {}
+
+    /** @brief Answers a request of a client. */
+    [[nodiscard]] auto handle(http_exchange& exchange) -> asio::awaitable<void>;
+
+    /** @brief Answers a question of another entry VM to the decider. */
+    [[nodiscard]] auto handle_peer(http_exchange& exchange) -> asio::awaitable<void>;
+
+private:
+    [[nodiscard]] auto answer(const http_request& request, const queue_config& queue, const std::string& id)
+        -> asio::awaitable<http_response>;
+    [[nodiscard]] auto answer_peer(std::string_view target) const -> http_response;
+    [[nodiscard]] auto submit(const http_request& request, const queue_config& queue, const std::string& id)
+        -> asio::awaitable<http_response>;
+    [[nodiscard]] auto show(const std::string& id, time_point deadline) -> asio::awaitable<http_response>;
+    [[nodiscard]] auto show_stored(const job_id& id, time_point deadline) -> asio::awaitable<http_response>;
+    [[nodiscard]] auto cancel(const std::string& id, time_point deadline) -> asio::awaitable<http_response>;
+    [[nodiscard]] auto count(const queue_config& queue, time_point deadline) -> asio::awaitable<http_response>;
+    [[nodiscard]] auto ask_decider(std::string target, time_point deadline)
+        -> asio::awaitable<std::optional<http_response>>;
+    [[nodiscard]] auto own_decider() const -> const decider*;
+
+    client_api_parts m_parts;
+    std::shared_ptr<http_pool> m_decider_pool;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -0,0 +1,105 @@
+#ifndef CICADALUG_ENTRY_DECIDER_HPP
+#define CICADALUG_ENTRY_DECIDER_HPP
+
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/adapter/worker_client.hpp>
+#include <cicadalug/entry/leadership.hpp>
+#include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/scheduler_state.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadalug {
+
+/**
+ * @brief Carries one term as the decider: loads jobs from the store, follows it, keeps the workers' leases, sends the
+ * orders that the scheduler decides, and stores progress before ends are acknowledged.
+ * @note Thread safety: all functions on the executor given to the constructor.
+ */
+class decider : public std::enable_shared_from_this<decider> {
+public:
+    /**
+     * @brief Constructs a decider that does not run yet.
+     * @param executor Runs the decider.
+     * @param store The store; outlives the decider.
+     * @param settings Settings of the scheduler.
+     * @param term The term.
+     * @param deposed Called when another decider has shown itself.
+     */
+    decider(asio::any_io_executor executor, store_client& store, const scheduler_settings& settings,
+            const decider_term& term, std::function<void()> deposed);
+
+    /** @brief Starts to take over. @pre Called once, on an object owned by a shared_ptr. */
+    auto start() -> void;
+
+    /** @brief Ends the term. Nothing is sent afterwards. */
+    auto stop() -> void;
+
+    /** @brief Checks whether all jobs have been loaded. */
+    [[nodiscard]] auto is_loaded() const noexcept -> bool { return m_loaded; }
+
+    /**
+     * @brief Returns the state of a job as it may be shown to clients.
+     * @return The state, or nothing if the job is not known (yet).
+     */
+    [[nodiscard]] auto shown_state(const job_id& id) const -> std::optional<job_state>;
+
+    /** @brief Counts the jobs of a queue of which no task has started. @pre is_loaded(). */
+    [[nodiscard]] auto pending(const queue_id& queue) const -> std::int64_t;
+
+    /** @brief Writes all progress that is not stored, as far as the time allows. */
+    [[nodiscard]] auto flush(milliseconds limit) -> asio::awaitable<void>;
+
+private:
+    [[nodiscard]] auto load(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto load_from_store() -> asio::awaitable<bool>;
+    [[nodiscard]] auto load_log() -> asio::awaitable<bool>;
+    [[nodiscard]] auto load_jobs(bool recovered) -> asio::awaitable<bool>;
+    [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
+    [[nodiscard]] auto follow_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto follow_workers(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto keep_worker(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
+    [[nodiscard]] auto store_progress(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto write_round() -> asio::awaitable<bool>;
+    [[nodiscard]] auto write_progress(const std::vector<job_entry*>& jobs, std::size_t first, std::size_t last)
+        -> asio::awaitable<bool>;
+    [[nodiscard]] auto tick(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto send_start(std::shared_ptr<decider> self, start_order order) -> asio::awaitable<void>;
+    [[nodiscard]] auto send_stop(std::shared_ptr<decider> self, stop_order order) -> asio::awaitable<void>;
+    [[nodiscard]] auto run_pass_later(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+
+    auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
+    auto apply_workers() -> void;
+    auto note_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
+    auto run_pass() -> void;
+    auto schedule_pass() -> void;
+    auto check_deposed() -> void;
+    [[nodiscard]] auto client_of(worker_index index) -> std::shared_ptr<worker_client>;
+    [[nodiscard]] static auto read_clocks() -> clock_reading;
+
+    asio::any_io_executor m_executor;
+    store_client& m_store;
+    decider_term m_term;
+    std::function<void()> m_deposed;
+    scheduler_state m_state;
+    std::map<std::string, worker_entry> m_registry;
+    std::vector<std::shared_ptr<worker_client>> m_clients;
+    store_revision m_log_revision;
+    store_revision m_jobs_seen;
+    store_revision m_workers_seen;
+    std::uint64_t m_log_number{0};
+    signal_event m_progress_wanted;
+    bool m_loaded{false};
+    bool m_active{true};
+    bool m_pass_scheduled{false};
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -0,0 +1,201 @@
+#include <cicadalug/adapter/job_body.hpp>
+#include <cicadalug/adapter/operator_values.hpp>
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/client_api.hpp>
+#include <cicadalug/entry/decider.hpp>
+#include <cicadalug/entry/entry_program.hpp>
+#include <cicadalug/entry/job_intake.hpp>
+#include <cicadalug/entry/leadership.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Lease of the decider's key: a dead decider is replaced after it, and a slow store must not end it. */
+constexpr milliseconds decider_lease{1'200};
+
+/** @brief A watch is asked again after this time, which bounds how long a silent connection goes unnoticed. */
+constexpr milliseconds watch_wait{1'000};
+
+constexpr milliseconds store_timeout{500};
+
+constexpr milliseconds failure_pause{60};
+
+/** @brief After SIGTERM the balancer needs two missed checks, one a second, to send no more connections. */
+constexpr milliseconds balancer_delay{2'600};
+
+/** @brief The program ends this long before the platform would kill it. */
+constexpr milliseconds exit_margin{700};
+
+/** @brief Everything an entry VM runs. */
+class entry_program {
+public:
+    explicit entry_program(const deployment_settings& settings)
+        : m_settings{settings}, m_executor{m_context.get_executor()}, m_store{m_executor, settings.m_store},
+          m_intake{m_executor, m_store}, m_leadership{m_executor, m_store, settings.m_entry_vm, settings.m_peers,
+                                                      std::max(decider_lease, settings.m_shortest_store_lease)},
+          m_api{{m_executor, &m_store, &m_intake, &m_leadership, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
+    {
+    }
+
+    auto run() -> void
+    {
+        const http_server_limits limits;
+        http_server clients{m_context, m_settings.m_clients, limits, [this](http_exchange& exchange) {
+                                return m_api.handle(exchange);
+                            }};
+        http_server peers{m_context, m_settings.m_peers, limits, [this](http_exchange& exchange) {
+                              return m_api.handle_peer(exchange);
+                          }};
+        http_server readiness{m_context, m_settings.m_readiness, limits, [this](http_exchange& exchange) {
+                                  return answer_readiness(exchange);
+                              }};
+        m_clients = &clients;
+        asio::co_spawn(m_executor, follow_config(), asio::detached);
+        m_leadership.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); });
+        asio::co_spawn(m_executor, shut_down_on_signal(), asio::detached);
+        // An entry VM that has just started has no state to ignore the signal with; reload needs nothing.
+        std::signal(SIGHUP, SIG_IGN);
+        std::signal(SIGPIPE, SIG_IGN);
+        LOG(INFO) << log_line{"started"}.with("entry_vm", m_settings.m_entry_vm).with("zone", m_settings.m_zone);
+        m_context.run();
+    }
+
+private:
+    [[nodiscard]] auto answer_readiness(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        const bool ready = m_config != nullptr && !m_stopping;
+        http_response response{ready ? http::status::ok : http::status::service_unavailable, 11};
+        response.prepare_payload();
+        co_await exchange.respond(std::move(response));
+    }
+
+    auto begin_term(const decider_term& term) -> void
+    {
+        scheduler_settings settings;
+        settings.m_worker_lease = std::min(settings.m_worker_lease, m_settings.m_longest_worker_lease);
+        settings.m_stop_grace = m_settings.m_stop_grace;
+        m_decider = std::make_shared<decider>(m_executor, m_store, settings, term, [this] { m_leadership.depose(); });
+        m_decider->start();
+    }
+
+    auto end_term() -> void
+    {
+        if (m_decider != nullptr) {
+            std::exchange(m_decider, nullptr)->stop();
+        }
+    }
+
+    auto take_config(const std::string& value) -> void
+    {
+        auto decoded = decode_config(value);
+        if (!decoded) {
+            LOG(ERROR) << log_line{"config_unreadable"}.with("findings", decoded.assume_error().to_string());
+            return;
+        }
+        auto config = std::make_shared<const fleet_config>(std::move(decoded).assume_value());
+        // Versions only rise; an older one is a late answer.
+        if (m_config == nullptr || config->m_version > m_config->m_version) {
+            LOG(INFO) << log_line{"config_in_force"}
+                             .with("version", config->m_version)
+                             .with("queues", config->m_queues.size());
+            m_config = std::move(config);
+        }
+    }
+
+    [[nodiscard]] auto follow_config() -> asio::awaitable<void>
+    {
+        bool known{false};
+        store_revision seen;
+        for (;;) {
+            if (!known) {
+                const auto page = co_await m_store.list(std::string{config_key}, std::string{}, store_timeout);
+                if (page.m_status != store_status::ok) {
+                    co_await sleep_for(m_executor, failure_pause);
+                    continue;
+                }
+                seen = page.m_revision;
+                known = true;
+                for (const auto& item : page.m_items) {
+                    take_config(item.m_value);
+                }
+            }
+            const auto changes = co_await m_store.watch(std::string{config_key}, seen, watch_wait);
+            if (changes.m_status != store_status::ok) {
+                known = false;
+                co_await sleep_for(m_executor, failure_pause);
+                continue;
+            }
+            seen = std::max(seen, changes.m_revision);
+            for (const auto& change : changes.m_changes) {
+                if (change.m_value) {
+                    take_config(*change.m_value);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] auto shut_down_on_signal() -> asio::awaitable<void>
+    {
+        co_await m_signals.async_wait(asio::use_awaitable);
+        const auto begin = monotonic_now();
+        const auto end = begin + m_settings.m_shutdown_grace - exit_margin;
+        LOG(INFO) << log_line{"stopping"}.with("entry_vm", m_settings.m_entry_vm);
+        m_stopping = true;
+        m_clients->stop_keep_alive();
+        if (const auto own = m_decider) {
+            co_await own->flush(milliseconds{300});
+        }
+        co_await m_leadership.resign();
+        co_await sleep_for(m_executor, std::max(microseconds{0}, begin + balancer_delay - monotonic_now()));
+        m_clients->drain();
+        while (m_clients->requests_in_flight() > 0 && monotonic_now() < end) {
+            co_await sleep_for(m_executor, milliseconds{20});
+        }
+        LOG(INFO) << log_line{"stopped"}.with("in_flight", m_clients->requests_in_flight());
+        m_context.stop();
+    }
+
+    const deployment_settings m_settings;
+    asio::io_context m_context{1};
+    asio::any_io_executor m_executor;
+    store_client m_store;
+    job_intake m_intake;
+    leadership m_leadership;
+    std::shared_ptr<decider> m_decider;
+    std::shared_ptr<const fleet_config> m_config;
+    client_api m_api;
+    asio::signal_set m_signals;
+    http_server* m_clients{nullptr};
+    bool m_stopping{false};
+};
+
+} // namespace
+
+auto run_entry_program(const deployment_settings& settings) -> findings
+{
+    try {
+        const auto program = std::make_unique<entry_program>(settings);
+        program->run();
+        return {};
+    }
+    catch (const boost::system::system_error& error) {
+        return {"listen", error.what()};
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/job_intake.cpp
@@ -0,0 +1,152 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/job_intake.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/progress.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Jobs in one write: each takes a condition and a put of the entries that the store allows. */
+constexpr std::size_t batch_jobs{store_write_entries / 2};
+
+/** @brief Writes under way at the same time, so that a slow answer does not hold up all jobs. */
+constexpr int writer_limit{3};
+
+/** @brief Time for one write. A store that is 60 times as slow as usual still answers within it. */
+constexpr milliseconds write_timeout{700};
+
+/** @brief Pause after a write that the store refused. */
+constexpr milliseconds refusal_pause{60};
+
+} // namespace
+
+struct job_intake::submission {
+    submission(const asio::any_io_executor& executor, job_record record, const time_point deadline)
+        : m_record{std::move(record)}, m_deadline{deadline}, m_settled{executor}
+    {
+    }
+
+    job_record m_record;
+    time_point m_deadline;
+    /** @brief Writes that were sent and not answered for certain: the job may be stored. */
+    std::int64_t m_open_writes{0};
+    std::optional<intake_result> m_result;
+    asio::steady_timer m_settled;
+};
+
+job_intake::job_intake(asio::any_io_executor executor, store_client& store)
+    : m_executor{std::move(executor)}, m_store{store}
+{
+}
+
+auto job_intake::submit(job_record record, const time_point deadline) -> asio::awaitable<intake_result>
+{
+    auto& known = m_by_id[record.m_id];
+    if (known == nullptr) {
+        known = std::make_shared<submission>(m_executor, std::move(record), deadline);
+        known->m_settled.expires_at(asio::steady_timer::time_point::max());
+        m_waiting.push_back(known);
+        if (m_writers < writer_limit) {
+            ++m_writers;
+            asio::co_spawn(m_executor, write_until_idle(), asio::detached);
+        }
+    }
+    const auto mine = known;
+    if (!mine->m_result) {
+        // The same job may be submitted twice at once: each call has a timer of its own.
+        asio::steady_timer limit{m_executor, std::max(microseconds{0}, deadline - monotonic_now())};
+        limit.async_wait([mine](const boost::system::error_code& error) {
+            if (!error) {
+                mine->m_settled.cancel();
+            }
+        });
+        boost::system::error_code ignored;
+        co_await mine->m_settled.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (mine->m_result) {
+        co_return *mine->m_result;
+    }
+    const auto result = mine->m_open_writes > 0 ? intake_result::unknown : intake_result::not_stored;
+    settle(*mine, result);
+    co_return result;
+}
+
+auto job_intake::settle(submission& settled, const intake_result result) -> void
+{
+    if (!settled.m_result) {
+        settled.m_result = result;
+        settled.m_settled.cancel();
+        const auto known = m_by_id.find(settled.m_record.m_id);
+        if (known != m_by_id.end() && known->second.get() == &settled) {
+            m_by_id.erase(known);
+        }
+    }
+}
+
+auto job_intake::take_batch() -> std::vector<std::shared_ptr<submission>>
+{
+    std::vector<std::shared_ptr<submission>> batch;
+    while (!m_waiting.empty() && batch.size() < batch_jobs) {
+        if (!m_waiting.front()->m_result) {
+            batch.push_back(std::move(m_waiting.front()));
+        }
+        m_waiting.pop_front();
+    }
+    return batch;
+}
+
+auto job_intake::write_batch(std::vector<std::shared_ptr<submission>> batch) -> asio::awaitable<void>
+{
+    store_write write;
+    for (const auto& job : batch) {
+        const auto key = job_key(job->m_record.m_id);
+        write.m_conditions.push_back({key, store_revision{0}});
+        write.m_puts.push_back({key, encode(job->m_record), no_store_lease});
+        ++job->m_open_writes;
+    }
+    const auto written = co_await m_store.write(std::move(write), write_timeout);
+    for (std::size_t position = 0; position < batch.size(); ++position) {
+        auto& job = *batch[position];
+        if (written.m_status != store_status::unknown) {
+            --job.m_open_writes;
+        }
+        const auto key = job_key(job.m_record.m_id);
+        const bool exists =
+            std::any_of(written.m_current.begin(), written.m_current.end(), [&key](const store_item& item) {
+                return item.m_key == key && item.m_revision != store_revision{0};
+            });
+        if (written.m_status == store_status::ok || exists) {
+            settle(job, intake_result::stored);
+        }
+        else if (!job.m_result) {
+            m_waiting.push_back(batch[position]);
+        }
+    }
+    if (written.m_status == store_status::not_done || written.m_status == store_status::unknown) {
+        LOG_EVERY_N(WARNING, 20) << log_line{"job_write_failed"}
+                                        .with("jobs", batch.size())
+                                        .with("outcome",
+                                              written.m_status == store_status::unknown ? "unknown" : "not done");
+        co_await sleep_for(m_executor, refusal_pause);
+    }
+}
+
+auto job_intake::write_until_idle() -> asio::awaitable<void>
+{
+    for (auto batch = take_batch(); !batch.empty(); batch = take_batch()) {
+        co_await write_batch(std::move(batch));
+    }
+    --m_writers;
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/job_intake.hpp
@@ -0,0 +1,64 @@
+#ifndef CICADALUG_ENTRY_JOB_INTAKE_HPP
+#define CICADALUG_ENTRY_JOB_INTAKE_HPP
+
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/base/time.hpp>
+#include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/scheduler/job.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace cicadalug {
+
+/** @brief What became of a submitted job. */
+enum class intake_result : std::uint8_t {
+    /** @brief The job is stored; it was new, or known before. */
+    stored,
+    /** @brief The job is not stored and will not be by this call. */
+    not_stored,
+    /** @brief The store gave no answer; the job may be stored, or may be later. */
+    unknown,
+};
+
+/**
+ * @brief Stores submitted jobs, several in one write.
+ * @note Thread safety: all functions on the executor given to the constructor.
+ */
+class job_intake {
+public:
+    /**
+     * @brief Constructs an intake without jobs.
+     * @param executor Runs the writers.
+     * @param store The store; outlives the intake.
+     */
+    job_intake(asio::any_io_executor executor, store_client& store);
+
+    /**
+     * @brief Stores a job.
+     * @param record The job.
+     * @param deadline When the answer is due.
+     * @return What became of it. The same id stays one job, also if it is submitted at two entry VMs at once.
+     */
+    [[nodiscard]] auto submit(job_record record, time_point deadline) -> asio::awaitable<intake_result>;
+
+private:
+    struct submission;
+
+    [[nodiscard]] auto write_until_idle() -> asio::awaitable<void>;
+    [[nodiscard]] auto write_batch(std::vector<std::shared_ptr<submission>> batch) -> asio::awaitable<void>;
+    [[nodiscard]] auto take_batch() -> std::vector<std::shared_ptr<submission>>;
+    auto settle(submission& settled, intake_result result) -> void;
+
+    asio::any_io_executor m_executor;
+    store_client& m_store;
+    std::deque<std::shared_ptr<submission>> m_waiting;
+    std::unordered_map<job_id, std::shared_ptr<submission>> m_by_id;
+    int m_writers{0};
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/leadership.cpp
@@ -0,0 +1,238 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/leadership.hpp>
+#include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief A watch is asked again after this time, which bounds how long a silent connection goes unnoticed. */
+constexpr milliseconds watch_wait{1'500};
+
+/** @brief Time for a read or a write of the holder's key; a store that is 60 times as slow still answers. */
+constexpr milliseconds call_timeout{500};
+
+/** @brief Candidates start at different times within this span, so that few of them collide. */
+constexpr milliseconds campaign_spread{60};
+
+/** @brief Pause after a failed call. */
+constexpr milliseconds failure_pause{100};
+
+/** @brief The lease is renewed this many times in its span. */
+constexpr int renewals_per_lease{4};
+
+/** @brief A decider that cannot renew its lease goes on for this time at most: the store has outages of 4 to 6 s, and
+ * running tasks need their leases meanwhile. */
+constexpr milliseconds unrenewed_limit{8'000};
+
+[[nodiscard]] auto holder_value(const entry_vm_id& self, const tcp_endpoint& peers, const store_lease lease)
+    -> std::string
+{
+    std::ostringstream text;
+    text << self << ' ' << peers << ' ' << lease;
+    return std::move(text).str();
+}
+
+} // namespace
+
+leadership::leadership(asio::any_io_executor executor, store_client& store, entry_vm_id self, const tcp_endpoint& peers,
+                       const milliseconds lease)
+    : m_executor{std::move(executor)}, m_store{store}, m_self{std::move(self)}, m_peers{peers}, m_lease_time{lease}
+{
+}
+
+auto leadership::note_holder(const std::optional<store_item>& item) -> void
+{
+    const auto before = m_holder ? m_holder->m_revision : store_revision{0};
+    if (!item) {
+        m_holder.reset();
+    }
+    else {
+        decider_holder holder;
+        std::istringstream text{item->m_value};
+        std::string name;
+        std::string address;
+        text >> name >> address;
+        findings found;
+        holder.m_entry_vm = entry_vm_id{name};
+        holder.m_peers = parse_endpoint(address, std::string{holder_key}, found);
+        holder.m_revision = item->m_revision;
+        if (!found.empty()) {
+            LOG(ERROR) << log_line{"holder_unreadable"}.with("findings", found.to_string());
+        }
+        m_holder = holder;
+    }
+    const auto now = m_holder ? m_holder->m_revision : store_revision{0};
+    if (now != before) {
+        LOG(INFO) << log_line{"decider_changed"}
+                         .with("decider", m_holder ? m_holder->m_entry_vm.str() : "none")
+                         .with("revision", now);
+    }
+    if (m_term && m_term->m_revision != now) {
+        end_term();
+    }
+}
+
+auto leadership::refresh() -> asio::awaitable<bool>
+{
+    const auto page = co_await m_store.list(std::string{holder_key}, std::string{}, call_timeout);
+    if (page.m_status != store_status::ok) {
+        co_return false;
+    }
+    m_seen = page.m_revision;
+    note_holder(page.m_items.empty() ? std::nullopt : std::optional{page.m_items.front()});
+    co_return true;
+}
+
+auto leadership::refresh_until_read() -> asio::awaitable<void>
+{
+    bool read{false};
+    while (!read) {
+        read = co_await refresh();
+        if (!read) {
+            co_await sleep_for(m_executor, failure_pause);
+        }
+    }
+}
+
+auto leadership::follow() -> asio::awaitable<void>
+{
+    const auto changes = co_await m_store.watch(std::string{holder_key}, m_seen, watch_wait);
+    if (changes.m_status != store_status::ok) {
+        co_await sleep_for(m_executor, failure_pause);
+        co_await refresh_until_read();
+        co_return;
+    }
+    m_seen = std::max(m_seen, changes.m_revision);
+    for (const auto& change : changes.m_changes) {
+        note_holder(change.m_value ? std::optional{store_item{change.m_key, *change.m_value, change.m_revision}}
+                                   : std::nullopt);
+    }
+}
+
+auto leadership::campaign() -> asio::awaitable<void>
+{
+    const auto seed = std::hash<std::string>{}(m_self.str()) + m_seen.value();
+    const auto pause = milliseconds{seed % static_cast<std::size_t>(campaign_spread.count())};
+    co_await sleep_for(m_executor, pause);
+    if (m_lease == no_store_lease) {
+        m_lease = co_await m_store.open_lease(m_lease_time, call_timeout);
+    }
+    if (m_lease == no_store_lease) {
+        co_await sleep_for(m_executor, failure_pause);
+        co_return;
+    }
+    const auto value = holder_value(m_self, m_peers, m_lease);
+    store_write write;
+    write.m_conditions.push_back({std::string{holder_key}, store_revision{0}});
+    write.m_puts.push_back({std::string{holder_key}, value, m_lease});
+    const auto written = co_await m_store.write(std::move(write), call_timeout);
+    auto revision = written.m_status == store_status::ok ? written.m_revision : store_revision{0};
+    if (written.m_status == store_status::conflict) {
+        for (const auto& item : written.m_current) {
+            // A write without an answer may have been carried out: then the key holds this candidate's own lease.
+            if (item.m_value == value) {
+                revision = item.m_revision;
+            }
+        }
+    }
+    if (revision == store_revision{0} || m_resigned) {
+        if (written.m_status != store_status::unknown) {
+            static_cast<void>(co_await m_store.end_lease(std::exchange(m_lease, no_store_lease), call_timeout));
+        }
+        co_await sleep_for(m_executor, failure_pause);
+        co_await refresh_until_read();
+        co_return;
+    }
+    m_term = decider_term{fencing_token{revision.value()}, revision};
+    m_holder = decider_holder{m_self, m_peers, revision};
+    m_seen = std::max(m_seen, revision);
+    LOG(INFO) << log_line{"term_began"}.with("token", m_term->m_token);
+    asio::co_spawn(m_executor, keep_lease(m_lease), asio::detached);
+    m_begin(*m_term);
+}
+
+auto leadership::keep_lease(const store_lease lease) -> asio::awaitable<void>
+{
+    auto renewed = monotonic_now();
+    const auto interval = m_lease_time / renewals_per_lease;
+    while (m_term && m_lease == lease) {
+        co_await sleep_for(m_executor, interval);
+        if (!m_term || m_lease != lease) {
+            co_return;
+        }
+        const auto sent = monotonic_now();
+        const auto status = co_await m_store.keep_lease(lease, call_timeout);
+        if (status == store_status::ok) {
+            renewed = sent;
+        }
+        else if (status == store_status::missing) {
+            LOG(WARNING) << log_line{"decider_lease_lost"}.with("lease", lease);
+            if (m_lease == lease) {
+                end_term();
+            }
+            co_return;
+        }
+        else if (monotonic_now() - renewed > unrenewed_limit && m_lease == lease) {
+            LOG(WARNING) << log_line{"decider_lease_not_renewed"}.with("lease", lease);
+            end_term();
+        }
+    }
+}
+
+auto leadership::end_term() -> void
+{
+    if (m_term) {
+        LOG(INFO) << log_line{"term_ended"}.with("token", m_term->m_token);
+        m_term.reset();
+        m_lease = no_store_lease;
+        m_end();
+    }
+}
+
+auto leadership::depose() -> void
+{
+    end_term();
+}
+
+auto leadership::resign() -> asio::awaitable<void>
+{
+    m_resigned = true;
+    const auto lease = m_lease;
+    end_term();
+    if (lease != no_store_lease) {
+        static_cast<void>(co_await m_store.end_lease(lease, call_timeout));
+    }
+}
+
+auto leadership::start(begin_function begin, end_function end) -> void
+{
+    m_begin = std::move(begin);
+    m_end = std::move(end);
+    asio::co_spawn(m_executor, run(), asio::detached);
+}
+
+auto leadership::run() -> asio::awaitable<void>
+{
+    co_await refresh_until_read();
+    for (;;) {
+        if (!m_holder && !m_resigned) {
+            co_await campaign();
+        }
+        else {
+            co_await follow();
+        }
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/leadership.hpp
@@ -0,0 +1,90 @@
+#ifndef CICADALUG_ENTRY_LEADERSHIP_HPP
+#define CICADALUG_ENTRY_LEADERSHIP_HPP
+
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/base/ids.hpp>
+#include <cicadalug/scheduler/ids.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace cicadalug {
+
+/** @brief Entry VM that decides, as the store tells. */
+struct decider_holder {
+    entry_vm_id m_entry_vm;
+    /** @brief Address for other entry VMs. */
+    tcp_endpoint m_peers;
+    store_revision m_revision;
+};
+
+/** @brief One term as the decider. */
+struct decider_term {
+    fencing_token m_token;
+    /** @brief Revision of the holder's key, which each write of the term has as a condition. */
+    store_revision m_revision;
+};
+
+/**
+ * @brief Takes part in the choice of the decider through a key with a lease in the store.
+ * @note Thread safety: all functions on the executor given to the constructor.
+ */
+class leadership {
+public:
+    using begin_function = std::function<void(const decider_term&)>;
+    using end_function = std::function<void()>;
+
+    /**
+     * @brief Constructs a candidate that does not run yet.
+     * @param executor Runs the candidate.
+     * @param store The store; outlives the candidate.
+     * @param self This entry VM.
+     * @param peers Its address for other entry VMs.
+     * @param lease Lease of the holder's key.
+     */
+    leadership(asio::any_io_executor executor, store_client& store, entry_vm_id self, const tcp_endpoint& peers,
+               milliseconds lease);
+
+    /** @brief Starts the candidate. @param begin Called when a term begins. @param end Called when it has ended. */
+    auto start(begin_function begin, end_function end) -> void;
+
+    /** @brief Gives up the duty and does not take it again. */
+    [[nodiscard]] auto resign() -> asio::awaitable<void>;
+
+    /** @brief Ends the term because a worker or a write showed that another decider has begun. */
+    auto depose() -> void;
+
+    /** @brief Returns the holder as last heard, or nothing if there is none. */
+    [[nodiscard]] auto holder() const noexcept -> const std::optional<decider_holder>& { return m_holder; }
+
+    /** @brief Checks whether this entry VM is the decider. */
+    [[nodiscard]] auto is_decider() const noexcept -> bool { return m_term.has_value(); }
+
+private:
+    [[nodiscard]] auto run() -> asio::awaitable<void>;
+    [[nodiscard]] auto refresh() -> asio::awaitable<bool>;
+    [[nodiscard]] auto refresh_until_read() -> asio::awaitable<void>;
+    [[nodiscard]] auto campaign() -> asio::awaitable<void>;
+    [[nodiscard]] auto follow() -> asio::awaitable<void>;
+    [[nodiscard]] auto keep_lease(store_lease lease) -> asio::awaitable<void>;
+    auto note_holder(const std::optional<store_item>& item) -> void;
+    auto end_term() -> void;
+
+    asio::any_io_executor m_executor;
+    store_client& m_store;
+    entry_vm_id m_self;
+    tcp_endpoint m_peers;
+    milliseconds m_lease_time;
+    begin_function m_begin;
+    end_function m_end;
+    std::optional<decider_holder> m_holder;
+    std::optional<decider_term> m_term;
+    store_lease m_lease{no_store_lease};
+    store_revision m_seen;
+    bool m_resigned{false};
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -0,0 +1,264 @@
+#include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief A worker that was not heard for this long gets no new work; renewals come at least every second. */
+constexpr milliseconds silence_limit{2'000};
+
+/** @brief A result up to this many times the objective late is still worth something, as the platform's rules state. */
+constexpr std::int64_t late_factor{3};
+
+/** @brief Runs of one token are numbered from token * this; more starts of one task in one term are not expected. */
+constexpr std::int64_t runs_per_token{1'000};
+
+/** @brief Advantage of a worker on the rack of the data, in thousandths of a core of free capacity. */
+constexpr std::int64_t data_rack_bonus{1'000'000};
+
+/** @brief A step with waiting tasks. */
+struct waiting_step {
+    job_entry* m_job{nullptr};
+    occurrence_state* m_occurrence{nullptr};
+    std::size_t m_step{0};
+    urgency m_urgency{urgency::in_time};
+};
+
+[[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, const std::size_t step) -> bool
+{
+    const auto& after = job.m_record.m_spec.m_steps[step].m_after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](const std::int64_t earlier) {
+        const auto& before = occurrence.m_steps[static_cast<std::size_t>(earlier)];
+        return before.m_done == before.m_tasks.size();
+    });
+}
+
+[[nodiscard]] auto collect_waiting(const scheduler_state& state, const std::vector<job_entry*>& jobs,
+                                   const bool recovered, const time_point now) -> std::vector<waiting_step>
+{
+    std::vector<waiting_step> found;
+    for (auto* job : jobs) {
+        bool judged{false};
+        auto worth = urgency::in_time;
+        for (auto& occurrence : job->m_open) {
+            for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+                const auto& spec = job->m_record.m_spec.m_steps[step];
+                if (occurrence.m_steps[step].m_waiting == 0 || !is_ready(*job, occurrence, step) ||
+                    (job->m_recovered && !recovered && !spec.m_speculative)) {
+                    continue;
+                }
+                if (!judged) {
+                    worth = judge_urgency(state, *job, now);
+                    judged = true;
+                }
+                found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : worth});
+            }
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const waiting_step& left, const waiting_step& right) {
+        const auto key = [](const waiting_step& step) {
+            return std::tuple{step.m_urgency, step.m_job->m_record.m_terms.m_priority, step.m_job->m_deadline};
+        };
+        return key(left) < key(right);
+    });
+    return found;
+}
+
+[[nodiscard]] auto takes_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
+{
+    return worker.m_registered && worker.m_heard && worker.m_entry.m_service == service &&
+           worker.m_entry.m_state == worker_state::ready && worker.m_paused_until <= now &&
+           now - worker.m_last_heard < silence_limit;
+}
+
+[[nodiscard]] auto has_label(const worker_slot& worker, const std::string& label) -> bool
+{
+    const auto& labels = worker.m_entry.m_labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+[[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t
+{
+    return std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&task](const placed_run& run) {
+        return run.m_task.m_job == task.m_job && run.m_task.m_occurrence == task.m_occurrence &&
+               run.m_task.m_step == task.m_step;
+    });
+}
+
+/** @brief Picks the worker for a task: on the rack of its data if there is room, else the one with the most room. */
+[[nodiscard]] auto choose_worker(const scheduler_state& state, const std::vector<worker_index>& candidates,
+                                 const step_spec& spec, const task_ref& task) -> worker_index
+{
+    auto best = no_worker;
+    std::int64_t best_score{0};
+    const auto demand = reserved_demand(spec);
+    for (const auto index : candidates) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        const auto free = worker.m_entry.m_capacity - worker.m_used;
+        if (!fits(demand, free) || (!spec.m_required_label.empty() && !has_label(worker, spec.m_required_label)) ||
+            (spec.m_max_per_worker > 0 && tasks_of_step(worker, task) >= spec.m_max_per_worker)) {
+            continue;
+        }
+        auto score = free.m_cpu.value() + 1;
+        if (!spec.m_data_rack.empty() && has_label(worker, spec.m_data_rack)) {
+            score += data_rack_bonus;
+        }
+        if (best == no_worker || score > best_score) {
+            best = index;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+auto start_task(scheduler_state& state, job_entry& job, step_state& step, const task_ref& task,
+                const worker_index index, const run_number run, const time_point now) -> void
+{
+    auto& found = step.m_tasks[static_cast<std::size_t>(task.m_index)];
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    found.m_phase = task_phase::starting;
+    found.m_worker = index;
+    found.m_run = run;
+    found.m_since = now;
+    --step.m_waiting;
+    if (!job.m_started) {
+        job.m_started = true;
+        mark_dirty(state, job);
+    }
+    placed_run placed;
+    placed.m_task = task;
+    placed.m_run = run;
+    placed.m_demand = reserved_demand(step_of(job, task));
+    placed.m_sent = now;
+    worker.m_used = worker.m_used + placed.m_demand;
+    worker.m_runs.push_back(std::move(placed));
+    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint});
+}
+
+[[nodiscard]] auto next_run(const scheduler_state& state, const task_state& task) -> run_number
+{
+    const auto first = static_cast<std::int64_t>(state.m_token.value()) * runs_per_token + 1;
+    return run_number{std::max(first, task.m_run.value() + 1)};
+}
+
+/** @brief Starts the members of a gang together, or none of them. */
+auto start_gang(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
+                const time_point now) -> void
+{
+    auto& job = *waiting.m_job;
+    auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto& spec = job.m_record.m_spec.m_steps[waiting.m_step];
+    const bool pausing = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
+                                     [now](const task_state& member) { return member.m_not_before > now; });
+    if (step.m_waiting != step.m_tasks.size() || pausing) {
+        return;
+    }
+    auto run = run_number{0};
+    for (const auto& member : step.m_tasks) {
+        run = std::max(run, next_run(state, member));
+    }
+    std::vector<std::pair<worker_index, resources>> reserved;
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
+                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
+        const auto worker = choose_worker(state, candidates, spec, task);
+        if (worker == no_worker) {
+            break;
+        }
+        auto& used = state.m_workers[static_cast<std::size_t>(worker)].m_used;
+        reserved.emplace_back(worker, reserved_demand(spec));
+        used = used + reserved.back().second;
+    }
+    for (const auto& [worker, demand] : reserved) {
+        auto& used = state.m_workers[static_cast<std::size_t>(worker)].m_used;
+        used = used - demand;
+    }
+    if (reserved.size() != step.m_tasks.size()) {
+        return;
+    }
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
+                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
+        step.m_tasks[index].m_checkpoint = step.m_tasks.front().m_checkpoint;
+        start_task(state, job, step, task, reserved[index].first, run, now);
+    }
+}
+
+auto start_tasks(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
+                 const time_point now) -> void
+{
+    auto& job = *waiting.m_job;
+    auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto& spec = job.m_record.m_spec.m_steps[waiting.m_step];
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        const auto& member = step.m_tasks[index];
+        if (member.m_phase != task_phase::waiting || member.m_not_before > now) {
+            continue;
+        }
+        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
+                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
+        const auto worker = choose_worker(state, candidates, spec, task);
+        if (worker == no_worker) {
+            return;
+        }
+        start_task(state, job, step, task, worker, next_run(state, member), now);
+    }
+}
+
+} // namespace
+
+auto judge_urgency(const scheduler_state& state, const job_entry& job, const time_point now) -> urgency
+{
+    const auto objective = job.m_deadline - job.m_arrived;
+    if (now + chain_estimate(state, job, false) <= job.m_deadline) {
+        return urgency::in_time;
+    }
+    return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
+}
+
+auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
+{
+    const auto longest = state.m_settings.m_worker_lease +
+                         state.m_settings.m_worker_lease * state.m_settings.m_clock_drift_permille / 1'000 +
+                         state.m_settings.m_lease_margin;
+    return now > state.m_began + longest ||
+           std::all_of(state.m_workers.begin(), state.m_workers.end(), [&service](const worker_slot& worker) {
+               return worker.m_entry.m_service != service || worker.m_heard;
+           });
+}
+
+auto dispatch(scheduler_state& state, const time_point now) -> void
+{
+    state.m_dispatch_wanted = false;
+    for (const auto& [service, jobs] : state.m_active) {
+        if (jobs.empty()) {
+            continue;
+        }
+        std::vector<worker_index> candidates;
+        for (std::size_t index = 0; index < state.m_workers.size(); ++index) {
+            if (takes_work(state.m_workers[index], service, now)) {
+                candidates.push_back(static_cast<worker_index>(index));
+            }
+        }
+        if (candidates.empty()) {
+            continue;
+        }
+        for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
+            if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
+                start_gang(state, waiting, candidates, now);
+            }
+            else {
+                start_tasks(state, waiting, candidates, now);
+            }
+        }
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/job.hpp
@@ -0,0 +1,159 @@
+#ifndef CICADALUG_SCHEDULER_JOB_HPP
+#define CICADALUG_SCHEDULER_JOB_HPP
+
+#include <cicadalug/base/time.hpp>
+#include <cicadalug/scheduler/ids.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief What a task takes of a worker, or what a worker has. */
+struct resources {
+    millicores m_cpu;
+    mebibytes m_memory;
+    std::int64_t m_accelerators{0};
+
+    [[nodiscard]] friend auto operator==(const resources&, const resources&) -> bool = default;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_cpu, m_memory, m_accelerators);
+    }
+};
+
+/** @brief Adds two amounts. */
+[[nodiscard]] inline auto operator+(const resources& left, const resources& right) -> resources
+{
+    return {left.m_cpu + right.m_cpu, left.m_memory + right.m_memory, left.m_accelerators + right.m_accelerators};
+}
+
+/** @brief Subtracts an amount from another. */
+[[nodiscard]] inline auto operator-(const resources& left, const resources& right) -> resources
+{
+    return {left.m_cpu - right.m_cpu, left.m_memory - right.m_memory, left.m_accelerators - right.m_accelerators};
+}
+
+/** @brief Checks whether a demand is within the free amount of each resource. */
+[[nodiscard]] inline auto fits(const resources& demand, const resources& free) -> bool
+{
+    return demand.m_cpu <= free.m_cpu && demand.m_memory <= free.m_memory &&
+           demand.m_accelerators <= free.m_accelerators;
+}
+
+/** @brief A group of equal tasks of a job. */
+struct step_spec {
+    std::int64_t m_count{0};
+    resources m_demand;
+    /** @brief The client's estimate of a task's run time; off by up to its own size. */
+    milliseconds m_estimate{0};
+    /** @brief Numbers of the steps that must be done before. */
+    std::vector<std::int64_t> m_after;
+    bool m_checkpoints{false};
+    /** @brief The tasks work only when all of them run. */
+    bool m_gang{false};
+    bool m_same_rack{false};
+    /** @brief Copies of a task may run at the same time. */
+    bool m_speculative{false};
+    /** @brief The tasks run until the job is cancelled. */
+    bool m_long_running{false};
+    /** @brief The tasks use processor time that others leave; their demand of it is not reserved. */
+    bool m_best_effort{false};
+    std::string m_required_label;
+    /** @brief Rack on which the data lies. */
+    std::string m_data_rack;
+    /** @brief Greatest number of the step's tasks on one worker; 0 means no limit. */
+    std::int64_t m_max_per_worker{0};
+    std::string m_image;
+    /** @brief Bound on the tail latency of a serving task; 0 means that it serves nobody. */
+    milliseconds m_latency_target{0};
+    /** @brief Greatest number of tasks that planned work may take away at the same time. */
+    std::int64_t m_disruption_budget{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        auto estimate = m_estimate.count();
+        auto target = m_latency_target.count();
+        archive(m_count, m_demand, estimate, m_after, m_checkpoints, m_gang, m_same_rack, m_speculative, m_long_running,
+                m_best_effort, m_required_label, m_data_rack, m_max_per_worker, m_image, target, m_disruption_budget);
+        m_estimate = milliseconds{estimate};
+        m_latency_target = milliseconds{target};
+    }
+};
+
+/** @brief What a client submits. */
+struct job_spec {
+    /** @brief Opaque text that is passed to the workers. */
+    std::string m_text;
+    std::vector<step_spec> m_steps;
+    /** @brief Time at which the first occurrence is due, in Unix milliseconds; 0 for a job without a schedule. */
+    std::int64_t m_first_due_unix_ms{0};
+    milliseconds m_interval{0};
+    /** @brief Number of occurrences; 0 for a job without a schedule. */
+    std::int64_t m_occurrences{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        auto interval = m_interval.count();
+        archive(m_text, m_steps, m_first_due_unix_ms, interval, m_occurrences);
+        m_interval = milliseconds{interval};
+    }
+};
+
+/** @brief What the configuration promised to the jobs of a queue when the job was accepted. */
+struct queue_terms {
+    queue_id m_queue;
+    service_id m_service;
+    /** @brief 0 goes first. */
+    std::int64_t m_priority{0};
+    std::int64_t m_max_attempts{1};
+    /** @brief The objective is this many times the longest chain of work, plus m_target. */
+    double m_stretch{1.0};
+    milliseconds m_target{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        auto target = m_target.count();
+        archive(m_queue, m_service, m_priority, m_max_attempts, m_stretch, target);
+        m_target = milliseconds{target};
+    }
+};
+
+/** @brief An accepted job, as it is stored. Never changes. */
+struct job_record {
+    job_id m_id;
+    queue_terms m_terms;
+    job_spec m_spec;
+    /** @brief When the job arrived, in Unix milliseconds of the accepting entry VM. */
+    std::int64_t m_arrived_unix_ms{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_id, m_terms, m_spec, m_arrived_unix_ms);
+    }
+};
+
+/** @brief Names a task: a member of a step, of an occurrence, of a job. */
+struct task_ref {
+    job_id m_job;
+    std::int64_t m_occurrence{0};
+    std::int64_t m_step{0};
+    std::int64_t m_index{0};
+
+    [[nodiscard]] friend auto operator==(const task_ref&, const task_ref&) -> bool = default;
+    [[nodiscard]] friend auto operator<=>(const task_ref&, const task_ref&) = default;
+};
+
+/** @brief State of a job as clients see it. */
+enum class job_state : std::uint8_t { queued, running, completed, failed, cancelled };
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -0,0 +1,329 @@
+#include <cicadalug/scheduler/jobs.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Weight of the client's estimate against the learned mean of the queue; declared run times are far off. */
+constexpr double declared_weight{0.5};
+
+[[nodiscard]] auto make_occurrence(const job_spec& spec, const std::int64_t number) -> occurrence_state
+{
+    occurrence_state made;
+    made.m_number = number;
+    made.m_steps.resize(spec.m_steps.size());
+    for (std::size_t step = 0; step < spec.m_steps.size(); ++step) {
+        made.m_steps[step].m_tasks.resize(static_cast<std::size_t>(spec.m_steps[step].m_count));
+        made.m_steps[step].m_waiting = made.m_steps[step].m_tasks.size();
+    }
+    return made;
+}
+
+auto restore_occurrence(occurrence_state& occurrence, const occurrence_progress& stored) -> void
+{
+    for (std::size_t step = 0; step < occurrence.m_steps.size() && step < stored.m_steps.size(); ++step) {
+        auto& tasks = occurrence.m_steps[step].m_tasks;
+        for (std::size_t index = 0; index < tasks.size() && index < stored.m_steps[step].size(); ++index) {
+            const auto& from = stored.m_steps[step][index];
+            tasks[index].m_failures = from.m_failures;
+            tasks[index].m_checkpoint = from.m_checkpoint;
+            if (from.m_done) {
+                tasks[index].m_phase = task_phase::done;
+                ++occurrence.m_steps[step].m_done;
+                --occurrence.m_steps[step].m_waiting;
+            }
+        }
+    }
+}
+
+[[nodiscard]] auto total_occurrences(const job_entry& job) -> std::int64_t
+{
+    return std::max<std::int64_t>(job.m_record.m_spec.m_occurrences, 1);
+}
+
+[[nodiscard]] auto next_occurrence(const job_entry& job) -> std::int64_t
+{
+    return job.m_open.empty() ? job.m_first_open : job.m_open.back().m_number + 1;
+}
+
+/** @brief Opens the due occurrences of one job. */
+auto open_occurrences(job_entry& job, const std::int64_t unix_ms) -> bool
+{
+    const auto& spec = job.m_record.m_spec;
+    bool opened{false};
+    for (auto next = next_occurrence(job); next < total_occurrences(job); ++next) {
+        if (spec.m_occurrences > 0 && spec.m_first_due_unix_ms + next * spec.m_interval.count() > unix_ms) {
+            break;
+        }
+        job.m_open.push_back(make_occurrence(spec, next));
+        opened = true;
+    }
+    return opened;
+}
+
+auto stop_runs(scheduler_state& state, const job_entry& job) -> void
+{
+    for (auto& worker : state.m_workers) {
+        for (auto& run : worker.m_runs) {
+            run.m_stop_wanted = run.m_stop_wanted || run.m_task.m_job == job.m_record.m_id;
+        }
+    }
+}
+
+auto finish_job(scheduler_state& state, job_entry& job, const job_state final_state, const time_point now) -> void
+{
+    job.m_state = final_state;
+    job.m_finished = now;
+    std::erase(state.m_active[job.m_record.m_terms.m_service], &job);
+    if (final_state != job_state::completed) {
+        stop_runs(state, job);
+    }
+    mark_dirty(state, job);
+}
+
+[[nodiscard]] auto is_done(const occurrence_state& occurrence) -> bool
+{
+    return std::all_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+                       [](const step_state& step) { return step.m_done == step.m_tasks.size(); });
+}
+
+auto close_done_occurrences(scheduler_state& state, job_entry& job, const time_point now) -> void
+{
+    while (!job.m_open.empty() && is_done(job.m_open.front())) {
+        job.m_first_open = job.m_open.front().m_number + 1;
+        job.m_open.erase(job.m_open.begin());
+    }
+    if (job.m_open.empty() && job.m_first_open >= total_occurrences(job)) {
+        finish_job(state, job, job_state::completed, now);
+    }
+}
+
+} // namespace
+
+auto find_job(const scheduler_state& state, const job_id& id) -> job_entry*
+{
+    const auto found = state.m_jobs.find(id);
+    return found == state.m_jobs.end() ? nullptr : found->second.get();
+}
+
+auto find_task(scheduler_state& state, const task_ref& task) -> task_state*
+{
+    auto* job = find_job(state, task.m_job);
+    if (job == nullptr) {
+        return nullptr;
+    }
+    const auto occurrence = std::find_if(job->m_open.begin(), job->m_open.end(), [&task](const occurrence_state& open) {
+        return open.m_number == task.m_occurrence;
+    });
+    if (occurrence == job->m_open.end() || task.m_step < 0 || task.m_index < 0 ||
+        static_cast<std::size_t>(task.m_step) >= occurrence->m_steps.size()) {
+        return nullptr;
+    }
+    auto& tasks = occurrence->m_steps[static_cast<std::size_t>(task.m_step)].m_tasks;
+    return static_cast<std::size_t>(task.m_index) < tasks.size() ? &tasks[static_cast<std::size_t>(task.m_index)]
+                                                                 : nullptr;
+}
+
+auto step_of(const job_entry& job, const task_ref& task) -> const step_spec&
+{
+    return job.m_record.m_spec.m_steps[static_cast<std::size_t>(task.m_step)];
+}
+
+auto reserved_demand(const step_spec& step) -> resources
+{
+    auto demand = step.m_demand;
+    if (step.m_best_effort) {
+        demand.m_cpu = millicores{0};
+    }
+    return demand;
+}
+
+auto mark_dirty(scheduler_state& state, job_entry& job) -> void
+{
+    if (!job.m_dirty) {
+        job.m_dirty = true;
+        state.m_dirty.push_back(&job);
+    }
+}
+
+auto add_job(scheduler_state& state, job_record record, const std::optional<job_progress>& progress,
+             const bool recovered, const clock_reading& clock) -> void
+{
+    if (state.m_jobs.contains(record.m_id)) {
+        return;
+    }
+    auto job = std::make_unique<job_entry>();
+    job->m_record = std::move(record);
+    job->m_recovered = recovered;
+    job->m_arrived =
+        clock.m_now - milliseconds{std::max<std::int64_t>(0, clock.m_unix_ms - job->m_record.m_arrived_unix_ms)};
+    if (progress) {
+        job->m_state = progress->m_state;
+        job->m_stored_state = progress->m_state;
+        job->m_started = progress->m_state != job_state::queued;
+        job->m_first_open = progress->m_first_open;
+        for (const auto& stored : progress->m_open) {
+            job->m_open.push_back(make_occurrence(job->m_record.m_spec, stored.m_occurrence));
+            restore_occurrence(job->m_open.back(), stored);
+        }
+    }
+    auto& entry = *job;
+    state.m_jobs.emplace(entry.m_record.m_id, std::move(job));
+    if (is_final(entry.m_state)) {
+        entry.m_open.clear();
+        entry.m_finished = clock.m_now;
+        return;
+    }
+    open_occurrences(entry, clock.m_unix_ms);
+    const auto& terms = entry.m_record.m_terms;
+    entry.m_deadline = entry.m_arrived + terms.m_target +
+                       std::chrono::duration_cast<microseconds>(chain_estimate(state, entry, true) * terms.m_stretch);
+    state.m_active[terms.m_service].push_back(&entry);
+    state.m_dispatch_wanted = true;
+}
+
+auto cancel_job(scheduler_state& state, const job_id& id, const time_point now) -> void
+{
+    auto* job = find_job(state, id);
+    if (job != nullptr && !is_final(job->m_state)) {
+        finish_job(state, *job, job_state::cancelled, now);
+        state.m_dispatch_wanted = true;
+    }
+}
+
+auto open_due_occurrences(scheduler_state& state, const clock_reading& clock) -> void
+{
+    for (auto& [service, jobs] : state.m_active) {
+        for (auto* job : jobs) {
+            if (job->m_record.m_spec.m_occurrences > 0 && open_occurrences(*job, clock.m_unix_ms)) {
+                state.m_dispatch_wanted = true;
+            }
+        }
+    }
+}
+
+auto task_ended(scheduler_state& state, job_entry& job, const task_ref& task, const run_end how,
+                const std::string& checkpoint, const time_point now) -> void
+{
+    auto* found = find_task(state, task);
+    if (found == nullptr || found->m_phase == task_phase::done || is_final(job.m_state)) {
+        return;
+    }
+    const auto& spec = step_of(job, task);
+    auto& occurrence = *std::find_if(job.m_open.begin(), job.m_open.end(), [&task](const occurrence_state& open) {
+        return open.m_number == task.m_occurrence;
+    });
+    auto& step = occurrence.m_steps[static_cast<std::size_t>(task.m_step)];
+    if (!checkpoint.empty()) {
+        found->m_checkpoint = checkpoint;
+    }
+    state.m_dispatch_wanted = true;
+    if (how == run_end::done && !spec.m_long_running) {
+        const auto close = [&step](task_state& member) {
+            if (member.m_phase != task_phase::done) {
+                step.m_waiting -= member.m_phase == task_phase::waiting ? 1U : 0U;
+                member.m_phase = task_phase::done;
+                ++step.m_done;
+            }
+        };
+        // One end of a gang stands for all its members.
+        if (spec.m_gang) {
+            std::for_each(step.m_tasks.begin(), step.m_tasks.end(), close);
+        }
+        else {
+            close(*found);
+        }
+        mark_dirty(state, job);
+        close_done_occurrences(state, job, now);
+        return;
+    }
+    if (found->m_phase != task_phase::waiting) {
+        found->m_phase = task_phase::waiting;
+        ++step.m_waiting;
+    }
+    found->m_worker = no_worker;
+    found->m_percent = 0;
+    found->m_since = now;
+    if (how == run_end::failed && !spec.m_long_running) {
+        ++found->m_failures;
+        found->m_not_before = now + state.m_settings.m_task_backoff * found->m_failures;
+        mark_dirty(state, job);
+        if (found->m_failures >= job.m_record.m_terms.m_max_attempts) {
+            finish_job(state, job, job_state::failed, now);
+        }
+    }
+    else if (!checkpoint.empty()) {
+        mark_dirty(state, job);
+    }
+}
+
+auto progress_of(const job_entry& job) -> job_progress
+{
+    job_progress made;
+    made.m_state = job.m_state;
+    if (made.m_state == job_state::queued && job.m_started) {
+        made.m_state = job_state::running;
+    }
+    made.m_first_open = job.m_first_open;
+    if (is_final(job.m_state)) {
+        return made;
+    }
+    for (const auto& occurrence : job.m_open) {
+        occurrence_progress stored;
+        stored.m_occurrence = occurrence.m_number;
+        for (const auto& step : occurrence.m_steps) {
+            std::vector<task_progress> tasks;
+            tasks.reserve(step.m_tasks.size());
+            for (const auto& task : step.m_tasks) {
+                const bool done = task.m_phase == task_phase::done;
+                tasks.push_back({done, task.m_failures, done ? std::string{} : task.m_checkpoint});
+            }
+            stored.m_steps.push_back(std::move(tasks));
+        }
+        made.m_open.push_back(std::move(stored));
+    }
+    return made;
+}
+
+auto pending_jobs(const scheduler_state& state, const queue_id& queue) -> std::int64_t
+{
+    std::int64_t count{0};
+    for (const auto& [service, jobs] : state.m_active) {
+        count += std::count_if(jobs.begin(), jobs.end(), [&queue](const job_entry* job) {
+            return !job->m_started && job->m_record.m_terms.m_queue == queue;
+        });
+    }
+    return count;
+}
+
+auto chain_estimate(const scheduler_state& state, const job_entry& job, const bool whole) -> microseconds
+{
+    const auto& steps = job.m_record.m_spec.m_steps;
+    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
+    std::vector<double> chain(steps.size(), 0.0);
+    double longest{0.0};
+    for (std::size_t number = 0; number < steps.size(); ++number) {
+        auto own_ms = static_cast<double>(steps[number].m_estimate.count());
+        if (learned != state.m_run_times.end() && learned->second.m_samples > 0) {
+            own_ms = declared_weight * own_ms + (1.0 - declared_weight) * learned->second.m_mean_ms;
+        }
+        if (!whole && !job.m_open.empty()) {
+            const auto& now = job.m_open.front().m_steps[number];
+            own_ms = now.m_done == now.m_tasks.size() ? 0.0 : own_ms;
+        }
+        double before{0.0};
+        for (const auto earlier : steps[number].m_after) {
+            if (earlier >= 0 && static_cast<std::size_t>(earlier) < number) {
+                before = std::max(before, chain[static_cast<std::size_t>(earlier)]);
+            }
+        }
+        chain[number] = before + own_ms;
+        longest = std::max(longest, chain[number]);
+    }
+    return microseconds{static_cast<std::int64_t>(longest * 1'000.0)};
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -0,0 +1,75 @@
+#ifndef CICADALUG_SCHEDULER_PROGRESS_HPP
+#define CICADALUG_SCHEDULER_PROGRESS_HPP
+
+#include <cicadalug/base/result.hpp>
+#include <cicadalug/scheduler/job.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief What is stored of a task: enough for another decider to go on. */
+struct task_progress {
+    bool m_done{false};
+    std::int64_t m_failures{0};
+    std::string m_checkpoint;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_done, m_failures, m_checkpoint);
+    }
+};
+
+/** @brief Progress of one occurrence of a job, by step and index. */
+struct occurrence_progress {
+    std::int64_t m_occurrence{0};
+    std::vector<std::vector<task_progress>> m_steps;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_occurrence, m_steps);
+    }
+};
+
+/** @brief Progress of a job, as it is stored. */
+struct job_progress {
+    job_state m_state{job_state::queued};
+    /** @brief Occurrences below this number are done. */
+    std::int64_t m_first_open{0};
+    std::vector<occurrence_progress> m_open;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_state, m_first_open, m_open);
+    }
+};
+
+/**
+ * @brief Encodes a record for the store.
+ * @param record The record.
+ * @return Portable bytes.
+ */
+[[nodiscard]] auto encode(const job_record& record) -> std::string;
+
+/** @brief Encodes the progress of a job for the store. */
+[[nodiscard]] auto encode(const job_progress& progress) -> std::string;
+
+/**
+ * @brief Decodes a record from the store.
+ * @param bytes Bytes that encode() made.
+ * @return The record, or a finding if the bytes are something else.
+ */
+[[nodiscard]] auto decode_job_record(std::string_view bytes) -> result<job_record>;
+
+/** @brief Decodes the progress of a job from the store. */
+[[nodiscard]] auto decode_job_progress(std::string_view bytes) -> result<job_progress>;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -0,0 +1,347 @@
+#include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Weight of a new sample in the mean run time of a queue. */
+constexpr double run_time_weight{0.1};
+
+[[nodiscard]] auto find_run(worker_slot& worker, const task_ref& task, const run_number run)
+    -> std::vector<placed_run>::iterator
+{
+    return std::find_if(worker.m_runs.begin(), worker.m_runs.end(),
+                        [&](const placed_run& placed) { return placed.m_run == run && placed.m_task == task; });
+}
+
+/** @brief Frees the room of a run. */
+auto remove_run(scheduler_state& state, worker_slot& worker, const std::vector<placed_run>::iterator run) -> void
+{
+    worker.m_used = worker.m_used - run->m_demand;
+    *run = worker.m_runs.back();
+    worker.m_runs.pop_back();
+    state.m_dispatch_wanted = true;
+}
+
+/** @brief Ends a run that never ran or is over without a listed end. */
+auto give_up_run(scheduler_state& state, worker_slot& worker, const std::vector<placed_run>::iterator run,
+                 const time_point now) -> void
+{
+    const auto task = run->m_task;
+    const auto number = run->m_run;
+    remove_run(state, worker, run);
+    auto* job = find_job(state, task.m_job);
+    const auto* known = find_task(state, task);
+    if (job != nullptr && known != nullptr && known->m_run == number && known->m_phase != task_phase::waiting) {
+        task_ended(state, *job, task, run_end::expired, {}, now);
+    }
+}
+
+auto give_up_all_runs(scheduler_state& state, worker_slot& worker, const time_point now) -> void
+{
+    while (!worker.m_runs.empty()) {
+        give_up_run(state, worker, worker.m_runs.begin(), now);
+    }
+}
+
+/** @brief Takes over a run that this decider did not start, or did not know to have started. */
+auto adopt_run(scheduler_state& state, worker_slot& worker, const worker_index index, const running_report& report,
+               const time_point now) -> void
+{
+    placed_run placed;
+    placed.m_task = report.m_task;
+    placed.m_run = report.m_run;
+    placed.m_confirmed = true;
+    auto* job = find_job(state, report.m_task.m_job);
+    auto* task = find_task(state, report.m_task);
+    if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done ||
+        (task->m_phase != task_phase::waiting && task->m_run != report.m_run)) {
+        placed.m_stop_wanted = true;
+    }
+    else {
+        task->m_phase = task_phase::running;
+        task->m_worker = index;
+        task->m_run = report.m_run;
+        task->m_since = now;
+        auto& step = std::find_if(job->m_open.begin(), job->m_open.end(), [&](const occurrence_state& open) {
+                         return open.m_number == report.m_task.m_occurrence;
+                     })->m_steps[static_cast<std::size_t>(report.m_task.m_step)];
+        --step.m_waiting;
+        job->m_started = true;
+    }
+    if (job != nullptr && report.m_task.m_step >= 0 &&
+        static_cast<std::size_t>(report.m_task.m_step) < job->m_record.m_spec.m_steps.size()) {
+        placed.m_demand = reserved_demand(step_of(*job, report.m_task));
+    }
+    worker.m_used = worker.m_used + placed.m_demand;
+    worker.m_runs.push_back(std::move(placed));
+}
+
+auto note_running(scheduler_state& state, worker_slot& worker, const worker_index index, const running_report& report,
+                  const time_point now) -> void
+{
+    const auto run = find_run(worker, report.m_task, report.m_run);
+    if (run == worker.m_runs.end()) {
+        adopt_run(state, worker, index, report, now);
+        return;
+    }
+    run->m_confirmed = true;
+    run->m_unanswered.reset();
+    auto* task = find_task(state, report.m_task);
+    if (task == nullptr || task->m_run != report.m_run) {
+        return;
+    }
+    if (task->m_phase == task_phase::starting) {
+        task->m_phase = task_phase::running;
+        task->m_since = run->m_sent;
+    }
+    task->m_percent = report.m_percent;
+    task->m_usage = report.m_usage;
+    if (!report.m_checkpoint.empty()) {
+        task->m_checkpoint = report.m_checkpoint;
+    }
+}
+
+/** @brief Sees workers that fail everything by the ends of their tasks; their health check may be good. */
+auto note_worker_health(scheduler_state& state, worker_slot& worker, const run_end how, const time_point now) -> void
+{
+    if (how == run_end::done) {
+        worker.m_failures_in_row = 0;
+        worker.m_pause = milliseconds{0};
+        return;
+    }
+    if (how != run_end::failed || ++worker.m_failures_in_row < state.m_settings.m_failures_before_pause) {
+        return;
+    }
+    worker.m_pause = worker.m_pause == milliseconds{0}
+                         ? state.m_settings.m_worker_pause
+                         : std::min(worker.m_pause * 2, state.m_settings.m_worker_pause_limit);
+    worker.m_paused_until = now + worker.m_pause;
+    // One more failure after the pause is enough to pause again.
+    worker.m_failures_in_row = state.m_settings.m_failures_before_pause - 1;
+}
+
+auto learn_run_time(scheduler_state& state, const job_entry& job, const task_state& task, const time_point now) -> void
+{
+    if (task.m_phase != task_phase::running || !task.m_checkpoint.empty()) {
+        return;
+    }
+    const auto taken_ms = static_cast<double>((now - task.m_since).count()) / 1'000.0;
+    auto& estimate = state.m_run_times[job.m_record.m_terms.m_queue];
+    estimate.m_mean_ms =
+        estimate.m_samples == 0 ? taken_ms : estimate.m_mean_ms + run_time_weight * (taken_ms - estimate.m_mean_ms);
+    ++estimate.m_samples;
+}
+
+auto note_end(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now) -> void
+{
+    if (report.m_number <= worker.m_last_end) {
+        return;
+    }
+    worker.m_last_end = report.m_number;
+    note_worker_health(state, worker, report.m_how, now);
+    const auto run = find_run(worker, report.m_task, report.m_run);
+    if (run != worker.m_runs.end()) {
+        remove_run(state, worker, run);
+    }
+    auto* job = find_job(state, report.m_task.m_job);
+    auto* task = find_task(state, report.m_task);
+    if (job == nullptr || task == nullptr) {
+        return;
+    }
+    const bool current = task->m_phase != task_phase::waiting && task->m_run == report.m_run;
+    if (report.m_how == run_end::done && current) {
+        learn_run_time(state, *job, *task, now);
+    }
+    if (report.m_how == run_end::done || report.m_how == run_end::failed || current) {
+        // An end of an earlier run counts too, but does not touch a run that goes on elsewhere.
+        if (current || task->m_phase == task_phase::waiting || report.m_how == run_end::done) {
+            task_ended(state, *job, report.m_task, report.m_how, report.m_checkpoint, now);
+        }
+        else {
+            ++task->m_failures;
+            mark_dirty(state, *job);
+        }
+    }
+}
+
+/** @brief Gives up runs that the worker does not list though it was asked after their start had been settled. */
+auto drop_missing_runs(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
+                       const time_point now) -> void
+{
+    for (std::size_t position = 0; position < worker.m_runs.size();) {
+        auto& run = worker.m_runs[position];
+        const bool listed =
+            std::any_of(report.m_running.begin(), report.m_running.end(), [&run](const running_report& running) {
+                return running.m_run == run.m_run && running.m_task == run.m_task;
+            });
+        const bool settled =
+            (run.m_confirmed && run.m_sent < sent) || (run.m_stop_accepted && *run.m_stop_accepted <= sent);
+        // A start without an answer may be carried out later; after a stop the worker refuses it for good.
+        run.m_stop_wanted = run.m_stop_wanted || (!listed && run.m_unanswered && *run.m_unanswered <= sent);
+        if (!listed && settled) {
+            give_up_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position), now);
+        }
+        else {
+            ++position;
+        }
+    }
+}
+
+/** @brief Forgets what the worker ran if this is another life of it. */
+auto note_life(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point now) -> void
+{
+    if (worker.m_heard && report.m_born_unix_ms > worker.m_born_unix_ms && worker.m_born_unix_ms != 0) {
+        give_up_all_runs(state, worker, now);
+        worker.m_last_end = 0;
+        worker.m_acknowledged_end = 0;
+        worker.m_lease_until_ms = 0;
+        worker.m_failures_in_row = 0;
+    }
+    worker.m_born_unix_ms = std::max(worker.m_born_unix_ms, report.m_born_unix_ms);
+}
+
+} // namespace
+
+auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries, const time_point now) -> void
+{
+    for (auto& worker : state.m_workers) {
+        worker.m_registered = false;
+    }
+    for (const auto& entry : entries) {
+        const auto known = state.m_worker_by_id.find(entry.m_id);
+        if (known != state.m_worker_by_id.end()) {
+            auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
+            worker.m_registered = true;
+            worker.m_entry = entry;
+            continue;
+        }
+        state.m_worker_by_id.emplace(entry.m_id, static_cast<worker_index>(state.m_workers.size()));
+        worker_slot added;
+        added.m_entry = entry;
+        added.m_added = now;
+        state.m_workers.push_back(std::move(added));
+    }
+    state.m_dispatch_wanted = true;
+}
+
+auto apply_report(scheduler_state& state, const worker_index index, const worker_report& report, const time_point sent,
+                  const time_point now) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    if (worker.m_heard && report.m_born_unix_ms != 0 && report.m_born_unix_ms < worker.m_born_unix_ms) {
+        return;
+    }
+    note_life(state, worker, report, now);
+    if (report.m_clock_ms >= worker.m_clock_ms || !worker.m_heard) {
+        worker.m_clock_ms = report.m_clock_ms;
+        worker.m_clock_read = now;
+    }
+    state.m_dispatch_wanted = state.m_dispatch_wanted || !worker.m_heard;
+    worker.m_heard = true;
+    worker.m_last_heard = now;
+    for (const auto& end : report.m_ended) {
+        note_end(state, worker, end, now);
+    }
+    for (const auto& running : report.m_running) {
+        // A run that ended after the list was made is known by a higher end already.
+        note_running(state, worker, index, running, now);
+    }
+    drop_missing_runs(state, worker, report, sent, now);
+}
+
+auto apply_start_result(scheduler_state& state, const start_order& order, const order_result result,
+                        const time_point now) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(order.m_worker)];
+    const auto run = find_run(worker, order.m_task, order.m_run);
+    if (result == order_result::fenced) {
+        state.m_deposed = true;
+        return;
+    }
+    if (run == worker.m_runs.end()) {
+        return;
+    }
+    auto* task = find_task(state, order.m_task);
+    const bool current = task != nullptr && task->m_run == order.m_run && task->m_phase == task_phase::starting;
+    switch (result) {
+    case order_result::accepted:
+        run->m_confirmed = true;
+        run->m_sent = now;
+        if (current) {
+            task->m_phase = task_phase::running;
+            task->m_since = now;
+        }
+        return;
+    case order_result::unknown:
+        run->m_unanswered = now;
+        return;
+    case order_result::unavailable:
+    case order_result::no_room:
+        worker.m_paused_until = std::max(worker.m_paused_until, now + milliseconds{300});
+        break;
+    case order_result::other_worker:
+        worker.m_paused_until = now + milliseconds{1'000};
+        break;
+    default:
+        break;
+    }
+    give_up_run(state, worker, run, now);
+    if (current) {
+        task->m_not_before = now + state.m_settings.m_task_backoff;
+    }
+}
+
+auto apply_stop_result(scheduler_state& state, const stop_order& order, const order_result result, const time_point now)
+    -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(order.m_worker)];
+    if (result == order_result::fenced) {
+        state.m_deposed = true;
+        return;
+    }
+    const auto run = find_run(worker, order.m_task, order.m_run);
+    if (run != worker.m_runs.end() && result == order_result::accepted && !run->m_stop_accepted) {
+        run->m_stop_accepted = now;
+    }
+}
+
+auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point
+{
+    const auto left_ms = std::max<std::int64_t>(0, worker.m_lease_until_ms - worker.m_clock_ms);
+    const auto slowest_ms = left_ms + left_ms * state.m_settings.m_clock_drift_permille / 1'000;
+    return worker.m_clock_read + milliseconds{slowest_ms} + state.m_settings.m_lease_margin;
+}
+
+auto grant_lease(scheduler_state& state, const worker_index index, const time_point now) -> std::int64_t
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    const auto passed = std::chrono::duration_cast<milliseconds>(now - worker.m_clock_read);
+    const auto until = worker.m_clock_ms + (passed + state.m_settings.m_worker_lease).count();
+    worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, until);
+    return worker.m_lease_until_ms;
+}
+
+auto expire_runs(scheduler_state& state, const time_point now) -> void
+{
+    for (std::size_t position = 0; position < state.m_workers.size(); ++position) {
+        auto& worker = state.m_workers[position];
+        if (worker.m_heard && !worker.m_runs.empty() && lease_end(state, worker) < now) {
+            give_up_all_runs(state, worker, now);
+        }
+        for (auto& run : worker.m_runs) {
+            const bool repeat = run.m_stop_sent == time_point{} ||
+                                (!run.m_stop_accepted && now - run.m_stop_sent > state.m_settings.m_start_timeout);
+            if (run.m_stop_wanted && repeat) {
+                run.m_stop_sent = now;
+                state.m_stops.push_back({static_cast<worker_index>(position), run.m_task, run.m_run});
+            }
+        }
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -0,0 +1,214 @@
+#ifndef CICADALUG_SCHEDULER_SCHEDULER_STATE_HPP
+#define CICADALUG_SCHEDULER_SCHEDULER_STATE_HPP
+
+#include <cicadalug/scheduler/job.hpp>
+#include <cicadalug/scheduler/progress.hpp>
+#include <cicadalug/scheduler/worker.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Limits and times of the scheduler, from the platform's settings and from scheduler settings. */
+struct scheduler_settings {
+    /** @brief Lease of a worker's runs. Long enough for a takeover (about 2 s), short enough that the tasks of a lost
+     * worker start again soon. */
+    milliseconds m_worker_lease{4'500};
+    /** @brief Greatest rate error of a worker's clock, in parts per thousand; stated by the platform as 2 %. */
+    std::int64_t m_clock_drift_permille{20};
+    /** @brief Added to the computed end of a lease, for rounding and the journey of an answer. */
+    milliseconds m_lease_margin{100};
+    /** @brief A start without an answer is resolved after this time by a look at the worker or by a stop. */
+    milliseconds m_start_timeout{1'000};
+    /** @brief Time that a stop takes at most, from the platform's settings. */
+    milliseconds m_stop_grace{400};
+    /** @brief A worker whose tasks failed this many times in a row gets no further work for m_worker_pause. */
+    std::int64_t m_failures_before_pause{3};
+    /** @brief First pause of a failing worker; doubles up to m_worker_pause_limit. */
+    milliseconds m_worker_pause{1'500};
+    milliseconds m_worker_pause_limit{12'000};
+    /** @brief Delay before a failed task starts again, times its failures. */
+    milliseconds m_task_backoff{100};
+};
+
+/** @brief Where a task stands. */
+enum class task_phase : std::uint8_t {
+    waiting,
+    /** @brief The start was sent and not yet answered. */
+    starting,
+    running,
+    /** @brief A stop was decided. Occupies its worker until the end is listed. */
+    stopping,
+    done,
+};
+
+/** @brief Names a worker in the scheduler's table. */
+using worker_index = std::int32_t;
+
+inline constexpr worker_index no_worker{-1};
+
+/** @brief One task in memory. */
+struct task_state {
+    task_phase m_phase{task_phase::waiting};
+    worker_index m_worker{no_worker};
+    run_number m_run;
+    std::int64_t m_failures{0};
+    std::string m_checkpoint;
+    /** @brief Begin of the current phase. */
+    time_point m_since{};
+    time_point m_not_before{};
+    std::int64_t m_percent{0};
+    std::int64_t m_usage{0};
+};
+
+struct step_state {
+    std::vector<task_state> m_tasks;
+    std::size_t m_done{0};
+    /** @brief Tasks in phase waiting. */
+    std::size_t m_waiting{0};
+};
+
+struct occurrence_state {
+    std::int64_t m_number{0};
+    std::vector<step_state> m_steps;
+};
+
+/** @brief A job that has been accepted, with its progress. */
+struct job_entry {
+    job_record m_record;
+    job_state m_state{job_state::queued};
+    /** @brief The state that is in the store, and may be shown to clients. */
+    job_state m_stored_state{job_state::queued};
+    bool m_dirty{false};
+    bool m_started{false};
+    /** @brief The job was found in the store at a takeover; its tasks may run on workers that were not yet heard. */
+    bool m_recovered{false};
+    std::int64_t m_first_open{0};
+    std::vector<occurrence_state> m_open;
+    time_point m_arrived{};
+    /** @brief End of the objective. */
+    time_point m_deadline{};
+    /** @brief When the job came to its final state. */
+    time_point m_finished{};
+};
+
+/** @brief A run that occupies a worker. */
+struct placed_run {
+    task_ref m_task;
+    run_number m_run;
+    resources m_demand;
+    /** @brief The start was sent at this time; a report of an older look says nothing about it. */
+    time_point m_sent{};
+    /** @brief The worker has listed the run or accepted its start. */
+    bool m_confirmed{false};
+    /** @brief The start has had no answer since then: the run may be there, or may still come. */
+    std::optional<time_point> m_unanswered;
+    bool m_stop_wanted{false};
+    /** @brief When the last stop was sent. */
+    time_point m_stop_sent{};
+    /** @brief When a stop was first accepted: a run that a later look does not list will never run. */
+    std::optional<time_point> m_stop_accepted;
+};
+
+/** @brief A worker in the scheduler's table. Its place in the table is never reused. */
+struct worker_slot {
+    worker_entry m_entry;
+    /** @brief False after the entry left the registry. */
+    bool m_registered{true};
+    /** @brief Answered in this term of the decider. */
+    bool m_heard{false};
+    time_point m_added{};
+    time_point m_last_heard{};
+    std::int64_t m_born_unix_ms{0};
+    /** @brief Reading of the worker's clock and the latest local time at which it was taken. */
+    std::int64_t m_clock_ms{0};
+    time_point m_clock_read{};
+    /** @brief Highest end of a lease that was sent, on the worker's clock; 0 if none. */
+    std::int64_t m_lease_until_ms{0};
+    /** @brief Highest end that has been taken into the progress of its job. */
+    std::int64_t m_last_end{0};
+    /** @brief Highest end whose effect is stored. */
+    std::int64_t m_acknowledged_end{0};
+    resources m_used;
+    std::vector<placed_run> m_runs;
+    std::int64_t m_failures_in_row{0};
+    time_point m_paused_until{};
+    milliseconds m_pause{0};
+};
+
+/** @brief Order to start a run. */
+struct start_order {
+    worker_index m_worker{no_worker};
+    task_ref m_task;
+    run_number m_run;
+    std::int64_t m_lease_until_ms{0};
+    std::string m_checkpoint;
+};
+
+/** @brief Order to stop a run. */
+struct stop_order {
+    worker_index m_worker{no_worker};
+    task_ref m_task;
+    run_number m_run;
+};
+
+/** @brief Learned run time of the tasks of a queue. */
+struct run_time_estimate {
+    double m_mean_ms{0.0};
+    std::int64_t m_samples{0};
+};
+
+/**
+ * @brief All that a decider knows. Built from the store and from the workers' reports.
+ * @note Thread safety: one thread at a time.
+ */
+struct scheduler_state {
+    scheduler_settings m_settings;
+    fencing_token m_token;
+    time_point m_began{};
+    std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
+    /** @brief Jobs that are not in a final state, by service. */
+    std::map<service_id, std::vector<job_entry*>> m_active;
+    std::vector<worker_slot> m_workers;
+    std::unordered_map<worker_id, worker_index> m_worker_by_id;
+    /** @brief Jobs whose progress differs from the store. */
+    std::vector<job_entry*> m_dirty;
+    std::map<queue_id, run_time_estimate> m_run_times;
+    std::vector<start_order> m_starts;
+    std::vector<stop_order> m_stops;
+    /** @brief Something changed that may let a task start. */
+    bool m_dispatch_wanted{false};
+    /** @brief A worker refused this decider's token. */
+    bool m_deposed{false};
+};
+
+/** @brief Finds a task's state. @return The state, or null if the job or the task is not known. */
+[[nodiscard]] auto find_task(scheduler_state& state, const task_ref& task) -> task_state*;
+
+/** @brief Finds the job of an id. @return The job, or null. */
+[[nodiscard]] auto find_job(const scheduler_state& state, const job_id& id) -> job_entry*;
+
+/** @brief Returns the step of a task. @pre The task exists in the job. */
+[[nodiscard]] auto step_of(const job_entry& job, const task_ref& task) -> const step_spec&;
+
+/** @brief Returns the capacity that a task of a step reserves. */
+[[nodiscard]] auto reserved_demand(const step_spec& step) -> resources;
+
+/** @brief Checks whether a state is final. */
+[[nodiscard]] constexpr auto is_final(const job_state state) noexcept -> bool
+{
+    return state == job_state::completed || state == job_state::failed || state == job_state::cancelled;
+}
+
+} // namespace cicadalug
+
+#endif
