Carry out maintenance waves and bound leases by the decider's own

Change: leases end at most 6.5 s after the decider last renewed its own, the successor waits that long for workers it does not hear, and also for those that the log names; an unanswered renewal is repeated without extending. Waves are planned by disruption budgets, load of the pools and time left.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -11,6 +11,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace cicadalug {
@@ -58,12 +59,12 @@
 
 } // namespace
 
-decider::decider(asio::any_io_executor executor, store_client& store, const scheduler_settings& settings,
-                 const decider_term& term, std::function<void()> deposed)
-    : m_executor{std::move(executor)}, m_store{store}, m_term{term}, m_deposed{std::move(deposed)}, m_progress_wanted{
-                                                                                                        m_executor}
+decider::decider(asio::any_io_executor executor, store_client& store, const decider_settings& settings,
+                 const decider_term& term, std::function<time_point()> renewed, std::function<void()> deposed)
+    : m_executor{std::move(executor)}, m_store{store}, m_term{term}, m_settings{settings},
+      m_renewed{std::move(renewed)}, m_deposed{std::move(deposed)}, m_progress_wanted{m_executor}
 {
-    m_state.m_settings = settings;
+    m_state.m_settings = settings.m_scheduler;
     m_state.m_token = term.m_token;
 }
 
@@ -81,6 +82,9 @@
 auto decider::stop() -> void
 {
     m_active = false;
+    if (m_fleet_duty != nullptr) {
+        m_fleet_duty->stop();
+    }
     m_progress_wanted.notify();
 }
 
@@ -101,12 +105,66 @@
     return pending_jobs(m_state, queue);
 }
 
+auto decider::begin_fleet_duty() -> void
+{
+    if (m_settings.m_fleet.port() == 0) {
+        return;
+    }
+    const std::weak_ptr<decider> weak = shared_from_this();
+    fleet_duty_parts parts;
+    parts.m_executor = m_executor;
+    parts.m_store = &m_store;
+    parts.m_term = m_term;
+    parts.m_quiet_time = m_settings.m_quiet_time;
+    parts.m_upkeep = m_settings.m_upkeep;
+    parts.m_state = &m_state;
+    parts.m_may_order = [weak] {
+        const auto self = weak.lock();
+        return self != nullptr && self->m_active &&
+               monotonic_now() - self->m_renewed() < self->m_settings.m_term_lease * 3 / 4;
+    };
+    parts.m_changed = [weak] {
+        if (const auto self = weak.lock()) {
+            self->check_deposed();
+            self->schedule_pass();
+        }
+    };
+    m_fleet_duty = std::make_shared<fleet_duty>(
+        parts, std::make_unique<fleet_client>(m_executor, m_settings.m_fleet, m_settings.m_self));
+    m_fleet_duty->start();
+}
+
+auto decider::log_value() const -> std::string
+{
+    auto text = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_log_number);
+    for (const auto& worker : m_state.m_workers) {
+        if (worker.m_lease_until_ms > 0 && (worker.m_registered || !worker.m_runs.empty())) {
+            text += ' ' + worker.m_entry.m_id.str();
+        }
+    }
+    return text;
+}
+
+auto decider::read_log() -> asio::awaitable<bool>
+{
+    const auto read = co_await m_store.read(std::string{log_key}, store_timeout);
+    if (read.m_status == store_status::ok) {
+        std::istringstream text{read.m_item.m_value};
+        std::string word;
+        text >> word >> word;
+        while (text >> word) {
+            m_state.m_expected_workers.emplace(word);
+        }
+    }
+    co_return read.m_status == store_status::ok || read.m_status == store_status::missing;
+}
+
 auto decider::load_log() -> asio::awaitable<bool>
 {
     // The first write of a term makes all later writes of earlier terms fail, also those under way.
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
-    write.m_puts.push_back({std::string{log_key}, std::to_string(m_term.m_token.value()) + " 0", no_store_lease});
+    write.m_puts.push_back({std::string{log_key}, log_value(), no_store_lease});
     const auto written = co_await m_store.write(std::move(write), store_timeout);
     if (written.m_status == store_status::conflict) {
         m_state.m_deposed = true;
@@ -178,6 +236,10 @@
 auto decider::load_from_store() -> asio::awaitable<bool>
 {
     if (m_log_revision == store_revision{0}) {
+        const bool read = co_await read_log();
+        if (!read) {
+            co_return false;
+        }
         const bool written = co_await load_log();
         if (!written) {
             co_return false;
@@ -216,6 +278,7 @@
     asio::co_spawn(m_executor, follow_workers(self), asio::detached);
     asio::co_spawn(m_executor, store_progress(self), asio::detached);
     asio::co_spawn(m_executor, tick(self), asio::detached);
+    begin_fleet_duty();
 }
 
 auto decider::apply_job_change(const std::string& key, const std::optional<std::string>& value, const bool recovered)
@@ -346,6 +409,7 @@
         renewal.m_token = m_term.m_token;
         renewal.m_acknowledged_end = worker.m_acknowledged_end;
         if (worker.m_heard) {
+            m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
             renewal.m_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = renewal_wait;
         }
@@ -369,6 +433,7 @@
             check_deposed();
             co_return;
         }
+        m_state.m_workers[position].m_silent = true;
         co_await sleep_for(m_executor, renewal_pause);
     }
 }
@@ -428,8 +493,8 @@
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
     write.m_conditions.push_back({std::string{log_key}, m_log_revision});
-    const auto log_value = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(++m_log_number);
-    write.m_puts.push_back({std::string{log_key}, log_value, no_store_lease});
+    ++m_log_number;
+    write.m_puts.push_back({std::string{log_key}, log_value(), no_store_lease});
     std::vector<job_state> states;
     for (auto position = first; position < last; ++position) {
         const auto progress = progress_of(*jobs[position]);
@@ -521,6 +586,7 @@
         return;
     }
     const auto now = monotonic_now();
+    m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
     expire_runs(m_state, now);
     if (m_state.m_dispatch_wanted) {
         dispatch(m_state, now);
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/adapter/worker_client.hpp>
+#include <cicadalug/entry/fleet_duty.hpp>
 #include <cicadalug/entry/leadership.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
@@ -17,6 +18,19 @@
 
 namespace cicadalug {
 
+/** @brief Settings of a decider. */
+struct decider_settings {
+    scheduler_settings m_scheduler;
+    upkeep_settings m_upkeep;
+    entry_vm_id m_self;
+    /** @brief Interface to the VMs; port 0 if there is none. */
+    tcp_endpoint m_fleet;
+    /** @brief Time without orders for VMs at the begin of a term. */
+    milliseconds m_quiet_time{3'000};
+    /** @brief Lease of the term in the store. */
+    milliseconds m_term_lease{1'200};
+};
+
 /**
  * @brief Carries one term as the decider: loads jobs from the store, follows it, keeps the workers' leases, sends the
  * orders that the scheduler decides, and stores progress before ends are acknowledged.
@@ -28,12 +42,13 @@
      * @brief Constructs a decider that does not run yet.
      * @param executor Runs the decider.
      * @param store The store; outlives the decider.
-     * @param settings Settings of the scheduler.
+     * @param settings Settings.
      * @param term The term.
+     * @param renewed Returns when the term's lease was last renewed.
      * @param deposed Called when another decider has shown itself.
      */
-    decider(asio::any_io_executor executor, store_client& store, const scheduler_settings& settings,
-            const decider_term& term, std::function<void()> deposed);
+    decider(asio::any_io_executor executor, store_client& store, const decider_settings& settings,
+            const decider_term& term, std::function<time_point()> renewed, std::function<void()> deposed);
 
     /** @brief Starts to take over. @pre Called once, on an object owned by a shared_ptr. */
     auto start() -> void;
@@ -75,6 +90,9 @@
     [[nodiscard]] auto run_pass_later(std::shared_ptr<decider> self) -> asio::awaitable<void>;
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
+    auto begin_fleet_duty() -> void;
+    [[nodiscard]] auto log_value() const -> std::string;
+    [[nodiscard]] auto read_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
     auto note_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
     auto run_pass() -> void;
@@ -86,7 +104,10 @@
     asio::any_io_executor m_executor;
     store_client& m_store;
     decider_term m_term;
+    decider_settings m_settings;
+    std::function<time_point()> m_renewed;
     std::function<void()> m_deposed;
+    std::shared_ptr<fleet_duty> m_fleet_duty;
     scheduler_state m_state;
     std::map<std::string, worker_entry> m_registry;
     std::vector<std::shared_ptr<worker_client>> m_clients;
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -86,10 +86,18 @@
 
     auto begin_term(const decider_term& term) -> void
     {
-        scheduler_settings settings;
-        settings.m_worker_lease = std::min(settings.m_worker_lease, m_settings.m_longest_worker_lease);
-        settings.m_stop_grace = m_settings.m_stop_grace;
-        m_decider = std::make_shared<decider>(m_executor, m_store, settings, term, [this] { m_leadership.depose(); });
+        decider_settings settings;
+        auto& scheduler = settings.m_scheduler;
+        scheduler.m_worker_lease = std::min(scheduler.m_worker_lease, m_settings.m_longest_worker_lease);
+        scheduler.m_stop_grace = m_settings.m_stop_grace;
+        settings.m_upkeep.m_upkeep_time = m_settings.m_upkeep_time;
+        settings.m_self = m_settings.m_entry_vm;
+        settings.m_fleet = m_settings.m_fleet;
+        settings.m_quiet_time = m_settings.m_duty_interval;
+        settings.m_term_lease = std::max(decider_lease, m_settings.m_shortest_store_lease);
+        m_decider = std::make_shared<decider>(
+            m_executor, m_store, settings, term, [this] { return m_leadership.renewed(); },
+            [this] { m_leadership.depose(); });
         m_decider->start();
     }
 
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -0,0 +1,236 @@
+#include <cicadalug/adapter/operator_values.hpp>
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/fleet_duty.hpp>
+#include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Time for one call to the store or to the platform's interface. */
+constexpr milliseconds call_timeout{700};
+
+/** @brief The operator's waves are read this often, and VMs while a wave is open. */
+constexpr milliseconds wave_interval{1'000};
+constexpr milliseconds plan_interval{300};
+
+/** @brief Prefix of the keys under which the progress of waves is kept. */
+constexpr std::string_view upkeep_prefix{"upkeep/"};
+
+[[nodiscard]] auto upkeep_key(const std::int64_t wave) -> std::string
+{
+    return std::string{upkeep_prefix} + std::to_string(wave);
+}
+
+[[nodiscard]] auto unix_now_ms() -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+fleet_duty::fleet_duty(const fleet_duty_parts& parts, std::unique_ptr<fleet_client> fleet)
+    : m_parts{parts}, m_fleet{std::move(fleet)}
+{
+}
+
+auto fleet_duty::start() -> void
+{
+    asio::co_spawn(m_parts.m_executor, run(shared_from_this()), asio::detached);
+}
+
+auto fleet_duty::take_wave(const std::string& value) -> void
+{
+    auto order = decode_wave(value);
+    if (!order) {
+        LOG(ERROR) << log_line{"wave_unreadable"}.with("findings", order.assume_error().to_string());
+        return;
+    }
+    const auto number = order.assume_value().m_wave;
+    auto& wave = m_waves[number];
+    wave.m_progress.m_order = std::move(order).assume_value();
+}
+
+auto fleet_duty::read_progress(const std::int64_t wave) -> asio::awaitable<bool>
+{
+    auto key = upkeep_key(wave);
+    const auto read = co_await m_parts.m_store->read(std::move(key), call_timeout);
+    if (read.m_status != store_status::ok && read.m_status != store_status::missing) {
+        co_return false;
+    }
+    auto& open = m_waves[wave];
+    open.m_loaded = true;
+    const auto now_unix_ms = unix_now_ms();
+    open.m_began_unix_ms = now_unix_ms;
+    if (read.m_status == store_status::ok) {
+        std::istringstream text{read.m_item.m_value};
+        std::string state;
+        text >> state >> open.m_began_unix_ms;
+        open.m_completed = state == "completed";
+        open.m_status_written = true;
+        for (std::string vm; text >> vm;) {
+            open.m_progress.m_begun.emplace(vm);
+        }
+    }
+    else {
+        open.m_dirty = true;
+        LOG(INFO) << log_line{"wave_began"}.with("wave", wave).with("vms", open.m_progress.m_order.m_vms.size());
+    }
+    open.m_progress.m_began =
+        monotonic_now() - milliseconds{std::max<std::int64_t>(0, now_unix_ms - open.m_began_unix_ms)};
+    co_return true;
+}
+
+auto fleet_duty::read_waves() -> asio::awaitable<bool>
+{
+    const auto page = co_await m_parts.m_store->list_all(std::string{wave_prefix}, call_timeout);
+    if (page.m_status != store_status::ok) {
+        co_return false;
+    }
+    for (const auto& item : page.m_items) {
+        take_wave(item.m_value);
+    }
+    std::vector<std::int64_t> unknown;
+    for (const auto& [number, wave] : m_waves) {
+        if (!wave.m_loaded) {
+            unknown.push_back(number);
+        }
+    }
+    for (const auto number : unknown) {
+        const bool read = co_await read_progress(number);
+        if (!read) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+auto fleet_duty::store_wave(const std::int64_t number) -> asio::awaitable<void>
+{
+    auto& wave = m_waves[number];
+    std::ostringstream text;
+    text << (wave.m_completed ? "completed " : "running ") << wave.m_began_unix_ms;
+    for (const auto& vm : wave.m_progress.m_begun) {
+        text << ' ' << vm;
+    }
+    store_write write;
+    write.m_conditions.push_back({std::string{holder_key}, m_parts.m_term.m_revision});
+    write.m_puts.push_back({upkeep_key(number), std::move(text).str(), no_store_lease});
+    if (!wave.m_status_written || wave.m_completed) {
+        write.m_puts.push_back({wave_status_key(number), encode_wave_status(wave.m_completed), no_store_lease});
+    }
+    wave.m_dirty = false;
+    const auto written = co_await m_parts.m_store->write(std::move(write), call_timeout);
+    auto& stored = m_waves[number];
+    stored.m_dirty = stored.m_dirty || written.m_status != store_status::ok;
+    stored.m_status_written = stored.m_status_written || written.m_status == store_status::ok;
+}
+
+auto fleet_duty::order_upkeep(const std::shared_ptr<fleet_duty> self, const std::int64_t number, const vm_id vm)
+    -> asio::awaitable<void>
+{
+    const auto result = co_await m_fleet->begin_upkeep(vm, number, m_parts.m_term.m_token, call_timeout);
+    m_ordered.erase(vm);
+    if (!self->m_active) {
+        co_return;
+    }
+    LOG(INFO) << log_line{"upkeep_ordered"}
+                     .with("wave", number)
+                     .with("vm", vm)
+                     .with("result", static_cast<int>(result));
+    auto& progress = m_waves[number].m_progress;
+    if (result == vm_order_result::fenced) {
+        m_parts.m_state->m_deposed = true;
+        m_parts.m_changed();
+    }
+    else if (result == vm_order_result::not_of_wave || result == vm_order_result::no_such_vm) {
+        progress.m_begun.insert(vm);
+        progress.m_down.erase(vm);
+        m_waves[number].m_dirty = true;
+    }
+    else if (result == vm_order_result::not_done) {
+        progress.m_down.erase(vm);
+    }
+    else if (result == vm_order_result::accepted) {
+        progress.m_begun.insert(vm);
+        progress.m_down[vm] = monotonic_now();
+        m_waves[number].m_dirty = true;
+        const auto listed =
+            std::find_if(m_vms.begin(), m_vms.end(), [&vm](const vm_status& status) { return status.m_vm == vm; });
+        const auto worker = listed == m_vms.end() ? m_parts.m_state->m_worker_by_id.end()
+                                                  : m_parts.m_state->m_worker_by_id.find(listed->m_worker);
+        if (worker != m_parts.m_state->m_worker_by_id.end()) {
+            end_runs_of_worker(*m_parts.m_state, worker->second, monotonic_now());
+            m_parts.m_changed();
+        }
+    }
+}
+
+auto fleet_duty::advance_waves() -> asio::awaitable<void>
+{
+    auto listed = co_await m_fleet->list(call_timeout);
+    if (!listed || !m_active) {
+        co_return;
+    }
+    m_vms = std::move(*listed);
+    for (auto& [number, wave] : m_waves) {
+        if (!wave.m_loaded || wave.m_completed) {
+            continue;
+        }
+        if (m_parts.m_may_order()) {
+            static_cast<void>(
+                plan_upkeep(*m_parts.m_state, m_parts.m_upkeep, wave.m_progress, m_vms, monotonic_now()));
+            for (const auto& [vm, since] : wave.m_progress.m_down) {
+                // An order without an answer is repeated; it is carried out once.
+                if (!wave.m_progress.m_begun.contains(vm) && m_ordered.insert(vm).second) {
+                    asio::co_spawn(m_parts.m_executor, order_upkeep(shared_from_this(), number, vm), asio::detached);
+                }
+            }
+        }
+        if (is_wave_completed(wave.m_progress)) {
+            wave.m_completed = true;
+            wave.m_dirty = true;
+            LOG(INFO) << log_line{"wave_completed"}.with("wave", number);
+        }
+    }
+}
+
+auto fleet_duty::run(const std::shared_ptr<fleet_duty> self) -> asio::awaitable<void>
+{
+    const auto begin = monotonic_now();
+    auto waves_read = time_point{};
+    while (self->m_active) {
+        if (monotonic_now() - waves_read >= wave_interval) {
+            static_cast<void>(co_await read_waves());
+            waves_read = monotonic_now();
+        }
+        const bool open = std::any_of(m_waves.begin(), m_waves.end(),
+                                      [](const auto& wave) { return !wave.second.m_completed; });
+        if (open && monotonic_now() - begin > m_parts.m_quiet_time) {
+            co_await advance_waves();
+        }
+        std::vector<std::int64_t> dirty;
+        for (const auto& [number, wave] : m_waves) {
+            if (wave.m_dirty && wave.m_loaded) {
+                dirty.push_back(number);
+            }
+        }
+        for (const auto number : dirty) {
+            co_await store_wave(number);
+        }
+        co_await sleep_for(m_parts.m_executor, plan_interval);
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -0,0 +1,86 @@
+#ifndef CICADALUG_ENTRY_FLEET_DUTY_HPP
+#define CICADALUG_ENTRY_FLEET_DUTY_HPP
+
+#include <cicadalug/adapter/fleet_client.hpp>
+#include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/entry/leadership.hpp>
+#include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/upkeep.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief What the fleet duty uses of its decider. */
+struct fleet_duty_parts {
+    asio::any_io_executor m_executor;
+    store_client* m_store{nullptr};
+    decider_term m_term;
+    /** @brief Time without orders at the begin of a term, so that two holders never take turns. */
+    milliseconds m_quiet_time{3'000};
+    upkeep_settings m_upkeep;
+    /** @brief The scheduler; outlives the duty. */
+    scheduler_state* m_state{nullptr};
+    /** @brief Checks that the term goes on and that its lease is held for certain. */
+    std::function<bool()> m_may_order;
+    /** @brief Called when runs have ended or another decider has shown itself. */
+    std::function<void()> m_changed;
+};
+
+/**
+ * @brief Carries out maintenance waves: follows the operator's orders, asks the platform for the upkeep of VMs, and tells
+ * the operator how far they are. Part of one term of the decider.
+ * @note Thread safety: all functions on the executor of the parts.
+ */
+class fleet_duty : public std::enable_shared_from_this<fleet_duty> {
+public:
+    /**
+     * @brief Constructs a duty that does not run yet.
+     * @param parts What it uses.
+     * @param fleet Interface to the VMs.
+     */
+    fleet_duty(const fleet_duty_parts& parts, std::unique_ptr<fleet_client> fleet);
+
+    /** @brief Starts the duty. @pre Called once, on an object owned by a shared_ptr. */
+    auto start() -> void;
+
+    /** @brief Ends the duty. Nothing is ordered afterwards. */
+    auto stop() -> void { m_active = false; }
+
+private:
+    [[nodiscard]] auto run(std::shared_ptr<fleet_duty> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto read_waves() -> asio::awaitable<bool>;
+    [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
+    [[nodiscard]] auto advance_waves() -> asio::awaitable<void>;
+    [[nodiscard]] auto order_upkeep(std::shared_ptr<fleet_duty> self, std::int64_t wave, vm_id vm)
+        -> asio::awaitable<void>;
+    [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
+    auto take_wave(const std::string& value) -> void;
+
+    /** @brief A wave with what is known of its stored state. */
+    struct open_wave {
+        wave_progress_state m_progress;
+        std::int64_t m_began_unix_ms{0};
+        bool m_loaded{false};
+        bool m_status_written{false};
+        bool m_dirty{false};
+        bool m_completed{false};
+    };
+
+    fleet_duty_parts m_parts;
+    std::unique_ptr<fleet_client> m_fleet;
+    std::map<std::int64_t, open_wave> m_waves;
+    std::vector<vm_status> m_vms;
+    std::set<vm_id> m_ordered;
+    bool m_active{true};
+};
+
+} // namespace cicadalug
+
+#endif
--- a/packages/entry/src/cicadalug/entry/leadership.cpp
+++ b/packages/entry/src/cicadalug/entry/leadership.cpp
@@ -133,6 +133,7 @@
         co_return;
     }
     const auto value = holder_value(m_self, m_peers, m_lease);
+    const auto sent = monotonic_now();
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, store_revision{0}});
     write.m_puts.push_back({std::string{holder_key}, value, m_lease});
@@ -157,6 +158,7 @@
     m_term = decider_term{fencing_token{revision.value()}, revision};
     m_holder = decider_holder{m_self, m_peers, revision};
     m_seen = std::max(m_seen, revision);
+    m_renewed = sent;
     LOG(INFO) << log_line{"term_began"}.with("token", m_term->m_token);
     asio::co_spawn(m_executor, keep_lease(m_lease), asio::detached);
     m_begin(*m_term);
@@ -164,7 +166,6 @@
 
 auto leadership::keep_lease(const store_lease lease) -> asio::awaitable<void>
 {
-    auto renewed = monotonic_now();
     const auto interval = m_lease_time / renewals_per_lease;
     while (m_term && m_lease == lease) {
         co_await sleep_for(m_executor, interval);
@@ -174,7 +175,7 @@
         const auto sent = monotonic_now();
         const auto status = co_await m_store.keep_lease(lease, call_timeout);
         if (status == store_status::ok) {
-            renewed = sent;
+            m_renewed = sent;
         }
         else if (status == store_status::missing) {
             LOG(WARNING) << log_line{"decider_lease_lost"}.with("lease", lease);
@@ -183,7 +184,7 @@
             }
             co_return;
         }
-        else if (monotonic_now() - renewed > unrenewed_limit && m_lease == lease) {
+        else if (monotonic_now() - m_renewed > unrenewed_limit && m_lease == lease) {
             LOG(WARNING) << log_line{"decider_lease_not_renewed"}.with("lease", lease);
             end_term();
         }
--- a/packages/entry/src/cicadalug/entry/leadership.hpp
+++ b/packages/entry/src/cicadalug/entry/leadership.hpp
@@ -58,6 +58,9 @@
     /** @brief Returns the holder as last heard, or nothing if there is none. */
     [[nodiscard]] auto holder() const noexcept -> const std::optional<decider_holder>& { return m_holder; }
 
+    /** @brief Returns when the last successful renewal of the holder's lease was sent. */
+    [[nodiscard]] auto renewed() const noexcept -> time_point { return m_renewed; }
+
     /** @brief Checks whether this entry VM is the decider. */
     [[nodiscard]] auto is_decider() const noexcept -> bool { return m_term.has_value(); }
 
@@ -82,6 +85,7 @@
     std::optional<decider_term> m_term;
     store_lease m_lease{no_store_lease};
     store_revision m_seen;
+    time_point m_renewed{};
     bool m_resigned{false};
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -74,7 +74,7 @@
 [[nodiscard]] auto takes_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
     return worker.m_registered && worker.m_heard && worker.m_entry.m_service == service &&
-           worker.m_entry.m_state == worker_state::ready && worker.m_paused_until <= now &&
+           worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned && !worker.m_silent && worker.m_paused_until <= now &&
            now - worker.m_last_heard < silence_limit;
 }
 
@@ -225,18 +225,22 @@
 
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
-    const auto longest = state.m_settings.m_worker_lease +
-                         state.m_settings.m_worker_lease * state.m_settings.m_clock_drift_permille / 1'000 +
+    const auto longest = state.m_settings.m_grant_horizon +
+                         state.m_settings.m_grant_horizon * state.m_settings.m_clock_drift_permille / 1'000 +
                          state.m_settings.m_lease_margin;
     return now > state.m_began + longest ||
-           std::all_of(state.m_workers.begin(), state.m_workers.end(), [&service](const worker_slot& worker) {
+           (state.m_expected_workers.empty() &&
+            std::all_of(state.m_workers.begin(), state.m_workers.end(), [&service](const worker_slot& worker) {
                return worker.m_entry.m_service != service || worker.m_heard;
-           });
+           }));
 }
 
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_wanted = false;
+    if (state.m_grant_limit < now + state.m_settings.m_shortest_lease) {
+        return;
+    }
     for (const auto& [service, jobs] : state.m_active) {
         if (jobs.empty()) {
             continue;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -11,6 +11,10 @@
 /** @brief Weight of a new sample in the mean run time of a queue. */
 constexpr double run_time_weight{0.1};
 
+/** @brief Pauses of a worker that refused a start: for want of room or health, and because another worker answered. */
+constexpr milliseconds refusal_pause{300};
+constexpr milliseconds other_worker_pause{1'000};
+
 [[nodiscard]] auto find_run(worker_slot& worker, const task_ref& task, const run_number run)
     -> std::vector<placed_run>::iterator
 {
@@ -200,6 +204,7 @@
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
         worker.m_lease_until_ms = 0;
+        worker.m_cordoned = false;
         worker.m_failures_in_row = 0;
     }
     worker.m_born_unix_ms = std::max(worker.m_born_unix_ms, report.m_born_unix_ms);
@@ -243,7 +248,9 @@
     }
     state.m_dispatch_wanted = state.m_dispatch_wanted || !worker.m_heard;
     worker.m_heard = true;
+    worker.m_silent = false;
     worker.m_last_heard = now;
+    state.m_expected_workers.erase(worker.m_entry.m_id);
     for (const auto& end : report.m_ended) {
         note_end(state, worker, end, now);
     }
@@ -282,10 +289,10 @@
         return;
     case order_result::unavailable:
     case order_result::no_room:
-        worker.m_paused_until = std::max(worker.m_paused_until, now + milliseconds{300});
+        worker.m_paused_until = std::max(worker.m_paused_until, now + refusal_pause);
         break;
     case order_result::other_worker:
-        worker.m_paused_until = now + milliseconds{1'000};
+        worker.m_paused_until = now + other_worker_pause;
         break;
     default:
         break;
@@ -310,6 +317,11 @@
     }
 }
 
+auto end_runs_of_worker(scheduler_state& state, const worker_index index, const time_point now) -> void
+{
+    give_up_all_runs(state, state.m_workers[static_cast<std::size_t>(index)], now);
+}
+
 auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point
 {
     const auto left_ms = std::max<std::int64_t>(0, worker.m_lease_until_ms - worker.m_clock_ms);
@@ -320,9 +332,11 @@
 auto grant_lease(scheduler_state& state, const worker_index index, const time_point now) -> std::int64_t
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    const auto passed = std::chrono::duration_cast<milliseconds>(now - worker.m_clock_read);
-    const auto until = worker.m_clock_ms + (passed + state.m_settings.m_worker_lease).count();
-    worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, until);
+    if (!worker.m_silent) {
+        const auto end = std::min(now + state.m_settings.m_worker_lease, state.m_grant_limit);
+        const auto granted = std::chrono::duration_cast<milliseconds>(end - worker.m_clock_read);
+        worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, worker.m_clock_ms + granted.count());
+    }
     return worker.m_lease_until_ms;
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -32,6 +32,9 @@
 /** @brief Takes the answer to a stop. */
 auto apply_stop_result(scheduler_state& state, const stop_order& order, order_result result, time_point now) -> void;
 
+/** @brief Gives up all runs of a worker that is known to have ended. */
+auto end_runs_of_worker(scheduler_state& state, worker_index index, time_point now) -> void;
+
 /** @brief Gives up runs on workers whose lease has ended for certain, and decides stops that are due. */
 auto expire_runs(scheduler_state& state, time_point now) -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -22,7 +22,13 @@
 struct scheduler_settings {
     /** @brief Lease of a worker's runs. Long enough for a takeover (about 2 s), short enough that the tasks of a lost
      * worker start again soon. */
-    milliseconds m_worker_lease{4'500};
+    milliseconds m_worker_lease{4'000};
+    /** @brief A decider grants leases up to this long after it last renewed its own lease in the store. Bounds how long
+     * the successor of a decider that is cut off waits for workers it cannot reach; longer than the outages of the
+     * store, through which running tasks are kept. */
+    milliseconds m_grant_horizon{6'500};
+    /** @brief No task is started with a lease that ends sooner. */
+    milliseconds m_shortest_lease{800};
     /** @brief Greatest rate error of a worker's clock, in parts per thousand; stated by the platform as 2 %. */
     std::int64_t m_clock_drift_permille{20};
     /** @brief Added to the computed end of a lease, for rounding and the journey of an answer. */
@@ -128,6 +134,10 @@
     bool m_heard{false};
     time_point m_added{};
     time_point m_last_heard{};
+    /** @brief The last renewal had no answer. Its lease counts as granted, but no longer one is until the next answer. */
+    bool m_silent{false};
+    /** @brief Gets no new work, because the VM is about to be maintained or moved. */
+    bool m_cordoned{false};
     std::int64_t m_born_unix_ms{0};
     /** @brief Reading of the worker's clock and the latest local time at which it was taken. */
     std::int64_t m_clock_ms{0};
@@ -175,6 +185,10 @@
     scheduler_settings m_settings;
     fencing_token m_token;
     time_point m_began{};
+    /** @brief No lease is granted beyond this time. */
+    time_point m_grant_limit{};
+    /** @brief Workers that had leases when the last decider stored its progress, and were not heard yet. */
+    std::set<worker_id> m_expected_workers;
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
     /** @brief Jobs that are not in a final state, by service. */
     std::map<service_id, std::vector<job_entry*>> m_active;
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -0,0 +1,206 @@
+#include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/upkeep.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Share of its progress at which a task that lasts is at work. */
+constexpr std::int64_t at_work_percent{100};
+
+[[nodiscard]] auto find_worker(const scheduler_state& state, const worker_id& id) -> worker_index
+{
+    const auto found = state.m_worker_by_id.find(id);
+    return found == state.m_worker_by_id.end() ? no_worker : found->second;
+}
+
+[[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
+{
+    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
+    return found == vms.end() ? nullptr : &*found;
+}
+
+/** @brief Counts the tasks of a step that are not at work, those on a worker included. */
+[[nodiscard]] auto tasks_away(const job_entry& job, const task_ref& task, const worker_index index) -> std::int64_t
+{
+    const auto occurrence =
+        std::find_if(job.m_open.begin(), job.m_open.end(),
+                     [&task](const occurrence_state& open) { return open.m_number == task.m_occurrence; });
+    if (occurrence == job.m_open.end()) {
+        return 0;
+    }
+    const auto& tasks = occurrence->m_steps[static_cast<std::size_t>(task.m_step)].m_tasks;
+    return std::count_if(tasks.begin(), tasks.end(), [index](const task_state& member) {
+        return member.m_phase != task_phase::running || member.m_percent < at_work_percent ||
+               member.m_worker == index;
+    });
+}
+
+[[nodiscard]] auto has_short_runs(const scheduler_state& state, const worker_slot& worker) -> bool
+{
+    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&state](const placed_run& run) {
+        const auto* job = find_job(state, run.m_task.m_job);
+        return job != nullptr && !is_final(job->m_state) && !step_of(*job, run.m_task).m_long_running;
+    });
+}
+
+/** @brief Share of a pool's processors that is reserved, in thousandths. */
+[[nodiscard]] auto pool_load(const scheduler_state& state, const service_id& pool) -> std::int64_t
+{
+    std::int64_t used{0};
+    std::int64_t capacity{0};
+    for (const auto& worker : state.m_workers) {
+        if (worker.m_registered && worker.m_entry.m_service == pool) {
+            used += worker.m_used.m_cpu.value();
+            capacity += worker.m_entry.m_capacity.m_cpu.value();
+        }
+    }
+    return capacity == 0 ? 0 : used * 1'000 / capacity;
+}
+
+/** @brief Number of VMs that should be cordoned or down now for the wave to end in time. */
+[[nodiscard]] auto wanted_concurrency(const upkeep_settings& settings, const wave_progress_state& wave,
+                                      const std::int64_t open, const time_point now) -> std::int64_t
+{
+    const auto aim = wave.m_began + wave.m_order.m_duration * settings.m_aim_percent / 100;
+    const auto left = std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(aim - now).count());
+    const auto cycle = (settings.m_upkeep_time + settings.m_longest_drain).count();
+    const auto needed = (open * cycle + left - 1) / left;
+    return std::clamp<std::int64_t>(needed, 1, std::max<std::int64_t>(1, wave.m_order.m_concurrency));
+}
+
+auto release(scheduler_state& state, const worker_id& worker) -> void
+{
+    const auto index = find_worker(state, worker);
+    if (index != no_worker) {
+        state.m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
+        state.m_dispatch_wanted = true;
+    }
+}
+
+/** @brief Notes which VMs are back from their upkeep, and which are gone for good. */
+auto note_vms(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
+              const std::vector<vm_status>& vms, const time_point now) -> void
+{
+    for (auto down = wave.m_down.begin(); down != wave.m_down.end();) {
+        const auto* vm = find_vm(vms, down->first);
+        const bool back = vm == nullptr || (vm->m_phase == vm_phase::up && now - down->second > settings.m_upkeep_time);
+        down = back ? wave.m_down.erase(down) : std::next(down);
+    }
+    for (const auto& id : wave.m_order.m_vms) {
+        if (find_vm(vms, id) == nullptr) {
+            wave.m_begun.insert(id);
+        }
+    }
+    for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
+        const auto* vm = find_vm(vms, cordoned->first);
+        const bool begun = wave.m_begun.contains(cordoned->first);
+        if (vm == nullptr || vm->m_phase != vm_phase::up || begun) {
+            // The worker of a VM that has begun its upkeep is over, and stays cordoned until its entry goes.
+            if (vm != nullptr && !begun) {
+                release(state, vm->m_worker);
+            }
+            cordoned = wave.m_cordoned.erase(cordoned);
+        }
+        else {
+            ++cordoned;
+        }
+    }
+}
+
+auto cordon_next(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
+                 const std::vector<vm_status>& vms, const time_point now) -> void
+{
+    std::vector<std::pair<std::tuple<std::int64_t, std::int64_t>, const vm_status*>> open;
+    for (const auto& id : wave.m_order.m_vms) {
+        const auto* vm = find_vm(vms, id);
+        if (wave.m_begun.contains(id) || wave.m_cordoned.contains(id) || vm == nullptr || vm->m_phase != vm_phase::up) {
+            continue;
+        }
+        const auto index = find_worker(state, vm->m_worker);
+        const auto used =
+            index == no_worker ? 0 : state.m_workers[static_cast<std::size_t>(index)].m_used.m_cpu.value();
+        open.push_back({{pool_load(state, vm->m_pool), used}, vm});
+    }
+    std::sort(open.begin(), open.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    const auto unfinished = static_cast<std::int64_t>(open.size() + wave.m_cordoned.size());
+    const auto wanted = wanted_concurrency(settings, wave, unfinished, now);
+    auto busy = static_cast<std::int64_t>(wave.m_cordoned.size() + wave.m_down.size());
+    for (const auto& [key, vm] : open) {
+        if (busy >= wanted) {
+            return;
+        }
+        const auto index = find_worker(state, vm->m_worker);
+        if (index != no_worker) {
+            if (!keeps_disruption_budgets(state, vm->m_worker)) {
+                continue;
+            }
+            state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
+        }
+        wave.m_cordoned.emplace(vm->m_vm, now);
+        ++busy;
+    }
+}
+
+} // namespace
+
+auto keeps_disruption_budgets(const scheduler_state& state, const worker_id& worker) -> bool
+{
+    const auto index = find_worker(state, worker);
+    if (index == no_worker) {
+        return true;
+    }
+    const auto& slot = state.m_workers[static_cast<std::size_t>(index)];
+    return std::all_of(slot.m_runs.begin(), slot.m_runs.end(), [&](const placed_run& run) {
+        const auto* job = find_job(state, run.m_task.m_job);
+        if (job == nullptr || is_final(job->m_state)) {
+            return true;
+        }
+        const auto budget = step_of(*job, run.m_task).m_disruption_budget;
+        return budget == 0 || tasks_away(*job, run.m_task, index) <= budget;
+    });
+}
+
+auto plan_upkeep(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
+                 const std::vector<vm_status>& vms, const time_point now) -> std::vector<vm_id>
+{
+    note_vms(state, settings, wave, vms, now);
+    cordon_next(state, settings, wave, vms, now);
+    std::vector<vm_id> begin;
+    for (const auto& [id, since] : wave.m_cordoned) {
+        if (static_cast<std::int64_t>(wave.m_down.size()) >= wave.m_order.m_concurrency) {
+            break;
+        }
+        const auto* vm = find_vm(vms, id);
+        const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
+        const bool drained = index == no_worker || now - since > settings.m_longest_drain ||
+                             !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
+        if (vm == nullptr || !drained || !keeps_disruption_budgets(state, vm->m_worker)) {
+            continue;
+        }
+        wave.m_down.emplace(id, now);
+        begin.push_back(id);
+        // The tasks of this VM count as away for the next one that is looked at.
+        if (index != no_worker) {
+            for (const auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
+                if (auto* task = find_task(state, run.m_task)) {
+                    task->m_percent = 0;
+                }
+            }
+        }
+    }
+    return begin;
+}
+
+auto is_wave_completed(const wave_progress_state& wave) -> bool
+{
+    return wave.m_down.empty() &&
+           std::all_of(wave.m_order.m_vms.begin(), wave.m_order.m_vms.end(),
+                       [&wave](const vm_id& vm) { return wave.m_begun.contains(vm); });
+}
+
+} // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -5,10 +5,39 @@
 #include <cicadalug/scheduler/ids.hpp>
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <vector>
 
 namespace cicadalug {
 
+struct scheduler_state;
+
+/** @brief What a VM of a pool is doing, as the platform lists it. */
+enum class vm_phase : std::uint8_t { up, moving, maintained, down };
+
+/** @brief Entry of a VM in the platform's list. */
+struct vm_status {
+    vm_id m_vm;
+    service_id m_pool;
+    vm_phase m_phase{vm_phase::down};
+    availability_zone_id m_zone;
+    /** @brief Worker that lives on the VM; empty while there is none. */
+    worker_id m_worker;
+};
+
+/** @brief Result of an order for a VM. */
+enum class vm_order_result : std::uint8_t {
+    /** @brief Done, or done before. */
+    accepted,
+    fenced,
+    not_done,
+    not_of_wave,
+    no_such_vm,
+    /** @brief No answer: the order may have been carried out, or may be later. */
+    unknown,
+};
+
 /** @brief The operator's order to maintain a set of VMs. */
 struct wave_order {
     std::int64_t m_wave{0};
@@ -18,6 +47,54 @@
     std::int64_t m_concurrency{1};
 };
 
+/** @brief Progress of a wave. */
+struct wave_progress_state {
+    wave_order m_order;
+    time_point m_began{};
+    /** @brief VMs whose upkeep has been accepted, or that are gone. */
+    std::set<vm_id> m_begun;
+    /** @brief VMs that are down for their upkeep, with the time of the order. */
+    std::map<vm_id, time_point> m_down;
+    /** @brief VMs that get no new work until their runs have ended, with the time at which that began. */
+    std::map<vm_id, time_point> m_cordoned;
+};
+
+/** @brief Settings of the upkeep. */
+struct upkeep_settings {
+    /** @brief Time that an upkeep takes, from the platform's settings. */
+    milliseconds m_upkeep_time{2'000};
+    /** @brief A cordoned VM is taken after this time even if short tasks still run on it. */
+    milliseconds m_longest_drain{3'000};
+    /** @brief The wave aims to be finished in this many percent of its time, to have a reserve for faults. */
+    std::int64_t m_aim_percent{75};
+};
+
+/**
+ * @brief Checks whether ending a worker keeps the disruption budgets of the steps whose tasks serve there.
+ * @param state The scheduler.
+ * @param worker The worker.
+ * @return True if each step has fewer tasks away than its budget, also after the worker's end.
+ */
+[[nodiscard]] auto keeps_disruption_budgets(const scheduler_state& state, const worker_id& worker) -> bool;
+
+/**
+ * @brief Decides which VMs of a wave are cordoned and which are taken down now.
+ *
+ * Load pattern: the queues surge in turns. VMs of pools that are idle at the moment go first, so that the wave takes
+ * little of what a surging queue needs; near the end of the wave's time the order no longer matters.
+ * @param state The scheduler; workers of chosen VMs are cordoned in it.
+ * @param settings Settings.
+ * @param wave The wave.
+ * @param vms The platform's list.
+ * @param now Current time.
+ * @return VMs whose upkeep is to begin now. They count as down from now on.
+ */
+[[nodiscard]] auto plan_upkeep(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
+                               const std::vector<vm_status>& vms, time_point now) -> std::vector<vm_id>;
+
+/** @brief Checks whether each VM of a wave that is still there has begun its upkeep and is back. */
+[[nodiscard]] auto is_wave_completed(const wave_progress_state& wave) -> bool;
+
 } // namespace cicadalug
 
 #endif
