Do not take silent workers for lost while another decider may hold them

A decider in a cut-off zone took the runs of workers that it could not reach for over when their lease, as far as it knew, had ended; its successor had renewed them. Ruled out: late orders and the successor's own starts, which waited. Change: leases are taken for ended only while the term is certain. Two tasks of a step with a disruption budget are spread over workers, and a worker with too many of them is evacuated one by one before its upkeep.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -409,7 +409,7 @@
         renewal.m_token = m_term.m_token;
         renewal.m_acknowledged_end = worker.m_acknowledged_end;
         if (worker.m_heard) {
-            m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
+            note_renewal();
             renewal.m_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = renewal_wait;
         }
@@ -580,13 +580,19 @@
     }
 }
 
+auto decider::note_renewal() -> void
+{
+    m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
+    m_state.m_term_certain_until = m_renewed() + m_settings.m_term_lease;
+}
+
 auto decider::run_pass() -> void
 {
     if (!m_active) {
         return;
     }
     const auto now = monotonic_now();
-    m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
+    note_renewal();
     expire_runs(m_state, now);
     if (m_state.m_dispatch_wanted) {
         dispatch(m_state, now);
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -96,6 +96,7 @@
     auto apply_workers() -> void;
     auto note_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
     auto run_pass() -> void;
+    auto note_renewal() -> void;
     auto schedule_pass() -> void;
     auto check_deposed() -> void;
     [[nodiscard]] auto client_of(worker_index index) -> std::shared_ptr<worker_client>;
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -198,6 +198,7 @@
                 }
             }
         }
+        log_blocked(number, wave.m_progress);
         if (is_wave_completed(wave.m_progress)) {
             wave.m_completed = true;
             wave.m_dirty = true;
@@ -206,6 +207,35 @@
     }
 }
 
+auto fleet_duty::log_blocked(const std::int64_t number, const wave_progress_state& wave) const -> void
+{
+    const auto& ordered = wave.m_order.m_vms;
+    for (const auto& vm : m_vms) {
+        if (wave.m_begun.contains(vm.m_vm) || wave.m_down.contains(vm.m_vm) ||
+            std::find(ordered.begin(), ordered.end(), vm.m_vm) == ordered.end()) {
+            continue;
+        }
+        const auto task = blocking_task(*m_parts.m_state, vm.m_worker);
+        if (task) {
+            std::ostringstream members;
+            for (std::int64_t index = 0;; ++index) {
+                const auto* member =
+                    find_task(*m_parts.m_state, {task->m_job, task->m_occurrence, task->m_step, index});
+                if (member == nullptr) {
+                    break;
+                }
+                members << static_cast<int>(member->m_phase) << ':' << member->m_percent << ' ';
+            }
+            LOG_EVERY_N(INFO, 10) << log_line{"upkeep_blocked"}
+                                         .with("wave", number)
+                                         .with("vm", vm.m_vm)
+                                         .with("request", task->m_job)
+                                         .with("step", task->m_step)
+                                         .with("tasks", members.str());
+        }
+    }
+}
+
 auto fleet_duty::run(const std::shared_ptr<fleet_duty> self) -> asio::awaitable<void>
 {
     const auto begin = monotonic_now();
--- a/packages/entry/src/cicadalug/entry/fleet_duty.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -61,6 +61,7 @@
     [[nodiscard]] auto order_upkeep(std::shared_ptr<fleet_duty> self, std::int64_t wave, vm_id vm)
         -> asio::awaitable<void>;
     [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
+    auto log_blocked(std::int64_t number, const wave_progress_state& wave) const -> void;
     auto take_wave(const std::string& value) -> void;
 
     /** @brief A wave with what is known of its stored state. */
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -23,6 +23,10 @@
 /** @brief Advantage of a worker on the rack of the data, in thousandths of a core of free capacity. */
 constexpr std::int64_t data_rack_bonus{1'000'000};
 
+/** @brief Penalty for each task of the same step on a worker. Upkeep of a VM with more of them than the disruption
+ * budget has to wait until some have gone elsewhere. */
+constexpr std::int64_t same_step_penalty{10'000'000};
+
 /** @brief A step with waiting tasks. */
 struct waiting_step {
     job_entry* m_job{nullptr};
@@ -110,6 +114,9 @@
         if (!spec.m_data_rack.empty() && has_label(worker, spec.m_data_rack)) {
             score += data_rack_bonus;
         }
+        if (spec.m_disruption_budget > 0) {
+            score -= same_step_penalty * tasks_of_step(worker, task);
+        }
         if (best == no_worker || score > best_score) {
             best = index;
             best_score = score;
@@ -228,7 +235,7 @@
     const auto longest = state.m_settings.m_grant_horizon +
                          state.m_settings.m_grant_horizon * state.m_settings.m_clock_drift_permille / 1'000 +
                          state.m_settings.m_lease_margin;
-    return now > state.m_began + longest ||
+    return (now > state.m_began + longest && now < state.m_term_certain_until) ||
            (state.m_expected_workers.empty() &&
             std::all_of(state.m_workers.begin(), state.m_workers.end(), [&service](const worker_slot& worker) {
                return worker.m_entry.m_service != service || worker.m_heard;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -103,7 +103,8 @@
         task->m_phase = task_phase::running;
         task->m_since = run->m_sent;
     }
-    task->m_percent = report.m_percent;
+    // A run that is being stopped counts as away from the order on.
+    task->m_percent = run->m_stop_wanted ? 0 : report.m_percent;
     task->m_usage = report.m_usage;
     if (!report.m_checkpoint.empty()) {
         task->m_checkpoint = report.m_checkpoint;
@@ -344,7 +345,8 @@
 {
     for (std::size_t position = 0; position < state.m_workers.size(); ++position) {
         auto& worker = state.m_workers[position];
-        if (worker.m_heard && !worker.m_runs.empty() && lease_end(state, worker) < now) {
+        const bool over = lease_end(state, worker) < now && now < state.m_term_certain_until;
+        if (worker.m_heard && !worker.m_runs.empty() && over) {
             give_up_all_runs(state, worker, now);
         }
         for (auto& run : worker.m_runs) {
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -187,6 +187,9 @@
     time_point m_began{};
     /** @brief No lease is granted beyond this time. */
     time_point m_grant_limit{};
+    /** @brief Until this time no other decider can have begun. Afterwards another one may renew the leases of workers
+     * that are silent here, so that their runs are not known to be over. */
+    time_point m_term_certain_until{};
     /** @brief Workers that had leases when the last decider stored its progress, and were not heard yet. */
     std::set<worker_id> m_expected_workers;
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -36,7 +36,7 @@
     const auto& tasks = occurrence->m_steps[static_cast<std::size_t>(task.m_step)].m_tasks;
     return std::count_if(tasks.begin(), tasks.end(), [index](const task_state& member) {
         return member.m_phase != task_phase::running || member.m_percent < at_work_percent ||
-               member.m_worker == index;
+               (index != no_worker && member.m_worker == index);
     });
 }
 
@@ -82,6 +82,24 @@
     }
 }
 
+/** @brief Stops a task whose step has too many members on one worker, if its budget allows that now. The worker is
+ * cordoned, so the task starts elsewhere. */
+auto evacuate(scheduler_state& state, const task_ref& task, const worker_index index) -> void
+{
+    const auto* job = find_job(state, task.m_job);
+    auto* known = find_task(state, task);
+    if (job == nullptr || known == nullptr || known->m_percent < at_work_percent ||
+        tasks_away(*job, task, no_worker) >= step_of(*job, task).m_disruption_budget) {
+        return;
+    }
+    for (auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
+        if (run.m_task == task && run.m_run == known->m_run) {
+            run.m_stop_wanted = true;
+            known->m_percent = 0;
+        }
+    }
+}
+
 /** @brief Notes which VMs are back from their upkeep, and which are gone for good. */
 auto note_vms(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
               const std::vector<vm_status>& vms, const time_point now) -> void
@@ -118,7 +136,8 @@
     std::vector<std::pair<std::tuple<std::int64_t, std::int64_t>, const vm_status*>> open;
     for (const auto& id : wave.m_order.m_vms) {
         const auto* vm = find_vm(vms, id);
-        if (wave.m_begun.contains(id) || wave.m_cordoned.contains(id) || vm == nullptr || vm->m_phase != vm_phase::up) {
+        if (wave.m_begun.contains(id) || wave.m_cordoned.contains(id) || vm == nullptr ||
+            vm->m_phase != vm_phase::up) {
             continue;
         }
         const auto index = find_worker(state, vm->m_worker);
@@ -136,9 +155,7 @@
         }
         const auto index = find_worker(state, vm->m_worker);
         if (index != no_worker) {
-            if (!keeps_disruption_budgets(state, vm->m_worker)) {
-                continue;
-            }
+            
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
         }
         wave.m_cordoned.emplace(vm->m_vm, now);
@@ -148,21 +165,23 @@
 
 } // namespace
 
-auto keeps_disruption_budgets(const scheduler_state& state, const worker_id& worker) -> bool
+auto blocking_task(const scheduler_state& state, const worker_id& worker) -> std::optional<task_ref>
 {
     const auto index = find_worker(state, worker);
     if (index == no_worker) {
-        return true;
+        return std::nullopt;
     }
-    const auto& slot = state.m_workers[static_cast<std::size_t>(index)];
-    return std::all_of(slot.m_runs.begin(), slot.m_runs.end(), [&](const placed_run& run) {
+    for (const auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
         const auto* job = find_job(state, run.m_task.m_job);
         if (job == nullptr || is_final(job->m_state)) {
-            return true;
+            continue;
         }
         const auto budget = step_of(*job, run.m_task).m_disruption_budget;
-        return budget == 0 || tasks_away(*job, run.m_task, index) <= budget;
-    });
+        if (budget > 0 && tasks_away(*job, run.m_task, index) > budget) {
+            return run.m_task;
+        }
+    }
+    return std::nullopt;
 }
 
 auto plan_upkeep(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
@@ -179,7 +198,11 @@
         const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
         const bool drained = index == no_worker || now - since > settings.m_longest_drain ||
                              !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
-        if (vm == nullptr || !drained || !keeps_disruption_budgets(state, vm->m_worker)) {
+        if (vm == nullptr || !drained) {
+            continue;
+        }
+        if (const auto blocking = blocking_task(state, vm->m_worker)) {
+            evacuate(state, *blocking, index);
             continue;
         }
         wave.m_down.emplace(id, now);
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -2,16 +2,17 @@
 #define CICADALUG_SCHEDULER_UPKEEP_HPP
 
 #include <cicadalug/base/time.hpp>
-#include <cicadalug/scheduler/ids.hpp>
+#include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
 namespace cicadalug {
 
-struct scheduler_state;
+
 
 /** @brief What a VM of a pool is doing, as the platform lists it. */
 enum class vm_phase : std::uint8_t { up, moving, maintained, down };
@@ -70,12 +71,13 @@
 };
 
 /**
- * @brief Checks whether ending a worker keeps the disruption budgets of the steps whose tasks serve there.
+ * @brief Finds a task on a worker whose step cannot spare it: more of the step's tasks than its disruption budget would
+ * be away if the worker ended.
  * @param state The scheduler.
  * @param worker The worker.
- * @return True if each step has fewer tasks away than its budget, also after the worker's end.
+ * @return One such task, or nothing if the worker may end.
  */
-[[nodiscard]] auto keeps_disruption_budgets(const scheduler_state& state, const worker_id& worker) -> bool;
+[[nodiscard]] auto blocking_task(const scheduler_state& state, const worker_id& worker) -> std::optional<task_ref>;
 
 /**
  * @brief Decides which VMs of a wave are cordoned and which are taken down now.
