--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -0,0 +1,149 @@
+#include <cicadalug/scheduler/demand.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadalug {
+
+namespace {
+
+constexpr double millicores_per_core{1'000.0};
+constexpr double microseconds_per_ms{1'000.0};
+
+/** @brief Share of an older peak that remains when a new surge ends. */
+constexpr double peak_memory{0.5};
+
+/** @brief Expected run time of a task: learned if there is anything to learn from, else declared. */
+[[nodiscard]] auto task_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step) -> double
+{
+    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
+    const auto declared = static_cast<double>(step.m_estimate.count());
+    return learned == state.m_run_times.end() || learned->second.m_samples == 0
+               ? declared
+               : (declared + learned->second.m_mean_ms) / 2.0;
+}
+
+/** @brief Work of a job that is not done, in core-milliseconds. */
+[[nodiscard]] auto open_work(const scheduler_state& state, const job_entry& job) -> double
+{
+    double work{0.0};
+    for (const auto& occurrence : job.m_open) {
+        for (std::size_t number = 0; number < occurrence.m_steps.size(); ++number) {
+            const auto& spec = job.m_record.m_spec.m_steps[number];
+            if (spec.m_long_running || spec.m_best_effort) {
+                continue;
+            }
+            const auto& step = occurrence.m_steps[number];
+            const auto open = static_cast<double>(step.m_tasks.size() - step.m_done);
+            work += open * static_cast<double>(spec.m_demand.m_cpu.value()) / millicores_per_core *
+                    task_time_ms(state, job, spec);
+        }
+    }
+    return work;
+}
+
+[[nodiscard]] auto lasting_cores(const job_entry& job) -> double
+{
+    double cores{0.0};
+    for (const auto& step : job.m_record.m_spec.m_steps) {
+        if (step.m_long_running) {
+            cores += static_cast<double>(step.m_count * reserved_demand(step).m_cpu.value()) / millicores_per_core;
+        }
+    }
+    return cores;
+}
+
+auto note_surge_begin(demand_state& demand, const service_id& service, const time_point now) -> void
+{
+    if (!demand.m_last_surge.empty() && demand.m_last_surge != service) {
+        demand.m_successions[demand.m_last_surge] = {service, now - demand.m_last_begin};
+    }
+    demand.m_last_surge = service;
+    demand.m_last_begin = now;
+    demand.m_services[service].m_expected.reset();
+    const auto next = demand.m_successions.find(service);
+    if (next != demand.m_successions.end()) {
+        demand.m_services[next->second.m_next].m_expected = now + next->second.m_delay;
+    }
+}
+
+auto note_rate(demand_state& demand, const service_id& service, const time_point now) -> void
+{
+    auto& known = demand.m_services[service];
+    const auto& settings = demand.m_settings;
+    const bool above =
+        known.m_rate_cores * 100.0 > known.m_own_cores * static_cast<double>(settings.m_surge_begin_percent);
+    const bool below =
+        known.m_rate_cores * 100.0 < known.m_own_cores * static_cast<double>(settings.m_surge_end_percent);
+    if (!known.m_surging && above && known.m_own_cores > 0.0) {
+        known.m_surging = true;
+        known.m_peak_cores *= peak_memory;
+        note_surge_begin(demand, service, now);
+    }
+    else if (known.m_surging && below) {
+        known.m_surging = false;
+    }
+    if (known.m_surging) {
+        known.m_peak_cores = std::max(known.m_peak_cores, known.m_rate_cores);
+    }
+    if (known.m_expected && now > *known.m_expected + settings.m_patience) {
+        known.m_expected.reset();
+        std::erase_if(demand.m_successions,
+                      [&service](const auto& succession) { return succession.second.m_next == service; });
+    }
+}
+
+} // namespace
+
+auto update_demand(demand_state& demand, const scheduler_state& state, const time_point now) -> void
+{
+    const auto passed_ms = static_cast<double>((now - demand.m_updated).count()) / microseconds_per_ms;
+    const bool first = demand.m_updated == time_point{};
+    const auto keep = first ? 0.0 : std::exp(-passed_ms / static_cast<double>(demand.m_settings.m_rate_window.count()));
+    for (auto& [service, known] : demand.m_services) {
+        known.m_rate_cores *= keep;
+        known.m_backlog = 0.0;
+        known.m_lasting_cores = 0.0;
+    }
+    if (first) {
+        for (const auto& worker : state.m_workers) {
+            demand.m_services[worker.m_entry.m_service].m_own_cores +=
+                static_cast<double>(worker.m_entry.m_capacity.m_cpu.value()) / millicores_per_core;
+        }
+    }
+    for (const auto& [service, jobs] : state.m_active) {
+        auto& known = demand.m_services[service];
+        for (const auto* job : jobs) {
+            const auto work = open_work(state, *job);
+            known.m_backlog += work;
+            known.m_lasting_cores += lasting_cores(*job);
+            // Jobs that were recovered arrived some time ago and say nothing about the rate of now.
+            if (!first && !job->m_recovered && job->m_arrived > demand.m_updated) {
+                known.m_rate_cores += work / static_cast<double>(demand.m_settings.m_rate_window.count());
+            }
+        }
+    }
+    demand.m_updated = now;
+    for (const auto& [service, known] : demand.m_services) {
+        note_rate(demand, service, now);
+    }
+}
+
+auto wanted_cores(const demand_state& demand, const service_id& service, const time_point now) -> double
+{
+    const auto found = demand.m_services.find(service);
+    if (found == demand.m_services.end()) {
+        return 0.0;
+    }
+    const auto& known = found->second;
+    const auto& settings = demand.m_settings;
+    auto rate = known.m_rate_cores;
+    if (known.m_expected && now + settings.m_lead >= *known.m_expected) {
+        rate = std::max(rate, known.m_peak_cores);
+    }
+    const auto flowing = known.m_rate_cores * static_cast<double>(settings.m_flow_time.count());
+    const auto excess = std::max(0.0, known.m_backlog - flowing);
+    return known.m_lasting_cores + rate + excess / static_cast<double>(settings.m_clear_time.count());
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.hpp
@@ -0,0 +1,90 @@
+#ifndef CICADALUG_SCHEDULER_DEMAND_HPP
+#define CICADALUG_SCHEDULER_DEMAND_HPP
+
+#include <cicadalug/scheduler/scheduler_state.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace cicadalug {
+
+/** @brief Settings of the demand estimate. */
+struct demand_settings {
+    /** @brief Time constant of the arrival rate; a third of the shortest surge seen in the users' traffic. */
+    milliseconds m_rate_window{700};
+    /** @brief Backlog beyond what flows through is to be worked off in this time. */
+    milliseconds m_clear_time{1'500};
+    /** @brief Time that a job's work takes on its way through an idle pool. */
+    milliseconds m_flow_time{1'300};
+    /** @brief A surge begins when the rate exceeds this share of the pool's own processors, in percent. */
+    std::int64_t m_surge_begin_percent{45};
+    /** @brief A surge has ended when the rate is below this share. Lower, so that noise does not end it. */
+    std::int64_t m_surge_end_percent{20};
+    /** @brief Capacity is wanted this long before an expected surge: the time of a move and some reserve. */
+    milliseconds m_lead{2'300};
+    /** @brief An expected surge that has not begun by then is not expected any more. */
+    milliseconds m_patience{1'500};
+};
+
+/** @brief When the surge of a service tends to follow that of another one. */
+struct surge_succession {
+    service_id m_next;
+    microseconds m_delay{0};
+};
+
+/** @brief What is known of the demand for one service. */
+struct service_demand {
+    /** @brief Processors that the arriving jobs ask for. */
+    double m_rate_cores{0.0};
+    /** @brief Highest rate of the last surges. */
+    double m_peak_cores{0.0};
+    /** @brief Work that is accepted and not done, in core-milliseconds. */
+    double m_backlog{0.0};
+    /** @brief Processors reserved by tasks that last. */
+    double m_lasting_cores{0.0};
+    /** @brief Processors of the pool when its first worker was heard; the scale of a surge. */
+    double m_own_cores{0.0};
+    bool m_surging{false};
+    /** @brief When the next surge is expected, learned from the order of past ones. */
+    std::optional<time_point> m_expected;
+};
+
+/**
+ * @brief Demand for all services, with the order in which they surge.
+ * @note Thread safety: one thread at a time.
+ */
+struct demand_state {
+    demand_settings m_settings;
+    std::map<service_id, service_demand> m_services;
+    std::map<service_id, surge_succession> m_successions;
+    /** @brief Service that began to surge last, and when. */
+    service_id m_last_surge;
+    time_point m_last_begin{};
+    time_point m_updated{};
+};
+
+/**
+ * @brief Brings the demand up to date.
+ *
+ * Load pattern: services surge in turns, always in the same order. Reaction alone is late by the time of a move, which
+ * is a third of a surge. The order and the distance of past surges tell when and where capacity is needed next. When an
+ * expected surge does not come, the expectation is dropped and reaction remains.
+ * @param demand The demand.
+ * @param state The scheduler.
+ * @param now Current time.
+ */
+auto update_demand(demand_state& demand, const scheduler_state& state, time_point now) -> void;
+
+/**
+ * @brief Returns the processors that a service needs by the time a move would take effect.
+ * @param demand The demand.
+ * @param service The service.
+ * @param now Current time.
+ * @return Cores, those of tasks that last included.
+ */
+[[nodiscard]] auto wanted_cores(const demand_state& demand, const service_id& service, time_point now) -> double;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -0,0 +1,236 @@
+#include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+constexpr double millicores_per_core{1'000.0};
+
+/** @brief A VM that could move, with how much it is in use. */
+struct candidate {
+    const vm_status* m_vm{nullptr};
+    worker_index m_worker{no_worker};
+    /** @brief 0: in standby, 1: idle, 2: runs short tasks. */
+    int m_cost{0};
+};
+
+[[nodiscard]] auto worker_of(const scheduler_state& state, const vm_status& vm) -> worker_index
+{
+    const auto found = state.m_worker_by_id.find(vm.m_worker);
+    return found == state.m_worker_by_id.end() ? no_worker : found->second;
+}
+
+[[nodiscard]] auto runs_lasting_task(const scheduler_state& state, const worker_slot& worker) -> bool
+{
+    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&state](const placed_run& run) {
+        const auto* job = find_job(state, run.m_task.m_job);
+        return job != nullptr && !is_final(job->m_state) && step_of(*job, run.m_task).m_long_running;
+    });
+}
+
+/** @brief Processors of a pool's workers that take work, and of the VMs that are on their way to it. */
+[[nodiscard]] auto pool_cores(const scheduler_state& state, const move_state& moves, const service_id& pool,
+                              const double cores_of_vm) -> double
+{
+    double cores{0.0};
+    for (const auto& worker : state.m_workers) {
+        if (worker.m_registered && worker.m_entry.m_service == pool && !worker.m_cordoned && !worker.m_silent &&
+            worker.m_entry.m_state == worker_state::ready) {
+            cores += static_cast<double>(worker.m_entry.m_capacity.m_cpu.value()) / millicores_per_core;
+        }
+    }
+    for (const auto& [vm, move] : moves.m_moves) {
+        cores += move.m_target == pool ? cores_of_vm : 0.0;
+    }
+    return cores;
+}
+
+/** @brief Forgets moves that have ended. */
+auto note_ended_moves(scheduler_state& state, const move_settings& settings, move_state& moves,
+                      const std::vector<vm_status>& vms, const time_point now) -> void
+{
+    for (auto move = moves.m_moves.begin(); move != moves.m_moves.end();) {
+        const auto vm = std::find_if(vms.begin(), vms.end(),
+                                     [&move](const vm_status& listed) { return listed.m_vm == move->first; });
+        const bool there = vm != vms.end() && move->second.m_ordered && vm->m_phase == vm_phase::up &&
+                           vm->m_pool == move->second.m_target && worker_of(state, *vm) != no_worker;
+        const bool given_up = vm == vms.end() || now - move->second.m_since > settings.m_longest_move;
+        move = there || given_up ? moves.m_moves.erase(move) : std::next(move);
+    }
+}
+
+[[nodiscard]] auto collect_candidates(const scheduler_state& state, const move_state& moves,
+                                      const std::vector<vm_status>& vms, const std::set<service_id>& standby,
+                                      const std::set<vm_id>& reserved) -> std::vector<candidate>
+{
+    std::vector<candidate> found;
+    for (const auto& vm : vms) {
+        if (vm.m_phase != vm_phase::up || moves.m_moves.contains(vm.m_vm) || reserved.contains(vm.m_vm)) {
+            continue;
+        }
+        if (standby.contains(vm.m_pool)) {
+            found.push_back({&vm, no_worker, 0});
+            continue;
+        }
+        const auto index = worker_of(state, vm);
+        if (index == no_worker) {
+            continue;
+        }
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        if (!worker.m_registered || !worker.m_heard || worker.m_cordoned || worker.m_silent ||
+            worker.m_entry.m_state != worker_state::ready || runs_lasting_task(state, worker)) {
+            continue;
+        }
+        found.push_back({&vm, index, worker.m_runs.empty() ? 1 : 2});
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const candidate& left, const candidate& right) { return left.m_cost < right.m_cost; });
+    return found;
+}
+
+/** @brief Workers that a pool has at the moment. */
+[[nodiscard]] auto pool_size(const scheduler_state& state, const service_id& pool) -> std::int64_t
+{
+    return std::count_if(state.m_workers.begin(), state.m_workers.end(), [&pool](const worker_slot& worker) {
+        return worker.m_registered && worker.m_entry.m_service == pool && !worker.m_cordoned;
+    });
+}
+
+auto begin_move(scheduler_state& state, move_state& moves, const candidate& chosen, const service_id& target,
+                const time_point now) -> void
+{
+    moves.m_moves[chosen.m_vm->m_vm] = {target, now, false};
+    moves.m_idle_since.erase(chosen.m_vm->m_vm);
+    if (chosen.m_worker != no_worker) {
+        state.m_workers[static_cast<std::size_t>(chosen.m_worker)].m_cordoned = true;
+    }
+}
+
+/** @brief Sends VMs to the pools that lack processors. */
+auto fill_pools(scheduler_state& state, const demand_state& demand, const move_settings& settings, move_state& moves,
+                std::vector<candidate>& candidates, const std::set<service_id>& standby, const time_point now) -> void
+{
+    std::map<service_id, double> wanted;
+    std::map<service_id, double> there;
+    double cores_of_vm{0.0};
+    for (const auto& worker : state.m_workers) {
+        cores_of_vm =
+            std::max(cores_of_vm, static_cast<double>(worker.m_entry.m_capacity.m_cpu.value()) / millicores_per_core);
+    }
+    for (const auto& [service, known] : demand.m_services) {
+        if (!standby.contains(service)) {
+            wanted[service] =
+                wanted_cores(demand, service, now) * static_cast<double>(settings.m_headroom_percent) / 100.0;
+            there[service] = pool_cores(state, moves, service, cores_of_vm);
+        }
+    }
+    for (const auto& [service, cores] : wanted) {
+        for (auto& chosen : candidates) {
+            if (there[service] >= cores) {
+                break;
+            }
+            if (chosen.m_vm == nullptr || chosen.m_vm->m_pool == service) {
+                continue;
+            }
+            const auto& source = chosen.m_vm->m_pool;
+            const bool spare = standby.contains(source) || (there[source] - cores_of_vm >= wanted[source] &&
+                                                            pool_size(state, source) > settings.m_pool_minimum);
+            if (!spare) {
+                continue;
+            }
+            begin_move(state, moves, chosen, service, now);
+            there[service] += cores_of_vm;
+            there[source] -= cores_of_vm;
+            chosen.m_vm = nullptr;
+        }
+    }
+}
+
+/** @brief Sends VMs that were lent by the standby pool back when nobody needs them. */
+auto return_idle(scheduler_state& state, const demand_state& demand, const move_settings& settings, move_state& moves,
+                 const std::vector<candidate>& candidates, const std::set<service_id>& standby, const time_point now)
+    -> void
+{
+    if (standby.empty()) {
+        return;
+    }
+    for (const auto& chosen : candidates) {
+        if (chosen.m_vm == nullptr || chosen.m_cost != 1) {
+            continue;
+        }
+        const auto& pool = chosen.m_vm->m_pool;
+        const auto known = demand.m_services.find(pool);
+        const double own = known == demand.m_services.end() ? 0.0 : known->second.m_own_cores;
+        const auto& capacity = state.m_workers[static_cast<std::size_t>(chosen.m_worker)].m_entry.m_capacity;
+        const auto cores = static_cast<double>(capacity.m_cpu.value()) / millicores_per_core;
+        const bool lent = pool_cores(state, moves, pool, cores) > own;
+        const auto idle = moves.m_idle_since.try_emplace(chosen.m_vm->m_vm, now).first;
+        if (lent && now - idle->second > settings.m_idle_before_standby) {
+            begin_move(state, moves, chosen, *standby.begin(), now);
+        }
+    }
+    std::erase_if(moves.m_idle_since, [&candidates](const auto& idle) {
+        return std::none_of(candidates.begin(), candidates.end(), [&idle](const candidate& still) {
+            return still.m_vm != nullptr && still.m_cost == 1 && still.m_vm->m_vm == idle.first;
+        });
+    });
+}
+
+} // namespace
+
+auto plan_moves(scheduler_state& state, const demand_state& demand, const move_settings& settings, move_state& moves,
+                const std::vector<vm_status>& vms, const std::set<service_id>& standby, const std::set<vm_id>& reserved,
+                const time_point now) -> std::vector<move_order>
+{
+    note_ended_moves(state, settings, moves, vms, now);
+    auto candidates = collect_candidates(state, moves, vms, standby, reserved);
+    fill_pools(state, demand, settings, moves, candidates, standby, now);
+    return_idle(state, demand, settings, moves, candidates, standby, now);
+    std::vector<move_order> orders;
+    for (const auto& vm : vms) {
+        const auto move = moves.m_moves.find(vm.m_vm);
+        if (move == moves.m_moves.end() || move->second.m_ordered) {
+            continue;
+        }
+        const auto index = worker_of(state, vm);
+        if (index != no_worker && !standby.contains(vm.m_pool)) {
+            auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+            if (!worker.m_runs.empty()) {
+                if (now - move->second.m_since > settings.m_longest_drain) {
+                    worker.m_cordoned = false;
+                    state.m_dispatch_wanted = true;
+                    moves.m_moves.erase(move);
+                }
+                continue;
+            }
+        }
+        move->second.m_ordered = true;
+        orders.push_back({vm.m_vm, vm.m_worker, move->second.m_target});
+    }
+    return orders;
+}
+
+auto note_move_result(scheduler_state& state, move_state& moves, const move_order& order, const vm_order_result result,
+                      const time_point now) -> void
+{
+    const auto known = state.m_worker_by_id.find(order.m_worker);
+    if (result == vm_order_result::accepted) {
+        if (known != state.m_worker_by_id.end()) {
+            end_runs_of_worker(state, known->second, now);
+        }
+        return;
+    }
+    if (result != vm_order_result::unknown) {
+        moves.m_moves.erase(order.m_vm);
+        if (known != state.m_worker_by_id.end()) {
+            state.m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
+        }
+    }
+}
+
+} // namespace cicadalug
