Move VMs to where work waits

Change: demand by pool from arrivals, running tasks and tasks that could run now; the order of surges is learned; VMs in standby and idle workers move.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -117,6 +117,8 @@
     parts.m_term = m_term;
     parts.m_quiet_time = m_settings.m_quiet_time;
     parts.m_upkeep = m_settings.m_upkeep;
+    parts.m_moves = m_settings.m_moves;
+    parts.m_config = m_settings.m_config;
     parts.m_state = &m_state;
     parts.m_may_order = [weak] {
         const auto self = weak.lock();
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -22,6 +22,9 @@
 struct decider_settings {
     scheduler_settings m_scheduler;
     upkeep_settings m_upkeep;
+    move_settings m_moves;
+    /** @brief Returns the configuration in force, or null. */
+    std::function<std::shared_ptr<const fleet_config>()> m_config;
     entry_vm_id m_self;
     /** @brief Interface to the VMs; port 0 if there is none. */
     tcp_endpoint m_fleet;
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -11,6 +11,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -21,9 +22,17 @@
 /** @brief Time for one call to the store or to the platform's interface. */
 constexpr milliseconds call_timeout{700};
 
-/** @brief The operator's waves are read this often, and VMs while a wave is open. */
+/** @brief The operator's waves are read this often. */
 constexpr milliseconds wave_interval{1'000};
-constexpr milliseconds plan_interval{300};
+
+/** @brief VMs are listed this often: a tenth of a second more or less in seeing a move's end costs little. */
+constexpr milliseconds list_interval{300};
+
+/** @brief The demand of each pool is logged this often. */
+constexpr milliseconds demand_log_interval{1'000};
+
+/** @brief Moves and upkeeps are planned this often. */
+constexpr milliseconds plan_interval{100};
 
 /** @brief Prefix of the keys under which the progress of waves is kept. */
 constexpr std::string_view upkeep_prefix{"upkeep/"};
@@ -177,13 +186,81 @@
     }
 }
 
-auto fleet_duty::advance_waves() -> asio::awaitable<void>
+auto fleet_duty::list_vms() -> asio::awaitable<void>
 {
     auto listed = co_await m_fleet->list(call_timeout);
-    if (!listed || !m_active) {
+    if (listed) {
+        m_vms = std::move(*listed);
+        m_listed = monotonic_now();
+    }
+}
+
+auto fleet_duty::order_move(const std::shared_ptr<fleet_duty> self, const move_order order) -> asio::awaitable<void>
+{
+    const auto result = co_await m_fleet->move(order.m_vm, order.m_target, m_parts.m_term.m_token, call_timeout);
+    if (!self->m_active) {
         co_return;
     }
-    m_vms = std::move(*listed);
+    LOG(INFO) << log_line{"move_ordered"}
+                     .with("vm", order.m_vm)
+                     .with("pool", order.m_target)
+                     .with("result", static_cast<int>(result));
+    if (result == vm_order_result::fenced) {
+        m_parts.m_state->m_deposed = true;
+    }
+    note_move_result(*m_parts.m_state, m_moves, order, result, monotonic_now());
+    m_parts.m_changed();
+}
+
+auto fleet_duty::advance_moves() -> void
+{
+    const auto now = monotonic_now();
+    update_demand(m_demand, *m_parts.m_state, now);
+    const auto config = m_parts.m_config();
+    if (config == nullptr || !m_parts.m_may_order() || m_vms.empty()) {
+        return;
+    }
+    std::set<service_id> standby;
+    for (const auto& service : config->m_services) {
+        if (service.m_standby) {
+            standby.insert(service.m_id);
+        }
+    }
+    std::set<vm_id> reserved;
+    for (const auto& [number, wave] : m_waves) {
+        for (const auto& [vm, since] : wave.m_progress.m_cordoned) {
+            reserved.insert(vm);
+        }
+        for (const auto& [vm, since] : wave.m_progress.m_down) {
+            reserved.insert(vm);
+        }
+    }
+    if (now - m_logged >= demand_log_interval) {
+        m_logged = now;
+        for (const auto& [service, known] : m_demand.m_services) {
+            const auto ready = std::count_if(
+                m_parts.m_state->m_workers.begin(), m_parts.m_state->m_workers.end(),
+                [&service = service](const worker_slot& worker) {
+                    return worker.m_registered && !worker.m_cordoned && worker.m_entry.m_service == service;
+                });
+            LOG(INFO) << log_line{"pool_demand"}
+                             .with("pool", service)
+                             .with("workers", ready)
+                             .with("rate_cores", std::lround(known.m_rate_cores))
+                             .with("ready_core_s", std::lround((known.m_ready + known.m_late_ready) / 1'000.0))
+                             .with("lasting_cores", std::lround(known.m_lasting_cores))
+                             .with("wanted_cores", std::lround(wanted_cores(m_demand, service, now)))
+                             .with("expected", known.m_expected.has_value());
+        }
+    }
+    for (auto& order :
+         plan_moves(*m_parts.m_state, m_demand, m_parts.m_moves, m_moves, m_vms, standby, reserved, now)) {
+        asio::co_spawn(m_parts.m_executor, order_move(shared_from_this(), std::move(order)), asio::detached);
+    }
+}
+
+auto fleet_duty::advance_waves() -> void
+{
     for (auto& [number, wave] : m_waves) {
         if (!wave.m_loaded || wave.m_completed) {
             continue;
@@ -245,10 +322,13 @@
             static_cast<void>(co_await read_waves());
             waves_read = monotonic_now();
         }
-        const bool open = std::any_of(m_waves.begin(), m_waves.end(),
-                                      [](const auto& wave) { return !wave.second.m_completed; });
-        if (open && monotonic_now() - begin > m_parts.m_quiet_time) {
-            co_await advance_waves();
+        const bool quiet = monotonic_now() - begin < m_parts.m_quiet_time;
+        if (monotonic_now() - m_listed >= list_interval) {
+            co_await list_vms();
+        }
+        if (!quiet && self->m_active) {
+            advance_waves();
+            advance_moves();
         }
         std::vector<std::int64_t> dirty;
         for (const auto& [number, wave] : m_waves) {
--- a/packages/entry/src/cicadalug/entry/fleet_duty.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -5,6 +5,8 @@
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/entry/leadership.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/queue_config.hpp>
 #include <cicadalug/scheduler/upkeep.hpp>
 
 #include <cstdint>
@@ -25,6 +27,9 @@
     /** @brief Time without orders at the begin of a term, so that two holders never take turns. */
     milliseconds m_quiet_time{3'000};
     upkeep_settings m_upkeep;
+    move_settings m_moves;
+    /** @brief Returns the configuration in force, or null. */
+    std::function<std::shared_ptr<const fleet_config>()> m_config;
     /** @brief The scheduler; outlives the duty. */
     scheduler_state* m_state{nullptr};
     /** @brief Checks that the term goes on and that its lease is held for certain. */
@@ -34,7 +39,7 @@
 };
 
 /**
- * @brief Carries out maintenance waves: follows the operator's orders, asks the platform for the upkeep of VMs, and tells
+ * @brief Carries out maintenance waves and moves VMs between pools: follows the operator's orders and the demand, and tells
  * the operator how far they are. Part of one term of the decider.
  * @note Thread safety: all functions on the executor of the parts.
  */
@@ -57,7 +62,10 @@
     [[nodiscard]] auto run(std::shared_ptr<fleet_duty> self) -> asio::awaitable<void>;
     [[nodiscard]] auto read_waves() -> asio::awaitable<bool>;
     [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
-    [[nodiscard]] auto advance_waves() -> asio::awaitable<void>;
+    [[nodiscard]] auto list_vms() -> asio::awaitable<void>;
+    auto advance_waves() -> void;
+    auto advance_moves() -> void;
+    [[nodiscard]] auto order_move(std::shared_ptr<fleet_duty> self, move_order order) -> asio::awaitable<void>;
     [[nodiscard]] auto order_upkeep(std::shared_ptr<fleet_duty> self, std::int64_t wave, vm_id vm)
         -> asio::awaitable<void>;
     [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
@@ -79,6 +87,10 @@
     std::map<std::int64_t, open_wave> m_waves;
     std::vector<vm_status> m_vms;
     std::set<vm_id> m_ordered;
+    demand_state m_demand;
+    move_state m_moves;
+    time_point m_listed{};
+    time_point m_logged{};
     bool m_active{true};
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/demand.hpp>
+#include <cicadalug/scheduler/dispatch.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -23,10 +24,18 @@
                : (declared + learned->second.m_mean_ms) / 2.0;
 }
 
-/** @brief Work of a job that is not done, in core-milliseconds. */
-[[nodiscard]] auto open_work(const scheduler_state& state, const job_entry& job) -> double
+/** @brief Work of a job, in core-milliseconds, and the part of its demand that could be met at once. */
+struct job_work {
+    double m_all{0.0};
+    /** @brief Work of waiting tasks whose steps are ready. Further capacity does nothing for the others. */
+    double m_ready{0.0};
+    /** @brief Processors of its runs. */
+    double m_running_cores{0.0};
+};
+
+[[nodiscard]] auto work_of(const scheduler_state& state, const job_entry& job) -> job_work
 {
-    double work{0.0};
+    job_work work;
     for (const auto& occurrence : job.m_open) {
         for (std::size_t number = 0; number < occurrence.m_steps.size(); ++number) {
             const auto& spec = job.m_record.m_spec.m_steps[number];
@@ -34,9 +43,14 @@
                 continue;
             }
             const auto& step = occurrence.m_steps[number];
-            const auto open = static_cast<double>(step.m_tasks.size() - step.m_done);
-            work += open * static_cast<double>(spec.m_demand.m_cpu.value()) / millicores_per_core *
-                    task_time_ms(state, job, spec);
+            const auto cores = static_cast<double>(spec.m_demand.m_cpu.value()) / millicores_per_core;
+            const auto time_ms = task_time_ms(state, job, spec);
+            const auto open = step.m_tasks.size() - step.m_done;
+            work.m_all += static_cast<double>(open) * cores * time_ms;
+            work.m_running_cores += static_cast<double>(open - step.m_waiting) * cores;
+            if (step.m_waiting > 0 && is_ready(job, occurrence, number)) {
+                work.m_ready += static_cast<double>(step.m_waiting) * cores * time_ms;
+            }
         }
     }
     return work;
@@ -60,6 +74,7 @@
     }
     demand.m_last_surge = service;
     demand.m_last_begin = now;
+    demand.m_services[service].m_surged = now;
     demand.m_services[service].m_expected.reset();
     const auto next = demand.m_successions.find(service);
     if (next != demand.m_successions.end()) {
@@ -102,7 +117,9 @@
     const auto keep = first ? 0.0 : std::exp(-passed_ms / static_cast<double>(demand.m_settings.m_rate_window.count()));
     for (auto& [service, known] : demand.m_services) {
         known.m_rate_cores *= keep;
-        known.m_backlog = 0.0;
+        known.m_running_cores = 0.0;
+        known.m_ready = 0.0;
+        known.m_late_ready = 0.0;
         known.m_lasting_cores = 0.0;
     }
     if (first) {
@@ -114,12 +131,13 @@
     for (const auto& [service, jobs] : state.m_active) {
         auto& known = demand.m_services[service];
         for (const auto* job : jobs) {
-            const auto work = open_work(state, *job);
-            known.m_backlog += work;
+            const auto work = work_of(state, *job);
+            known.m_running_cores += work.m_running_cores;
+            (judge_urgency(state, *job, now) == urgency::in_time ? known.m_ready : known.m_late_ready) += work.m_ready;
             known.m_lasting_cores += lasting_cores(*job);
             // Jobs that were recovered arrived some time ago and say nothing about the rate of now.
             if (!first && !job->m_recovered && job->m_arrived > demand.m_updated) {
-                known.m_rate_cores += work / static_cast<double>(demand.m_settings.m_rate_window.count());
+                known.m_rate_cores += work.m_all / static_cast<double>(demand.m_settings.m_rate_window.count());
             }
         }
     }
@@ -129,6 +147,19 @@
     }
 }
 
+auto may_lend(const demand_state& demand, const service_id& service) -> bool
+{
+    const auto found = demand.m_services.find(service);
+    if (found == demand.m_services.end()) {
+        return true;
+    }
+    const auto next = demand.m_successions.find(demand.m_last_surge);
+    if (next != demand.m_successions.end()) {
+        return next->second.m_next != service;
+    }
+    return found->second.m_surged.has_value();
+}
+
 auto wanted_cores(const demand_state& demand, const service_id& service, const time_point now) -> double
 {
     const auto found = demand.m_services.find(service);
@@ -141,9 +172,9 @@
     if (known.m_expected && now + settings.m_lead >= *known.m_expected) {
         rate = std::max(rate, known.m_peak_cores);
     }
-    const auto flowing = known.m_rate_cores * static_cast<double>(settings.m_flow_time.count());
-    const auto excess = std::max(0.0, known.m_backlog - flowing);
-    return known.m_lasting_cores + rate + excess / static_cast<double>(settings.m_clear_time.count());
+    const auto present = known.m_running_cores + known.m_ready / static_cast<double>(settings.m_clear_time.count()) +
+                         known.m_late_ready / static_cast<double>(settings.m_late_clear_time.count());
+    return known.m_lasting_cores + std::max(rate, present);
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/demand.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.hpp
@@ -13,10 +13,11 @@
 struct demand_settings {
     /** @brief Time constant of the arrival rate; a third of the shortest surge seen in the users' traffic. */
     milliseconds m_rate_window{700};
-    /** @brief Backlog beyond what flows through is to be worked off in this time. */
-    milliseconds m_clear_time{1'500};
-    /** @brief Time that a job's work takes on its way through an idle pool. */
-    milliseconds m_flow_time{1'300};
+    /** @brief Tasks that could run now are to have started in this time. */
+    milliseconds m_clear_time{1'000};
+    /** @brief The same for jobs that are late already: they earn little, and VMs are better sent where jobs can still be
+     * in time. */
+    milliseconds m_late_clear_time{2'500};
     /** @brief A surge begins when the rate exceeds this share of the pool's own processors, in percent. */
     std::int64_t m_surge_begin_percent{45};
     /** @brief A surge has ended when the rate is below this share. Lower, so that noise does not end it. */
@@ -39,13 +40,19 @@
     double m_rate_cores{0.0};
     /** @brief Highest rate of the last surges. */
     double m_peak_cores{0.0};
-    /** @brief Work that is accepted and not done, in core-milliseconds. */
-    double m_backlog{0.0};
+    /** @brief Processors of running tasks, those that last excluded. */
+    double m_running_cores{0.0};
+    /** @brief Work of waiting tasks that could run now, in core-milliseconds, of jobs that can still be in time. */
+    double m_ready{0.0};
+    /** @brief The same of jobs that are late already. */
+    double m_late_ready{0.0};
     /** @brief Processors reserved by tasks that last. */
     double m_lasting_cores{0.0};
     /** @brief Processors of the pool when its first worker was heard; the scale of a surge. */
     double m_own_cores{0.0};
     bool m_surging{false};
+    /** @brief When the last surge began; nothing before the first one. */
+    std::optional<time_point> m_surged;
     /** @brief When the next surge is expected, learned from the order of past ones. */
     std::optional<time_point> m_expected;
 };
@@ -76,6 +83,15 @@
  */
 auto update_demand(demand_state& demand, const scheduler_state& state, time_point now) -> void;
 
+/**
+ * @brief Checks whether a service's own capacity may be lent as far as it is idle: its next surge is known not to be the
+ * next one, or it has just surged. A service of which nothing is known keeps most of its own capacity.
+ * @param demand The demand.
+ * @param service The service.
+ * @return True if only its present demand has to be covered.
+ */
+[[nodiscard]] auto may_lend(const demand_state& demand, const service_id& service) -> bool;
+
 /**
  * @brief Returns the processors that a service needs by the time a move would take effect.
  * @param demand The demand.
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -23,6 +23,9 @@
 /** @brief Advantage of a worker on the rack of the data, in thousandths of a core of free capacity. */
 constexpr std::int64_t data_rack_bonus{1'000'000};
 
+/** @brief Advantage of a worker with tasks that last. */
+constexpr std::int64_t shared_worker_bonus{1'000'000};
+
 /** @brief Penalty for each task of the same step on a worker. Upkeep of a VM with more of them than the disruption
  * budget has to wait until some have gone elsewhere. */
 constexpr std::int64_t same_step_penalty{10'000'000};
@@ -35,15 +38,6 @@
     urgency m_urgency{urgency::in_time};
 };
 
-[[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, const std::size_t step) -> bool
-{
-    const auto& after = job.m_record.m_spec.m_steps[step].m_after;
-    return std::all_of(after.begin(), after.end(), [&occurrence](const std::int64_t earlier) {
-        const auto& before = occurrence.m_steps[static_cast<std::size_t>(earlier)];
-        return before.m_done == before.m_tasks.size();
-    });
-}
-
 [[nodiscard]] auto collect_waiting(const scheduler_state& state, const std::vector<job_entry*>& jobs,
                                    const bool recovered, const time_point now) -> std::vector<waiting_step>
 {
@@ -114,6 +108,11 @@
         if (!spec.m_data_rack.empty() && has_label(worker, spec.m_data_rack)) {
             score += data_rack_bonus;
         }
+        // Tasks that last share few workers, and short ones go there first, so that the others are free to change pools.
+        if (std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
+                        [](const placed_run& run) { return run.m_long_running; })) {
+            score += shared_worker_bonus;
+        }
         if (spec.m_disruption_budget > 0) {
             score -= same_step_penalty * tasks_of_step(worker, task);
         }
@@ -143,6 +142,7 @@
     placed.m_task = task;
     placed.m_run = run;
     placed.m_demand = reserved_demand(step_of(job, task));
+    placed.m_long_running = step_of(job, task).m_long_running;
     placed.m_sent = now;
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
@@ -221,6 +221,15 @@
 
 } // namespace
 
+auto is_ready(const job_entry& job, const occurrence_state& occurrence, const std::size_t step) -> bool
+{
+    const auto& after = job.m_record.m_spec.m_steps[step].m_after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](const std::int64_t earlier) {
+        const auto& before = occurrence.m_steps[static_cast<std::size_t>(earlier)];
+        return before.m_done == before.m_tasks.size();
+    });
+}
+
 auto judge_urgency(const scheduler_state& state, const job_entry& job, const time_point now) -> urgency
 {
     const auto objective = job.m_deadline - job.m_arrived;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace cicadalug {
@@ -19,6 +20,9 @@
     overdue,
 };
 
+/** @brief Checks whether all steps that a step comes after are done. */
+[[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, std::size_t step) -> bool;
+
 /**
  * @brief Judges what a job is still worth to its client.
  *
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -25,12 +25,10 @@
     return found == state.m_worker_by_id.end() ? no_worker : found->second;
 }
 
-[[nodiscard]] auto runs_lasting_task(const scheduler_state& state, const worker_slot& worker) -> bool
+[[nodiscard]] auto runs_lasting_task(const worker_slot& worker) -> bool
 {
-    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&state](const placed_run& run) {
-        const auto* job = find_job(state, run.m_task.m_job);
-        return job != nullptr && !is_final(job->m_state) && step_of(*job, run.m_task).m_long_running;
-    });
+    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
+                       [](const placed_run& run) { return run.m_long_running; });
 }
 
 /** @brief Processors of a pool's workers that take work, and of the VMs that are on their way to it. */
@@ -83,7 +81,7 @@
         }
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         if (!worker.m_registered || !worker.m_heard || worker.m_cordoned || worker.m_silent ||
-            worker.m_entry.m_state != worker_state::ready || runs_lasting_task(state, worker)) {
+            worker.m_entry.m_state != worker_state::ready || runs_lasting_task(worker)) {
             continue;
         }
         found.push_back({&vm, index, worker.m_runs.empty() ? 1 : 2});
@@ -117,6 +115,7 @@
 {
     std::map<service_id, double> wanted;
     std::map<service_id, double> there;
+    std::map<service_id, double> kept;
     double cores_of_vm{0.0};
     for (const auto& worker : state.m_workers) {
         cores_of_vm =
@@ -127,26 +126,44 @@
             wanted[service] =
                 wanted_cores(demand, service, now) * static_cast<double>(settings.m_headroom_percent) / 100.0;
             there[service] = pool_cores(state, moves, service, cores_of_vm);
+            kept[service] = wanted[service];
+            if (!may_lend(demand, service)) {
+                kept[service] = std::max(kept[service],
+                                         known.m_own_cores * static_cast<double>(settings.m_kept_percent) / 100.0);
+            }
         }
     }
-    for (const auto& [service, cores] : wanted) {
+    const auto ratio = [&](const service_id& service, const double change) {
+        return (there[service] + change) / std::max(1.0, wanted[service]);
+    };
+    for (bool moved = true; moved;) {
+        moved = false;
+        const auto neediest =
+            std::min_element(wanted.begin(), wanted.end(), [&ratio](const auto& left, const auto& right) {
+                return ratio(left.first, 0.0) < ratio(right.first, 0.0);
+            });
+        if (neediest == wanted.end() || ratio(neediest->first, 0.0) >= 1.0) {
+            return;
+        }
+        const auto& target = neediest->first;
         for (auto& chosen : candidates) {
-            if (there[service] >= cores) {
-                break;
-            }
-            if (chosen.m_vm == nullptr || chosen.m_vm->m_pool == service) {
+            if (chosen.m_vm == nullptr || chosen.m_vm->m_pool == target) {
                 continue;
             }
             const auto& source = chosen.m_vm->m_pool;
-            const bool spare = standby.contains(source) || (there[source] - cores_of_vm >= wanted[source] &&
-                                                            pool_size(state, source) > settings.m_pool_minimum);
-            if (!spare) {
-                continue;
+            const bool idle = there[source] - cores_of_vm >= kept[source];
+            const bool better_used = (there[source] - cores_of_vm) / std::max(1.0, kept[source]) >
+                                     ratio(target, cores_of_vm) + settings.m_advantage;
+            const bool spare = standby.contains(source) ||
+                               ((idle || better_used) && pool_size(state, source) > settings.m_pool_minimum);
+            if (spare) {
+                begin_move(state, moves, chosen, target, now);
+                there[target] += cores_of_vm;
+                there[source] -= cores_of_vm;
+                chosen.m_vm = nullptr;
+                moved = true;
+                break;
             }
-            begin_move(state, moves, chosen, service, now);
-            there[service] += cores_of_vm;
-            there[source] -= cores_of_vm;
-            chosen.m_vm = nullptr;
         }
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -112,6 +112,7 @@
     task_ref m_task;
     run_number m_run;
     resources m_demand;
+    bool m_long_running{false};
     /** @brief The start was sent at this time; a report of an older look says nothing about it. */
     time_point m_sent{};
     /** @brief The worker has listed the run or accepted its start. */
