Count a failed run once, and keep ends of one step apart

Change: the latest counted run is stored with the count; runs of a VM with an order under way count as away.

--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -168,19 +168,20 @@
         progress.m_down.erase(vm);
         m_waves[number].m_dirty = true;
     }
-    else if (result == vm_order_result::not_done) {
+    const auto listed =
+        std::find_if(m_vms.begin(), m_vms.end(), [&vm](const vm_status& status) { return status.m_vm == vm; });
+    const auto worker = listed == m_vms.end() ? worker_id{} : listed->m_worker;
+    if (result == vm_order_result::not_done) {
         progress.m_down.erase(vm);
+        set_ending(*m_parts.m_state, worker, false);
     }
     else if (result == vm_order_result::accepted) {
         progress.m_begun.insert(vm);
         progress.m_down[vm] = monotonic_now();
         m_waves[number].m_dirty = true;
-        const auto listed =
-            std::find_if(m_vms.begin(), m_vms.end(), [&vm](const vm_status& status) { return status.m_vm == vm; });
-        const auto worker = listed == m_vms.end() ? m_parts.m_state->m_worker_by_id.end()
-                                                  : m_parts.m_state->m_worker_by_id.find(listed->m_worker);
-        if (worker != m_parts.m_state->m_worker_by_id.end()) {
-            end_runs_of_worker(*m_parts.m_state, worker->second, monotonic_now());
+        const auto known = m_parts.m_state->m_worker_by_id.find(worker);
+        if (known != m_parts.m_state->m_worker_by_id.end()) {
+            end_runs_of_worker(*m_parts.m_state, known->second, monotonic_now());
             m_parts.m_changed();
         }
     }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -29,6 +29,7 @@
         for (std::size_t index = 0; index < tasks.size() && index < stored.m_steps[step].size(); ++index) {
             const auto& from = stored.m_steps[step][index];
             tasks[index].m_failures = from.m_failures;
+            tasks[index].m_failed_run = from.m_failed_run;
             tasks[index].m_checkpoint = from.m_checkpoint;
             if (from.m_done) {
                 tasks[index].m_phase = task_phase::done;
@@ -205,16 +206,16 @@
     }
 }
 
-auto task_ended(scheduler_state& state, job_entry& job, const task_ref& task, const run_end how,
-                const std::string& checkpoint, const time_point now) -> void
+auto task_ended(scheduler_state& state, job_entry& job, const task_end& end, const time_point now) -> void
 {
+    const auto& [task, run, how, checkpoint] = end;
     auto* found = find_task(state, task);
     if (found == nullptr || found->m_phase == task_phase::done || is_final(job.m_state)) {
         return;
     }
     const auto& spec = step_of(job, task);
-    auto& occurrence = *std::find_if(job.m_open.begin(), job.m_open.end(), [&task](const occurrence_state& open) {
-        return open.m_number == task.m_occurrence;
+    auto& occurrence = *std::find_if(job.m_open.begin(), job.m_open.end(), [&end](const occurrence_state& open) {
+        return open.m_number == end.m_task.m_occurrence;
     });
     auto& step = occurrence.m_steps[static_cast<std::size_t>(task.m_step)];
     if (!checkpoint.empty()) {
@@ -247,8 +248,9 @@
     found->m_worker = no_worker;
     found->m_percent = 0;
     found->m_since = now;
-    if (how == run_end::failed && !spec.m_long_running) {
+    if (how == run_end::failed && !spec.m_long_running && run > found->m_failed_run) {
         ++found->m_failures;
+        found->m_failed_run = run;
         found->m_not_before = now + state.m_settings.m_task_backoff * found->m_failures;
         mark_dirty(state, job);
         if (found->m_failures >= job.m_record.m_terms.m_max_attempts) {
@@ -279,7 +281,7 @@
             tasks.reserve(step.m_tasks.size());
             for (const auto& task : step.m_tasks) {
                 const bool done = task.m_phase == task_phase::done;
-                tasks.push_back({done, task.m_failures, done ? std::string{} : task.m_checkpoint});
+                tasks.push_back({done, task.m_failures, task.m_failed_run, done ? std::string{} : task.m_checkpoint});
             }
             stored.m_steps.push_back(std::move(tasks));
         }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -40,9 +40,16 @@
  */
 auto open_due_occurrences(scheduler_state& state, const clock_reading& clock) -> void;
 
-/** @brief Takes an end of a task into its job. @pre The task is known and not done. */
-auto task_ended(scheduler_state& state, job_entry& job, const task_ref& task, run_end how,
-                const std::string& checkpoint, time_point now) -> void;
+/** @brief How a run of a task ended. */
+struct task_end {
+    task_ref m_task;
+    run_number m_run;
+    run_end m_how{run_end::expired};
+    std::string m_checkpoint;
+};
+
+/** @brief Takes an end of a task into its job. An end of a task that is done, or of a finished job, changes nothing. */
+auto task_ended(scheduler_state& state, job_entry& job, const task_end& end, time_point now) -> void;
 
 /** @brief Notes that the progress of a job differs from the store. */
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void;
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -15,12 +15,14 @@
 struct task_progress {
     bool m_done{false};
     std::int64_t m_failures{0};
+    /** @brief Latest run whose failure is counted. Its end may be listed again to the next decider. */
+    run_number m_failed_run;
     std::string m_checkpoint;
 
     template<typename Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(m_done, m_failures, m_checkpoint);
+        archive(m_done, m_failures, m_failed_run, m_checkpoint);
     }
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -41,7 +41,7 @@
     auto* job = find_job(state, task.m_job);
     const auto* known = find_task(state, task);
     if (job != nullptr && known != nullptr && known->m_run == number && known->m_phase != task_phase::waiting) {
-        task_ended(state, *job, task, run_end::expired, {}, now);
+        task_ended(state, *job, {task, number, run_end::expired, {}}, now);
     }
 }
 
@@ -105,7 +105,7 @@
         task->m_since = run->m_sent;
     }
     // A run that is being stopped counts as away from the order on.
-    task->m_percent = run->m_stop_wanted ? 0 : report.m_percent;
+    task->m_percent = run->m_stop_wanted || run->m_ending ? 0 : report.m_percent;
     task->m_usage = report.m_usage;
     if (!report.m_checkpoint.empty()) {
         task->m_checkpoint = report.m_checkpoint;
@@ -143,6 +143,16 @@
     ++estimate.m_samples;
 }
 
+/** @brief Stops what still runs of a task that is done. */
+auto stop_other_runs(scheduler_state& state, const task_ref& task) -> void
+{
+    for (auto& worker : state.m_workers) {
+        for (auto& run : worker.m_runs) {
+            run.m_stop_wanted = run.m_stop_wanted || run.m_task == task;
+        }
+    }
+}
+
 auto note_end(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now) -> void
 {
     if (report.m_number <= worker.m_last_end) {
@@ -163,15 +173,17 @@
     if (report.m_how == run_end::done && current) {
         learn_run_time(state, *job, *task, now);
     }
-    if (report.m_how == run_end::done || report.m_how == run_end::failed || current) {
-        // An end of an earlier run counts too, but does not touch a run that goes on elsewhere.
-        if (current || task->m_phase == task_phase::waiting || report.m_how == run_end::done) {
-            task_ended(state, *job, report.m_task, report.m_how, report.m_checkpoint, now);
-        }
-        else {
-            ++task->m_failures;
-            mark_dirty(state, *job);
-        }
+    if (report.m_how == run_end::done && !current) {
+        stop_other_runs(state, report.m_task);
+    }
+    // An end of an earlier run does not touch a run that goes on elsewhere, unless the task is done by it.
+    if (current || task->m_phase == task_phase::waiting || report.m_how == run_end::done) {
+        task_ended(state, *job, {report.m_task, report.m_run, report.m_how, report.m_checkpoint}, now);
+    }
+    else if (report.m_how == run_end::failed && report.m_run > task->m_failed_run) {
+        ++task->m_failures;
+        task->m_failed_run = report.m_run;
+        mark_dirty(state, *job);
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -68,6 +68,8 @@
     worker_index m_worker{no_worker};
     run_number m_run;
     std::int64_t m_failures{0};
+    /** @brief Latest run whose failure is counted. */
+    run_number m_failed_run;
     std::string m_checkpoint;
     /** @brief Begin of the current phase. */
     time_point m_since{};
@@ -120,6 +122,8 @@
     /** @brief The start has had no answer since then: the run may be there, or may still come. */
     std::optional<time_point> m_unanswered;
     bool m_stop_wanted{false};
+    /** @brief An order for the VM is about to end the run. */
+    bool m_ending{false};
     /** @brief When the last stop was sent. */
     time_point m_stop_sent{};
     /** @brief When a stop was first accepted: a run that a later look does not list will never run. */
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -165,6 +165,21 @@
 
 } // namespace
 
+auto set_ending(scheduler_state& state, const worker_id& worker, const bool ending) -> void
+{
+    const auto index = find_worker(state, worker);
+    if (index == no_worker) {
+        return;
+    }
+    for (auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
+        run.m_ending = ending;
+        auto* task = find_task(state, run.m_task);
+        if (task != nullptr && ending) {
+            task->m_percent = 0;
+        }
+    }
+}
+
 auto blocking_task(const scheduler_state& state, const worker_id& worker) -> std::optional<task_ref>
 {
     const auto index = find_worker(state, worker);
@@ -207,14 +222,7 @@
         }
         wave.m_down.emplace(id, now);
         begin.push_back(id);
-        // The tasks of this VM count as away for the next one that is looked at.
-        if (index != no_worker) {
-            for (const auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
-                if (auto* task = find_task(state, run.m_task)) {
-                    task->m_percent = 0;
-                }
-            }
-        }
+        set_ending(state, vm->m_worker, true);
     }
     return begin;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -70,6 +70,12 @@
     std::int64_t m_aim_percent{75};
 };
 
+/**
+ * @brief Notes that an order is about to end the runs of a worker, or that it was refused. Their tasks count as away from
+ * then on, so that no second order takes more of the same step.
+ */
+auto set_ending(scheduler_state& state, const worker_id& worker, bool ending) -> void;
+
 /**
  * @brief Finds a task on a worker whose step cannot spare it: more of the step's tasks than its disruption budget would
  * be away if the worker ended.
