Let a new decider go on where the last one stopped

Change: a step is opened in the store before its first start, so that only tasks of open steps wait; orders for VMs and the learned demand are stored before the orders are sent, so that a successor leaves just these VMs alone.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -49,7 +49,7 @@
 constexpr milliseconds tick_interval{100};
 
 /** @brief Progress within this time shares a write. */
-constexpr milliseconds progress_gap{25};
+constexpr milliseconds progress_gap{12};
 
 /** @brief Jobs in one write, beside the conditions on the term and on the log and the put of the log. */
 constexpr std::size_t progress_jobs{store_write_entries - 3};
@@ -115,7 +115,7 @@
     parts.m_executor = m_executor;
     parts.m_store = &m_store;
     parts.m_term = m_term;
-    parts.m_quiet_time = m_settings.m_quiet_time;
+    parts.m_duty_interval = m_settings.m_duty_interval;
     parts.m_upkeep = m_settings.m_upkeep;
     parts.m_moves = m_settings.m_moves;
     parts.m_config = m_settings.m_config;
@@ -138,9 +138,10 @@
 
 auto decider::log_value() const -> std::string
 {
+    const auto now = monotonic_now();
     auto text = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_log_number);
     for (const auto& worker : m_state.m_workers) {
-        if (worker.m_lease_until_ms > 0 && (worker.m_registered || !worker.m_runs.empty())) {
+        if (worker.m_lease_until_ms > 0 && lease_end(m_state, worker) > now) {
             text += ' ' + worker.m_entry.m_id.str();
         }
     }
@@ -497,11 +498,10 @@
     write.m_conditions.push_back({std::string{log_key}, m_log_revision});
     ++m_log_number;
     write.m_puts.push_back({std::string{log_key}, log_value(), no_store_lease});
-    std::vector<job_state> states;
+    std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
-        const auto progress = progress_of(*jobs[position]);
-        states.push_back(progress.m_state);
-        write.m_puts.push_back({progress_key(jobs[position]->m_record.m_id), encode(progress), no_store_lease});
+        stored.push_back(progress_of(*jobs[position]));
+        write.m_puts.push_back({progress_key(jobs[position]->m_record.m_id), encode(stored.back()), no_store_lease});
     }
     const auto written = co_await m_store.write(std::move(write), store_timeout);
     if (written.m_status == store_status::conflict) {
@@ -527,13 +527,15 @@
     }
     m_log_revision = written.m_revision;
     for (auto position = first; position < last; ++position) {
-        jobs[position]->m_stored_state = states[position - first];
-        if (is_final(states[position - first])) {
+        const auto state = stored[position - first].m_state;
+        note_progress_stored(m_state, *jobs[position], stored[position - first]);
+        if (is_final(state)) {
             LOG(INFO) << log_line{"job_ended"}
                              .with("request", jobs[position]->m_record.m_id)
-                             .with("state", static_cast<int>(states[position - first]));
+                             .with("state", static_cast<int>(state));
         }
     }
+    schedule_pass();
     co_return true;
 }
 
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -28,8 +28,8 @@
     entry_vm_id m_self;
     /** @brief Interface to the VMs; port 0 if there is none. */
     tcp_endpoint m_fleet;
-    /** @brief Time without orders for VMs at the begin of a term. */
-    milliseconds m_quiet_time{3'000};
+    /** @brief Time between the orders of two deciders for one VM. */
+    milliseconds m_duty_interval{3'000};
     /** @brief Lease of the term in the store. */
     milliseconds m_term_lease{1'200};
 };
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -95,7 +95,7 @@
         settings.m_config = [this] { return m_config; };
         settings.m_self = m_settings.m_entry_vm;
         settings.m_fleet = m_settings.m_fleet;
-        settings.m_quiet_time = m_settings.m_duty_interval;
+        settings.m_duty_interval = m_settings.m_duty_interval;
         settings.m_term_lease = std::max(decider_lease, m_settings.m_shortest_store_lease);
         m_decider = std::make_shared<decider>(
             m_executor, m_store, settings, term, [this] { return m_leadership.renewed(); },
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -42,11 +42,22 @@
     return std::string{upkeep_prefix} + std::to_string(wave);
 }
 
+/** @brief Key under which the fleet duty keeps what its successor has to know. */
+constexpr std::string_view memory_key{"fleet-memory"};
+
+/** @brief Difference between the clocks of two entry VMs that is allowed for. */
+constexpr milliseconds clock_margin{300};
+
 [[nodiscard]] auto unix_now_ms() -> std::int64_t
 {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+[[nodiscard]] auto read_clocks() -> clock_reading
+{
+    return {monotonic_now(), unix_now_ms()};
+}
+
 } // namespace
 
 fleet_duty::fleet_duty(const fleet_duty_parts& parts, std::unique_ptr<fleet_client> fleet)
@@ -227,15 +238,7 @@
             standby.insert(service.m_id);
         }
     }
-    std::set<vm_id> reserved;
-    for (const auto& [number, wave] : m_waves) {
-        for (const auto& [vm, since] : wave.m_progress.m_cordoned) {
-            reserved.insert(vm);
-        }
-        for (const auto& [vm, since] : wave.m_progress.m_down) {
-            reserved.insert(vm);
-        }
-    }
+    
     if (now - m_logged >= demand_log_interval) {
         m_logged = now;
         for (const auto& [service, known] : m_demand.m_services) {
@@ -254,25 +257,125 @@
                              .with("expected", known.m_expected.has_value());
         }
     }
-    for (auto& order :
-         plan_moves(*m_parts.m_state, m_demand, m_parts.m_moves, m_moves, m_vms, standby, reserved, now)) {
-        asio::co_spawn(m_parts.m_executor, order_move(shared_from_this(), std::move(order)), asio::detached);
+    const auto reserved = reserved_vms(read_clocks());
+    m_planned_moves = plan_moves(*m_parts.m_state, m_demand, m_parts.m_moves, m_moves, m_vms, standby, reserved, now);
+}
+
+auto fleet_duty::read_memory() -> asio::awaitable<bool>
+{
+    const auto read = co_await m_parts.m_store->read(std::string{memory_key}, call_timeout);
+    if (read.m_status != store_status::ok) {
+        co_return read.m_status == store_status::missing;
+    }
+    auto decoded = decode_fleet_memory(read.m_item.m_value);
+    if (!decoded) {
+        LOG(ERROR) << log_line{"fleet_memory_unreadable"}.with("findings", decoded.assume_error().to_string());
+        co_return true;
+    }
+    m_memory = std::move(decoded).assume_value();
+    m_earlier_orders = std::exchange(m_memory.m_orders, {});
+    m_demand = recall_demand(m_memory, read_clocks());
+    m_remembered_surge = m_demand.m_last_begin;
+    co_return true;
+}
+
+auto fleet_duty::store_memory() -> asio::awaitable<bool>
+{
+    const auto clock = read_clocks();
+    std::erase_if(m_memory.m_orders, [this, &clock](const remembered_order& order) {
+        return clock.m_unix_ms - order.m_unix_ms > m_parts.m_duty_interval.count();
+    });
+    remember_demand(m_memory, m_demand, clock);
+    m_remembered_surge = m_demand.m_last_begin;
+    store_write write;
+    write.m_conditions.push_back({std::string{holder_key}, m_parts.m_term.m_revision});
+    write.m_puts.push_back({std::string{memory_key}, encode(m_memory), no_store_lease});
+    const auto written = co_await m_parts.m_store->write(std::move(write), call_timeout);
+    co_return written.m_status == store_status::ok;
+}
+
+auto fleet_duty::recently_ordered(const clock_reading& clock) const -> std::set<vm_id>
+{
+    std::set<vm_id> recent;
+    for (const auto& order : m_earlier_orders) {
+        if (clock.m_unix_ms - order.m_unix_ms < (m_parts.m_duty_interval + clock_margin).count()) {
+            recent.insert(order.m_vm);
+        }
+    }
+    return recent;
+}
+
+auto fleet_duty::reserved_vms(const clock_reading& clock) const -> std::set<vm_id>
+{
+    auto reserved = recently_ordered(clock);
+    for (const auto& [number, wave] : m_waves) {
+        for (const auto& [vm, since] : wave.m_progress.m_cordoned) {
+            reserved.insert(vm);
+        }
+        for (const auto& [vm, since] : wave.m_progress.m_down) {
+            reserved.insert(vm);
+        }
+    }
+    return reserved;
+}
+
+auto fleet_duty::remember_order(const vm_id& vm) -> void
+{
+    m_memory.m_orders.push_back({vm, read_clocks().m_unix_ms});
+}
+
+auto fleet_duty::send_orders() -> asio::awaitable<void>
+{
+    auto moves = std::exchange(m_planned_moves, {});
+    auto upkeeps = std::exchange(m_planned_upkeeps, {});
+    const bool learned = m_demand.m_last_begin != m_remembered_surge;
+    if (moves.empty() && upkeeps.empty() && !learned) {
+        co_return;
+    }
+    for (const auto& order : moves) {
+        remember_order(order.m_vm);
+    }
+    for (const auto& [number, vm] : upkeeps) {
+        remember_order(vm);
+    }
+    // Stored first: a decider that takes over leaves these VMs alone, and one that lost its term orders nothing.
+    const bool stored = co_await store_memory();
+    if (!m_active) {
+        co_return;
+    }
+    for (auto& order : moves) {
+        if (stored) {
+            asio::co_spawn(m_parts.m_executor, order_move(shared_from_this(), std::move(order)), asio::detached);
+        }
+        else {
+            note_move_result(*m_parts.m_state, m_moves, order, vm_order_result::not_done, monotonic_now());
+        }
+    }
+    for (auto& [number, vm] : upkeeps) {
+        if (stored) {
+            asio::co_spawn(m_parts.m_executor, order_upkeep(shared_from_this(), number, vm), asio::detached);
+        }
+        else {
+            m_ordered.erase(vm);
+        }
     }
 }
 
 auto fleet_duty::advance_waves() -> void
 {
+    const auto clock = read_clocks();
+    const auto busy = recently_ordered(clock);
     for (auto& [number, wave] : m_waves) {
         if (!wave.m_loaded || wave.m_completed) {
             continue;
         }
         if (m_parts.m_may_order()) {
             static_cast<void>(
-                plan_upkeep(*m_parts.m_state, m_parts.m_upkeep, wave.m_progress, m_vms, monotonic_now()));
+                plan_upkeep(*m_parts.m_state, m_parts.m_upkeep, wave.m_progress, m_vms, busy, clock.m_now));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // An order without an answer is repeated; it is carried out once.
                 if (!wave.m_progress.m_begun.contains(vm) && m_ordered.insert(vm).second) {
-                    asio::co_spawn(m_parts.m_executor, order_upkeep(shared_from_this(), number, vm), asio::detached);
+                    m_planned_upkeeps.emplace_back(number, vm);
                 }
             }
         }
@@ -316,20 +419,26 @@
 
 auto fleet_duty::run(const std::shared_ptr<fleet_duty> self) -> asio::awaitable<void>
 {
-    const auto begin = monotonic_now();
+    for (bool remembered = false; self->m_active && !remembered;) {
+        remembered = co_await read_memory();
+        if (!remembered) {
+            co_await sleep_for(m_parts.m_executor, plan_interval);
+        }
+    }
     auto waves_read = time_point{};
     while (self->m_active) {
         if (monotonic_now() - waves_read >= wave_interval) {
             static_cast<void>(co_await read_waves());
             waves_read = monotonic_now();
         }
-        const bool quiet = monotonic_now() - begin < m_parts.m_quiet_time;
+        
         if (monotonic_now() - m_listed >= list_interval) {
             co_await list_vms();
         }
-        if (!quiet && self->m_active) {
+        if (self->m_active) {
             advance_waves();
             advance_moves();
+            co_await send_orders();
         }
         std::vector<std::int64_t> dirty;
         for (const auto& [number, wave] : m_waves) {
--- a/packages/entry/src/cicadalug/entry/fleet_duty.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -5,6 +5,7 @@
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/entry/leadership.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/fleet_memory.hpp>
 #include <cicadalug/scheduler/moves.hpp>
 #include <cicadalug/scheduler/queue_config.hpp>
 #include <cicadalug/scheduler/upkeep.hpp>
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 #include <string>
 #include <vector>
 
@@ -24,8 +26,8 @@
     asio::any_io_executor m_executor;
     store_client* m_store{nullptr};
     decider_term m_term;
-    /** @brief Time without orders at the begin of a term, so that two holders never take turns. */
-    milliseconds m_quiet_time{3'000};
+    /** @brief Time between the orders of two holders for one VM. */
+    milliseconds m_duty_interval{3'000};
     upkeep_settings m_upkeep;
     move_settings m_moves;
     /** @brief Returns the configuration in force, or null. */
@@ -63,6 +65,12 @@
     [[nodiscard]] auto read_waves() -> asio::awaitable<bool>;
     [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
     [[nodiscard]] auto list_vms() -> asio::awaitable<void>;
+    [[nodiscard]] auto read_memory() -> asio::awaitable<bool>;
+    [[nodiscard]] auto store_memory() -> asio::awaitable<bool>;
+    [[nodiscard]] auto send_orders() -> asio::awaitable<void>;
+    [[nodiscard]] auto recently_ordered(const clock_reading& clock) const -> std::set<vm_id>;
+    [[nodiscard]] auto reserved_vms(const clock_reading& clock) const -> std::set<vm_id>;
+    auto remember_order(const vm_id& vm) -> void;
     auto advance_waves() -> void;
     auto advance_moves() -> void;
     [[nodiscard]] auto order_move(std::shared_ptr<fleet_duty> self, move_order order) -> asio::awaitable<void>;
@@ -89,6 +97,13 @@
     std::set<vm_id> m_ordered;
     demand_state m_demand;
     move_state m_moves;
+    fleet_memory m_memory;
+    /** @brief Orders of earlier deciders, which keep their VMs untouched for a while. */
+    std::vector<remembered_order> m_earlier_orders;
+    std::vector<move_order> m_planned_moves;
+    std::vector<std::pair<std::int64_t, vm_id>> m_planned_upkeeps;
+    /** @brief The surge that was the last one when the memory was stored. */
+    time_point m_remembered_surge{};
     time_point m_listed{};
     time_point m_logged{};
     bool m_active{true};
--- a/packages/scheduler/src/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -122,7 +122,9 @@
         known.m_late_ready = 0.0;
         known.m_lasting_cores = 0.0;
     }
-    if (first) {
+    const bool scaled = std::any_of(demand.m_services.begin(), demand.m_services.end(),
+                                    [](const auto& known) { return known.second.m_own_cores > 0.0; });
+    if (!scaled) {
         for (const auto& worker : state.m_workers) {
             demand.m_services[worker.m_entry.m_service].m_own_cores +=
                 static_cast<double>(worker.m_entry.m_capacity.m_cpu.value()) / millicores_per_core;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -49,7 +49,7 @@
             for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
                 const auto& spec = job->m_record.m_spec.m_steps[step];
                 if (occurrence.m_steps[step].m_waiting == 0 || !is_ready(*job, occurrence, step) ||
-                    (job->m_recovered && !recovered && !spec.m_speculative)) {
+                    (occurrence.m_steps[step].m_recovered && !recovered && !spec.m_speculative)) {
                     continue;
                 }
                 if (!judged) {
@@ -149,6 +149,15 @@
     state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint});
 }
 
+/** @brief Asks for a write that opens a step. */
+auto open_step(scheduler_state& state, job_entry& job, step_state& step) -> void
+{
+    if (!step.m_opening) {
+        step.m_opening = true;
+        mark_dirty(state, job);
+    }
+}
+
 [[nodiscard]] auto next_run(const scheduler_state& state, const task_state& task) -> run_number
 {
     const auto first = static_cast<std::int64_t>(state.m_token.value()) * runs_per_token + 1;
@@ -190,6 +199,10 @@
     if (reserved.size() != step.m_tasks.size()) {
         return;
     }
+    if (!step.m_opened) {
+        open_step(state, job, step);
+        return;
+    }
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
                             static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
@@ -215,6 +228,10 @@
         if (worker == no_worker) {
             return;
         }
+        if (!step.m_opened) {
+            open_step(state, job, step);
+            return;
+        }
         start_task(state, job, step, task, worker, next_run(state, member), now);
     }
 }
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/fleet_memory.cpp
@@ -0,0 +1,56 @@
+#include <cicadalug/scheduler/binary_codec.hpp>
+#include <cicadalug/scheduler/fleet_memory.hpp>
+
+#include <algorithm>
+
+namespace cicadalug {
+
+auto encode(const fleet_memory& memory) -> std::string
+{
+    return encode_binary(memory);
+}
+
+auto decode_fleet_memory(const std::string_view bytes) -> result<fleet_memory>
+{
+    return decode_binary<fleet_memory>(bytes, "fleet memory");
+}
+
+auto remember_demand(fleet_memory& memory, const demand_state& demand, const clock_reading& clock) -> void
+{
+    memory.m_demand.clear();
+    for (const auto& [service, known] : demand.m_services) {
+        memory.m_demand.push_back({service, known.m_own_cores, known.m_peak_cores, known.m_surged.has_value()});
+    }
+    memory.m_successions.clear();
+    for (const auto& [first, succession] : demand.m_successions) {
+        memory.m_successions.push_back({first, succession.m_next, succession.m_delay.count()});
+    }
+    memory.m_last_surge = demand.m_last_surge;
+    const auto ago = std::chrono::duration_cast<milliseconds>(clock.m_now - demand.m_last_begin);
+    memory.m_last_surge_unix_ms = clock.m_unix_ms - ago.count();
+}
+
+auto recall_demand(const fleet_memory& memory, const clock_reading& clock) -> demand_state
+{
+    demand_state demand;
+    demand.m_last_surge = memory.m_last_surge;
+    const auto ago_ms = std::max<std::int64_t>(0, clock.m_unix_ms - memory.m_last_surge_unix_ms);
+    demand.m_last_begin = clock.m_now - milliseconds{ago_ms};
+    for (const auto& learned : memory.m_demand) {
+        auto& known = demand.m_services[learned.m_service];
+        known.m_own_cores = learned.m_own_cores;
+        known.m_peak_cores = learned.m_peak_cores;
+        if (learned.m_surged) {
+            known.m_surged = demand.m_last_begin;
+        }
+    }
+    for (const auto& succession : memory.m_successions) {
+        demand.m_successions[succession.m_first] = {succession.m_next, microseconds{succession.m_delay_us}};
+        if (succession.m_first == memory.m_last_surge) {
+            demand.m_services[succession.m_next].m_expected = demand.m_last_begin + microseconds{succession.m_delay_us};
+        }
+    }
+    return demand;
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/fleet_memory.hpp
@@ -0,0 +1,85 @@
+#ifndef CICADALUG_SCHEDULER_FLEET_MEMORY_HPP
+#define CICADALUG_SCHEDULER_FLEET_MEMORY_HPP
+
+#include <cicadalug/base/result.hpp>
+#include <cicadalug/scheduler/demand.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief What was learned of one service's demand. */
+struct learned_demand {
+    service_id m_service;
+    double m_own_cores{0.0};
+    double m_peak_cores{0.0};
+    bool m_surged{false};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_service, m_own_cores, m_peak_cores, m_surged);
+    }
+};
+
+/** @brief A surge that follows another one. */
+struct learned_succession {
+    service_id m_first;
+    service_id m_next;
+    std::int64_t m_delay_us{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_first, m_next, m_delay_us);
+    }
+};
+
+/** @brief Order for a VM that was sent or is about to be. */
+struct remembered_order {
+    vm_id m_vm;
+    std::int64_t m_unix_ms{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_vm, m_unix_ms);
+    }
+};
+
+/** @brief What the next decider has to know of the fleet duty; kept in the store. */
+struct fleet_memory {
+    /** @brief Orders so recent that another decider may not give one for the same VM. */
+    std::vector<remembered_order> m_orders;
+    std::vector<learned_demand> m_demand;
+    std::vector<learned_succession> m_successions;
+    service_id m_last_surge;
+    std::int64_t m_last_surge_unix_ms{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_orders, m_demand, m_successions, m_last_surge, m_last_surge_unix_ms);
+    }
+};
+
+/** @brief Encodes the memory for the store. */
+[[nodiscard]] auto encode(const fleet_memory& memory) -> std::string;
+
+/** @brief Decodes the memory from the store. */
+[[nodiscard]] auto decode_fleet_memory(std::string_view bytes) -> result<fleet_memory>;
+
+/** @brief Takes what was learned of the demand into a memory. */
+auto remember_demand(fleet_memory& memory, const demand_state& demand, const clock_reading& clock) -> void;
+
+/** @brief Restores the demand that an earlier decider learned. */
+[[nodiscard]] auto recall_demand(const fleet_memory& memory, const clock_reading& clock) -> demand_state;
+
+} // namespace cicadalug
+
+#endif
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -25,6 +25,9 @@
 auto restore_occurrence(occurrence_state& occurrence, const occurrence_progress& stored) -> void
 {
     for (std::size_t step = 0; step < occurrence.m_steps.size() && step < stored.m_steps.size(); ++step) {
+        const bool opened = step < stored.m_opened.size() && stored.m_opened[step];
+        occurrence.m_steps[step].m_opened = opened;
+        occurrence.m_steps[step].m_recovered = opened;
         auto& tasks = occurrence.m_steps[step].m_tasks;
         for (std::size_t index = 0; index < tasks.size() && index < stored.m_steps[step].size(); ++index) {
             const auto& from = stored.m_steps[step][index];
@@ -262,6 +265,26 @@
     }
 }
 
+auto note_progress_stored(scheduler_state& state, job_entry& job, const job_progress& stored) -> void
+{
+    job.m_stored_state = stored.m_state;
+    for (auto& occurrence : job.m_open) {
+        const auto found = std::find_if(
+            stored.m_open.begin(), stored.m_open.end(),
+            [&occurrence](const occurrence_progress& open) { return open.m_occurrence == occurrence.m_number; });
+        if (found == stored.m_open.end()) {
+            continue;
+        }
+        for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+            if (found->m_opened[step] && !occurrence.m_steps[step].m_opened) {
+                occurrence.m_steps[step].m_opened = true;
+                occurrence.m_steps[step].m_opening = false;
+                state.m_dispatch_wanted = true;
+            }
+        }
+    }
+}
+
 auto progress_of(const job_entry& job) -> job_progress
 {
     job_progress made;
@@ -284,6 +307,7 @@
                 tasks.push_back({done, task.m_failures, task.m_failed_run, done ? std::string{} : task.m_checkpoint});
             }
             stored.m_steps.push_back(std::move(tasks));
+            stored.m_opened.push_back(step.m_opened || step.m_opening);
         }
         made.m_open.push_back(std::move(stored));
     }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -54,6 +54,9 @@
 /** @brief Notes that the progress of a job differs from the store. */
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void;
 
+/** @brief Takes note that the progress of a job is in the store: its state may be shown, and opened steps may start. */
+auto note_progress_stored(scheduler_state& state, job_entry& job, const job_progress& stored) -> void;
+
 /** @brief Returns what is to be stored of a job. */
 [[nodiscard]] auto progress_of(const job_entry& job) -> job_progress;
 
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -30,11 +30,13 @@
 struct occurrence_progress {
     std::int64_t m_occurrence{0};
     std::vector<std::vector<task_progress>> m_steps;
+    /** @brief For each step, whether a task of it may have been started. Stored before the first start. */
+    std::vector<bool> m_opened;
 
     template<typename Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(m_occurrence, m_steps);
+        archive(m_occurrence, m_steps, m_opened);
     }
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -75,6 +75,7 @@
                          return open.m_number == report.m_task.m_occurrence;
                      })->m_steps[static_cast<std::size_t>(report.m_task.m_step)];
         --step.m_waiting;
+        step.m_opened = true;
         job->m_started = true;
     }
     if (job != nullptr && report.m_task.m_step >= 0 &&
@@ -333,7 +334,9 @@
 
 auto end_runs_of_worker(scheduler_state& state, const worker_index index, const time_point now) -> void
 {
-    give_up_all_runs(state, state.m_workers[static_cast<std::size_t>(index)], now);
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    give_up_all_runs(state, worker, now);
+    worker.m_lease_until_ms = 0;
 }
 
 auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -22,11 +22,11 @@
 struct scheduler_settings {
     /** @brief Lease of a worker's runs. Long enough for a takeover (about 2 s), short enough that the tasks of a lost
      * worker start again soon. */
-    milliseconds m_worker_lease{4'000};
+    milliseconds m_worker_lease{3'500};
     /** @brief A decider grants leases up to this long after it last renewed its own lease in the store. Bounds how long
      * the successor of a decider that is cut off waits for workers it cannot reach; longer than the outages of the
      * store, through which running tasks are kept. */
-    milliseconds m_grant_horizon{6'500};
+    milliseconds m_grant_horizon{5'500};
     /** @brief No task is started with a lease that ends sooner. */
     milliseconds m_shortest_lease{800};
     /** @brief Greatest rate error of a worker's clock, in parts per thousand; stated by the platform as 2 %. */
@@ -83,6 +83,13 @@
     std::size_t m_done{0};
     /** @brief Tasks in phase waiting. */
     std::size_t m_waiting{0};
+    /** @brief A worker has room for a task; the step is opened as soon as this is stored. */
+    bool m_opening{false};
+    /** @brief The store tells that tasks may have been started. Without it none has, so that after a takeover the step
+     * need not wait for workers that cannot be reached. */
+    bool m_opened{false};
+    /** @brief The step was open when this decider took over. */
+    bool m_recovered{false};
 };
 
 struct occurrence_state {
@@ -98,7 +105,7 @@
     job_state m_stored_state{job_state::queued};
     bool m_dirty{false};
     bool m_started{false};
-    /** @brief The job was found in the store at a takeover; its tasks may run on workers that were not yet heard. */
+    /** @brief The job was found in the store at a takeover. */
     bool m_recovered{false};
     std::int64_t m_first_open{0};
     std::vector<occurrence_state> m_open;
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -200,7 +200,8 @@
 }
 
 auto plan_upkeep(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
-                 const std::vector<vm_status>& vms, const time_point now) -> std::vector<vm_id>
+                 const std::vector<vm_status>& vms, const std::set<vm_id>& reserved, const time_point now)
+    -> std::vector<vm_id>
 {
     note_vms(state, settings, wave, vms, now);
     cordon_next(state, settings, wave, vms, now);
@@ -213,7 +214,7 @@
         const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
         const bool drained = index == no_worker || now - since > settings.m_longest_drain ||
                              !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
-        if (vm == nullptr || !drained) {
+        if (vm == nullptr || !drained || reserved.contains(id)) {
             continue;
         }
         if (const auto blocking = blocking_task(state, vm->m_worker)) {
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -94,11 +94,13 @@
  * @param settings Settings.
  * @param wave The wave.
  * @param vms The platform's list.
+ * @param reserved VMs that may not be ordered now.
  * @param now Current time.
  * @return VMs whose upkeep is to begin now. They count as down from now on.
  */
 [[nodiscard]] auto plan_upkeep(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
-                               const std::vector<vm_status>& vms, time_point now) -> std::vector<vm_id>;
+                               const std::vector<vm_status>& vms, const std::set<vm_id>& reserved, time_point now)
+    -> std::vector<vm_id>;
 
 /** @brief Checks whether each VM of a wave that is still there has begun its upkeep and is back. */
 [[nodiscard]] auto is_wave_completed(const wave_progress_state& wave) -> bool;
