--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -190,14 +190,30 @@
         progress.m_begun.insert(vm);
         progress.m_down[vm] = monotonic_now();
         m_waves[number].m_dirty = true;
-        const auto known = m_parts.m_state->m_worker_by_id.find(worker);
-        if (known != m_parts.m_state->m_worker_by_id.end()) {
-            end_runs_of_worker(*m_parts.m_state, known->second, monotonic_now());
-            m_parts.m_changed();
+        // The order is also accepted if the upkeep was done before: the list tells whether this worker has ended.
+        co_await list_vms();
+        if (self->m_active) {
+            confirm_end(vm, worker);
         }
     }
 }
 
+auto fleet_duty::confirm_end(const vm_id& vm, const worker_id& worker) -> void
+{
+    const auto known = m_parts.m_state->m_worker_by_id.find(worker);
+    if (known == m_parts.m_state->m_worker_by_id.end()) {
+        return;
+    }
+    if (is_still_up(m_vms, vm, worker)) {
+        set_ending(*m_parts.m_state, worker, false);
+        m_parts.m_state->m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
+    }
+    else {
+        end_runs_of_worker(*m_parts.m_state, known->second, monotonic_now());
+    }
+    m_parts.m_changed();
+}
+
 auto fleet_duty::list_vms() -> asio::awaitable<void>
 {
     auto listed = co_await m_fleet->list(call_timeout);
--- a/packages/entry/src/cicadalug/entry/fleet_duty.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -70,6 +70,7 @@
     [[nodiscard]] auto send_orders() -> asio::awaitable<void>;
     [[nodiscard]] auto recently_ordered(const clock_reading& clock) const -> std::set<vm_id>;
     [[nodiscard]] auto reserved_vms(const clock_reading& clock) const -> std::set<vm_id>;
+    auto confirm_end(const vm_id& vm, const worker_id& worker) -> void;
     auto remember_order(const vm_id& vm) -> void;
     auto advance_waves() -> void;
     auto advance_moves() -> void;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -26,14 +26,29 @@
 /** @brief Advantage of a worker with tasks that last. */
 constexpr std::int64_t shared_worker_bonus{1'000'000};
 
-/** @brief A job counts as in time if it would be with a run time that is shorter by this fraction. Run times are
- * estimates; a job that is given up too early is late for certain. */
-constexpr int estimate_tolerance_divisor{8};
+/** @brief From the end of a task to the moment at which its job is shown as completed: a report and a write. */
+constexpr milliseconds completion_delay{30};
+
+/** @brief A job counts as in time if it would be with run times that are shorter by this share of their usual deviation.
+ * Run times are estimates, and a job that is given up too early is late for certain. */
+constexpr double deviation_tolerance{0.35};
+
+/** @brief Greatest tolerance, as a share of the run time. */
+constexpr double tolerance_limit{0.15};
 
 /** @brief Penalty for each task of the same step on a worker. Upkeep of a VM with more of them than the disruption
  * budget has to wait until some have gone elsewhere. */
 constexpr std::int64_t same_step_penalty{10'000'000};
 
+[[nodiscard]] auto run_time_tolerance(const scheduler_state& state, const job_entry& job) -> double
+{
+    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
+    if (learned == state.m_run_times.end() || learned->second.m_mean_ms <= 0.0) {
+        return 0.0;
+    }
+    return std::min(tolerance_limit, deviation_tolerance * learned->second.m_deviation_ms / learned->second.m_mean_ms);
+}
+
 /** @brief A step with waiting tasks. */
 struct waiting_step {
     job_entry* m_job{nullptr};
@@ -256,7 +271,8 @@
 {
     const auto objective = job.m_deadline - job.m_arrived;
     const auto left = chain_estimate(state, job, false);
-    if (now + left - left / estimate_tolerance_divisor <= job.m_deadline) {
+    const auto least = std::chrono::duration_cast<microseconds>(left * (1.0 - run_time_tolerance(state, job)));
+    if (now + least + completion_delay <= job.m_deadline) {
         return urgency::in_time;
     }
     return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -217,7 +217,8 @@
         const auto index = worker_of(state, vm);
         if (index != no_worker && !standby.contains(vm.m_pool)) {
             auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-            if (!worker.m_runs.empty()) {
+            // Ends that are not stored yet would be lost with the worker.
+            if (!worker.m_runs.empty() || worker.m_acknowledged_end < worker.m_last_end) {
                 if (now - move->second.m_since > settings.m_longest_drain) {
                     worker.m_cordoned = false;
                     state.m_dispatch_wanted = true;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/scheduler/reports.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cicadalug {
@@ -141,6 +142,7 @@
     auto& estimate = state.m_run_times[job.m_record.m_terms.m_queue];
     estimate.m_mean_ms =
         estimate.m_samples == 0 ? taken_ms : estimate.m_mean_ms + run_time_weight * (taken_ms - estimate.m_mean_ms);
+    estimate.m_deviation_ms += run_time_weight * (std::abs(taken_ms - estimate.m_mean_ms) - estimate.m_deviation_ms);
     ++estimate.m_samples;
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -187,6 +187,8 @@
 /** @brief Learned run time of the tasks of a queue. */
 struct run_time_estimate {
     double m_mean_ms{0.0};
+    /** @brief Mean distance of a run time from the mean. */
+    double m_deviation_ms{0.0};
     std::int64_t m_samples{0};
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -18,6 +18,12 @@
     return found == state.m_worker_by_id.end() ? no_worker : found->second;
 }
 
+/** @brief Checks whether a worker lists ends that are not stored yet: they would be lost with it. */
+[[nodiscard]] auto has_unstored_ends(const worker_slot& worker) -> bool
+{
+    return worker.m_acknowledged_end < worker.m_last_end;
+}
+
 [[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
 {
     const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
@@ -214,6 +220,9 @@
         }
         const auto* vm = find_vm(vms, id);
         const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
+        if (index != no_worker && has_unstored_ends(state.m_workers[static_cast<std::size_t>(index)])) {
+            continue;
+        }
         const bool drained = index == no_worker || now - since > settings.m_longest_drain ||
                              !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
         if (vm == nullptr || !drained || reserved.contains(id)) {
@@ -230,6 +239,12 @@
     return begin;
 }
 
+auto is_still_up(const std::vector<vm_status>& vms, const vm_id& vm, const worker_id& worker) -> bool
+{
+    const auto* listed = find_vm(vms, vm);
+    return listed != nullptr && listed->m_phase == vm_phase::up && listed->m_worker == worker;
+}
+
 auto is_wave_completed(const wave_progress_state& wave) -> bool
 {
     return wave.m_down.empty() && std::all_of(wave.m_order.m_vms.begin(), wave.m_order.m_vms.end(),
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -100,6 +100,12 @@
                                const std::vector<vm_status>& vms, const std::set<vm_id>& reserved, time_point now)
     -> std::vector<vm_id>;
 
+/**
+ * @brief Checks whether a worker still lives on its VM, by a list that was read after an order for the VM.
+ * @return True if the VM is up with the same worker: the order had been carried out before, and nothing has ended.
+ */
+[[nodiscard]] auto is_still_up(const std::vector<vm_status>& vms, const vm_id& vm, const worker_id& worker) -> bool;
+
 /** @brief Checks whether each VM of a wave that is still there has begun its upkeep and is back. */
 [[nodiscard]] auto is_wave_completed(const wave_progress_state& wave) -> bool;
 
--- a/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
@@ -90,4 +90,29 @@
     EXPECT_EQ(begun, 1U);
 }
 
+// Guards against ending the runs of a worker in the table because an upkeep that was done before is accepted again.
+TEST(upkeep, a_worker_on_a_vm_that_is_up_has_not_ended)
+{
+    std::vector<vm_status> vms{{vm_id{"vm1"}, service_id{"ledger"}, vm_phase::up, {}, worker_id{"w1"}}};
+    EXPECT_TRUE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w1"}));
+    EXPECT_FALSE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w0"}));
+    vms.front().m_phase = vm_phase::maintained;
+    EXPECT_FALSE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w1"}));
+}
+
+// Guards against a failure that is lost with its worker and so not counted by the next decider.
+TEST(upkeep, a_worker_with_ends_that_are_not_stored_is_not_taken_down)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("ledger", 1);
+    model.run_for(milliseconds{50});
+    auto wave = make_wave(model, 1);
+    model.m_state.m_workers[0].m_last_end = 3;
+    model.m_state.m_workers[0].m_acknowledged_end = 2;
+    EXPECT_TRUE(plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now()).empty());
+    model.m_state.m_workers[0].m_acknowledged_end = 3;
+    EXPECT_EQ(plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now()).size(), 1U);
+}
+
 } // namespace cicadalug::test
