--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -61,8 +61,8 @@
 
 decider::decider(asio::any_io_executor executor, store_client& store, const decider_settings& settings,
                  const decider_term& term, std::function<time_point()> renewed, std::function<void()> deposed)
-    : m_executor{std::move(executor)}, m_store{store}, m_term{term}, m_settings{settings},
-      m_renewed{std::move(renewed)}, m_deposed{std::move(deposed)}, m_progress_wanted{m_executor}
+    : m_executor{std::move(executor)}, m_store{store}, m_term{term},
+      m_settings{settings}, m_renewed{std::move(renewed)}, m_deposed{std::move(deposed)}, m_progress_wanted{m_executor}
 {
     m_state.m_settings = settings.m_scheduler;
     m_state.m_token = term.m_token;
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -92,7 +92,9 @@
         scheduler.m_stop_grace = m_settings.m_stop_grace;
         settings.m_upkeep.m_upkeep_time = m_settings.m_upkeep_time;
         settings.m_moves.m_move_time = m_settings.m_move_time;
-        settings.m_config = [this] { return m_config; };
+        settings.m_config = [this] {
+            return m_config;
+        };
         settings.m_self = m_settings.m_entry_vm;
         settings.m_fleet = m_settings.m_fleet;
         settings.m_duty_interval = m_settings.m_duty_interval;
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -165,10 +165,8 @@
     if (!self->m_active) {
         co_return;
     }
-    LOG(INFO) << log_line{"upkeep_ordered"}
-                     .with("wave", number)
-                     .with("vm", vm)
-                     .with("result", static_cast<int>(result));
+    LOG(INFO)
+        << log_line{"upkeep_ordered"}.with("wave", number).with("vm", vm).with("result", static_cast<int>(result));
     auto& progress = m_waves[number].m_progress;
     if (result == vm_order_result::fenced) {
         m_parts.m_state->m_deposed = true;
@@ -254,15 +252,15 @@
             standby.insert(service.m_id);
         }
     }
-    
+
     if (now - m_logged >= demand_log_interval) {
         m_logged = now;
         for (const auto& [service, known] : m_demand.m_services) {
-            const auto ready = std::count_if(
-                m_parts.m_state->m_workers.begin(), m_parts.m_state->m_workers.end(),
-                [&service = service](const worker_slot& worker) {
-                    return worker.m_registered && !worker.m_cordoned && worker.m_entry.m_service == service;
-                });
+            const auto ready = std::count_if(m_parts.m_state->m_workers.begin(), m_parts.m_state->m_workers.end(),
+                                             [&service = service](const worker_slot& worker) {
+                                                 return worker.m_registered && !worker.m_cordoned &&
+                                                        worker.m_entry.m_service == service;
+                                             });
             LOG(INFO) << log_line{"pool_demand"}
                              .with("pool", service)
                              .with("workers", ready)
@@ -447,7 +445,7 @@
             static_cast<void>(co_await read_waves());
             waves_read = monotonic_now();
         }
-        
+
         if (monotonic_now() - m_listed >= list_interval) {
             co_await list_vms();
         }
--- a/packages/entry/src/cicadalug/entry/fleet_duty.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.hpp
@@ -4,10 +4,10 @@
 #include <cicadalug/adapter/fleet_client.hpp>
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/entry/leadership.hpp>
-#include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/fleet_memory.hpp>
 #include <cicadalug/scheduler/moves.hpp>
 #include <cicadalug/scheduler/queue_config.hpp>
+#include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/upkeep.hpp>
 
 #include <cstdint>
@@ -15,8 +15,8 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <utility>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadalug {
@@ -41,8 +41,8 @@
 };
 
 /**
- * @brief Carries out maintenance waves and moves VMs between pools: follows the operator's orders and the demand, and tells
- * the operator how far they are. Part of one term of the decider.
+ * @brief Carries out maintenance waves and moves VMs between pools: follows the operator's orders and the demand, and
+ * tells the operator how far they are. Part of one term of the decider.
  * @note Thread safety: all functions on the executor of the parts.
  */
 class fleet_duty : public std::enable_shared_from_this<fleet_duty> {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -26,11 +26,8 @@
 /** @brief Advantage of a worker with tasks that last. */
 constexpr std::int64_t shared_worker_bonus{1'000'000};
 
-/** @brief From the end of a task to the moment at which its job is shown as completed: a report and a write. */
-constexpr milliseconds completion_delay{30};
-
-/** @brief A job counts as in time if it would be with run times that are shorter by this share of their usual deviation.
- * Run times are estimates, and a job that is given up too early is late for certain. */
+/** @brief A job counts as in time if it would be with run times that are shorter by this share of their usual
+ * deviation. Run times are estimates, and a job that is given up too early is late for certain. */
 constexpr double deviation_tolerance{0.35};
 
 /** @brief Greatest tolerance, as a share of the run time. */
@@ -272,7 +269,7 @@
     const auto objective = job.m_deadline - job.m_arrived;
     const auto left = chain_estimate(state, job, false);
     const auto least = std::chrono::duration_cast<microseconds>(left * (1.0 - run_time_tolerance(state, job)));
-    if (now + least + completion_delay <= job.m_deadline) {
+    if (now + least <= job.m_deadline) {
         return urgency::in_time;
     }
     return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
