--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -54,6 +54,10 @@
 /** @brief Jobs in one write, beside the conditions on the term and on the log and the put of the log. */
 constexpr std::size_t progress_jobs{store_write_entries - 3};
 
+/** @brief Jobs whose final state has been kept long enough are removed this often, a few in one write. */
+constexpr milliseconds garbage_interval{2'000};
+constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
+
 /** @brief Time for an order to a worker. */
 constexpr milliseconds order_timeout{800};
 
@@ -281,6 +285,7 @@
     asio::co_spawn(m_executor, follow_workers(self), asio::detached);
     asio::co_spawn(m_executor, store_progress(self), asio::detached);
     asio::co_spawn(m_executor, tick(self), asio::detached);
+    asio::co_spawn(m_executor, collect_garbage(self), asio::detached);
     begin_fleet_duty();
 }
 
@@ -555,6 +560,9 @@
         open_due_occurrences(m_state, read_clocks());
         m_state.m_dispatch_wanted = true;
         run_pass();
+        for (auto& order : plan_pace(m_state, m_settings.m_pace, monotonic_now())) {
+            asio::co_spawn(m_executor, send_pace(self, std::move(order)), asio::detached);
+        }
         co_await sleep_for(m_executor, tick_interval);
     }
 }
@@ -656,4 +664,48 @@
     }
 }
 
+auto decider::send_pace(const std::shared_ptr<decider> self, pace_order order) -> asio::awaitable<void>
+{
+    if (!self->m_active) {
+        co_return;
+    }
+    const auto client = client_of(order.m_worker);
+    const auto result =
+        co_await client->set_pace(order.m_task, order.m_run, order.m_percent, m_term.m_token, order_timeout);
+    if (m_active) {
+        note_pace_result(m_state, order, result);
+        check_deposed();
+    }
+}
+
+auto decider::collect_garbage(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active) {
+        co_await sleep_for(m_executor, garbage_interval);
+        const auto now = monotonic_now();
+        store_write write;
+        write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
+        std::vector<job_id> removed;
+        for (const auto& [id, job] : m_state.m_jobs) {
+            const bool old = is_final(job->m_stored_state) && !job->m_dirty &&
+                             now - job->m_finished > m_settings.m_status_retention + garbage_interval;
+            if (old && removed.size() < garbage_jobs) {
+                removed.push_back(id);
+                write.m_removals.push_back(job_key(id));
+                write.m_removals.push_back(cancel_key(id));
+                write.m_removals.push_back(progress_key(id));
+            }
+        }
+        if (removed.empty() || !self->m_active) {
+            continue;
+        }
+        const auto written = co_await m_store.write(std::move(write), store_timeout);
+        if (written.m_status == store_status::ok) {
+            for (const auto& id : removed) {
+                m_state.m_jobs.erase(id);
+            }
+        }
+    }
+}
+
 } // namespace cicadalug
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -7,6 +7,7 @@
 #include <cicadalug/entry/leadership.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/pace.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <functional>
@@ -23,6 +24,9 @@
     scheduler_settings m_scheduler;
     upkeep_settings m_upkeep;
     move_settings m_moves;
+    pace_settings m_pace;
+    /** @brief How long the final state of a job is kept. */
+    milliseconds m_status_retention{120'000};
     /** @brief Returns the configuration in force, or null. */
     std::function<std::shared_ptr<const fleet_config>()> m_config;
     entry_vm_id m_self;
@@ -90,6 +94,8 @@
     [[nodiscard]] auto tick(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto send_start(std::shared_ptr<decider> self, start_order order) -> asio::awaitable<void>;
     [[nodiscard]] auto send_stop(std::shared_ptr<decider> self, stop_order order) -> asio::awaitable<void>;
+    [[nodiscard]] auto send_pace(std::shared_ptr<decider> self, pace_order order) -> asio::awaitable<void>;
+    [[nodiscard]] auto collect_garbage(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto run_pass_later(std::shared_ptr<decider> self) -> asio::awaitable<void>;
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -160,6 +160,7 @@
     placed.m_run = run;
     placed.m_demand = reserved_demand(step_of(job, task));
     placed.m_long_running = step_of(job, task).m_long_running;
+    placed.m_best_effort = step_of(job, task).m_best_effort;
     placed.m_sent = now;
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -83,6 +83,8 @@
         static_cast<std::size_t>(report.m_task.m_step) < job->m_record.m_spec.m_steps.size()) {
         placed.m_demand = reserved_demand(step_of(*job, report.m_task));
         placed.m_long_running = step_of(*job, report.m_task).m_long_running;
+        placed.m_best_effort = step_of(*job, report.m_task).m_best_effort;
+        placed.m_pace = -1;
     }
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -122,6 +122,10 @@
     run_number m_run;
     resources m_demand;
     bool m_long_running{false};
+    bool m_best_effort{false};
+    /** @brief Pace that the worker has accepted, in percent; -1 after a takeover, when it is not known. */
+    std::int64_t m_pace{100};
+    time_point m_pace_sent{};
     /** @brief The start was sent at this time; a report of an older look says nothing about it. */
     time_point m_sent{};
     /** @brief The worker has listed the run or accepted its start. */
@@ -163,6 +167,9 @@
     std::int64_t m_acknowledged_end{0};
     resources m_used;
     std::vector<placed_run> m_runs;
+    /** @brief Pace at which best-effort tasks on this worker should work, in percent. */
+    std::int64_t m_best_effort_pace{100};
+    time_point m_pace_changed{};
     std::int64_t m_failures_in_row{0};
     time_point m_paused_until{};
     milliseconds m_pause{0};
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/pace.cpp
@@ -0,0 +1,72 @@
+#include "load_model.hpp"
+
+#include <cicadalug/scheduler/pace.hpp>
+
+#include <gtest/gtest.h>
+
+namespace cicadalug::test {
+
+namespace {
+
+/** @brief One worker with a serving task and a best-effort one. */
+[[nodiscard]] auto make_shared_worker(load_model& model) -> worker_slot&
+{
+    model.m_moving = false;
+    model.add_vms("ledger", 1);
+    model.run_for(milliseconds{50});
+    auto serving = make_lasting_job("ledger", 1, 1);
+    serving.m_spec.m_steps.front().m_latency_target = milliseconds{100};
+    auto filling = make_job("ledger", 1, 8'000, milliseconds{60'000});
+    filling.m_spec.m_steps.front().m_best_effort = true;
+    static_cast<void>(model.submit(serving));
+    static_cast<void>(model.submit(filling));
+    model.run_for(milliseconds{100});
+    return model.m_state.m_workers.front();
+}
+
+auto set_latency(load_model& model, const std::int64_t milliseconds_tail) -> void
+{
+    for (const auto& run : model.m_state.m_workers.front().m_runs) {
+        if (run.m_long_running) {
+            find_task(model.m_state, run.m_task)->m_usage = milliseconds_tail;
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a serving task that stays over its target because of the best-effort tasks beside it.
+TEST(pace, best_effort_tasks_halt_within_the_time_that_harm_may_last)
+{
+    load_model model;
+    auto& worker = make_shared_worker(model);
+    ASSERT_EQ(worker.m_runs.size(), 2U);
+    const pace_settings settings;
+    auto now = model.now() + milliseconds{10'000};
+    const auto limit = now + milliseconds{4'000};
+    set_latency(model, 150);
+    while (worker.m_best_effort_pace > 0 && now < limit) {
+        for (const auto& order : plan_pace(model.m_state, settings, now)) {
+            note_pace_result(model.m_state, order, order_result::accepted);
+        }
+        now += milliseconds{100};
+    }
+    EXPECT_EQ(worker.m_best_effort_pace, 0);
+    EXPECT_LT(now, limit);
+}
+
+// Guards against a pace that goes up and down with each report.
+TEST(pace, stays_between_the_two_thresholds)
+{
+    load_model model;
+    auto& worker = make_shared_worker(model);
+    worker.m_best_effort_pace = 50;
+    set_latency(model, 75);
+    static_cast<void>(plan_pace(model.m_state, {}, model.now() + milliseconds{20'000}));
+    EXPECT_EQ(worker.m_best_effort_pace, 50);
+    set_latency(model, 40);
+    static_cast<void>(plan_pace(model.m_state, {}, model.now() + milliseconds{20'000}));
+    EXPECT_GT(worker.m_best_effort_pace, 50);
+}
+
+} // namespace cicadalug::test
