--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -106,6 +106,33 @@
     }
 }
 
+/** @brief Spreads steps that have more tasks on a VM of the wave than their budget, before the VM's turn comes. */
+auto evacuate_crowded(scheduler_state& state, const wave_progress_state& wave, const std::vector<vm_status>& vms)
+    -> void
+{
+    for (const auto& id : wave.m_order.m_vms) {
+        const auto* vm = find_vm(vms, id);
+        const auto index = vm == nullptr || wave.m_begun.contains(id) ? no_worker : find_worker(state, vm->m_worker);
+        if (index == no_worker) {
+            continue;
+        }
+        const auto& runs = state.m_workers[static_cast<std::size_t>(index)].m_runs;
+        for (const auto& run : runs) {
+            const auto* job = find_job(state, run.m_task.m_job);
+            if (job == nullptr || is_final(job->m_state) || run.m_stop_wanted) {
+                continue;
+            }
+            const auto budget = step_of(*job, run.m_task).m_disruption_budget;
+            const auto members = std::count_if(runs.begin(), runs.end(), [&run](const placed_run& other) {
+                return other.m_task.m_job == run.m_task.m_job && other.m_task.m_step == run.m_task.m_step;
+            });
+            if (budget > 0 && members > budget) {
+                evacuate(state, run.m_task, index);
+            }
+        }
+    }
+}
+
 /** @brief Notes which VMs are back from their upkeep, and which are gone for good. */
 auto note_vms(scheduler_state& state, const upkeep_settings& settings, wave_progress_state& wave,
               const std::vector<vm_status>& vms, const time_point now) -> void
@@ -209,6 +236,7 @@
     -> std::vector<vm_id>
 {
     note_vms(state, settings, wave, vms, now);
+    evacuate_crowded(state, wave, vms);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
     for (const auto& [id, since] : wave.m_cordoned) {
