Count what the last decider took down, and wait for workers not heard

Ruled out: late reports, which count tasks as away. Change: VMs listed in upkeep or recently ordered count; a worker goes down only when its runs are known. Tests of both fail without the change.

--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -18,10 +18,21 @@
     return found == state.m_worker_by_id.end() ? no_worker : found->second;
 }
 
-/** @brief Checks whether a worker lists ends that are not stored yet: they would be lost with it. */
-[[nodiscard]] auto has_unstored_ends(const worker_slot& worker) -> bool
+/**
+ * @brief Checks whether it is known what would end with a worker. A worker that was not heard since a takeover may run
+ * anything, until its leases from before are over; ends that are not stored yet would be lost with it.
+ */
+[[nodiscard]] auto are_runs_known(const scheduler_state& state, const worker_index index, const time_point now) -> bool
 {
-    return worker.m_acknowledged_end < worker.m_last_end;
+    const bool leases_over = now > state.m_began + state.m_settings.m_grant_horizon * 2;
+    if (index == no_worker) {
+        return leases_over;
+    }
+    const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    if (!worker.m_heard || worker.m_silent) {
+        return leases_over && worker.m_runs.empty() && !worker.m_registered;
+    }
+    return worker.m_acknowledged_end == worker.m_last_end;
 }
 
 [[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
@@ -143,9 +154,15 @@
         down = back ? wave.m_down.erase(down) : std::next(down);
     }
     for (const auto& id : wave.m_order.m_vms) {
-        if (find_vm(vms, id) == nullptr) {
+        const auto* vm = find_vm(vms, id);
+        if (vm == nullptr) {
             wave.m_begun.insert(id);
         }
+        else if (vm->m_phase == vm_phase::maintained) {
+            // Ordered by the decider before.
+            wave.m_begun.insert(id);
+            wave.m_down.try_emplace(id, now - settings.m_upkeep_time);
+        }
     }
     for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
         const auto* vm = find_vm(vms, cordoned->first);
@@ -236,11 +253,15 @@
     -> std::vector<vm_id>
 {
     note_vms(state, settings, wave, vms, now);
+    // Orders of the decider before may still be carried out.
+    const auto in_doubt = std::count_if(wave.m_order.m_vms.begin(), wave.m_order.m_vms.end(), [&](const vm_id& id) {
+        return reserved.contains(id) && !wave.m_down.contains(id);
+    });
     evacuate_crowded(state, wave, vms);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
     for (const auto& [id, since] : wave.m_cordoned) {
-        if (static_cast<std::int64_t>(wave.m_down.size()) >= wave.m_order.m_concurrency) {
+        if (static_cast<std::int64_t>(wave.m_down.size()) + in_doubt >= wave.m_order.m_concurrency) {
             break;
         }
         if (wave.m_down.contains(id)) {
@@ -248,7 +269,7 @@
         }
         const auto* vm = find_vm(vms, id);
         const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
-        if (index != no_worker && has_unstored_ends(state.m_workers[static_cast<std::size_t>(index)])) {
+        if (!are_runs_known(state, index, now)) {
             continue;
         }
         const bool drained = index == no_worker || now - since > settings.m_longest_drain ||
--- a/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
@@ -90,6 +90,44 @@
     EXPECT_EQ(begun, 1U);
 }
 
+// Guards against more VMs down at once than the operator allows, because another decider ordered some of them.
+TEST(upkeep, vms_that_the_last_decider_ordered_count_as_down)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("ledger", 6);
+    model.run_for(milliseconds{50});
+    auto wave = make_wave(model, 3);
+    wave.m_order.m_duration = milliseconds{500};
+    model.m_vms[0].m_phase = vm_phase::maintained;
+    const std::set<vm_id> reserved{model.m_vms[1].m_vm};
+    EXPECT_EQ(plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, reserved, model.now()).size(),
+              1U);
+    EXPECT_TRUE(wave.m_begun.contains(model.m_vms[0].m_vm));
+}
+
+// Guards against taking down a worker whose runs are not known because it was not heard since a takeover.
+TEST(upkeep, a_worker_that_was_not_heard_is_not_taken_down)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("ledger", 2);
+    model.run_for(milliseconds{50});
+    static_cast<void>(model.submit(make_lasting_job("ledger", 2, 1)));
+    model.run_for(milliseconds{100});
+    model.worker("w1").m_reachable = false;
+    model.take_over();
+    auto wave = make_wave(model, 2);
+    wave.m_order.m_duration = milliseconds{500};
+    for (int tick = 0; tick < 20; ++tick) {
+        model.run_for(milliseconds{100});
+        for (const auto& vm :
+             plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now())) {
+            EXPECT_NE(vm, model.m_vms[0].m_vm);
+        }
+    }
+}
+
 // Guards against ending the runs of a worker in the table because an upkeep that was done before is accepted again.
 TEST(upkeep, a_worker_on_a_vm_that_is_up_has_not_ended)
 {
