Log each decision that touches a job

Cause: a failed job could not be explained from the logs. Change: one line when a job is accepted, started, cancelled and ended, when a run fails or is lost, when a worker is paused; at most 60 lines about runs a second, the rest counted.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -101,6 +101,7 @@
     const auto path = target.substr(0, target.find('?'));
     const auto* queue = find_queue(*config, without_port(to_view(request[http::field::host])), path);
     if (queue == nullptr) {
+        LOG_EVERY_N(INFO, 10) << log_line{"queue_unknown"}.with("path", path).with("version", config->m_version);
         co_await exchange.respond(make_response(http::status::not_found));
         co_return;
     }
@@ -144,8 +145,14 @@
     record.m_terms = queue.m_terms;
     record.m_spec = std::move(decoded).assume_value();
     record.m_arrived_unix_ms = unix_now_ms();
+    const auto arrived = monotonic_now();
     const auto result = co_await m_parts.m_intake->submit(std::move(record), deadline_of(request, queue.m_timeout));
     if (result == intake_result::stored) {
+        const auto took = std::chrono::duration_cast<milliseconds>(monotonic_now() - arrived);
+        LOG(INFO) << log_line{"job_accepted"}
+                         .with("request", id)
+                         .with("queue", queue.m_terms.m_queue)
+                         .with("took_ms", took.count());
         co_return make_response(http::status::ok);
     }
     LOG(INFO) << log_line{"job_not_accepted"}
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -54,6 +54,15 @@
 /** @brief Jobs in one write, beside the conditions on the term and on the log and the put of the log. */
 constexpr std::size_t progress_jobs{store_write_entries - 3};
 
+/** @brief At most this many lines about runs are logged in this time; the others are counted. */
+constexpr milliseconds log_window{1'000};
+constexpr std::int64_t log_window_lines{60};
+
+[[nodiscard]] auto to_ms(const microseconds time) -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 /** @brief Jobs whose final state has been kept long enough are removed this often, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
 constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
@@ -535,9 +544,13 @@
         const auto state = stored[position - first].m_state;
         note_progress_stored(m_state, *jobs[position], stored[position - first]);
         if (is_final(state)) {
+            const auto& job = *jobs[position];
             LOG(INFO) << log_line{"job_ended"}
-                             .with("request", jobs[position]->m_record.m_id)
-                             .with("state", static_cast<int>(state));
+                             .with("request", job.m_record.m_id)
+                             .with("queue", job.m_record.m_terms.m_queue)
+                             .with("state", state_name(state))
+                             .with("took_ms", to_ms(job.m_finished - job.m_arrived))
+                             .with("objective_ms", to_ms(job.m_deadline - job.m_arrived));
         }
     }
     schedule_pass();
@@ -592,6 +605,31 @@
     }
 }
 
+auto decider::log_events() -> void
+{
+    const auto now = monotonic_now();
+    if (now - m_log_window > log_window) {
+        if (m_log_lines > log_window_lines) {
+            LOG(WARNING) << log_line{"run_events_not_logged"}.with("count", m_log_lines - log_window_lines);
+        }
+        m_log_window = now;
+        m_log_lines = 0;
+    }
+    for (const auto& event : std::exchange(m_state.m_events, {})) {
+        if (++m_log_lines > log_window_lines) {
+            continue;
+        }
+        constexpr const char* names[]{"run_failed", "run_lost", "worker_paused"};
+        LOG(INFO) << log_line{names[static_cast<std::size_t>(event.m_kind)]}
+                         .with("request", event.m_task.m_job)
+                         .with("step", event.m_task.m_step)
+                         .with("index", event.m_task.m_index)
+                         .with("run", event.m_run)
+                         .with("worker", m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id)
+                         .with("failures_in_row", event.m_failures);
+    }
+}
+
 auto decider::note_renewal() -> void
 {
     m_state.m_grant_limit = m_renewed() + m_state.m_settings.m_grant_horizon;
@@ -609,6 +647,7 @@
     if (m_state.m_dispatch_wanted) {
         dispatch(m_state, now);
     }
+    log_events();
     for (auto& order : std::exchange(m_state.m_starts, {})) {
         asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(order)), asio::detached);
     }
@@ -627,6 +666,15 @@
         co_return;
     }
     const auto client = client_of(order.m_worker);
+    if (order.m_first_of_job) {
+        const auto now = monotonic_now();
+        LOG(INFO) << log_line{"job_started"}
+                         .with("request", order.m_task.m_job)
+                         .with("queue", job->m_record.m_terms.m_queue)
+                         .with("waited_ms", to_ms(now - job->m_arrived))
+                         .with("left_ms", to_ms(job->m_deadline - now))
+                         .with("worker", m_state.m_workers[static_cast<std::size_t>(order.m_worker)].m_entry.m_id);
+    }
     run_start start;
     start.m_task = order.m_task;
     start.m_run = order.m_run;
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -106,6 +106,7 @@
     auto note_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
     auto run_pass() -> void;
     auto note_renewal() -> void;
+    auto log_events() -> void;
     auto schedule_pass() -> void;
     auto check_deposed() -> void;
     [[nodiscard]] auto client_of(worker_index index) -> std::shared_ptr<worker_client>;
@@ -126,6 +127,8 @@
     store_revision m_workers_seen;
     std::uint64_t m_log_number{0};
     signal_event m_progress_wanted;
+    time_point m_log_window{};
+    std::int64_t m_log_lines{0};
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -151,7 +151,8 @@
     found.m_run = run;
     found.m_since = now;
     --step.m_waiting;
-    if (!job.m_started) {
+    const bool first = !job.m_started;
+    if (first) {
         job.m_started = true;
         mark_dirty(state, job);
     }
@@ -164,7 +165,7 @@
     placed.m_sent = now;
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
-    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint});
+    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint, first});
 }
 
 /** @brief Asks for a write that opens a step. */
--- a/packages/scheduler/src/cicadalug/scheduler/job.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/job.hpp
@@ -154,6 +154,24 @@
 /** @brief State of a job as clients see it. */
 enum class job_state : std::uint8_t { queued, running, completed, failed, cancelled };
 
+/** @brief Name of a state, as it stands in logs. */
+[[nodiscard]] constexpr auto state_name(const job_state state) noexcept -> const char*
+{
+    switch (state) {
+    case job_state::queued:
+        return "queued";
+    case job_state::running:
+        return "running";
+    case job_state::completed:
+        return "completed";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -39,6 +39,7 @@
     const auto task = run->m_task;
     const auto number = run->m_run;
     remove_run(state, worker, run);
+    state.m_events.push_back({run_event_kind::lost, state.m_worker_by_id.at(worker.m_entry.m_id), task, number, 0});
     auto* job = find_job(state, task.m_job);
     const auto* known = find_task(state, task);
     if (job != nullptr && known != nullptr && known->m_run == number && known->m_phase != task_phase::waiting) {
@@ -131,6 +132,11 @@
                          ? state.m_settings.m_worker_pause
                          : std::min(worker.m_pause * 2, state.m_settings.m_worker_pause_limit);
     worker.m_paused_until = now + worker.m_pause;
+    state.m_events.push_back({run_event_kind::worker_paused,
+                              state.m_worker_by_id.at(worker.m_entry.m_id),
+                              {},
+                              {},
+                              worker.m_failures_in_row});
     // One more failure after the pause is enough to pause again.
     worker.m_failures_in_row = state.m_settings.m_failures_before_pause - 1;
 }
@@ -165,6 +171,10 @@
     }
     worker.m_last_end = report.m_number;
     note_worker_health(state, worker, report.m_how, now);
+    if (report.m_how == run_end::failed) {
+        state.m_events.push_back({run_event_kind::failed, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task,
+                                  report.m_run, worker.m_failures_in_row});
+    }
     const auto run = find_run(worker, report.m_task, report.m_run);
     if (run != worker.m_runs.end()) {
         remove_run(state, worker, run);
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -182,6 +182,20 @@
     run_number m_run;
     std::int64_t m_lease_until_ms{0};
     std::string m_checkpoint;
+    /** @brief No task of the job has been started before. */
+    bool m_first_of_job{false};
+};
+
+/** @brief What happened to a run, for the log. */
+enum class run_event_kind : std::uint8_t { failed, lost, worker_paused };
+
+/** @brief One thing that happened to a run. */
+struct run_event {
+    run_event_kind m_kind{run_event_kind::failed};
+    worker_index m_worker{no_worker};
+    task_ref m_task;
+    run_number m_run;
+    std::int64_t m_failures{0};
 };
 
 /** @brief Order to stop a run. */
@@ -224,6 +238,8 @@
     std::map<queue_id, run_time_estimate> m_run_times;
     std::vector<start_order> m_starts;
     std::vector<stop_order> m_stops;
+    /** @brief What is to be logged. */
+    std::vector<run_event> m_events;
     /** @brief Something changed that may let a task start. */
     bool m_dispatch_wanted{false};
     /** @brief A worker refused this decider's token. */
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
@@ -87,7 +87,7 @@
     record.m_id = job_id{"job" + std::to_string(++m_next_job)};
     record.m_arrived_unix_ms = clock().m_unix_ms;
     m_store[record.m_id].m_record = record;
-    const auto id = record.m_id;
+    auto id = record.m_id;
     add_job(m_state, std::move(record), std::nullopt, false, clock());
     m_deadlines[id] = find_job(m_state, id)->m_deadline;
     return id;
--- a/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
@@ -101,8 +101,7 @@
     wave.m_order.m_duration = milliseconds{500};
     model.m_vms[0].m_phase = vm_phase::maintained;
     const std::set<vm_id> reserved{model.m_vms[1].m_vm};
-    EXPECT_EQ(plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, reserved, model.now()).size(),
-              1U);
+    EXPECT_EQ(plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, reserved, model.now()).size(), 1U);
     EXPECT_TRUE(wave.m_begun.contains(model.m_vms[0].m_vm));
 }
 
@@ -121,8 +120,7 @@
     wave.m_order.m_duration = milliseconds{500};
     for (int tick = 0; tick < 20; ++tick) {
         model.run_for(milliseconds{100});
-        for (const auto& vm :
-             plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now())) {
+        for (const auto& vm : plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now())) {
             EXPECT_NE(vm, model.m_vms[0].m_vm);
         }
     }
