Split the decider by what it does

Change: term and loading, progress, and orders have a file each; shared times stand in one header. Behaviour is unchanged.

--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -0,0 +1,188 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/decider.hpp>
+#include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+using internal::failure_pause;
+using internal::store_timeout;
+using internal::tick_interval;
+using internal::to_ms;
+
+/** @brief Progress within this time shares a write. */
+constexpr milliseconds progress_gap{12};
+
+/** @brief Jobs in one write, beside the conditions on the term and on the log and the put of the log. */
+constexpr std::size_t progress_jobs{store_write_entries - 3};
+
+/** @brief Jobs whose final state has been kept long enough are removed this often, a few in one write. */
+constexpr milliseconds garbage_interval{2'000};
+constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
+
+} // namespace
+
+auto decider::log_value() const -> std::string
+{
+    const auto now = monotonic_now();
+    auto text = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_log_number);
+    for (const auto& worker : m_state.m_workers) {
+        if (worker.m_lease_until_ms > 0 && lease_end(m_state, worker) > now) {
+            text += ' ' + worker.m_entry.m_id.str();
+        }
+    }
+    return text;
+}
+
+auto decider::store_progress(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active) {
+        co_await m_progress_wanted.wait(tick_interval);
+        if (!m_active) {
+            co_return;
+        }
+        if (m_state.m_dirty.empty()) {
+            for (auto& worker : m_state.m_workers) {
+                worker.m_acknowledged_end = worker.m_last_end;
+            }
+            continue;
+        }
+        const bool written = co_await write_round();
+        if (!written) {
+            co_await sleep_for(m_executor, failure_pause);
+        }
+        co_await sleep_for(m_executor, progress_gap);
+    }
+}
+
+auto decider::write_round() -> asio::awaitable<bool>
+{
+    const auto jobs = std::exchange(m_state.m_dirty, {});
+    std::vector<std::int64_t> ends;
+    for (const auto& worker : m_state.m_workers) {
+        ends.push_back(worker.m_last_end);
+    }
+    for (auto* job : jobs) {
+        job->m_dirty = false;
+    }
+    for (std::size_t first = 0; first < jobs.size(); first += progress_jobs) {
+        const auto last = std::min(jobs.size(), first + progress_jobs);
+        const bool written = co_await write_progress(jobs, first, last);
+        if (!written) {
+            for (auto position = first; position < jobs.size(); ++position) {
+                mark_dirty(m_state, *jobs[position]);
+            }
+            co_return false;
+        }
+    }
+    for (std::size_t index = 0; index < ends.size(); ++index) {
+        auto& worker = m_state.m_workers[index];
+        // A worker that began another life meanwhile counts anew.
+        worker.m_acknowledged_end = std::min(ends[index], worker.m_last_end);
+    }
+    co_return true;
+}
+
+auto decider::write_progress(const std::vector<job_entry*>& jobs, const std::size_t first, const std::size_t last)
+    -> asio::awaitable<bool>
+{
+    store_write write;
+    write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
+    write.m_conditions.push_back({std::string{log_key}, m_log_revision});
+    ++m_log_number;
+    write.m_puts.push_back({std::string{log_key}, log_value(), no_store_lease});
+    std::vector<job_progress> stored;
+    for (auto position = first; position < last; ++position) {
+        stored.push_back(progress_of(*jobs[position]));
+        write.m_puts.push_back({progress_key(jobs[position]->m_record.m_id), encode(stored.back()), no_store_lease});
+    }
+    const auto written = co_await m_store.write(std::move(write), store_timeout);
+    if (written.m_status == store_status::conflict) {
+        for (const auto& item : written.m_current) {
+            if (item.m_key == holder_key && item.m_revision != m_term.m_revision) {
+                m_state.m_deposed = true;
+            }
+            // An earlier write without an answer was carried out; this one was not.
+            if (item.m_key == log_key) {
+                m_log_revision = item.m_revision;
+            }
+        }
+        const bool holder_there = std::any_of(written.m_current.begin(), written.m_current.end(),
+                                              [](const store_item& item) { return item.m_key == holder_key; });
+        m_state.m_deposed = m_state.m_deposed || !holder_there;
+        check_deposed();
+    }
+    if (written.m_status != store_status::ok) {
+        LOG(WARNING) << log_line{"progress_not_stored"}
+                            .with("jobs", last - first)
+                            .with("status", static_cast<int>(written.m_status));
+        co_return false;
+    }
+    m_log_revision = written.m_revision;
+    for (auto position = first; position < last; ++position) {
+        const auto state = stored[position - first].m_state;
+        note_progress_stored(m_state, *jobs[position], stored[position - first]);
+        if (is_final(state)) {
+            const auto& job = *jobs[position];
+            LOG(INFO) << log_line{"job_ended"}
+                             .with("request", job.m_record.m_id)
+                             .with("queue", job.m_record.m_terms.m_queue)
+                             .with("state", state_name(state))
+                             .with("took_ms", to_ms(job.m_finished - job.m_arrived))
+                             .with("objective_ms", to_ms(job.m_deadline - job.m_arrived));
+        }
+    }
+    schedule_pass();
+    co_return true;
+}
+
+auto decider::flush(const milliseconds limit) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    const auto deadline = monotonic_now() + limit;
+    while (m_active && !m_state.m_dirty.empty() && monotonic_now() < deadline) {
+        m_progress_wanted.notify();
+        co_await sleep_for(m_executor, progress_gap);
+    }
+}
+
+auto decider::collect_garbage(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active) {
+        co_await sleep_for(m_executor, garbage_interval);
+        const auto now = monotonic_now();
+        store_write write;
+        write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
+        std::vector<job_id> removed;
+        for (const auto& [id, job] : m_state.m_jobs) {
+            const bool old = is_final(job->m_stored_state) && !job->m_dirty &&
+                             now - job->m_finished > m_settings.m_status_retention + garbage_interval;
+            if (old && removed.size() < garbage_jobs) {
+                removed.push_back(id);
+                write.m_removals.push_back(job_key(id));
+                write.m_removals.push_back(cancel_key(id));
+                write.m_removals.push_back(progress_key(id));
+            }
+        }
+        if (removed.empty() || !self->m_active) {
+            continue;
+        }
+        const auto written = co_await m_store.write(std::move(write), store_timeout);
+        if (written.m_status == store_status::ok) {
+            for (const auto& id : removed) {
+                m_state.m_jobs.erase(id);
+            }
+        }
+    }
+}
+
+} // namespace cicadalug
