Count failed runs in whatever order they are heard

Ruled out: a lost write; both ends were still listed. Change: the runs that count are stored by number. The new test fails with the rising rule.

--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -31,8 +31,7 @@
         auto& tasks = occurrence.m_steps[step].m_tasks;
         for (std::size_t index = 0; index < tasks.size() && index < stored.m_steps[step].size(); ++index) {
             const auto& from = stored.m_steps[step][index];
-            tasks[index].m_failures = from.m_failures;
-            tasks[index].m_failed_run = from.m_failed_run;
+            tasks[index].m_failed_runs = from.m_failed_runs;
             tasks[index].m_checkpoint = from.m_checkpoint;
             if (from.m_done) {
                 tasks[index].m_phase = task_phase::done;
@@ -209,6 +208,16 @@
     }
 }
 
+auto count_failure(task_state& task, const run_number run) -> bool
+{
+    auto& counted = task.m_failed_runs;
+    if (std::find(counted.begin(), counted.end(), run) != counted.end()) {
+        return false;
+    }
+    counted.push_back(run);
+    return true;
+}
+
 auto task_ended(scheduler_state& state, job_entry& job, const task_end& end, const time_point now) -> void
 {
     const auto& [task, run, how, checkpoint] = end;
@@ -251,12 +260,11 @@
     found->m_worker = no_worker;
     found->m_percent = 0;
     found->m_since = now;
-    if (how == run_end::failed && !spec.m_long_running && run > found->m_failed_run) {
-        ++found->m_failures;
-        found->m_failed_run = run;
-        found->m_not_before = now + state.m_settings.m_task_backoff * found->m_failures;
+    if (how == run_end::failed && !spec.m_long_running && count_failure(*found, run)) {
+        const auto failures = static_cast<std::int64_t>(found->m_failed_runs.size());
+        found->m_not_before = now + state.m_settings.m_task_backoff * failures;
         mark_dirty(state, job);
-        if (found->m_failures >= job.m_record.m_terms.m_max_attempts) {
+        if (failures >= job.m_record.m_terms.m_max_attempts) {
             finish_job(state, job, job_state::failed, now);
         }
     }
@@ -305,7 +313,7 @@
             tasks.reserve(step.m_tasks.size());
             for (const auto& task : step.m_tasks) {
                 const bool done = task.m_phase == task_phase::done;
-                tasks.push_back({done, task.m_failures, task.m_failed_run, done ? std::string{} : task.m_checkpoint});
+                tasks.push_back({done, task.m_failed_runs, done ? std::string{} : task.m_checkpoint});
             }
             stored.m_steps.push_back(std::move(tasks));
             stored.m_opened.push_back(step.m_opened || step.m_opening);
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -48,6 +48,9 @@
     std::string m_checkpoint;
 };
 
+/** @brief Counts a failed run as an attempt. @return False if it was counted before. */
+auto count_failure(task_state& task, run_number run) -> bool;
+
 /** @brief Takes an end of a task into its job. An end of a task that is done, or of a finished job, changes nothing. */
 auto task_ended(scheduler_state& state, job_entry& job, const task_end& end, time_point now) -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -14,15 +14,14 @@
 /** @brief What is stored of a task: enough for another decider to go on. */
 struct task_progress {
     bool m_done{false};
-    std::int64_t m_failures{0};
-    /** @brief Latest run whose failure is counted. Its end may be listed again to the next decider. */
-    run_number m_failed_run;
+    /** @brief Runs that count as failed attempts. Their ends may be listed again to the next decider, in any order. */
+    std::vector<run_number> m_failed_runs;
     std::string m_checkpoint;
 
     template<typename Archive>
     auto serialize(Archive& archive) -> void
     {
-        archive(m_done, m_failures, m_failed_run, m_checkpoint);
+        archive(m_done, m_failed_runs, m_checkpoint);
     }
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -195,9 +195,7 @@
     if (current || task->m_phase == task_phase::waiting || report.m_how == run_end::done) {
         task_ended(state, *job, {report.m_task, report.m_run, report.m_how, report.m_checkpoint}, now);
     }
-    else if (report.m_how == run_end::failed && report.m_run > task->m_failed_run) {
-        ++task->m_failures;
-        task->m_failed_run = report.m_run;
+    else if (report.m_how == run_end::failed && count_failure(*task, report.m_run)) {
         mark_dirty(state, *job);
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -67,9 +67,8 @@
     task_phase m_phase{task_phase::waiting};
     worker_index m_worker{no_worker};
     run_number m_run;
-    std::int64_t m_failures{0};
-    /** @brief Latest run whose failure is counted. */
-    run_number m_failed_run;
+    /** @brief Runs that count as failed attempts. */
+    std::vector<run_number> m_failed_runs;
     std::string m_checkpoint;
     /** @brief Begin of the current phase. */
     time_point m_since{};
--- a/packages/scheduler/test/cicadalug/scheduler/progress.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/progress.cpp
@@ -15,8 +15,8 @@
     open.m_occurrence = 3;
     open.m_steps.emplace_back();
     for (std::size_t index = 0; index < std::min(done.size(), checkpoints.size()); ++index) {
-        open.m_steps.front().push_back({done[index], static_cast<std::int64_t>(index),
-                                        run_number{static_cast<std::int64_t>(index) * 7}, checkpoints[index]});
+        open.m_steps.front().push_back(
+            {done[index], {run_number{static_cast<std::int64_t>(index) * 7}, run_number{3}}, checkpoints[index]});
     }
     open.m_opened = done;
     written.m_open.push_back(open);
@@ -27,7 +27,7 @@
     for (std::size_t index = 0; index < back.m_steps.front().size(); ++index) {
         RC_ASSERT(back.m_steps.front()[index].m_done == done[index]);
         RC_ASSERT(back.m_steps.front()[index].m_checkpoint == checkpoints[index]);
-        RC_ASSERT(back.m_steps.front()[index].m_failed_run.value() == static_cast<std::int64_t>(index) * 7);
+        RC_ASSERT(back.m_steps.front()[index].m_failed_runs.front().value() == static_cast<std::int64_t>(index) * 7);
     }
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -17,13 +17,36 @@
     const auto job = model.submit(make_job("orders", 1, 1'000, milliseconds{300}));
     model.run_for(milliseconds{450});
     const task_ref task{job, 0, 0, 0};
-    ASSERT_EQ(find_task(model.m_state, task)->m_failures, 1);
+    ASSERT_EQ(find_task(model.m_state, task)->m_failed_runs.size(), 1U);
     // The failure is stored; its end is listed again because the acknowledgement is lost with the decider.
-    model.worker("w1").m_ended.push_back(
-        {model.worker("w1").m_end_count, task, find_task(model.m_state, task)->m_failed_run, run_end::failed, {}});
+    model.worker("w1").m_ended.push_back({model.worker("w1").m_end_count,
+                                          task,
+                                          find_task(model.m_state, task)->m_failed_runs.front(),
+                                          run_end::failed,
+                                          {}});
     model.take_over();
     model.run_for(milliseconds{20});
-    EXPECT_EQ(find_task(model.m_state, task)->m_failures, 1);
+    EXPECT_EQ(find_task(model.m_state, task)->m_failed_runs.size(), 1U);
+}
+
+// Guards against a failure that is not counted because a later run's failure was heard first, from another worker.
+TEST(reports, failed_runs_count_in_any_order)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("orders", 2);
+    model.run_for(milliseconds{50});
+    const auto job = model.submit(make_job("orders", 1, 1'000, milliseconds{300}));
+    const task_ref task{job, 0, 0, 0};
+    model.take_over();
+    auto& state = model.m_state;
+    worker_report report;
+    report.m_born_unix_ms = 1;
+    report.m_ended.push_back({1, task, run_number{1'004}, run_end::failed, {}});
+    apply_report(state, 0, report, model.now(), model.now());
+    report.m_ended.front().m_run = run_number{1'003};
+    apply_report(state, 1, report, model.now(), model.now());
+    EXPECT_EQ(find_task(state, task)->m_failed_runs.size(), 2U);
 }
 
 // Guards against taking the runs of a silent worker for over while another decider may renew its lease.
