--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -312,7 +312,7 @@
         entries.push_back(entry);
     }
     const auto known = m_state.m_workers.size();
-    apply_registry(m_state, entries, monotonic_now());
+    apply_registry(m_state, entries);
     m_clients.resize(m_state.m_workers.size());
     for (auto index = known; index < m_state.m_workers.size(); ++index) {
         asio::co_spawn(m_executor, keep_worker(shared_from_this(), static_cast<worker_index>(index)), asio::detached);
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -239,7 +239,7 @@
 
 } // namespace
 
-auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries, const time_point now) -> void
+auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries) -> void
 {
     for (auto& worker : state.m_workers) {
         worker.m_registered = false;
@@ -255,7 +255,6 @@
         state.m_worker_by_id.emplace(entry.m_id, static_cast<worker_index>(state.m_workers.size()));
         worker_slot added;
         added.m_entry = entry;
-        added.m_added = now;
         state.m_workers.push_back(std::move(added));
     }
     state.m_dispatch_wanted = true;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -11,9 +11,8 @@
  * @brief Takes the registry's entries into the table.
  * @param state The scheduler.
  * @param entries All entries that can be used.
- * @param now Current time.
  */
-auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries, time_point now) -> void;
+auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries) -> void;
 
 /**
  * @brief Takes a worker's list of runs into the table.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -147,7 +147,6 @@
     bool m_registered{true};
     /** @brief Answered in this term of the decider. */
     bool m_heard{false};
-    time_point m_added{};
     time_point m_last_heard{};
     /** @brief The last renewal had no answer. Its lease counts as granted, but no longer one is until the next answer.
      */
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
@@ -54,7 +54,7 @@
     for (const auto& [id, entry] : m_registry) {
         entries.push_back(entry);
     }
-    apply_registry(m_state, entries, m_now);
+    apply_registry(m_state, entries);
 }
 
 auto load_model::add_vms(const std::string& pool, const std::size_t count) -> void
