--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -46,8 +46,12 @@
 public:
     explicit entry_program(const deployment_settings& settings)
         : m_settings{settings}, m_executor{m_context.get_executor()}, m_store{m_executor, settings.m_store},
-          m_intake{m_executor, m_store}, m_leadership{m_executor, m_store, settings.m_entry_vm, settings.m_peers,
-                                                      std::max(decider_lease, settings.m_shortest_store_lease)},
+          m_intake{m_executor, m_store}, m_leadership{m_executor,
+                                                      m_store,
+                                                      settings.m_entry_vm,
+                                                      settings.m_peers,
+                                                      std::max(decider_lease, settings.m_shortest_store_lease),
+                                                      settings.m_cores},
           m_api{{m_executor, &m_store, &m_intake, &m_leadership, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
     {
     }
--- a/packages/entry/src/cicadalug/entry/leadership.cpp
+++ b/packages/entry/src/cicadalug/entry/leadership.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/leadership.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/candidacy.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -46,8 +47,9 @@
 } // namespace
 
 leadership::leadership(asio::any_io_executor executor, store_client& store, entry_vm_id self, const tcp_endpoint& peers,
-                       const milliseconds lease)
-    : m_executor{std::move(executor)}, m_store{store}, m_self{std::move(self)}, m_peers{peers}, m_lease_time{lease}
+                       const milliseconds lease, const double cores)
+    : m_executor{std::move(executor)}, m_store{store}, m_self{std::move(self)}, m_peers{peers},
+      m_lease_time{lease}, m_delay{candidate_delay(cores)}
 {
 }
 
@@ -123,7 +125,7 @@
 auto leadership::campaign() -> asio::awaitable<void>
 {
     const auto seed = std::hash<std::string>{}(m_self.str()) + m_seen.value();
-    const auto pause = milliseconds{seed % static_cast<std::size_t>(campaign_spread.count())};
+    const auto pause = m_delay + milliseconds{seed % static_cast<std::size_t>(campaign_spread.count())};
     co_await sleep_for(m_executor, pause);
     if (m_lease == no_store_lease) {
         m_lease = co_await m_store.open_lease(m_lease_time, call_timeout);
--- a/packages/entry/src/cicadalug/entry/leadership.hpp
+++ b/packages/entry/src/cicadalug/entry/leadership.hpp
@@ -42,9 +42,10 @@
      * @param self This entry VM.
      * @param peers Its address for other entry VMs.
      * @param lease Lease of the holder's key.
+     * @param cores Processor time of this entry VM; weak ones let others go first.
      */
     leadership(asio::any_io_executor executor, store_client& store, entry_vm_id self, const tcp_endpoint& peers,
-               milliseconds lease);
+               milliseconds lease, double cores);
 
     /** @brief Starts the candidate. @param begin Called when a term begins. @param end Called when it has ended. */
     auto start(begin_function begin, end_function end) -> void;
@@ -79,6 +80,7 @@
     entry_vm_id m_self;
     tcp_endpoint m_peers;
     milliseconds m_lease_time;
+    milliseconds m_delay;
     begin_function m_begin;
     end_function m_end;
     std::optional<decider_holder> m_holder;
