Keep room for a step while the write that opens it is under way

While that write was under way, the pass went on to less urgent jobs; late ones whose steps had been opened before took the room. So late work went before work that could be in time, the more the longer a queue waited.

Change: a pass keeps the room that such a step needs, for at most 150 ms; with a store that does not answer, open steps go on.

The new test was seen red with a hold of 0.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -17,6 +17,10 @@
 /** @brief A result up to this many times the objective late is still worth something, as the platform's rules state. */
 constexpr std::int64_t late_factor{3};
 
+/** @brief Room is kept this long for a step that is being opened; several times an ordinary write. With a store that
+ * does not answer, steps that are open already go on. */
+constexpr milliseconds opening_hold{150};
+
 /** @brief Runs of one token are numbered from token * this; more starts of one task in one term are not expected. */
 constexpr std::int64_t runs_per_token{1'000};
 
@@ -54,6 +58,12 @@
     urgency m_urgency{urgency::in_time};
 };
 
+[[nodiscard]] auto task_of(const waiting_step& waiting, const std::size_t index) -> task_ref
+{
+    return {waiting.m_job->m_record.m_id, waiting.m_occurrence->m_number, static_cast<std::int64_t>(waiting.m_step),
+            static_cast<std::int64_t>(index)};
+}
+
 [[nodiscard]] auto collect_waiting(const scheduler_state& state, const std::vector<job_entry*>& jobs,
                                    const bool recovered, const time_point now) -> std::vector<waiting_step>
 {
@@ -170,13 +180,49 @@
     state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint, first});
 }
 
-/** @brief Asks for a write that opens a step. */
-auto open_step(scheduler_state& state, job_entry& job, step_state& step) -> void
+/** @brief Room that is kept for steps which are being opened, until the pass is over. */
+using room_reservations = std::vector<std::pair<worker_index, resources>>;
+
+auto reserve_room(scheduler_state& state, room_reservations& reserved, const worker_index index,
+                  const resources& demand) -> void
+{
+    auto& used = state.m_workers[static_cast<std::size_t>(index)].m_used;
+    used = used + demand;
+    reserved.emplace_back(index, demand);
+}
+
+auto release_room(scheduler_state& state, const room_reservations& reserved) -> void
+{
+    for (const auto& [index, demand] : reserved) {
+        auto& used = state.m_workers[static_cast<std::size_t>(index)].m_used;
+        used = used - demand;
+    }
+}
+
+/** @brief Asks for a write that opens a step. @return True while room should be kept for the step. */
+[[nodiscard]] auto open_step(scheduler_state& state, job_entry& job, step_state& step, const time_point now) -> bool
 {
     if (!step.m_opening) {
         step.m_opening = true;
+        step.m_opening_since = now;
         mark_dirty(state, job);
     }
+    return now - step.m_opening_since < opening_hold;
+}
+
+/** @brief Keeps room for the waiting tasks of a step that is being opened. */
+auto reserve_for_step(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
+                      room_reservations& reserved) -> void
+{
+    auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        const auto worker = choose_worker(state, candidates, spec, task_of(waiting, index));
+        if (worker == no_worker) {
+            return;
+        }
+        reserve_room(state, reserved, worker, reserved_demand(spec));
+    }
 }
 
 [[nodiscard]] auto next_run(const scheduler_state& state, const task_state& task) -> run_number
@@ -187,11 +233,11 @@
 
 /** @brief Starts the members of a gang together, or none of them. */
 auto start_gang(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                const time_point now) -> void
+                room_reservations& reserved, const time_point now) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const auto& spec = job.m_record.m_spec.m_steps[waiting.m_step];
+
     const bool pausing = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
                                      [now](const task_state& member) { return member.m_not_before > now; });
     if (step.m_waiting != step.m_tasks.size() || pausing) {
@@ -201,39 +247,26 @@
     for (const auto& member : step.m_tasks) {
         run = std::max(run, next_run(state, member));
     }
-    std::vector<std::pair<worker_index, resources>> reserved;
-    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
-                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
-        const auto worker = choose_worker(state, candidates, spec, task);
-        if (worker == no_worker) {
-            break;
-        }
-        auto& used = state.m_workers[static_cast<std::size_t>(worker)].m_used;
-        reserved.emplace_back(worker, reserved_demand(spec));
-        used = used + reserved.back().second;
-    }
-    for (const auto& [worker, demand] : reserved) {
-        auto& used = state.m_workers[static_cast<std::size_t>(worker)].m_used;
-        used = used - demand;
-    }
-    if (reserved.size() != step.m_tasks.size()) {
+    room_reservations members;
+    reserve_for_step(state, waiting, candidates, members);
+    release_room(state, members);
+    if (members.size() != step.m_tasks.size()) {
         return;
     }
     if (!step.m_opened) {
-        open_step(state, job, step);
+        if (open_step(state, job, step, now)) {
+            reserve_for_step(state, waiting, candidates, reserved);
+        }
         return;
     }
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
-                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
         step.m_tasks[index].m_checkpoint = step.m_tasks.front().m_checkpoint;
-        start_task(state, job, step, task, reserved[index].first, run, now);
+        start_task(state, job, step, task_of(waiting, index), members[index].first, run, now);
     }
 }
 
 auto start_tasks(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                 const time_point now) -> void
+                 room_reservations& reserved, const time_point now) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
@@ -243,14 +276,16 @@
         if (member.m_phase != task_phase::waiting || member.m_not_before > now) {
             continue;
         }
-        const task_ref task{job.m_record.m_id, waiting.m_occurrence->m_number,
-                            static_cast<std::int64_t>(waiting.m_step), static_cast<std::int64_t>(index)};
+        const auto task = task_of(waiting, index);
         const auto worker = choose_worker(state, candidates, spec, task);
         if (worker == no_worker) {
             return;
         }
         if (!step.m_opened) {
-            open_step(state, job, step);
+            // Less urgent steps that are open already would take the room while the write is under way.
+            if (open_step(state, job, step, now)) {
+                reserve_for_step(state, waiting, candidates, reserved);
+            }
             return;
         }
         start_task(state, job, step, task, worker, next_run(state, member), now);
@@ -310,14 +345,16 @@
         if (candidates.empty()) {
             continue;
         }
+        room_reservations reserved;
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
             if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
-                start_gang(state, waiting, candidates, now);
+                start_gang(state, waiting, candidates, reserved, now);
             }
             else {
-                start_tasks(state, waiting, candidates, now);
+                start_tasks(state, waiting, candidates, reserved, now);
             }
         }
+        release_room(state, reserved);
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -83,7 +83,10 @@
     /** @brief Tasks in phase waiting. */
     std::size_t m_waiting{0};
     /** @brief A worker has room for a task; the step is opened as soon as this is stored. */
-    bool m_opening{false};
+        bool m_opening{false};
+    /** @brief When the write that opens the step was asked for. */
+    time_point m_opening_since{};
+
     /** @brief The store tells that tasks may have been started. Without it none has, so that after a takeover the step
      * need not wait for workers that cannot be reached. */
     bool m_opened{false};
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -53,6 +53,25 @@
     EXPECT_TRUE(model.m_state.m_active[service_id{"quotes"}].empty()) << "late jobs are still done";
 }
 
+// Guards against late jobs that are open already and take the room while the write for an urgent one is under way.
+TEST(dispatch, room_is_kept_for_a_step_that_is_being_opened)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("quotes", 1);
+    settle(model);
+    auto late = make_job("quotes", 8, 8'000, milliseconds{300});
+    late.m_terms.m_target = milliseconds{0};
+    late.m_terms.m_stretch = 0.1;
+    const auto first = model.submit(late);
+    model.run_for(milliseconds{200});
+    ASSERT_EQ(model.total_starts(), 4) << "half of the late job waits, its step open";
+    const auto urgent = model.submit(make_job("quotes", 4, 8'000, milliseconds{800}));
+    model.run_for(milliseconds{200});
+    EXPECT_EQ(model.starts_of({urgent, 0, 0, 0}), 1);
+    EXPECT_EQ(model.starts_of({first, 0, 0, 7}), 0);
+}
+
 // Guards against two tasks of one step on one worker when its upkeep may take away only one of them.
 TEST(dispatch, tasks_of_a_step_with_a_disruption_budget_are_spread)
 {
