Ask the permit service where a step may run

Cause: queues whose configuration names placement permits were decoded and then served as if they needed none, so that each start would have been refused and no job of such a queue would ever run.

Change: a step of such a queue asks for up to 30 workers with room, keeps the answer for each life of a worker (a refusal for good, a permit until its time is over, less a margin for the journey), asks again for new workers and after a permit has ended, and pauses 250 ms after a question without an answer. Decisions are free functions in permits.hpp; two questions at most are under way, as the service answers one after the other.

Tests replay the four patterns in the load model; all four were seen red with the check of permits out.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -1,6 +1,7 @@
 #ifndef CICADALUG_ENTRY_DECIDER_HPP
 #define CICADALUG_ENTRY_DECIDER_HPP
 
+#include <cicadalug/adapter/permit_client.hpp>
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/adapter/worker_client.hpp>
 #include <cicadalug/entry/fleet_duty.hpp>
@@ -10,6 +11,7 @@
 #include <cicadalug/scheduler/pace.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +34,8 @@
     entry_vm_id m_self;
     /** @brief Interface to the VMs; port 0 if there is none. */
     tcp_endpoint m_fleet;
+    /** @brief Service that permits placements; port 0 if there is none. */
+    tcp_endpoint m_permits;
     /** @brief Time between the orders of two deciders for one VM. */
     milliseconds m_duty_interval{3'000};
     /** @brief Lease of the term in the store. */
@@ -95,11 +99,13 @@
     [[nodiscard]] auto send_start(std::shared_ptr<decider> self, start_order order) -> asio::awaitable<void>;
     [[nodiscard]] auto send_stop(std::shared_ptr<decider> self, stop_order order) -> asio::awaitable<void>;
     [[nodiscard]] auto send_pace(std::shared_ptr<decider> self, pace_order order) -> asio::awaitable<void>;
+    [[nodiscard]] auto ask_permits(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto collect_garbage(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto run_pass_later(std::shared_ptr<decider> self) -> asio::awaitable<void>;
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
     auto begin_fleet_duty() -> void;
+    auto note_permit_queues() -> void;
     [[nodiscard]] auto log_value() const -> std::string;
     [[nodiscard]] auto read_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
@@ -127,6 +133,11 @@
     store_revision m_workers_seen;
     std::uint64_t m_log_number{0};
     signal_event m_progress_wanted;
+    std::unique_ptr<permit_client> m_permit_client;
+    std::deque<permit_request> m_permit_questions;
+    int m_permit_askers{0};
+    /** @brief Version of the configuration from which the queues that need permits were taken. */
+    version m_permit_config;
     time_point m_log_window{};
     std::int64_t m_log_lines{0};
     bool m_loaded{false};
--- a/packages/entry/src/cicadalug/entry/decider_orders.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_orders.cpp
@@ -38,6 +38,13 @@
 constexpr milliseconds log_window{1'000};
 constexpr std::int64_t log_window_lines{60};
 
+/** @brief Questions for permits under way at the same time: the service answers one after the other, and the second
+ * one is there when the first is answered. */
+constexpr int permit_asker_limit{2};
+
+/** @brief Time for an answer of the permit service, which takes some time for each worker that is named. */
+constexpr milliseconds permit_timeout{1'500};
+
 /** @brief Time for an order to a worker. */
 constexpr milliseconds order_timeout{800};
 
@@ -167,8 +174,16 @@
     note_renewal();
     expire_runs(m_state, now);
     if (m_state.m_dispatch_wanted) {
+        note_permit_queues();
         dispatch(m_state, now);
     }
+    for (auto& request : std::exchange(m_state.m_permit_requests, {})) {
+        m_permit_questions.push_back(std::move(request));
+        if (m_permit_client != nullptr && m_permit_askers < permit_asker_limit) {
+            ++m_permit_askers;
+            asio::co_spawn(m_executor, ask_permits(shared_from_this()), asio::detached);
+        }
+    }
     log_events();
     for (auto& order : std::exchange(m_state.m_starts, {})) {
         asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(order)), asio::detached);
@@ -203,6 +218,8 @@
     start.m_text = job->m_record.m_spec.m_text;
     start.m_lease_until_ms = order.m_lease_until_ms;
     start.m_checkpoint = order.m_checkpoint;
+    start.m_permit = order.m_permit;
+
     start.m_token = m_term.m_token;
     const auto result = co_await client->start(std::move(start), order_timeout);
     if (!m_active) {
@@ -221,6 +238,54 @@
     }
 }
 
+auto decider::note_permit_queues() -> void
+{
+    const auto config = m_settings.m_config();
+    if (config == nullptr || config->m_version == m_permit_config) {
+        return;
+    }
+    m_permit_config = config->m_version;
+    m_state.m_permit_queues.clear();
+    for (const auto& queue : config->m_queues) {
+        if (queue.m_permits.m_required) {
+            m_state.m_permit_queues.insert(queue.m_terms.m_queue);
+        }
+    }
+    if (!m_state.m_permit_queues.empty() && m_permit_client == nullptr) {
+        if (m_settings.m_permits.port() == 0) {
+            LOG(ERROR) << log_line{"permit_service_missing"}.with("queues", m_state.m_permit_queues.size());
+            return;
+        }
+        m_permit_client = std::make_unique<permit_client>(m_executor, m_settings.m_permits);
+    }
+}
+
+auto decider::ask_permits(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active && !m_permit_questions.empty()) {
+        const auto request = std::move(m_permit_questions.front());
+        m_permit_questions.pop_front();
+        std::vector<worker_id> workers;
+        for (const auto& [index, born] : request.m_workers) {
+            workers.push_back(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
+        }
+        const auto asked = monotonic_now();
+        const auto answer = co_await m_permit_client->ask(request.m_step, std::move(workers), permit_timeout);
+        if (!m_active) {
+            co_return;
+        }
+        if (!answer) {
+            LOG_EVERY_N(WARNING, 10) << log_line{"permits_not_answered"}
+                                            .with("request", request.m_step.m_job)
+                                            .with("step", request.m_step.m_step)
+                                            .with("workers", request.m_workers.size());
+        }
+        apply_permits(m_state, request, answer, asked, monotonic_now());
+        schedule_pass();
+    }
+    --m_permit_askers;
+}
+
 auto decider::send_stop(const std::shared_ptr<decider> self, stop_order order) -> asio::awaitable<void>
 {
     if (!self->m_active) {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 
 #include <algorithm>
@@ -56,6 +57,7 @@
     occurrence_state* m_occurrence{nullptr};
     std::size_t m_step{0};
     urgency m_urgency{urgency::in_time};
+    bool m_needs_permit{false};
 };
 
 [[nodiscard]] auto task_of(const waiting_step& waiting, const std::size_t index) -> task_ref
@@ -69,6 +71,7 @@
 {
     std::vector<waiting_step> found;
     for (auto* job : jobs) {
+        const bool needs_permit = state.m_permit_queues.contains(job->m_record.m_terms.m_queue);
         bool judged{false};
         auto worth = urgency::in_time;
         for (auto& occurrence : job->m_open) {
@@ -82,7 +85,7 @@
                     worth = judge_urgency(state, *job, now);
                     judged = true;
                 }
-                found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : worth});
+                found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : worth, needs_permit});
             }
         }
     }
@@ -116,10 +119,13 @@
     });
 }
 
-/** @brief Picks the worker for a task: on the rack of its data if there is room, else the one with the least room left.
+/**
+ * @brief Picks the worker for a task: on the rack of its data if there is room, else the one with the least room left.
+ * @param permits The task's step if its queue needs permits, else null.
  */
 [[nodiscard]] auto choose_worker(const scheduler_state& state, const std::vector<worker_index>& candidates,
-                                 const step_spec& spec, const task_ref& task) -> worker_index
+                                 const step_spec& spec, const task_ref& task, const step_state* permits,
+                                 const time_point now) -> worker_index
 {
     auto best = no_worker;
     std::int64_t best_score{0};
@@ -127,7 +133,8 @@
     for (const auto index : candidates) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         const auto free = worker.m_entry.m_capacity - worker.m_used;
-        if (!fits(demand, free) || (!spec.m_required_label.empty() && !has_label(worker, spec.m_required_label)) ||
+        if (!fits(demand, free) || !has_required_label(spec, worker) ||
+            (permits != nullptr && !has_permit(*permits, worker, index, now)) ||
             (spec.m_max_per_worker > 0 && tasks_of_step(worker, task) >= spec.m_max_per_worker)) {
             continue;
         }
@@ -177,7 +184,9 @@
     placed.m_sent = now;
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
-    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint, first});
+    const auto permit = step.m_permits.find(index);
+    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint,
+                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, first});
 }
 
 /** @brief Room that is kept for steps which are being opened, until the pass is over. */
@@ -212,12 +221,13 @@
 
 /** @brief Keeps room for the waiting tasks of a step that is being opened. */
 auto reserve_for_step(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                      room_reservations& reserved) -> void
+                      room_reservations& reserved, const time_point now) -> void
 {
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
     const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const auto worker = choose_worker(state, candidates, spec, task_of(waiting, index));
+        const auto worker = choose_worker(state, candidates, spec, task_of(waiting, index),
+                                          waiting.m_needs_permit ? &step : nullptr, now);
         if (worker == no_worker) {
             return;
         }
@@ -248,14 +258,17 @@
         run = std::max(run, next_run(state, member));
     }
     room_reservations members;
-    reserve_for_step(state, waiting, candidates, members);
+    reserve_for_step(state, waiting, candidates, members, now);
     release_room(state, members);
     if (members.size() != step.m_tasks.size()) {
+        if (waiting.m_needs_permit) {
+            request_permits(state, task_of(waiting, 0), step, candidates, now);
+        }
         return;
     }
     if (!step.m_opened) {
         if (open_step(state, job, step, now)) {
-            reserve_for_step(state, waiting, candidates, reserved);
+            reserve_for_step(state, waiting, candidates, reserved, now);
         }
         return;
     }
@@ -277,14 +290,17 @@
             continue;
         }
         const auto task = task_of(waiting, index);
-        const auto worker = choose_worker(state, candidates, spec, task);
+        const auto worker = choose_worker(state, candidates, spec, task, waiting.m_needs_permit ? &step : nullptr, now);
         if (worker == no_worker) {
+            if (waiting.m_needs_permit) {
+                request_permits(state, task, step, candidates, now);
+            }
             return;
         }
         if (!step.m_opened) {
             // Less urgent steps that are open already would take the room while the write is under way.
             if (open_step(state, job, step, now)) {
-                reserve_for_step(state, waiting, candidates, reserved);
+                reserve_for_step(state, waiting, candidates, reserved, now);
             }
             return;
         }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -144,6 +144,13 @@
     return demand;
 }
 
+auto has_required_label(const step_spec& step, const worker_slot& worker) -> bool
+{
+    const auto& labels = worker.m_entry.m_labels;
+    return step.m_required_label.empty() ||
+           std::find(labels.begin(), labels.end(), step.m_required_label) != labels.end();
+}
+
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void
 {
     if (!job.m_dirty) {
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 
 #include <algorithm>
@@ -320,6 +321,9 @@
     case order_result::other_worker:
         worker.m_paused_until = now + other_worker_pause;
         break;
+    case order_result::no_permit:
+        drop_permit(state, order.m_task, order.m_worker);
+        break;
     default:
         break;
     }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cicadalug {
@@ -77,13 +78,21 @@
     std::int64_t m_usage{0};
 };
 
+/** @brief What the permit service said of a step on one life of a worker. */
+struct step_permit {
+    /** @brief Passed on with each start; empty if the step may not run there. */
+    std::string m_text;
+    std::int64_t m_born_unix_ms{0};
+    time_point m_valid_until{};
+};
+
 struct step_state {
     std::vector<task_state> m_tasks;
     std::size_t m_done{0};
     /** @brief Tasks in phase waiting. */
     std::size_t m_waiting{0};
     /** @brief A worker has room for a task; the step is opened as soon as this is stored. */
-        bool m_opening{false};
+    bool m_opening{false};
     /** @brief When the write that opens the step was asked for. */
     time_point m_opening_since{};
 
@@ -92,6 +101,10 @@
     bool m_opened{false};
     /** @brief The step was open when this decider took over. */
     bool m_recovered{false};
+    /** @brief Permits by worker, for queues that need them. */
+    std::map<worker_index, step_permit> m_permits;
+    bool m_permits_asked{false};
+    time_point m_permits_not_before{};
 };
 
 struct occurrence_state {
@@ -183,10 +196,19 @@
     run_number m_run;
     std::int64_t m_lease_until_ms{0};
     std::string m_checkpoint;
+    std::string m_permit;
     /** @brief No task of the job has been started before. */
     bool m_first_of_job{false};
 };
 
+/** @brief Question to the permit service. */
+struct permit_request {
+    /** @brief Names the step; the index means nothing. */
+    task_ref m_step;
+    /** @brief Workers asked for, each with the begin of its life. */
+    std::vector<std::pair<worker_index, std::int64_t>> m_workers;
+};
+
 /** @brief What happened to a run, for the log. */
 enum class run_event_kind : std::uint8_t { failed, lost, worker_paused };
 
@@ -239,6 +261,10 @@
     std::map<queue_id, run_time_estimate> m_run_times;
     std::vector<start_order> m_starts;
     std::vector<stop_order> m_stops;
+    /** @brief Queues whose steps need permits. */
+    std::set<queue_id> m_permit_queues;
+    std::vector<permit_request> m_permit_requests;
+
     /** @brief What is to be logged. */
     std::vector<run_event> m_events;
     /** @brief Something changed that may let a task start. */
@@ -259,6 +285,9 @@
 /** @brief Returns the capacity that a task of a step reserves. */
 [[nodiscard]] auto reserved_demand(const step_spec& step) -> resources;
 
+/** @brief Checks whether a worker has the label that a step requires. */
+[[nodiscard]] auto has_required_label(const step_spec& step, const worker_slot& worker) -> bool;
+
 /** @brief Checks whether a state is final. */
 [[nodiscard]] constexpr auto is_final(const job_state state) noexcept -> bool
 {
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
@@ -147,6 +147,11 @@
             apply_start_result(m_state, order, order_result::unknown, m_now);
             continue;
         }
+        if (!m_state.m_permit_queues.empty() && order.m_permit != "permit-" + id.str()) {
+            apply_start_result(m_state, order, order_result::no_permit, m_now);
+            ++m_rejected_starts;
+            continue;
+        }
         ++m_starts[order.m_task];
         const auto& spec = step_of(*find_job(m_state, order.m_task.m_job), order.m_task);
         worker.m_runs.push_back({order.m_task, order.m_run, m_now, m_now + spec.m_estimate, spec.m_long_running});
@@ -167,6 +172,21 @@
     }
 }
 
+auto load_model::answer_permit_requests() -> void
+{
+    for (const auto& request : std::exchange(m_state.m_permit_requests, {})) {
+        ++m_permit_questions;
+        permit_answer answer{{}, m_permit_validity};
+        for (const auto& [index, born] : request.m_workers) {
+            const auto& id = m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id;
+            if (m_permitted.contains(id)) {
+                answer.m_granted.push_back({id, "permit-" + id.str()});
+            }
+        }
+        apply_permits(m_state, request, m_permit_service_up ? std::optional{answer} : std::nullopt, m_now, m_now);
+    }
+}
+
 auto load_model::store() -> void
 {
     if (!m_store_up) {
@@ -225,6 +245,7 @@
     expire_runs(m_state, m_now);
     dispatch(m_state, m_now);
     carry_out_orders();
+    answer_permit_requests();
     store();
     const bool plan = m_now.time_since_epoch() % milliseconds{100} == microseconds{0};
     if (!m_moving || !plan) {
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.hpp
@@ -5,6 +5,7 @@
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/upkeep.hpp>
@@ -74,11 +75,18 @@
     /** @brief False: progress is not stored, and ends are not acknowledged. */
     bool m_store_up{true};
     std::int64_t m_move_count{0};
+    /** @brief Workers on which the permit service lets steps run, and how long its permits hold. */
+    std::set<worker_id> m_permitted;
+    milliseconds m_permit_validity{3'000};
+    bool m_permit_service_up{true};
+    std::int64_t m_permit_questions{0};
+    std::int64_t m_rejected_starts{0};
 
 private:
     auto step() -> void;
     auto report(const worker_id& id, model_worker& worker) -> void;
     auto carry_out_orders() -> void;
+    auto answer_permit_requests() -> void;
     auto store() -> void;
     auto finish_moves() -> void;
     auto apply_registry_now() -> void;
