--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/adapter/job_body.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/client_api.hpp>
+#include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
@@ -71,11 +72,6 @@
     return std::clamp(left, milliseconds{1}, most);
 }
 
-[[nodiscard]] auto unix_now_ms() -> std::int64_t
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 [[nodiscard]] auto without_port(const std::string_view host) -> std::string_view
 {
     return host.substr(0, host.find(':'));
@@ -144,11 +140,12 @@
     record.m_id = job_id{id};
     record.m_terms = queue.m_terms;
     record.m_spec = std::move(decoded).assume_value();
-    record.m_arrived_unix_ms = unix_now_ms();
-    const auto arrived = monotonic_now();
+    const auto clock = read_clocks();
+    record.m_arrived_unix_ms = clock.m_unix_ms;
+
     const auto result = co_await m_parts.m_intake->submit(std::move(record), deadline_of(request, queue.m_timeout));
     if (result == intake_result::stored) {
-        const auto took = std::chrono::duration_cast<milliseconds>(monotonic_now() - arrived);
+        const auto took = std::chrono::duration_cast<milliseconds>(monotonic_now() - clock.m_now);
         LOG(INFO) << log_line{"job_accepted"}
                          .with("request", id)
                          .with("queue", queue.m_terms.m_queue)
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
@@ -38,12 +39,6 @@
     m_state.m_token = term.m_token;
 }
 
-auto decider::read_clocks() -> clock_reading
-{
-    const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
-    return {monotonic_now(), std::chrono::duration_cast<milliseconds>(unix_time).count()};
-}
-
 auto decider::start() -> void
 {
     asio::co_spawn(m_executor, load(shared_from_this()), asio::detached);
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -116,7 +116,6 @@
     auto schedule_pass() -> void;
     auto check_deposed() -> void;
     [[nodiscard]] auto client_of(worker_index index) -> std::shared_ptr<worker_client>;
-    [[nodiscard]] static auto read_clocks() -> clock_reading;
 
     asio::any_io_executor m_executor;
     store_client& m_store;
--- a/packages/entry/src/cicadalug/entry/decider_orders.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_orders.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/fleet_duty.hpp>
+#include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/reports.hpp>
@@ -48,16 +49,6 @@
 /** @brief Difference between the clocks of two entry VMs that is allowed for. */
 constexpr milliseconds clock_margin{300};
 
-[[nodiscard]] auto unix_now_ms() -> std::int64_t
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
-[[nodiscard]] auto read_clocks() -> clock_reading
-{
-    return {monotonic_now(), unix_now_ms()};
-}
-
 } // namespace
 
 fleet_duty::fleet_duty(const fleet_duty_parts& parts, std::unique_ptr<fleet_client> fleet)
@@ -91,7 +82,9 @@
     }
     auto& open = m_waves[wave];
     open.m_loaded = true;
-    const auto now_unix_ms = unix_now_ms();
+    const auto clock = read_clocks();
+    const auto now_unix_ms = clock.m_unix_ms;
+
     open.m_began_unix_ms = now_unix_ms;
     if (read.m_status == store_status::ok) {
         std::istringstream text{read.m_item.m_value};
@@ -107,8 +100,7 @@
         open.m_dirty = true;
         LOG(INFO) << log_line{"wave_began"}.with("wave", wave).with("vms", open.m_progress.m_order.m_vms.size());
     }
-    open.m_progress.m_began =
-        monotonic_now() - milliseconds{std::max<std::int64_t>(0, now_unix_ms - open.m_began_unix_ms)};
+    open.m_progress.m_began = clock.m_now - milliseconds{std::max<std::int64_t>(0, now_unix_ms - open.m_began_unix_ms)};
     co_return true;
 }
 
--- a/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
+++ b/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
@@ -1,5 +1,5 @@
 #include <cicadalug/async/run_on.hpp>
-#include <cicadalug/http/http_connection.hpp>
+#include <cicadalug/http/http_pool.hpp>
 #include <cicadalug/http/line_stream.hpp>
 #include <cicadalug/http/target.hpp>
 #include <cicadalug/platform/http_platform_client.hpp>
@@ -17,9 +17,6 @@
 
 using nlohmann::json;
 
-/** @brief Idle connections that are kept. */
-constexpr std::size_t max_idle{8};
-
 [[nodiscard]] auto error_of(const http_failure& failure) -> platform_error
 {
     const auto kind =
@@ -56,7 +53,8 @@
 class http_platform_client::state {
 public:
     state(const asio::any_io_executor& executor, const tcp_endpoint& endpoint, const platform_timeouts& timeouts)
-        : m_strand{asio::make_strand(executor)}, m_endpoint{endpoint}, m_timeouts{timeouts}
+        : m_strand{asio::make_strand(executor)}, m_endpoint{endpoint}, m_timeouts{timeouts}, m_connections{m_strand,
+                                                                                                           endpoint}
     {
     }
 
@@ -91,22 +89,10 @@
         -> asio::awaitable<platform_result<http_response>>
     {
         ++self->m_calls;
-        auto connection = self->take_idle();
-        if (!connection) {
-            auto connected =
-                co_await http_connection::connect(self->m_strand, self->m_endpoint, self->m_timeouts.m_call);
-            if (!connected) {
-                co_return error_of(connected.assume_error());
-            }
-            connection = std::move(connected).assume_value();
-        }
-        auto answer = co_await connection->exchange(std::move(request), self->m_timeouts.m_call);
+        auto answer = co_await self->m_connections.exchange(std::move(request), self->m_timeouts.m_call);
         if (!answer) {
             co_return error_of(answer.assume_error());
         }
-        if (self->m_idle.size() < max_idle && connection->reusable()) {
-            self->m_idle.push_back(std::move(connection));
-        }
         co_return std::move(answer).assume_value();
     }
 
@@ -163,19 +149,8 @@
         return body;
     }
 
-    [[nodiscard]] auto take_idle() -> std::unique_ptr<http_connection>
-    {
-        while (!m_idle.empty()) {
-            auto connection = std::move(m_idle.back());
-            m_idle.pop_back();
-            if (connection->reusable()) {
-                return connection;
-            }
-        }
-        return nullptr;
-    }
+    http_pool m_connections;
 
-    std::vector<std::unique_ptr<http_connection>> m_idle;
     std::map<availability_zone_id, known_list> m_lists;
 };
 
