Try a failed task on another worker, and explain a request from its logs

Since tasks go to the fullest worker with room, the one on which a task has just failed is the first choice again, and a worker that fails a part of its runs can use up all attempts of a job that could be done.

Change: a worker on which a task failed in this term is used for it only if no other one has room. The test was seen red with the penalty at 0 (three starts on one worker).

cicadalugctl explain ID [FILES] prints the lines of all entry VMs that tell the history of a request, in order of time, with the pauses of its workers and the takeovers in between, and the cause last.

--- a/packages/ctl/src/cicadalug/command/fwd.hpp
+++ b/packages/ctl/src/cicadalug/command/fwd.hpp
@@ -5,6 +5,8 @@
 
 struct command_context;
 struct apply_options;
+struct explain_options;
+struct log_record;
 struct watch_options;
 struct wave_options;
 
--- a/packages/ctl/src/cicadalug/command/program.cpp
+++ b/packages/ctl/src/cicadalug/command/program.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/base/nearest_name.hpp>
 #include <cicadalug/command/apply.hpp>
+#include <cicadalug/command/explain.hpp>
 #include <cicadalug/command/maintenance.hpp>
 #include <cicadalug/command/observe.hpp>
 #include <cicadalug/command/program.hpp>
@@ -31,6 +32,8 @@
     std::string m_name;
     std::uint64_t m_version{0};
     apply_options m_apply;
+    explain_options m_explain;
+
     std::uint64_t m_after{0};
     std::int64_t m_limit_ms{0};
     std::vector<std::string> m_pools;
@@ -66,6 +69,7 @@
         add_maintenance();
         add_wave();
         add_observe();
+        add_explain();
     }
 
     [[nodiscard]] auto run(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& error) -> int
@@ -166,6 +170,15 @@
                                   "Version it must have; without this option the one that is read first");
     }
 
+    auto add_explain() -> void
+    {
+        auto& added = add_command(m_app, "explain", "Show the history of a request from log files, with its cause last",
+                                  "explain 0de75a04ae98a0e7 logs/*.log",
+                                  [this](const auto& context) { return explain(context, m_options.m_explain); });
+        added.add_option("request", m_options.m_explain.m_request, "Id of the request")->required();
+        added.add_option("files", m_options.m_explain.m_files, "Log files of all entry VMs; none: standard input");
+    }
+
     auto add_maintenance() -> void
     {
         auto& drain = add_command(m_app, "drain", "Let a VM finish its work and give it no more", "drain c1-04",
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -42,6 +42,9 @@
  * budget has to wait until some have gone elsewhere. */
 constexpr std::int64_t same_step_penalty{10'000'000};
 
+/** @brief Penalty of a worker on which the task has failed: the fault may be the worker's. Greater than all others. */
+constexpr std::int64_t failed_here_penalty{1'000'000'000};
+
 [[nodiscard]] auto run_time_tolerance(const scheduler_state& state, const job_entry& job) -> double
 {
     const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
@@ -121,10 +124,12 @@
 
 /**
  * @brief Picks the worker for a task: on the rack of its data if there is room, else the one with the least room left.
+ * @param failed_on Workers to be used only if no other one has room.
  * @param permits The task's step if its queue needs permits, else null.
  */
 [[nodiscard]] auto choose_worker(const scheduler_state& state, const std::vector<worker_index>& candidates,
-                                 const step_spec& spec, const task_ref& task, const step_state* permits,
+                                 const step_spec& spec, const task_ref& task,
+                                 const std::vector<worker_index>& failed_on, const step_state* permits,
                                  const time_point now) -> worker_index
 {
     auto best = no_worker;
@@ -149,6 +154,9 @@
                         [](const placed_run& run) { return run.m_long_running; })) {
             score += shared_worker_bonus;
         }
+        if (std::find(failed_on.begin(), failed_on.end(), index) != failed_on.end()) {
+            score -= failed_here_penalty;
+        }
         if (spec.m_disruption_budget > 0) {
             score -= same_step_penalty * tasks_of_step(worker, task);
         }
@@ -226,8 +234,9 @@
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
     const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const auto worker = choose_worker(state, candidates, spec, task_of(waiting, index),
-                                          waiting.m_needs_permit ? &step : nullptr, now);
+        const auto worker =
+            choose_worker(state, candidates, spec, task_of(waiting, index), step.m_tasks[index].m_failed_on,
+                          waiting.m_needs_permit ? &step : nullptr, now);
         if (worker == no_worker) {
             return;
         }
@@ -290,7 +299,8 @@
             continue;
         }
         const auto task = task_of(waiting, index);
-        const auto worker = choose_worker(state, candidates, spec, task, waiting.m_needs_permit ? &step : nullptr, now);
+        const auto worker = choose_worker(state, candidates, spec, task, member.m_failed_on,
+                                          waiting.m_needs_permit ? &step : nullptr, now);
         if (worker == no_worker) {
             if (waiting.m_needs_permit) {
                 request_permits(state, task, step, candidates, now);
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -264,6 +264,9 @@
         found->m_phase = task_phase::waiting;
         ++step.m_waiting;
     }
+    if (how == run_end::failed && found->m_worker != no_worker) {
+        found->m_failed_on.push_back(found->m_worker);
+    }
     found->m_worker = no_worker;
     found->m_percent = 0;
     found->m_since = now;
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -70,6 +70,8 @@
     run_number m_run;
     /** @brief Runs that count as failed attempts. */
     std::vector<run_number> m_failed_runs;
+    /** @brief Workers on which runs failed in this term; others are tried first. */
+    std::vector<worker_index> m_failed_on;
     std::string m_checkpoint;
     /** @brief Begin of the current phase. */
     time_point m_since{};
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -104,6 +104,22 @@
     EXPECT_EQ(failed, 0);
 }
 
+// Guards against a task that uses up its attempts on one bad worker, which packing makes the first choice again.
+TEST(dispatch, a_task_that_failed_is_tried_on_another_worker)
+{
+    load_model model;
+    model.m_moving = false;
+    model.add_vms("quotes", 3);
+    settle(model);
+    model.worker("w1").m_fails_all = true;
+    static_cast<void>(model.submit(make_lasting_job("quotes", 1, 1)));
+    model.run_for(milliseconds{100});
+    const auto job = model.submit(make_job("quotes", 1, 2'000, milliseconds{100}));
+    model.run_for(milliseconds{2'000});
+    EXPECT_EQ(find_job(model.m_state, job)->m_state, job_state::completed);
+    EXPECT_LE(model.starts_of({job, 0, 0, 0}), 2);
+}
+
 // Guards against a second run of a task that goes on at a worker which a new decider cannot reach.
 TEST(dispatch, tasks_of_an_open_step_wait_for_workers_that_are_not_heard)
 {
