--- a/packages/ctl/test/cicadalug/command/explain.cpp
+++ b/packages/ctl/test/cicadalug/command/explain.cpp
@@ -18,8 +18,7 @@
     "I20260815 01:48:06.100000  5770 client_api.cpp:152] event=job_accepted request=bb took_ms=12",
     "W20260815 01:48:06.900000  5770 client_api.cpp:160] event=job_not_accepted request=cc outcome=unknown",
     "E no structure here",
-    "I20260815 01:48:09.000000  5767 decider.cpp:1] event=job_ended request=aa state=completed took_ms=2954 "
-    "objective_ms=2000",
+    "I20260815 01:48:09.000000  1 d.cpp:1] event=job_ended request=aa state=completed took_ms=2954 objective_ms=2000",
     "  -4.9 front-1 I20260815 01:48:06.900000  5767 decider.cpp:1] event=job_started request=aa waited_ms=850 "
     "worker=w1",
     "I20260815 01:48:07.000000  5767 decider.cpp:1] event=run_failed request=aa worker=w1 run=1",
