--- a/packages/ctl/src/cicadalug/command/explain.cpp
+++ b/packages/ctl/src/cicadalug/command/explain.cpp
@@ -104,7 +104,7 @@
         }
         const auto found = rest.substr(0, equals);
         rest.remove_prefix(equals + 1);
-        const auto value = take_value(rest);
+        auto value = take_value(rest);
         if (found == name) {
             return value;
         }
