Order an unanswered move again, and release the worker at last

Change: a move without an answer is ordered again, which does nothing if it was carried out; when it is given up, the worker takes work again.

The test was seen red.

--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -53,7 +53,17 @@
     return cores;
 }
 
-/** @brief Forgets moves that have ended. */
+/** @brief Lets a worker take work again that was cordoned for a move. */
+auto release_worker(scheduler_state& state, const worker_id& worker) -> void
+{
+    const auto known = state.m_worker_by_id.find(worker);
+    if (known != state.m_worker_by_id.end()) {
+        state.m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
+        state.m_dispatch_wanted = true;
+    }
+}
+
+/** @brief Forgets moves that have ended, and those that were not carried out in time. */
 auto note_ended_moves(scheduler_state& state, const move_settings& settings, move_state& moves,
                       const std::vector<vm_status>& vms, const time_point now) -> void
 {
@@ -63,6 +73,10 @@
         const bool there = vm != vms.end() && move->second.m_ordered && vm->m_phase == vm_phase::up &&
                            vm->m_pool == move->second.m_target && worker_of(state, *vm) != no_worker;
         const bool given_up = vm == vms.end() || now - move->second.m_since > settings.m_longest_move;
+        if (given_up && !there && vm != vms.end() && vm->m_phase == vm_phase::up) {
+            release_worker(state, vm->m_worker);
+        }
+
         move = there || given_up ? moves.m_moves.erase(move) : std::next(move);
     }
 }
@@ -315,9 +329,12 @@
     }
     if (result != vm_order_result::unknown) {
         moves.m_moves.erase(order.m_vm);
-        if (known != state.m_worker_by_id.end()) {
-            state.m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
-        }
+        release_worker(state, order.m_worker);
+        return;
+    }
+    // The same order again does nothing if it was carried out.
+    if (const auto move = moves.m_moves.find(order.m_vm); move != moves.m_moves.end()) {
+        move->second.m_ordered = false;
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -76,7 +76,10 @@
                               move_state& moves, const std::vector<vm_status>& vms, const std::set<service_id>& standby,
                               const std::set<vm_id>& reserved, time_point now) -> std::vector<move_order>;
 
-/** @brief Takes the result of a move. A refused one is forgotten, and its worker released. */
+/**
+ * @brief Takes the result of a move. A refused one is forgotten, and its worker released. One without an answer is
+ * ordered again until it is seen or given up: the interface to the VMs may be away for seconds.
+ */
 auto note_move_result(scheduler_state& state, move_state& moves, const move_order& order, vm_order_result result,
                       time_point now) -> void;
 
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -168,6 +168,32 @@
     EXPECT_GE(count(), before);
 }
 
+// Guards against workers that take no work for ever because the interface to the VMs was away when they were to move.
+TEST(moves, an_unanswered_move_is_repeated_and_given_up_at_last)
+{
+    load_model model;
+    add_pools(model);
+    model.m_move_settings.m_standby_floor_percent = 100;
+    const auto& vm = model.m_vms.front();
+    const move_order order{vm.m_vm, vm.m_worker, service_id{"orders"}};
+    auto& worker = model.m_state.m_workers.front();
+    worker.m_cordoned = true;
+    move_state moves;
+    moves.m_moves[vm.m_vm] = {order.m_target, model.now(), true};
+    const auto plan = [&](const milliseconds later) {
+        return plan_moves(model.m_state, model.m_demand, model.m_move_settings, moves, model.m_vms, model.m_standby, {},
+                          model.now() + later);
+    };
+    note_move_result(model.m_state, moves, order, vm_order_result::unknown, model.now());
+    const auto again = plan(milliseconds{1'000});
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again.front().m_target, order.m_target);
+    EXPECT_TRUE(worker.m_cordoned);
+    const auto given_up = plan(model.m_move_settings.m_longest_move + milliseconds{100});
+    EXPECT_TRUE(given_up.empty());
+    EXPECT_FALSE(worker.m_cordoned);
+}
+
 // Guards against a pool that gives away a worker whose tasks may not be ended.
 TEST(moves, workers_with_tasks_that_last_stay)
 {
