--- a/packages/ctl/test/cicadalug/command/explain.cpp
+++ b/packages/ctl/test/cicadalug/command/explain.cpp
@@ -19,8 +19,7 @@
     "W20260815 01:48:06.900000  5770 client_api.cpp:160] event=job_not_accepted request=cc outcome=unknown",
     "E no structure here",
     "I20260815 01:48:09.000000  1 d.cpp:1] event=job_ended request=aa state=completed took_ms=2954 objective_ms=2000",
-    "  -4.9 front-1 I20260815 01:48:06.900000  5767 decider.cpp:1] event=job_started request=aa waited_ms=850 "
-    "worker=w1",
+    "  -4.9 front-1 I20260815 01:48:06.900000  1 d.cpp:1] event=job_started request=aa waited_ms=850 worker=w1",
     "I20260815 01:48:07.000000  5767 decider.cpp:1] event=run_failed request=aa worker=w1 run=1",
     "I20260815 01:48:07.100000  5767 decider.cpp:1] event=worker_paused request=\"\" worker=w1",
     "I20260815 01:48:07.200000  5767 decider.cpp:1] event=worker_paused request=\"\" worker=w2",
