Never order a VM again that has arrived or is on its way

The next order is accepted as done before, and its acceptance ended all runs of the worker in the table that was listed then, the new one. A run started there meanwhile would have been given up while it went on, and its task started a second time.

A move has ended when the VM is up in its pool, however it was ordered; one that is on its way, or there with a worker that is not seen yet, is not ordered again.

--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -70,8 +70,8 @@
     for (auto move = moves.m_moves.begin(); move != moves.m_moves.end();) {
         const auto vm = std::find_if(vms.begin(), vms.end(),
                                      [&move](const vm_status& listed) { return listed.m_vm == move->first; });
-        const bool there = vm != vms.end() && move->second.m_ordered && vm->m_phase == vm_phase::up &&
-                           vm->m_pool == move->second.m_target && worker_of(state, *vm) != no_worker;
+        const bool there = vm != vms.end() && vm->m_phase == vm_phase::up && vm->m_pool == move->second.m_target &&
+                           worker_of(state, *vm) != no_worker;
         const bool given_up = vm == vms.end() || now - move->second.m_since > settings.m_longest_move;
         if (given_up && !there && vm != vms.end() && vm->m_phase == vm_phase::up) {
             release_worker(state, vm->m_worker);
@@ -298,6 +298,11 @@
         if (move == moves.m_moves.end() || move->second.m_ordered) {
             continue;
         }
+        // An order without an answer was carried out: another one would be accepted for the worker that lives there
+        // now.
+        if (vm.m_phase != vm_phase::up || vm.m_pool == move->second.m_target) {
+            continue;
+        }
         const auto index = worker_of(state, vm);
         if (index != no_worker && !standby.contains(vm.m_pool)) {
             auto& worker = state.m_workers[static_cast<std::size_t>(index)];
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -194,6 +194,33 @@
     EXPECT_FALSE(worker.m_cordoned);
 }
 
+// Guards against an order for a VM that has moved already: its acceptance would end the runs of the new worker in the
+// table, and their tasks would be started a second time.
+TEST(moves, a_vm_that_has_arrived_is_not_ordered_again)
+{
+    load_model model;
+    model.m_move_settings.m_standby_floor_percent = 100;
+    add_pools(model);
+    auto& vm = model.m_vms.front();
+    const move_order order{vm.m_vm, vm.m_worker, service_id{"orders"}};
+    move_state moves;
+    moves.m_moves[vm.m_vm] = {order.m_target, model.now(), true};
+    note_move_result(model.m_state, moves, order, vm_order_result::unknown, model.now());
+    const auto plan = [&] {
+        return plan_moves(model.m_state, model.m_demand, model.m_move_settings, moves, model.m_vms, model.m_standby, {},
+                          model.now() + milliseconds{2'000});
+    };
+    vm.m_phase = vm_phase::moving;
+    EXPECT_TRUE(plan().empty()) << "it is on its way";
+    vm.m_phase = vm_phase::up;
+    vm.m_pool = order.m_target;
+    vm.m_worker = worker_id{"not registered yet"};
+    EXPECT_TRUE(plan().empty()) << "it is there, though its worker is not seen";
+    vm.m_worker = model.m_vms[1].m_worker;
+    EXPECT_TRUE(plan().empty()) << "it is there";
+    EXPECT_TRUE(moves.m_moves.empty());
+}
+
 // Guards against a pool that gives away a worker whose tasks may not be ended.
 TEST(moves, workers_with_tasks_that_last_stay)
 {
