Bound the idle connections of the product's platform client again

The pool takes such a bound now; without one it keeps all, as before.

http_pool gets the test file that it lacked: a connection is used again, the bound holds (seen red without it), dropped connections are not used.

--- a/packages/runtime/src/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.cpp
@@ -58,7 +58,7 @@
                 continue;
             }
         }
-        else if (generation == m_generation) {
+        else if (generation == m_generation && m_idle.size() < m_most_idle) {
             m_idle.push_back(std::move(connection));
         }
         co_return answer;
--- a/packages/runtime/src/cicadalug/http/http_pool.hpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -22,9 +23,11 @@
      * @brief Constructs a pool without connections.
      * @param executor Runs the connections.
      * @param endpoint The other end.
+     * @param most_idle Idle connections that are kept at most; by default all, as a new one is dear to the other end.
      */
-    http_pool(asio::any_io_executor executor, tcp_endpoint endpoint)
-        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}
+    http_pool(asio::any_io_executor executor, tcp_endpoint endpoint,
+              const std::size_t most_idle = std::numeric_limits<std::size_t>::max())
+        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}, m_most_idle{most_idle}
     {
     }
 
@@ -50,6 +53,8 @@
 
     asio::any_io_executor m_executor;
     tcp_endpoint m_endpoint;
+    std::size_t m_most_idle;
+
     std::vector<std::unique_ptr<http_connection>> m_idle;
     /** @brief Rises when connections opened before are not to be trusted any more. */
     std::uint64_t m_generation{0};
--- a/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
+++ b/packages/runtime/src/cicadalug/platform/http_platform_client.cpp
@@ -17,6 +17,9 @@
 
 using nlohmann::json;
 
+/** @brief Idle connections that are kept. */
+constexpr std::size_t most_idle{8};
+
 [[nodiscard]] auto error_of(const http_failure& failure) -> platform_error
 {
     const auto kind =
@@ -54,7 +57,8 @@
 public:
     state(const asio::any_io_executor& executor, const tcp_endpoint& endpoint, const platform_timeouts& timeouts)
         : m_strand{asio::make_strand(executor)}, m_endpoint{endpoint}, m_timeouts{timeouts}, m_connections{m_strand,
-                                                                                                           endpoint}
+                                                                                                           endpoint,
+                                                                                                           most_idle}
     {
     }
 
--- /dev/null
+++ b/packages/runtime/test/cicadalug/http/http_pool.cpp
@@ -0,0 +1,101 @@
+#include <cicadalug/http/http_pool.hpp>
+#include <cicadalug/http/http_server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <gtest/gtest.h>
+
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace cicadalug;
+
+constexpr milliseconds timeout{2'000};
+
+/** @brief A server that notes the connections it has seen. */
+class http_pool_test : public ::testing::Test {
+protected:
+    ~http_pool_test() override
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    [[nodiscard]] auto answer(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        {
+            std::ostringstream peer;
+            peer << exchange.peer();
+            const std::lock_guard lock{m_mutex};
+            m_peers.insert(peer.str());
+        }
+        http_response response{http::status::ok, 11};
+        response.prepare_payload();
+        co_await exchange.respond(std::move(response));
+    }
+
+    [[nodiscard]] static auto succeeds(http_pool& pool) -> asio::awaitable<bool>
+    {
+        http_request request{http::verb::get, "/", 11};
+        const auto answer = co_await pool.exchange(std::move(request), timeout);
+        co_return answer.has_value();
+    }
+
+    [[nodiscard]] auto exchange(http_pool& pool) -> bool
+    {
+        return asio::co_spawn(m_context, succeeds(pool), asio::use_future).get();
+    }
+
+    [[nodiscard]] auto connections() -> std::size_t
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_peers.size();
+    }
+
+    std::mutex m_mutex;
+    std::set<std::string> m_peers;
+    asio::io_context m_context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
+    http_server m_server{m_context, {asio::ip::address_v4::loopback(), 0}, {}, [this](http_exchange& exchange) {
+                             return answer(exchange);
+                         }};
+    std::thread m_thread{[this] {
+        m_context.run();
+    }};
+};
+
+} // namespace
+
+// Guards against a new connection for each exchange, which the other end charges for.
+TEST_F(http_pool_test, an_idle_connection_is_used_again)
+{
+    http_pool pool{m_context.get_executor(), m_server.endpoint()};
+    EXPECT_TRUE(exchange(pool));
+    EXPECT_TRUE(exchange(pool));
+    EXPECT_EQ(connections(), 1U);
+}
+
+// Guards against idle connections without a bound.
+TEST_F(http_pool_test, no_more_idle_connections_are_kept_than_allowed)
+{
+    http_pool pool{m_context.get_executor(), m_server.endpoint(), 0};
+    EXPECT_TRUE(exchange(pool));
+    EXPECT_TRUE(exchange(pool));
+    EXPECT_EQ(connections(), 2U);
+}
+
+// Guards against an exchange that fails because an idle connection was closed in the meantime.
+TEST_F(http_pool_test, dropped_connections_are_not_used)
+{
+    http_pool pool{m_context.get_executor(), m_server.endpoint()};
+    EXPECT_TRUE(exchange(pool));
+    pool.drop_connections();
+    EXPECT_TRUE(exchange(pool));
+    EXPECT_EQ(connections(), 2U);
+}
