Begin the scheduler's tests with one call

24 tests turned moves off, added the VMs of a pool and let 50 ms pass, each with the same three lines. load_model::begin_with does it; assertions and load patterns are the same.

--- a/packages/scheduler/test/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/demand.cpp
@@ -10,9 +10,7 @@
 TEST(demand, work_that_cannot_run_yet_wants_no_capacity)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 9);
-    model.run_for(milliseconds{50});
+    model.begin_with("quotes", 9);
     auto job = make_job("quotes", 1, 1'000, milliseconds{30'000});
     auto second = job.m_spec.m_steps.front();
     second.m_count = 500;
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -8,22 +8,11 @@
 
 namespace cicadalug::test {
 
-namespace {
-
-auto settle(load_model& model) -> void
-{
-    model.run_for(milliseconds{50});
-}
-
-} // namespace
-
 // Guards against a start that brings a worker over its capacity.
 TEST(dispatch, never_exceeds_the_capacity_of_a_worker)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 2);
-    settle(model);
+    model.begin_with("quotes", 2);
     for (int number = 0; number < 20; ++number) {
         static_cast<void>(model.submit(make_job("quotes", 6, 3'300, milliseconds{700})));
     }
@@ -39,9 +28,7 @@
 TEST(dispatch, jobs_that_can_be_in_time_go_before_those_that_cannot)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 2);
-    settle(model);
+    model.begin_with("quotes", 2);
     // Twice what the pool holds for 8 s: 128 of 64 cores.
     for (int number = 0; number < 40; ++number) {
         static_cast<void>(model.submit(make_job("quotes", 4, 8'000, milliseconds{800})));
@@ -57,9 +44,7 @@
 TEST(dispatch, room_is_kept_for_a_step_that_is_being_opened)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 1);
-    settle(model);
+    model.begin_with("quotes", 1);
     auto late = make_job("quotes", 8, 8'000, milliseconds{300});
     late.m_terms.m_target = milliseconds{0};
     late.m_terms.m_stretch = 0.1;
@@ -76,9 +61,7 @@
 TEST(dispatch, tasks_of_a_step_with_a_disruption_budget_are_spread)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 5);
-    settle(model);
+    model.begin_with("ledger", 5);
     static_cast<void>(model.submit(make_lasting_job("ledger", 5, 1)));
     model.run_for(milliseconds{200});
     for (const auto& worker : model.m_state.m_workers) {
@@ -90,9 +73,7 @@
 TEST(dispatch, a_worker_that_fails_everything_is_paused)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 4);
-    settle(model);
+    model.begin_with("quotes", 4);
     model.worker("w1").m_fails_all = true;
     for (int number = 0; number < 30; ++number) {
         static_cast<void>(model.submit(make_job("quotes", 4, 2'000, milliseconds{100})));
@@ -108,9 +89,7 @@
 TEST(dispatch, a_task_that_failed_is_tried_on_another_worker)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("quotes", 3);
-    settle(model);
+    model.begin_with("quotes", 3);
     model.worker("w1").m_fails_all = true;
     static_cast<void>(model.submit(make_lasting_job("quotes", 1, 1)));
     model.run_for(milliseconds{100});
@@ -124,9 +103,7 @@
 TEST(dispatch, tasks_of_an_open_step_wait_for_workers_that_are_not_heard)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 3);
-    settle(model);
+    model.begin_with("orders", 3);
     static_cast<void>(model.submit(make_job("orders", 2, 20'000, milliseconds{20'000})));
     model.run_for(milliseconds{100});
     ASSERT_EQ(model.total_starts(), 2);
@@ -143,9 +120,7 @@
 TEST(dispatch, a_step_that_was_never_opened_starts_at_once_after_a_takeover)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 2);
-    settle(model);
+    model.begin_with("orders", 2);
     static_cast<void>(model.submit(make_job("orders", 8, 8'000, milliseconds{1'000})));
     model.run_for(milliseconds{100});
     const auto waiting = model.submit(make_job("orders", 4, 8'000, milliseconds{1'000}));
@@ -161,9 +136,7 @@
 TEST(dispatch, no_task_starts_before_its_step_is_opened_in_the_store)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 1);
-    settle(model);
+    model.begin_with("orders", 1);
     model.m_store_up = false;
     static_cast<void>(model.submit(make_job("orders", 2, 8'000, milliseconds{300})));
     model.run_for(milliseconds{500});
@@ -177,9 +150,7 @@
 TEST(dispatch, a_gang_starts_whole_or_not_at_all)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 1);
-    settle(model);
+    model.begin_with("orders", 1);
     auto gang = make_job("orders", 5, 8'000, milliseconds{300});
     gang.m_spec.m_steps.front().m_gang = true;
     static_cast<void>(model.submit(gang));
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.cpp
@@ -57,6 +57,13 @@
     apply_registry(m_state, entries);
 }
 
+auto load_model::begin_with(const std::string& pool, const std::size_t count) -> void
+{
+    m_moving = false;
+    add_vms(pool, count);
+    run_for(milliseconds{50});
+}
+
 auto load_model::add_vms(const std::string& pool, const std::size_t count) -> void
 {
     for (std::size_t number = 0; number < count; ++number) {
--- a/packages/scheduler/test/cicadalug/scheduler/load_model.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/load_model.hpp
@@ -44,6 +44,8 @@
 public:
     load_model();
 
+    /** @brief Adds the VMs of a pool that stays as it is, and lets 50 ms pass, in which their workers are heard. */
+    auto begin_with(const std::string& pool, std::size_t count) -> void;
     /** @brief Adds VMs with one worker each. */
     auto add_vms(const std::string& pool, std::size_t count) -> void;
     /** @brief Adds VMs that are off. */
--- a/packages/scheduler/test/cicadalug/scheduler/pace.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/pace.cpp
@@ -11,9 +11,7 @@
 /** @brief One worker with a serving task and a best-effort one. */
 [[nodiscard]] auto make_shared_worker(load_model& model) -> worker_slot&
 {
-    model.m_moving = false;
-    model.add_vms("ledger", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 1);
     auto serving = make_lasting_job("ledger", 1, 1);
     serving.m_spec.m_steps.front().m_latency_target = milliseconds{100};
     auto filling = make_job("ledger", 1, 8'000, milliseconds{60'000});
--- a/packages/scheduler/test/cicadalug/scheduler/permits.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/permits.cpp
@@ -10,10 +10,8 @@
 
 auto prepare(load_model& model, const std::size_t workers) -> void
 {
-    model.m_moving = false;
-    model.add_vms("quotes", workers);
+    model.begin_with("quotes", workers);
     model.m_state.m_permit_queues.insert(queue_id{"quotes-queue"});
-    model.run_for(milliseconds{50});
 }
 
 } // namespace
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -10,9 +10,7 @@
 TEST(reports, a_failed_run_is_counted_once_over_a_takeover)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("orders", 1);
     model.worker("w1").m_fails_all = true;
     const auto job = model.submit(make_job("orders", 1, 1'000, milliseconds{300}));
     model.run_for(milliseconds{450});
@@ -33,9 +31,7 @@
 TEST(reports, failed_runs_count_in_any_order)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 2);
-    model.run_for(milliseconds{50});
+    model.begin_with("orders", 2);
     const auto job = model.submit(make_job("orders", 1, 1'000, milliseconds{300}));
     const task_ref task{job, 0, 0, 0};
     model.take_over();
@@ -53,9 +49,7 @@
 TEST(reports, leases_end_only_while_the_term_is_certain)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 2);
-    model.run_for(milliseconds{50});
+    model.begin_with("orders", 2);
     static_cast<void>(model.submit(make_job("orders", 1, 30'000, milliseconds{60'000})));
     model.run_for(milliseconds{100});
     auto& state = model.m_state;
@@ -84,9 +78,7 @@
 TEST(reports, a_start_without_an_answer_is_stopped_before_the_task_starts_again)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("orders", 1);
     const auto job = model.submit(make_job("orders", 1, 1'000, milliseconds{300}));
     auto& state = model.m_state;
     dispatch(state, model.now());
@@ -118,9 +110,7 @@
 TEST(reports, another_life_of_a_worker_ends_its_runs)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("orders", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("orders", 1);
     static_cast<void>(model.submit(make_job("orders", 2, 1'000, milliseconds{60'000})));
     model.run_for(milliseconds{100});
     auto& state = model.m_state;
--- a/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/upkeep.cpp
@@ -27,9 +27,7 @@
 TEST(upkeep, a_second_vm_of_one_step_waits_until_the_first_task_is_back)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 4);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 4);
     static_cast<void>(model.submit(make_lasting_job("ledger", 4, 1)));
     model.run_for(milliseconds{200});
     auto wave = make_wave(model, 4);
@@ -46,9 +44,7 @@
 TEST(upkeep, keeps_the_concurrency_of_the_wave)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 6);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 6);
     auto wave = make_wave(model, 2);
     wave.m_order.m_duration = milliseconds{500};
     const auto begun = plan_upkeep(model.m_state, model.m_upkeep_settings, wave, model.m_vms, {}, model.now());
@@ -60,9 +56,7 @@
 TEST(upkeep, leaves_vms_alone_that_another_decider_has_just_ordered)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 2);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 2);
     auto wave = make_wave(model, 2);
     wave.m_order.m_duration = milliseconds{500};
     const std::set<vm_id> reserved{model.m_vms[0].m_vm, model.m_vms[1].m_vm};
@@ -73,9 +67,7 @@
 TEST(upkeep, a_worker_with_too_many_tasks_of_a_step_is_evacuated)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 1);
     static_cast<void>(model.submit(make_lasting_job("ledger", 2, 1)));
     model.run_for(milliseconds{200});
     ASSERT_EQ(model.m_state.m_workers[0].m_runs.size(), 2U);
@@ -94,9 +86,7 @@
 TEST(upkeep, vms_that_the_last_decider_ordered_count_as_down)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 6);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 6);
     auto wave = make_wave(model, 3);
     wave.m_order.m_duration = milliseconds{500};
     model.m_vms[0].m_phase = vm_phase::maintained;
@@ -109,9 +99,7 @@
 TEST(upkeep, a_worker_that_was_not_heard_is_not_taken_down)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 2);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 2);
     static_cast<void>(model.submit(make_lasting_job("ledger", 2, 1)));
     model.run_for(milliseconds{100});
     model.worker("w1").m_reachable = false;
@@ -140,9 +128,7 @@
 TEST(upkeep, a_worker_with_ends_that_are_not_stored_is_not_taken_down)
 {
     load_model model;
-    model.m_moving = false;
-    model.add_vms("ledger", 1);
-    model.run_for(milliseconds{50});
+    model.begin_with("ledger", 1);
     auto wave = make_wave(model, 1);
     model.m_state.m_workers[0].m_last_end = 3;
     model.m_state.m_workers[0].m_acknowledged_end = 2;
