Share lookups and run times that were written twice

Found in the last reading, each once more than needed: the worker of an id and its release after a cordon (moves, upkeep, fleet duty), the step of a task (jobs, reports, upkeep, permits), the VM of an id (moves, upkeep, fleet duty), the expected run time of a step (jobs, demand), processors in cores (demand, moves), and whether an expected surge is near (twice in demand). find_worker, release_worker, find_step, find_vm, expected_run_time_ms, cores_of and is_surge_near serve all of them.

Left as they are: the store timeouts of client_api, job_intake and fleet_duty have the value of decider_times.hpp (700 ms), but are settings of different callers; decoders of the adapter share shapes, not logic.

--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -103,7 +103,6 @@
         settings.m_self = m_settings.m_entry_vm;
         settings.m_fleet = m_settings.m_fleet;
         settings.m_permits = m_settings.m_permits;
-
         settings.m_duty_interval = m_settings.m_duty_interval;
         settings.m_term_lease = std::max(decider_lease, m_settings.m_shortest_store_lease);
         m_decider = std::make_shared<decider>(
--- a/packages/entry/src/cicadalug/entry/fleet_duty.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_duty.cpp
@@ -169,9 +169,8 @@
         progress.m_down.erase(vm);
         m_waves[number].m_dirty = true;
     }
-    const auto listed =
-        std::find_if(m_vms.begin(), m_vms.end(), [&vm](const vm_status& status) { return status.m_vm == vm; });
-    const auto worker = listed == m_vms.end() ? worker_id{} : listed->m_worker;
+    const auto* listed = find_vm(m_vms, vm);
+    const auto worker = listed == nullptr ? worker_id{} : listed->m_worker;
     if (result == vm_order_result::not_done) {
         progress.m_down.erase(vm);
         set_ending(*m_parts.m_state, worker, false);
@@ -190,16 +189,16 @@
 
 auto fleet_duty::confirm_end(const vm_id& vm, const worker_id& worker) -> void
 {
-    const auto known = m_parts.m_state->m_worker_by_id.find(worker);
-    if (known == m_parts.m_state->m_worker_by_id.end()) {
+    const auto index = find_worker(*m_parts.m_state, worker);
+    if (index == no_worker) {
         return;
     }
     if (is_still_up(m_vms, vm, worker)) {
         set_ending(*m_parts.m_state, worker, false);
-        m_parts.m_state->m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
+        m_parts.m_state->m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
     }
     else {
-        end_runs_of_worker(*m_parts.m_state, known->second, monotonic_now());
+        end_runs_of_worker(*m_parts.m_state, index, monotonic_now());
     }
     m_parts.m_changed();
 }
@@ -247,7 +246,6 @@
     if (config == nullptr || !m_parts.m_may_order() || m_vms.empty()) {
         return;
     }
-
     if (now - m_logged >= demand_log_interval) {
         m_logged = now;
         for (const auto& [service, known] : m_demand.m_services) {
--- a/packages/scheduler/src/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/demand.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -8,19 +9,8 @@
 
 namespace {
 
-constexpr double millicores_per_core{1'000.0};
 constexpr double microseconds_per_ms{1'000.0};
 
-/** @brief Expected run time of a task: learned if there is anything to learn from, else declared. */
-[[nodiscard]] auto task_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step) -> double
-{
-    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
-    const auto declared = static_cast<double>(step.m_estimate.count());
-    return learned == state.m_run_times.end() || learned->second.m_samples == 0
-               ? declared
-               : (declared + learned->second.m_mean_ms) / 2.0;
-}
-
 /** @brief Work of a job, in core-milliseconds, and the part of its demand that could be met at once. */
 struct job_work {
     double m_all{0.0};
@@ -40,8 +30,8 @@
                 continue;
             }
             const auto& step = occurrence.m_steps[number];
-            const auto cores = static_cast<double>(spec.m_demand.m_cpu.value()) / millicores_per_core;
-            const auto time_ms = task_time_ms(state, job, spec);
+            const auto cores = cores_of(spec.m_demand);
+            const auto time_ms = expected_run_time_ms(state, job, spec);
             const auto open = step.m_tasks.size() - step.m_done;
             work.m_all += static_cast<double>(open) * cores * time_ms;
             work.m_running_cores += static_cast<double>(open - step.m_waiting) * cores;
@@ -58,12 +48,18 @@
     double cores{0.0};
     for (const auto& step : job.m_record.m_spec.m_steps) {
         if (step.m_long_running) {
-            cores += static_cast<double>(step.m_count * reserved_demand(step).m_cpu.value()) / millicores_per_core;
+            cores += static_cast<double>(step.m_count) * cores_of(reserved_demand(step));
         }
     }
     return cores;
 }
 
+/** @brief Checks whether a move begun now would take effect just before the service's next expected surge. */
+[[nodiscard]] auto is_surge_near(const demand_state& demand, const service_demand& known, const time_point now) -> bool
+{
+    return known.m_expected && now + demand.m_settings.m_lead >= *known.m_expected;
+}
+
 auto note_surge_begin(demand_state& demand, const service_id& service, const time_point now) -> void
 {
     if (!demand.m_last_surge.empty() && demand.m_last_surge != service) {
@@ -131,8 +127,7 @@
     }
     for (const auto& vm : vms) {
         if (!standby.contains(vm.m_pool)) {
-            demand.m_services[vm.m_pool].m_own_cores +=
-                static_cast<double>(vm.m_capacity.m_cpu.value()) / millicores_per_core;
+            demand.m_services[vm.m_pool].m_own_cores += cores_of(vm.m_capacity);
         }
     }
 }
@@ -145,13 +140,11 @@
     for (auto& [service, known] : demand.m_services) {
         known.m_rate_cores *= keep;
         known.m_rate_jobs *= keep;
-
         known.m_running_cores = 0.0;
         known.m_ready = 0.0;
         known.m_late_ready = 0.0;
         known.m_lasting_cores = 0.0;
     }
-
     for (const auto& [service, jobs] : state.m_active) {
         auto& known = demand.m_services[service];
         for (const auto* job : jobs) {
@@ -221,10 +214,8 @@
     const auto& known = found->second;
     const auto& settings = demand.m_settings;
     auto rate = known.m_rate_cores;
-
     const bool settling = known.m_surging && known.m_surged && now - *known.m_surged < settings.m_rate_settles;
-    const bool certain =
-        known.m_expected_share >= 1.0 && known.m_expected && now + settings.m_lead >= *known.m_expected;
+    const bool certain = known.m_expected_share >= 1.0 && is_surge_near(demand, known, now);
     if (settling || certain) {
         rate = std::max(rate, usual_peak(demand, known));
     }
@@ -237,8 +228,7 @@
 {
     const auto needed = needed_cores(demand, service, now);
     const auto found = demand.m_services.find(service);
-    if (found == demand.m_services.end() || !found->second.m_expected ||
-        now + demand.m_settings.m_lead < *found->second.m_expected) {
+    if (found == demand.m_services.end() || !is_surge_near(demand, found->second, now)) {
         return needed;
     }
     const auto& known = found->second;
--- a/packages/scheduler/src/cicadalug/scheduler/job.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/job.hpp
@@ -25,6 +25,13 @@
     }
 };
 
+/** @brief Returns the processors of an amount, in cores. */
+[[nodiscard]] inline auto cores_of(const resources& amount) -> double
+{
+    constexpr double millicores_per_core{1'000.0};
+    return static_cast<double>(amount.m_cpu.value()) / millicores_per_core;
+}
+
 /** @brief Adds two amounts. */
 [[nodiscard]] inline auto operator+(const resources& left, const resources& right) -> resources
 {
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -42,6 +42,18 @@
     }
 }
 
+/** @brief Serves both forms of find_step; the job is const or not. */
+template<typename Job>
+[[nodiscard]] auto find_step_of(Job& job, const task_ref& task)
+{
+    const auto occurrence = std::find_if(job.m_open.begin(), job.m_open.end(), [&task](const occurrence_state& open) {
+        return open.m_number == task.m_occurrence;
+    });
+    const auto step = static_cast<std::size_t>(task.m_step);
+    const bool there = occurrence != job.m_open.end() && task.m_step >= 0 && step < occurrence->m_steps.size();
+    return there ? &occurrence->m_steps[step] : nullptr;
+}
+
 [[nodiscard]] auto total_occurrences(const job_entry& job) -> std::int64_t
 {
     return std::max<std::int64_t>(job.m_record.m_spec.m_occurrences, 1);
@@ -112,22 +124,24 @@
     return found == state.m_jobs.end() ? nullptr : found->second.get();
 }
 
+auto find_step(const job_entry& job, const task_ref& task) -> const step_state*
+{
+    return find_step_of(job, task);
+}
+
+auto find_step(job_entry& job, const task_ref& task) -> step_state*
+{
+    return find_step_of(job, task);
+}
+
 auto find_task(scheduler_state& state, const task_ref& task) -> task_state*
 {
     auto* job = find_job(state, task.m_job);
-    if (job == nullptr) {
+    auto* step = job == nullptr ? nullptr : find_step(*job, task);
+    if (step == nullptr || task.m_index < 0 || static_cast<std::size_t>(task.m_index) >= step->m_tasks.size()) {
         return nullptr;
     }
-    const auto occurrence = std::find_if(job->m_open.begin(), job->m_open.end(), [&task](const occurrence_state& open) {
-        return open.m_number == task.m_occurrence;
-    });
-    if (occurrence == job->m_open.end() || task.m_step < 0 || task.m_index < 0 ||
-        static_cast<std::size_t>(task.m_step) >= occurrence->m_steps.size()) {
-        return nullptr;
-    }
-    auto& tasks = occurrence->m_steps[static_cast<std::size_t>(task.m_step)].m_tasks;
-    return static_cast<std::size_t>(task.m_index) < tasks.size() ? &tasks[static_cast<std::size_t>(task.m_index)]
-                                                                 : nullptr;
+    return &step->m_tasks[static_cast<std::size_t>(task.m_index)];
 }
 
 auto step_of(const job_entry& job, const task_ref& task) -> const step_spec&
@@ -233,10 +247,8 @@
         return;
     }
     const auto& spec = step_of(job, task);
-    auto& occurrence = *std::find_if(job.m_open.begin(), job.m_open.end(), [&end](const occurrence_state& open) {
-        return open.m_number == end.m_task.m_occurrence;
-    });
-    auto& step = occurrence.m_steps[static_cast<std::size_t>(task.m_step)];
+    auto& step = *find_step(job, task);
+
     if (!checkpoint.empty()) {
         found->m_checkpoint = checkpoint;
     }
@@ -344,17 +356,24 @@
     return count;
 }
 
+auto expected_run_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step) -> double
+{
+    const auto declared_ms = static_cast<double>(step.m_estimate.count());
+    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
+    if (learned == state.m_run_times.end() || learned->second.m_samples == 0) {
+        return declared_ms;
+    }
+    return declared_weight * declared_ms + (1.0 - declared_weight) * learned->second.m_mean_ms;
+}
+
 auto chain_estimate(const scheduler_state& state, const job_entry& job, const bool whole) -> microseconds
 {
     const auto& steps = job.m_record.m_spec.m_steps;
-    const auto learned = state.m_run_times.find(job.m_record.m_terms.m_queue);
     std::vector<double> chain(steps.size(), 0.0);
     double longest{0.0};
     for (std::size_t number = 0; number < steps.size(); ++number) {
-        auto own_ms = static_cast<double>(steps[number].m_estimate.count());
-        if (learned != state.m_run_times.end() && learned->second.m_samples > 0) {
-            own_ms = declared_weight * own_ms + (1.0 - declared_weight) * learned->second.m_mean_ms;
-        }
+        auto own_ms = expected_run_time_ms(state, job, steps[number]);
+
         if (!whole && !job.m_open.empty()) {
             const auto& now = job.m_open.front().m_steps[number];
             own_ms = now.m_done == now.m_tasks.size() ? 0.0 : own_ms;
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -66,6 +66,13 @@
 /** @brief Counts the jobs of a queue of which no task has started. */
 [[nodiscard]] auto pending_jobs(const scheduler_state& state, const queue_id& queue) -> std::int64_t;
 
+/**
+ * @brief Returns the expected run time of a step's tasks in milliseconds: the client's estimate, weighed against what
+ * was learned of the queue as soon as there is anything to learn from.
+ */
+[[nodiscard]] auto expected_run_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step)
+    -> double;
+
 /**
  * @brief Estimates the longest chain of work of a job that is left.
  * @param state The scheduler, for learned run times.
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr double millicores_per_core{1'000.0};
-
 /** @brief Run time of a queue of which no task has ended yet. */
 constexpr double run_time_unknown_ms{1'000.0};
 
@@ -24,12 +22,6 @@
     microseconds m_drain{0};
 };
 
-[[nodiscard]] auto worker_of(const scheduler_state& state, const vm_status& vm) -> worker_index
-{
-    const auto found = state.m_worker_by_id.find(vm.m_worker);
-    return found == state.m_worker_by_id.end() ? no_worker : found->second;
-}
-
 [[nodiscard]] auto runs_lasting_task(const worker_slot& worker) -> bool
 {
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
@@ -44,7 +36,7 @@
     for (const auto& worker : state.m_workers) {
         if (worker.m_registered && worker.m_entry.m_service == pool && !worker.m_cordoned && !worker.m_silent &&
             worker.m_entry.m_state == worker_state::ready) {
-            cores += static_cast<double>(worker.m_entry.m_capacity.m_cpu.value()) / millicores_per_core;
+            cores += cores_of(worker.m_entry.m_capacity);
         }
     }
     for (const auto& [vm, move] : moves.m_moves) {
@@ -53,30 +45,18 @@
     return cores;
 }
 
-/** @brief Lets a worker take work again that was cordoned for a move. */
-auto release_worker(scheduler_state& state, const worker_id& worker) -> void
-{
-    const auto known = state.m_worker_by_id.find(worker);
-    if (known != state.m_worker_by_id.end()) {
-        state.m_workers[static_cast<std::size_t>(known->second)].m_cordoned = false;
-        state.m_dispatch_wanted = true;
-    }
-}
-
 /** @brief Forgets moves that have ended, and those that were not carried out in time. */
 auto note_ended_moves(scheduler_state& state, const move_settings& settings, move_state& moves,
                       const std::vector<vm_status>& vms, const time_point now) -> void
 {
     for (auto move = moves.m_moves.begin(); move != moves.m_moves.end();) {
-        const auto vm = std::find_if(vms.begin(), vms.end(),
-                                     [&move](const vm_status& listed) { return listed.m_vm == move->first; });
-        const bool there = vm != vms.end() && vm->m_phase == vm_phase::up && vm->m_pool == move->second.m_target &&
-                           worker_of(state, *vm) != no_worker;
-        const bool given_up = vm == vms.end() || now - move->second.m_since > settings.m_longest_move;
-        if (given_up && !there && vm != vms.end() && vm->m_phase == vm_phase::up) {
+        const auto* vm = find_vm(vms, move->first);
+        const bool there = vm != nullptr && vm->m_phase == vm_phase::up && vm->m_pool == move->second.m_target &&
+                           find_worker(state, vm->m_worker) != no_worker;
+        const bool given_up = vm == nullptr || now - move->second.m_since > settings.m_longest_move;
+        if (given_up && !there && vm != nullptr && vm->m_phase == vm_phase::up) {
             release_worker(state, vm->m_worker);
         }
-
         move = there || given_up ? moves.m_moves.erase(move) : std::next(move);
     }
 }
@@ -112,7 +92,7 @@
             found.push_back({&vm, no_worker, true, microseconds{-1}});
             continue;
         }
-        const auto index = worker_of(state, vm);
+        const auto index = find_worker(state, vm.m_worker);
         if (index == no_worker) {
             continue;
         }
@@ -163,8 +143,7 @@
 {
     pool_balance balance;
     for (const auto& vm : vms) {
-        balance.m_cores_of_vm =
-            std::max(balance.m_cores_of_vm, static_cast<double>(vm.m_capacity.m_cpu.value()) / millicores_per_core);
+        balance.m_cores_of_vm = std::max(balance.m_cores_of_vm, cores_of(vm.m_capacity));
     }
     const auto headroom = static_cast<double>(settings.m_headroom_percent) / 100.0;
     for (const auto& [service, known] : demand.m_services) {
@@ -303,7 +282,7 @@
         if (vm.m_phase != vm_phase::up || vm.m_pool == move->second.m_target) {
             continue;
         }
-        const auto index = worker_of(state, vm);
+        const auto index = find_worker(state, vm.m_worker);
         if (index != no_worker && !standby.contains(vm.m_pool)) {
             auto& worker = state.m_workers[static_cast<std::size_t>(index)];
             // Ends that are not stored yet would be lost with the worker.
@@ -325,10 +304,10 @@
 auto note_move_result(scheduler_state& state, move_state& moves, const move_order& order, const vm_order_result result,
                       const time_point now) -> void
 {
-    const auto known = state.m_worker_by_id.find(order.m_worker);
     if (result == vm_order_result::accepted) {
-        if (known != state.m_worker_by_id.end()) {
-            end_runs_of_worker(state, known->second, now);
+        const auto index = find_worker(state, order.m_worker);
+        if (index != no_worker) {
+            end_runs_of_worker(state, index, now);
         }
         return;
     }
--- a/packages/scheduler/src/cicadalug/scheduler/permits.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/permits.cpp
@@ -17,17 +17,10 @@
 /** @brief A permit is not used when it ends within this time: the start has to arrive before. */
 constexpr milliseconds start_margin{150};
 
-[[nodiscard]] auto step_state_of(scheduler_state& state, const task_ref& task) -> step_state*
+[[nodiscard]] auto find_open_step(scheduler_state& state, const task_ref& task) -> step_state*
 {
     auto* job = find_job(state, task.m_job);
-    if (job == nullptr) {
-        return nullptr;
-    }
-    const auto occurrence = std::find_if(job->m_open.begin(), job->m_open.end(), [&task](const occurrence_state& open) {
-        return open.m_number == task.m_occurrence;
-    });
-    const auto step = static_cast<std::size_t>(task.m_step);
-    return occurrence == job->m_open.end() || step >= occurrence->m_steps.size() ? nullptr : &occurrence->m_steps[step];
+    return job == nullptr ? nullptr : find_step(*job, task);
 }
 
 /** @brief Checks whether the service has refused the step on this life of a worker. */
@@ -86,7 +79,7 @@
 auto apply_permits(scheduler_state& state, const permit_request& request, const std::optional<permit_answer>& answer,
                    const time_point asked, const time_point now) -> void
 {
-    auto* step = step_state_of(state, request.m_step);
+    auto* step = find_open_step(state, request.m_step);
     if (step == nullptr) {
         return;
     }
@@ -107,7 +100,7 @@
 
 auto drop_permit(scheduler_state& state, const task_ref& task, const worker_index index) -> void
 {
-    if (auto* step = step_state_of(state, task)) {
+    if (auto* step = find_open_step(state, task)) {
         step->m_permits.erase(index);
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -74,9 +74,7 @@
         task->m_worker = index;
         task->m_run = report.m_run;
         task->m_since = now;
-        auto& step = std::find_if(job->m_open.begin(), job->m_open.end(), [&](const occurrence_state& open) {
-                         return open.m_number == report.m_task.m_occurrence;
-                     })->m_steps[static_cast<std::size_t>(report.m_task.m_step)];
+        auto& step = *find_step(*job, report.m_task);
         --step.m_waiting;
         step.m_opened = true;
         job->m_started = true;
@@ -240,6 +238,21 @@
 
 } // namespace
 
+auto find_worker(const scheduler_state& state, const worker_id& id) -> worker_index
+{
+    const auto found = state.m_worker_by_id.find(id);
+    return found == state.m_worker_by_id.end() ? no_worker : found->second;
+}
+
+auto release_worker(scheduler_state& state, const worker_id& id) -> void
+{
+    const auto index = find_worker(state, id);
+    if (index != no_worker) {
+        state.m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
+        state.m_dispatch_wanted = true;
+    }
+}
+
 auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries) -> void
 {
     for (auto& worker : state.m_workers) {
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -278,6 +278,16 @@
 /** @brief Finds a task's state. @return The state, or null if the job or the task is not known. */
 [[nodiscard]] auto find_task(scheduler_state& state, const task_ref& task) -> task_state*;
 
+/** @brief Finds the step of a task. @return The step, or null if its occurrence is not open or has no such step. */
+[[nodiscard]] auto find_step(const job_entry& job, const task_ref& task) -> const step_state*;
+[[nodiscard]] auto find_step(job_entry& job, const task_ref& task) -> step_state*;
+
+/** @brief Finds a worker's place in the table. @return The place, or no_worker if the id is not known. */
+[[nodiscard]] auto find_worker(const scheduler_state& state, const worker_id& id) -> worker_index;
+
+/** @brief Lets a worker take work again that was cordoned. An id that is not known is passed over. */
+auto release_worker(scheduler_state& state, const worker_id& id) -> void;
+
 /** @brief Finds the job of an id. @return The job, or null. */
 [[nodiscard]] auto find_job(const scheduler_state& state, const job_id& id) -> job_entry*;
 
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.cpp
@@ -12,12 +12,6 @@
 /** @brief Share of its progress at which a task that lasts is at work. */
 constexpr std::int64_t at_work_percent{100};
 
-[[nodiscard]] auto find_worker(const scheduler_state& state, const worker_id& id) -> worker_index
-{
-    const auto found = state.m_worker_by_id.find(id);
-    return found == state.m_worker_by_id.end() ? no_worker : found->second;
-}
-
 /**
  * @brief Checks whether it is known what would end with a worker. A worker that was not heard since a takeover may run
  * anything, until its leases from before are over; ends that are not stored yet would be lost with it.
@@ -35,22 +29,14 @@
     return worker.m_acknowledged_end == worker.m_last_end;
 }
 
-[[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
-{
-    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
-    return found == vms.end() ? nullptr : &*found;
-}
-
 /** @brief Counts the tasks of a step that are not at work, those on a worker included. */
 [[nodiscard]] auto tasks_away(const job_entry& job, const task_ref& task, const worker_index index) -> std::int64_t
 {
-    const auto occurrence = std::find_if(job.m_open.begin(), job.m_open.end(), [&task](const occurrence_state& open) {
-        return open.m_number == task.m_occurrence;
-    });
-    if (occurrence == job.m_open.end()) {
+    const auto* step = find_step(job, task);
+    if (step == nullptr) {
         return 0;
     }
-    const auto& tasks = occurrence->m_steps[static_cast<std::size_t>(task.m_step)].m_tasks;
+    const auto& tasks = step->m_tasks;
     return std::count_if(tasks.begin(), tasks.end(), [index](const task_state& member) {
         return member.m_phase != task_phase::running || member.m_percent < at_work_percent ||
                (index != no_worker && member.m_worker == index);
@@ -90,15 +76,6 @@
     return std::clamp<std::int64_t>(needed, 1, std::max<std::int64_t>(1, wave.m_order.m_concurrency));
 }
 
-auto release(scheduler_state& state, const worker_id& worker) -> void
-{
-    const auto index = find_worker(state, worker);
-    if (index != no_worker) {
-        state.m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
-        state.m_dispatch_wanted = true;
-    }
-}
-
 /** @brief Stops a task whose step has too many members on one worker, if its budget allows that now. The worker is
  * cordoned, so the task starts elsewhere. */
 auto evacuate(scheduler_state& state, const task_ref& task, const worker_index index) -> void
@@ -170,7 +147,7 @@
         if (vm == nullptr || vm->m_phase != vm_phase::up || begun) {
             // The worker of a VM that has begun its upkeep is over, and stays cordoned until its entry goes.
             if (vm != nullptr && !begun) {
-                release(state, vm->m_worker);
+                release_worker(state, vm->m_worker);
             }
             cordoned = wave.m_cordoned.erase(cordoned);
         }
@@ -204,7 +181,6 @@
         }
         const auto index = find_worker(state, vm->m_worker);
         if (index != no_worker) {
-
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
         }
         wave.m_cordoned.emplace(vm->m_vm, now);
@@ -214,6 +190,12 @@
 
 } // namespace
 
+auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
+{
+    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
+    return found == vms.end() ? nullptr : &*found;
+}
+
 auto set_ending(scheduler_state& state, const worker_id& worker, const bool ending) -> void
 {
     const auto index = find_worker(state, worker);
--- a/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/upkeep.hpp
@@ -26,6 +26,9 @@
     resources m_capacity;
 };
 
+/** @brief Finds a VM in the platform's list. @return The VM, or null. */
+[[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
+
 /** @brief Result of an order for a VM. */
 enum class vm_order_result : std::uint8_t {
     /** @brief Done, or done before. */
