Log the load of the decider and the age of its data at a start

The log could not tell a decider that reads cancellations late from one that was superseded, from a start that was carried out late, and from a cancellation that never reached the decider: it had neither the age of the decider's copy of the jobs, nor the delay of its event loop, nor the delay of a cancellation.

- decider_load, once a second and at the end of a term: highest ages of the copies of jobs and workers, highest delay of the event loop, starts, stops, commands in flight, cancellations with their highest delay, and passes with their total duration.
- job_started has the token, the age of the copy of the jobs and the time since the decision.
- The value of a cancellation is the time of its write in Unix milliseconds. job_cancelled has the delay since then, whether the job is known, its runs and the time since the last of them was started.
- cancel_of_unknown_job is logged for a DELETE that is answered 410.

job_cancelled is now also logged for cancellations that a takeover reads, and not for jobs that have already ended. It shares the limit of 60 lines a second with the events of runs. No decision changes.

Ruled out: measuring the age from the response to a watch. The response says what the store held when it answered, and a delayed response would make old data look current. The age therefore counts from the request; as a watch without changes takes 1.5 s, it reaches 3 s when no job arrives.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -3,6 +3,7 @@
 #include <cicadalug/entry/client_api.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/cancel_time.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -233,12 +234,13 @@
     while (monotonic_now() < deadline) {
         const auto read = co_await m_dependencies.m_store->read(job_key(job), time_left(deadline, store_timeout));
         if (read.m_status == store_status::missing) {
+            LOG(INFO) << log_line{"cancel_of_unknown_job"}.with("request", id);
             co_return make_response(http::status::gone);
         }
         if (read.m_status == store_status::ok) {
             store_write write;
             write.m_conditions.push_back({job_key(job), read.m_item.m_revision});
-            write.m_puts.push_back({cancel_key(job), "1", no_store_lease});
+            write.m_puts.push_back({cancel_key(job), encode_cancel_time(read_clocks().m_unix_ms), no_store_lease});
             const auto written =
                 co_await m_dependencies.m_store->write(std::move(write), time_left(deadline, store_timeout));
             if (written.m_status == store_status::ok) {
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -41,11 +41,16 @@
 
 auto decider::start() -> void
 {
+    m_load.m_began = monotonic_now();
     asio::co_spawn(m_executor, load(shared_from_this()), asio::detached);
+    asio::co_spawn(m_executor, observe_load(shared_from_this()), asio::detached);
 }
 
 auto decider::stop() -> void
 {
+    if (m_active) {
+        log_load();
+    }
     m_active = false;
     if (m_fleet_controller != nullptr) {
         m_fleet_controller->stop();
@@ -133,6 +138,7 @@
 
 auto decider::load_jobs(const bool recovered) -> asio::awaitable<bool>
 {
+    const auto sent = monotonic_now();
     const auto jobs = co_await m_store.list_all(std::string{job_prefix}, store_timeout);
     if (jobs.m_status != store_status::ok) {
         co_return false;
@@ -168,14 +174,16 @@
     }
     for (const auto& item : jobs.m_items) {
         if (const auto id = cancelled_job(item.m_key)) {
-            cancel_job(m_state, *id, clock.m_now);
+            apply_cancel(*id, item.m_value, clock);
         }
     }
+    refresh(m_load.m_jobs, sent, monotonic_now());
     co_return true;
 }
 
 auto decider::load_workers() -> asio::awaitable<bool>
 {
+    const auto sent = monotonic_now();
     const auto page = co_await m_store.list_all(std::string{worker_prefix}, store_timeout);
     if (page.m_status != store_status::ok) {
         co_return false;
@@ -186,6 +194,7 @@
         apply_worker_entry(item.m_key, item.m_value);
     }
     apply_workers();
+    refresh(m_load.m_workers, sent, monotonic_now());
     co_return true;
 }
 
@@ -246,8 +255,7 @@
     }
     const auto clock = read_clocks();
     if (const auto id = cancelled_job(key)) {
-        LOG(INFO) << log_line{"job_cancelled"}.with("request", *id);
-        cancel_job(m_state, *id, clock.m_now);
+        apply_cancel(*id, *value, clock);
         return;
     }
     auto record = decode_job_record(*value);
@@ -261,6 +269,7 @@
 auto decider::watch_jobs(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
     while (self->m_active) {
+        const auto sent = monotonic_now();
         const auto changes = co_await m_store.watch(std::string{job_prefix}, m_jobs_revision, watch_wait);
         if (!m_active) {
             co_return;
@@ -270,6 +279,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_job_change(change.m_key, change.m_value, false);
             }
+            refresh(m_load.m_jobs, sent, monotonic_now());
             if (!changes.m_changes.empty()) {
                 schedule_pass();
                 co_await sleep_for(m_executor, watch_gap);
@@ -319,6 +329,7 @@
 auto decider::watch_workers(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
     while (self->m_active) {
+        const auto sent = monotonic_now();
         const auto changes = co_await m_store.watch(std::string{worker_prefix}, m_workers_revision, watch_wait);
         if (!m_active) {
             co_return;
@@ -328,6 +339,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_worker_entry(change.m_key, change.m_value);
             }
+            refresh(m_load.m_workers, sent, monotonic_now());
             if (!changes.m_changes.empty()) {
                 apply_workers();
                 co_await sleep_for(m_executor, watch_gap);
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -7,7 +7,9 @@
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
 #include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/scheduler/decider_load.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/log_budget.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/throttling.hpp>
 
@@ -17,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cicadalug {
@@ -101,9 +104,14 @@
     [[nodiscard]] auto send_throttle(std::shared_ptr<decider> self, throttle_command command) -> asio::awaitable<void>;
     [[nodiscard]] auto send_permit_requests(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto collect_garbage(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    [[nodiscard]] auto observe_load(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto run_pass_later(std::shared_ptr<decider> self) -> asio::awaitable<void>;
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
+    auto apply_cancel(const job_id& id, std::string_view value, const clock_reading& clock) -> void;
+    auto log_load() -> void;
+    auto log_start(const start_command& command, const job_entry& job) -> void;
+    auto log_dropped_lines(time_point now) -> void;
     auto start_fleet_controller() -> void;
     auto update_permit_queues() -> void;
     [[nodiscard]] auto decision_log_value() const -> std::string;
@@ -137,8 +145,8 @@
     int m_permit_requests_in_flight{0};
     /** @brief Version of the configuration from which the queues that need permits were read. */
     version m_permit_config;
-    time_point m_log_window{};
-    std::int64_t m_log_lines{0};
+    log_budget m_run_log_budget;
+    decider_load m_load;
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 using internal::tick_interval;
-using internal::to_ms;
 
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
@@ -35,10 +34,6 @@
 /** @brief Delay before a scheduling pass, so that changes within this time share a pass. */
 constexpr milliseconds pass_delay{2};
 
-/** @brief Window in which at most log_window_lines lines about runs are logged; the others are counted. */
-constexpr milliseconds log_window{1'000};
-constexpr std::int64_t log_window_lines{60};
-
 /** @brief Maximum number of concurrent requests to the permit service. It handles one at a time; with two, the next one
  * has already arrived when a response is sent. */
 constexpr int max_permit_requests_in_flight{2};
@@ -137,16 +132,9 @@
 
 auto decider::log_events() -> void
 {
-    const auto now = monotonic_now();
-    if (now - m_log_window > log_window) {
-        if (m_log_lines > log_window_lines) {
-            LOG(WARNING) << log_line{"run_events_not_logged"}.with("count", m_log_lines - log_window_lines);
-        }
-        m_log_window = now;
-        m_log_lines = 0;
-    }
+    log_dropped_lines(monotonic_now());
     for (const auto& event : std::exchange(m_state.m_events, {})) {
-        if (++m_log_lines > log_window_lines) {
+        if (!admit_line(m_run_log_budget)) {
             continue;
         }
         constexpr const char* names[]{"run_failed", "run_lost", "worker_paused"};
@@ -186,6 +174,7 @@
         }
     }
     log_events();
+    count_pass(m_load, monotonic_now() - now);
     for (auto& command : std::exchange(m_state.m_starts, {})) {
         asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(command)), asio::detached);
     }
@@ -205,13 +194,7 @@
     }
     const auto client = client_of(command.m_worker);
     if (command.m_first_of_job) {
-        const auto now = monotonic_now();
-        LOG(INFO) << log_line{"job_started"}
-                         .with("request", command.m_task.m_job)
-                         .with("queue", job->m_record.m_policy.m_queue)
-                         .with("waited_ms", to_ms(now - job->m_arrived))
-                         .with("left_ms", to_ms(job->m_deadline - now))
-                         .with("worker", m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id);
+        log_start(command, *job);
     }
     run_start start;
     start.m_task = command.m_task;
@@ -222,7 +205,10 @@
     start.m_permit = command.m_permit;
 
     start.m_token = m_term.m_token;
+    ++m_load.m_starts;
+    begin_command(m_load);
     const auto result = co_await client->start(std::move(start), command_timeout);
+    end_command(m_load);
     if (!m_active) {
         co_return;
     }
@@ -293,7 +279,10 @@
         co_return;
     }
     const auto client = client_of(command.m_worker);
+    ++m_load.m_stops;
+    begin_command(m_load);
     const auto result = co_await client->stop(command.m_task, command.m_run, m_term.m_token, command_timeout);
+    end_command(m_load);
     if (m_active) {
         apply_stop_result(m_state, command, result, monotonic_now());
         check_deposed();
@@ -306,8 +295,10 @@
         co_return;
     }
     const auto client = client_of(command.m_worker);
+    begin_command(m_load);
     const auto result = co_await client->set_speed(command.m_task, command.m_run, command.m_speed_percent,
                                                    m_term.m_token, command_timeout);
+    end_command(m_load);
     if (m_active) {
         apply_throttle_result(m_state, command, result);
         check_deposed();
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -0,0 +1,121 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/decider.hpp>
+#include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/scheduler/cancel_time.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+namespace cicadalug {
+
+namespace {
+
+using internal::to_ms;
+
+/** @brief Interval of the timer that measures the delay of the event loop. */
+constexpr milliseconds loop_probe_interval{50};
+
+/** @brief Interval of the log lines about the load. */
+constexpr milliseconds load_log_interval{1'000};
+
+/** @brief Formats a duration in milliseconds for a log line; "unknown" if there is none. */
+template<typename Duration>
+[[nodiscard]] auto format_ms(const std::optional<Duration> time) -> std::string
+{
+    return time ? std::to_string(to_ms(*time)) : "unknown";
+}
+
+[[nodiscard]] auto max_age(const copy_age& copy) -> std::optional<microseconds>
+{
+    return copy.m_sent ? std::optional{copy.m_max} : std::nullopt;
+}
+
+} // namespace
+
+auto decider::observe_load(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active) {
+        const auto begin = monotonic_now();
+        co_await sleep_for(m_executor, loop_probe_interval);
+        if (!m_active) {
+            co_return;
+        }
+        const auto now = monotonic_now();
+        const auto delay = std::max(microseconds{0}, now - begin - loop_probe_interval);
+        m_load.m_max_loop_delay = std::max(m_load.m_max_loop_delay, delay);
+        if (now - m_load.m_began >= load_log_interval) {
+            log_load();
+        }
+    }
+}
+
+auto decider::log_load() -> void
+{
+    const auto now = monotonic_now();
+    const auto load = take_window(m_load, now);
+    LOG(INFO) << log_line{"decider_load"}
+                     .with("token", m_term.m_token)
+                     .with("window_ms", to_ms(now - load.m_began))
+                     .with("jobs_age_ms", format_ms(max_age(load.m_jobs)))
+                     .with("workers_age_ms", format_ms(max_age(load.m_workers)))
+                     .with("loop_delay_ms", to_ms(load.m_max_loop_delay))
+                     .with("starts", load.m_starts)
+                     .with("stops", load.m_stops)
+                     .with("commands_in_flight", load.m_max_commands_in_flight)
+                     .with("cancels", load.m_cancels)
+                     .with("cancel_delay_ms", load.m_max_cancel_delay.count())
+                     .with("passes", load.m_passes)
+                     .with("pass_ms", to_ms(load.m_pass_time));
+}
+
+auto decider::log_dropped_lines(const time_point now) -> void
+{
+    if (const auto dropped = begin_window(m_run_log_budget, now); dropped > 0) {
+        LOG(WARNING) << log_line{"run_events_not_logged"}.with("count", dropped);
+    }
+}
+
+auto decider::log_start(const start_command& command, const job_entry& job) -> void
+{
+    const auto now = monotonic_now();
+    LOG(INFO) << log_line{"job_started"}
+                     .with("request", command.m_task.m_job)
+                     .with("queue", job.m_record.m_policy.m_queue)
+                     .with("waited_ms", to_ms(now - job.m_arrived))
+                     .with("left_ms", to_ms(job.m_deadline - now))
+                     .with("worker", m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id)
+                     .with("token", m_term.m_token)
+                     .with("jobs_age_ms", format_ms(age_of(m_load.m_jobs, now)))
+                     .with("decided_ms", to_ms(now - command.m_decided));
+}
+
+auto decider::apply_cancel(const job_id& id, const std::string_view value, const clock_reading& clock) -> void
+{
+    const auto* job = find_job(m_state, id);
+    // A cancellation that is repeated or comes after the end of the job changes nothing. A takeover reads all of them
+    // again.
+    if (job != nullptr && is_final(job->m_state)) {
+        return;
+    }
+    const auto delay = cancel_delay(value, clock.m_unix_ms);
+    count_cancel(m_load, delay);
+    log_dropped_lines(clock.m_now);
+    if (admit_line(m_run_log_budget)) {
+        const auto runs = occupying_runs_of(m_state, id);
+        const auto last_start = runs.m_last_start ? std::optional{clock.m_now - *runs.m_last_start} : std::nullopt;
+        LOG(INFO) << log_line{"job_cancelled"}
+                         .with("request", id)
+                         .with("delay_ms", format_ms(delay))
+                         .with("known", job != nullptr)
+                         .with("runs", runs.m_count)
+                         .with("last_start_ms", format_ms(last_start))
+                         .with("token", m_term.m_token);
+    }
+    cancel_job(m_state, id, clock.m_now);
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -0,0 +1,111 @@
+#ifndef CICADALUG_SCHEDULER_DECIDER_LOAD_HPP
+#define CICADALUG_SCHEDULER_DECIDER_LOAD_HPP
+
+#include <cicadalug/base/time.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace cicadalug {
+
+/**
+ * @brief Age of a copy of stored data. The copy contains at least all changes up to the time at which the last
+ * successful read or watch was sent; when the store answered it is not known.
+ */
+struct copy_age {
+    /** @brief When the last successful read or watch was sent; nothing before the first one. */
+    std::optional<time_point> m_sent;
+    /** @brief Highest age of the window. */
+    microseconds m_max{0};
+};
+
+/** @brief Load of a decider in a time window, for its log. */
+struct decider_load {
+    time_point m_began{};
+    copy_age m_jobs;
+    copy_age m_workers;
+    /** @brief How late a timer ran at most. */
+    microseconds m_max_loop_delay{0};
+    std::int64_t m_starts{0};
+    std::int64_t m_stops{0};
+    /** @brief Starts, stops and changes of speed that have no response yet. Lease renewals are not counted. */
+    std::int64_t m_commands_in_flight{0};
+    std::int64_t m_max_commands_in_flight{0};
+    std::int64_t m_cancels{0};
+    /** @brief Longest time from the write of a cancellation to its application. */
+    milliseconds m_max_cancel_delay{0};
+    std::int64_t m_passes{0};
+    /** @brief Total duration of the scheduling passes. */
+    microseconds m_pass_time{0};
+};
+
+/** @brief Returns the age of a copy, or nothing if nothing has been read yet. */
+[[nodiscard]] inline auto age_of(const copy_age& copy, const time_point now) -> std::optional<microseconds>
+{
+    return copy.m_sent ? std::optional{now - *copy.m_sent} : std::nullopt;
+}
+
+/**
+ * @brief Records a successful read or watch.
+ * @param copy Age of the copy.
+ * @param sent When the request was sent.
+ * @param now Current time.
+ */
+inline auto refresh(copy_age& copy, const time_point sent, const time_point now) -> void
+{
+    copy.m_max = std::max(copy.m_max, age_of(copy, now).value_or(microseconds{0}));
+    copy.m_sent = std::max(copy.m_sent, std::optional{sent});
+}
+
+/** @brief Counts a command that is sent to a worker. */
+inline auto begin_command(decider_load& load) -> void
+{
+    ++load.m_commands_in_flight;
+    load.m_max_commands_in_flight = std::max(load.m_max_commands_in_flight, load.m_commands_in_flight);
+}
+
+/** @brief Counts the response to a command, or its timeout. @pre begin_command() was called for the command. */
+inline auto end_command(decider_load& load) -> void
+{
+    --load.m_commands_in_flight;
+}
+
+/** @brief Counts an applied cancellation. @param delay Time since its write, or nothing if that is not known. */
+inline auto count_cancel(decider_load& load, const std::optional<milliseconds> delay) -> void
+{
+    ++load.m_cancels;
+    load.m_max_cancel_delay = std::max(load.m_max_cancel_delay, delay.value_or(milliseconds{0}));
+}
+
+/** @brief Counts a scheduling pass. */
+inline auto count_pass(decider_load& load, const microseconds duration) -> void
+{
+    ++load.m_passes;
+    load.m_pass_time += duration;
+}
+
+/**
+ * @brief Ends a window and begins the next one.
+ * @param load Load; the counts and maxima are reset.
+ * @param now Current time.
+ * @return The load of the window that has ended.
+ */
+[[nodiscard]] inline auto take_window(decider_load& load, const time_point now) -> decider_load
+{
+    for (auto* copy : {&load.m_jobs, &load.m_workers}) {
+        copy->m_max = std::max(copy->m_max, age_of(*copy, now).value_or(microseconds{0}));
+    }
+    const auto ended = load;
+    load = {};
+    load.m_began = now;
+    load.m_jobs.m_sent = ended.m_jobs.m_sent;
+    load.m_workers.m_sent = ended.m_workers.m_sent;
+    load.m_commands_in_flight = ended.m_commands_in_flight;
+    load.m_max_commands_in_flight = ended.m_commands_in_flight;
+    return ended;
+}
+
+} // namespace cicadalug
+
+#endif
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -197,7 +197,7 @@
     worker.m_runs.push_back(std::move(placed));
     const auto permit = step.m_permits.find(index);
     state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint,
-                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, first});
+                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, first, now});
 }
 
 /** @brief Capacity reserved for steps that are being opened, until the end of the dispatch pass. */
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -219,6 +219,24 @@
     }
 }
 
+auto occupying_runs_of(const scheduler_state& state, const job_id& id) -> occupying_runs
+{
+    occupying_runs found;
+    for (const auto& worker : state.m_workers) {
+        for (const auto& run : worker.m_runs) {
+            if (run.m_task.m_job != id) {
+                continue;
+            }
+            ++found.m_count;
+            // A run that was adopted from a report has no time of its start.
+            if (run.m_sent != time_point{}) {
+                found.m_last_start = std::max(found.m_last_start, std::optional{run.m_sent});
+            }
+        }
+    }
+    return found;
+}
+
 auto open_due_occurrences(scheduler_state& state, const clock_reading& clock) -> void
 {
     for (auto& [service, jobs] : state.m_active) {
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -33,6 +34,17 @@
  */
 auto cancel_job(scheduler_state& state, const job_id& id, time_point now) -> void;
 
+/** @brief Runs of a job that occupy workers. */
+struct occupying_runs {
+    std::size_t m_count{0};
+    /** @brief When the last start was sent or, if the worker has accepted it, accepted; nothing if all runs were
+     * started before this decider took over. */
+    std::optional<time_point> m_last_start;
+};
+
+/** @brief Returns the runs of a job that occupy workers, including those that are being stopped. */
+[[nodiscard]] auto occupying_runs_of(const scheduler_state& state, const job_id& id) -> occupying_runs;
+
 /**
  * @brief Opens the occurrences that are due.
  * @param state The scheduler.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -200,6 +200,8 @@
     std::string m_permit;
     /** @brief No task of the job was started before. */
     bool m_first_of_job{false};
+    /** @brief When the start was decided. */
+    time_point m_decided{};
 };
 
 /** @brief Request to the permit service. */
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -161,4 +161,22 @@
     EXPECT_EQ(simulation.total_starts(), 5);
 }
 
+// Guards against starts whose delay between decision and call cannot be told from the log.
+TEST(dispatch, a_start_has_the_time_of_its_decision)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 8, 8'000, milliseconds{5'000})));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.total_starts(), 4) << "half of the tasks wait, and the step is open";
+    simulation.m_state.m_workers.front().m_entry.m_capacity.m_cpu = millicores{64'000};
+    simulation.m_state.m_workers.front().m_entry.m_capacity.m_memory = mebibytes{1'000'000};
+    const auto decided = simulation.now() + milliseconds{1};
+    dispatch(simulation.m_state, decided);
+    ASSERT_EQ(simulation.m_state.m_starts.size(), 4U);
+    for (const auto& command : simulation.m_state.m_starts) {
+        EXPECT_EQ(command.m_decided, decided);
+    }
+}
+
 } // namespace cicadalug::test
