Serve metrics of the scheduler

GET /metrics on the second of the internal ports gives counters of starts, stops, cancellations and scheduling passes, histograms of the delay of cancellations, of the delay of the event loop and of the age of the decider's copy of the jobs at a start, and a gauge of whether the entry VM is the decider.

Ruled out: an entry "metrics" in deploy/system.toml.

--- a/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
+++ b/packages/daemon/src/cicadalug/entry_vm/entry_vm.cpp
@@ -119,15 +119,6 @@
     return telemetry;
 }
 
-[[nodiscard]] auto text_response(const http::status status, const std::string& text) -> http_response
-{
-    http_response response{status, 11};
-    response.set(http::field::content_type, "text/plain");
-    response.body() = text + '\n';
-    response.prepare_payload();
-    return response;
-}
-
 } // namespace
 
 class entry_vm::implementation {
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -12,6 +12,7 @@
 #include <cicadalug/scheduler/log_budget.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/throttling.hpp>
+#include <cicadalug/telemetry/scheduler_metrics.hpp>
 
 #include <deque>
 #include <functional>
@@ -43,6 +44,8 @@
     milliseconds m_handover_interval{3'000};
     /** @brief Duration of the store lease that holds the term. */
     milliseconds m_term_lease{1'200};
+    /** @brief Metrics of the entry VM; not null. */
+    std::shared_ptr<scheduler_metrics> m_metrics;
 };
 
 /**
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -175,6 +175,7 @@
     }
     log_events();
     count_pass(m_load, monotonic_now() - now);
+    m_settings.m_metrics->pass_run();
     for (auto& command : std::exchange(m_state.m_starts, {})) {
         asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(command)), asio::detached);
     }
@@ -206,6 +207,7 @@
 
     start.m_token = m_term.m_token;
     ++m_load.m_starts;
+    m_settings.m_metrics->start_sent(age_of(m_load.m_jobs, monotonic_now()));
     begin_command(m_load);
     const auto result = co_await client->start(std::move(start), command_timeout);
     end_command(m_load);
@@ -280,6 +282,7 @@
     }
     const auto client = client_of(command.m_worker);
     ++m_load.m_stops;
+    m_settings.m_metrics->stop_sent();
     begin_command(m_load);
     const auto result = co_await client->stop(command.m_task, command.m_run, m_term.m_token, command_timeout);
     end_command(m_load);
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -47,6 +47,7 @@
         const auto now = monotonic_now();
         const auto delay = std::max(microseconds{0}, now - begin - loop_probe_interval);
         m_load.m_max_loop_delay = std::max(m_load.m_max_loop_delay, delay);
+        m_settings.m_metrics->timer_run(delay);
         if (now - m_load.m_began >= load_log_interval) {
             log_load();
         }
@@ -103,6 +104,7 @@
     }
     const auto delay = cancel_delay(value, clock.m_unix_ms);
     count_cancel(m_load, delay);
+    m_settings.m_metrics->cancel_applied(delay);
     log_dropped_lines(clock.m_now);
     if (admit_line(m_run_log_budget)) {
         const auto runs = occupying_runs_of(m_state, id);
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -9,6 +9,7 @@
 #include <cicadalug/entry/job_intake.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
+#include <cicadalug/telemetry/scheduler_metrics.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,7 @@
 #include <algorithm>
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace cicadalug {
@@ -69,6 +71,14 @@
         http_server readiness{m_context, m_settings.m_readiness, limits, [this](http_exchange& exchange) {
                                   return handle_readiness(exchange);
                               }};
+        std::optional<http_server> metrics;
+        if (m_settings.m_metrics.port() == 0) {
+            LOG(WARNING) << log_line{"metrics_not_served"}.with("reason", "internal_ports has no second port");
+        }
+        else {
+            metrics.emplace(m_context, m_settings.m_metrics, limits,
+                            [this](http_exchange& exchange) { return handle_metrics(exchange); });
+        }
         m_clients = &clients;
         asio::co_spawn(m_executor, watch_config(), asio::detached);
         m_election.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); });
@@ -90,6 +100,15 @@
         co_await exchange.respond(std::move(response));
     }
 
+    [[nodiscard]] auto handle_metrics(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        const auto& request = exchange.request();
+        const bool known = request.method() == http::verb::get && request.target() == "/metrics";
+        auto response = known ? text_response(http::status::ok, m_metrics->text())
+                              : text_response(http::status::not_found, "not found");
+        co_await exchange.respond(std::move(response));
+    }
+
     auto begin_term(const decider_term& term) -> void
     {
         decider_settings settings;
@@ -106,15 +125,18 @@
         settings.m_fleet = m_settings.m_fleet;
         settings.m_permits = m_settings.m_permits;
         settings.m_handover_interval = m_settings.m_handover_interval;
+        settings.m_metrics = m_metrics;
         settings.m_term_lease = std::max(decider_lease, m_settings.m_shortest_store_lease);
         m_decider = std::make_shared<decider>(
             m_executor, m_store, settings, term, [this] { return m_election.last_renewal(); },
             [this] { m_election.depose(); });
+        m_metrics->set_decider(true);
         m_decider->start();
     }
 
     auto end_term() -> void
     {
+        m_metrics->set_decider(false);
         if (m_decider != nullptr) {
             std::exchange(m_decider, nullptr)->stop();
         }
@@ -196,6 +218,7 @@
     store_client m_store;
     job_intake m_intake;
     decider_election m_election;
+    const std::shared_ptr<scheduler_metrics> m_metrics{std::make_shared<scheduler_metrics>()};
     std::shared_ptr<decider> m_decider;
     std::shared_ptr<const fleet_config> m_config;
     client_api m_api;
--- a/packages/runtime/src/cicadalug/http/message.cpp
+++ b/packages/runtime/src/cicadalug/http/message.cpp
@@ -16,6 +16,15 @@
     return response;
 }
 
+auto text_response(const http::status status, const std::string& text) -> http_response
+{
+    http_response response{status, 11};
+    response.set(http::field::content_type, "text/plain");
+    response.body() = text + '\n';
+    response.prepare_payload();
+    return response;
+}
+
 auto findings_response(const http::status status, const findings& found) -> http_response
 {
     auto list = nlohmann::json::array();
--- a/packages/runtime/src/cicadalug/http/message.hpp
+++ b/packages/runtime/src/cicadalug/http/message.hpp
@@ -29,6 +29,14 @@
  */
 [[nodiscard]] auto json_response(http::status status, const nlohmann::json& body) -> http_response;
 
+/**
+ * @brief Creates a response with a text body.
+ * @param status Status code.
+ * @param text Text; a line feed is added.
+ * @return The response, with its content length set.
+ */
+[[nodiscard]] auto text_response(http::status status, const std::string& text) -> http_response;
+
 /**
  * @brief Creates the response for a rejected input, a JSON object with one member "findings".
  * @param status Status code.
--- a/packages/runtime/src/cicadalug/telemetry/fwd.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/fwd.hpp
@@ -11,6 +11,7 @@
 class otlp_exporter;
 class log_line;
 class metrics;
+class scheduler_metrics;
 enum class roll_out_kind : std::uint8_t;
 
 } // namespace cicadalug
--- a/packages/runtime/src/cicadalug/telemetry/metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/metrics.cpp
@@ -1,9 +1,6 @@
+#include <cicadalug/telemetry/metric_families.hpp>
 #include <cicadalug/telemetry/metrics.hpp>
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <chrono>
@@ -17,6 +14,10 @@
 using prometheus::Gauge;
 using prometheus::Histogram;
 
+using internal::counter;
+using internal::gauge;
+using internal::histogram;
+
 using fractional_seconds = std::chrono::duration<double>;
 
 /** @brief Upper bounds in seconds, from fast tasks to deadlines of minutes. */
@@ -24,21 +25,6 @@
 /** @brief Upper bounds in seconds: a configuration change takes effect within 3 s, a wave can take a night. */
 const Histogram::BucketBoundaries roll_out_buckets{0.1, 0.3, 1, 3, 10, 30, 100, 300, 1'000, 3'000, 10'000, 30'000};
 
-[[nodiscard]] auto counter(prometheus::Registry& registry, const char* name, const char* help) -> Family<Counter>&
-{
-    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
-}
-
-[[nodiscard]] auto gauge(prometheus::Registry& registry, const char* name, const char* help) -> Family<Gauge>&
-{
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
-}
-
-[[nodiscard]] auto histogram(prometheus::Registry& registry, const char* name, const char* help) -> Family<Histogram>&
-{
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
-}
-
 /** @brief Raises a counter to a total that is counted elsewhere. */
 auto increase_to(Counter& target, const std::uint64_t value) -> void
 {
--- /dev/null
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -0,0 +1,94 @@
+#include <cicadalug/telemetry/metric_families.hpp>
+#include <cicadalug/telemetry/scheduler_metrics.hpp>
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace cicadalug {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+using internal::counter;
+using internal::gauge;
+using internal::histogram;
+
+using fractional_seconds = std::chrono::duration<double>;
+
+/** @brief Upper bounds in seconds: delays are some milliseconds on an idle decider, and a cancellation has to take
+ * effect within 3 s. */
+const Histogram::BucketBoundaries delay_buckets{0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10};
+
+} // namespace
+
+struct scheduler_metrics::series {
+    prometheus::Registry m_registry;
+    Gauge& m_decider{
+        gauge(m_registry, "cicadalug_scheduler_decider", "1 if this entry VM is the decider, otherwise 0.").Add({})};
+    Counter& m_starts{
+        counter(m_registry, "cicadalug_scheduler_starts_total", "Starts of tasks sent to workers.").Add({})};
+    Counter& m_stops{counter(m_registry, "cicadalug_scheduler_stops_total", "Stops of runs sent to workers.").Add({})};
+    Counter& m_cancels{
+        counter(m_registry, "cicadalug_scheduler_cancels_total", "Cancellations of jobs that were applied.").Add({})};
+    Counter& m_passes{counter(m_registry, "cicadalug_scheduler_passes_total", "Scheduling passes.").Add({})};
+    Histogram& m_cancel_delay{histogram(m_registry, "cicadalug_scheduler_cancel_delay_seconds",
+                                        "Time from the write of a cancellation to its application.")
+                                  .Add({}, delay_buckets)};
+    Histogram& m_timer_delay{
+        histogram(m_registry, "cicadalug_scheduler_event_loop_delay_seconds", "How late a timer of the decider ran.")
+            .Add({}, delay_buckets)};
+    Histogram& m_jobs_age{histogram(m_registry, "cicadalug_scheduler_start_jobs_age_seconds",
+                                    "Age of the decider's copy of the jobs when it sent a start.")
+                              .Add({}, delay_buckets)};
+};
+
+scheduler_metrics::scheduler_metrics() : m_series{std::make_unique<series>()} {}
+
+scheduler_metrics::~scheduler_metrics() = default;
+
+auto scheduler_metrics::set_decider(const bool is_decider) -> void
+{
+    m_series->m_decider.Set(is_decider ? 1.0 : 0.0);
+}
+
+auto scheduler_metrics::start_sent(const std::optional<microseconds> jobs_age) -> void
+{
+    m_series->m_starts.Increment();
+    if (jobs_age) {
+        m_series->m_jobs_age.Observe(fractional_seconds{*jobs_age}.count());
+    }
+}
+
+auto scheduler_metrics::stop_sent() -> void
+{
+    m_series->m_stops.Increment();
+}
+
+auto scheduler_metrics::cancel_applied(const std::optional<microseconds> delay) -> void
+{
+    m_series->m_cancels.Increment();
+    if (delay) {
+        m_series->m_cancel_delay.Observe(fractional_seconds{*delay}.count());
+    }
+}
+
+auto scheduler_metrics::pass_run() -> void
+{
+    m_series->m_passes.Increment();
+}
+
+auto scheduler_metrics::timer_run(const microseconds delay) -> void
+{
+    m_series->m_timer_delay.Observe(fractional_seconds{delay}.count());
+}
+
+auto scheduler_metrics::text() const -> std::string
+{
+    return prometheus::TextSerializer{}.Serialize(m_series->m_registry.Collect());
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -0,0 +1,57 @@
+#ifndef CICADALUG_TELEMETRY_SCHEDULER_METRICS_HPP
+#define CICADALUG_TELEMETRY_SCHEDULER_METRICS_HPP
+
+#include <cicadalug/base/time.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cicadalug {
+
+/**
+ * @brief Metrics of the scheduler on one entry VM, exported in the Prometheus text format. The time series are created
+ * once, so that an update needs no lookup of labels.
+ * @note Thread safety: all functions can be called concurrently.
+ */
+class scheduler_metrics {
+public:
+    scheduler_metrics();
+    scheduler_metrics(const scheduler_metrics&) = delete;
+    scheduler_metrics(scheduler_metrics&&) = delete;
+    auto operator=(const scheduler_metrics&) -> scheduler_metrics& = delete;
+    auto operator=(scheduler_metrics&&) -> scheduler_metrics& = delete;
+    ~scheduler_metrics();
+
+    /** @brief Sets whether this entry VM is the decider. */
+    auto set_decider(bool is_decider) -> void;
+
+    /** @brief Counts a start that is sent. @param jobs_age Age of the decider's copy of the jobs, if one was read. */
+    auto start_sent(std::optional<microseconds> jobs_age) -> void;
+
+    /** @brief Counts a stop that is sent. */
+    auto stop_sent() -> void;
+
+    /** @brief Counts an applied cancellation. @param delay Time since its write, or nothing if that is not known. */
+    auto cancel_applied(std::optional<microseconds> delay) -> void;
+
+    /** @brief Counts a scheduling pass. */
+    auto pass_run() -> void;
+
+    /** @brief Records how late a timer of the decider ran. */
+    auto timer_run(microseconds delay) -> void;
+
+    /**
+     * @brief Returns the response body for GET /metrics.
+     * @return All metrics in the Prometheus text format, version 0.0.4.
+     */
+    [[nodiscard]] auto text() const -> std::string;
+
+private:
+    struct series;
+    std::unique_ptr<series> m_series;
+};
+
+} // namespace cicadalug
+
+#endif
