--- /dev/null
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -0,0 +1,337 @@
+#include "scheduler_store.hpp"
+#include "scheduler_worker.hpp"
+
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/http/http_server.hpp>
+#include <cicadalug/http/target.hpp>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+// Stand-in for the platform of the scheduler: the store and the workers of one service, each on an address of its own.
+// POST /control at the store's address sets the faults to inject; GET /control returns what the workers were told. A
+// single thread runs all of it, so the state needs no lock.
+
+namespace {
+
+using namespace cicadalug;
+using namespace cicadalug::standin;
+using nlohmann::json;
+
+constexpr milliseconds poll_interval{10};
+constexpr milliseconds heartbeat_interval{1'500};
+/** @brief A worker's entry expires after three heartbeat intervals. */
+constexpr milliseconds entry_lease{4'500};
+constexpr milliseconds longest_watch{30'000};
+
+struct standin_options {
+    std::string m_listen{"127.0.0.1:0"};
+    std::vector<std::string> m_workers;
+    std::string m_config;
+    std::int64_t m_cpu{2'000};
+};
+
+struct injected_faults {
+    /** @brief Watches of exactly this prefix get no response; empty for none. */
+    std::string m_silent_watch;
+    /** @brief Delay of the responses to calls of a path; the call itself is executed at once. */
+    std::map<std::string, milliseconds> m_delays;
+    /** @brief How long a run takes that starts from now on. */
+    milliseconds m_run_time{1'000};
+};
+
+[[nodiscard]] auto encode_base64(const std::string& bytes) -> std::string
+{
+    std::string text(beast::detail::base64::encoded_size(bytes.size()), '\0');
+    text.resize(beast::detail::base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+[[nodiscard]] auto query_text(const http_target& target, const std::string& name) -> std::string
+{
+    const auto found = target.m_query.find(name);
+    return found == target.m_query.end() ? std::string{} : found->second;
+}
+
+[[nodiscard]] auto events_json(const std::string& worker, const std::vector<worker_event>& events) -> json
+{
+    auto rows = json::array();
+    for (const auto& event : events) {
+        const auto time = std::chrono::duration_cast<milliseconds>(event.m_time.time_since_epoch());
+        rows.push_back({{"worker", worker},
+                        {"task", event.m_task},
+                        {"run", event.m_run},
+                        {"fence", event.m_token},
+                        {"clock_ms", time.count()}});
+    }
+    return rows;
+}
+
+class scheduler_platform {
+public:
+    scheduler_platform(asio::io_context& context, const standin_options& options)
+        : m_context{context}, m_options{options}
+    {
+        const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+        const auto unix_ms = std::chrono::duration_cast<milliseconds>(unix_time).count();
+        for (std::size_t index = 0; index < options.m_workers.size(); ++index) {
+            m_workers.emplace_back("worker-" + std::to_string(index), unix_ms, monotonic_now());
+        }
+        put("op/config", options.m_config, 0);
+    }
+
+    [[nodiscard]] auto handle_store(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        const auto target = parse_target({exchange.request().target().data(), exchange.request().target().size()});
+        const auto body = json::parse(exchange.request().body(), nullptr, false);
+        if (target.m_path == "/control") {
+            if (exchange.request().method() == http::verb::post) {
+                set_faults(body);
+            }
+            co_await exchange.respond(json_response(http::status::ok, observations()));
+            co_return;
+        }
+        if (target.m_path == "/cicadalug/kv-watch") {
+            co_await watch(exchange, target);
+            co_return;
+        }
+        const auto result = execute(target, body);
+        if (const auto delay = m_faults.m_delays.find(target.m_path); delay != m_faults.m_delays.end()) {
+            co_await sleep(delay->second);
+        }
+        co_await exchange.respond(json_response(result.m_status, result.m_body));
+    }
+
+    [[nodiscard]] auto handle_worker(http_exchange& exchange, scheduler_worker& worker) -> asio::awaitable<void>
+    {
+        const auto& request = exchange.request();
+        const auto path = parse_target({request.target().data(), request.target().size()}).m_path;
+        const auto body = json::parse(request.body(), nullptr, false);
+        if (request["X-Expect-Instance"] != worker.id()) {
+            co_await exchange.respond(json_response(http::status::misdirected_request, json::object()));
+        }
+        else if (path == "/cicadalug/run-start") {
+            co_await exchange.respond(worker.start(body, m_faults.m_run_time, monotonic_now()));
+        }
+        else if (path == "/cicadalug/run-stop") {
+            co_await exchange.respond(worker.stop(body, monotonic_now()));
+        }
+        else if (path == "/cicadalug/hold") {
+            if (!worker.renew(body, monotonic_now())) {
+                co_await exchange.respond(worker.refuse("fence", monotonic_now()));
+                co_return;
+            }
+            const auto end = monotonic_now() + milliseconds{body.value("wait_ms", 0)};
+            while (!worker.has_ends() && monotonic_now() < end) {
+                co_await sleep(poll_interval);
+            }
+            co_await exchange.respond(worker.report(monotonic_now()));
+        }
+        else {
+            co_await exchange.respond(json_response(http::status::not_found, json::object()));
+        }
+    }
+
+    [[nodiscard]] auto worker(const std::size_t index) -> scheduler_worker& { return m_workers.at(index); }
+
+    [[nodiscard]] auto advance_time() -> asio::awaitable<void>
+    {
+        for (;;) {
+            m_store.expire_leases(monotonic_now());
+            for (auto& worker : m_workers) {
+                worker.advance(monotonic_now());
+            }
+            co_await sleep(poll_interval);
+        }
+    }
+
+    [[nodiscard]] auto register_workers() -> asio::awaitable<void>
+    {
+        for (std::int64_t sequence = 1;; ++sequence) {
+            for (std::size_t index = 0; index < m_workers.size(); ++index) {
+                const auto& worker = m_workers[index];
+                const json entry{{"service", "batch"},
+                                 {"address", m_options.m_workers[index]},
+                                 {"zone", "a"},
+                                 {"version", "1"},
+                                 {"slots", 8},
+                                 {"state", "ready"},
+                                 {"cold_left_ms", 0},
+                                 {"seq", sequence},
+                                 {"capacity", {{"cpu", m_options.m_cpu}, {"mem_mb", 8'192}, {"gpu", 0}}},
+                                 {"labels", {"kind-1", "r-1"}},
+                                 {"machine", "m-" + std::to_string(index)},
+                                 {"born", worker.started_unix_ms()}};
+                const auto lease = m_store.open_lease(entry_lease, monotonic_now()).m_body.at("lease");
+                put("servers/" + worker.id(), entry.dump(), lease);
+            }
+            co_await sleep(heartbeat_interval);
+        }
+    }
+
+private:
+    [[nodiscard]] auto sleep(const milliseconds time) -> asio::awaitable<void>
+    {
+        asio::steady_timer timer{m_context, time};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    auto put(const std::string& key, const std::string& value, const std::uint64_t lease) -> void
+    {
+        const auto written =
+            m_store.write({{"expected_rev", json::array()},
+                           {"puts", json::array({{{"key", key}, {"value", encode_base64(value)}, {"lease", lease}}})}});
+        if (written.m_status != http::status::ok) {
+            std::cerr << "key " << key << " was not written\n";
+        }
+    }
+
+    [[nodiscard]] auto execute(const http_target& target, const json& body) -> scheduler_store_response
+    {
+        const auto& path = target.m_path;
+        if (path == "/cicadalug/kv-key") {
+            return m_store.read(query_text(target, "key"));
+        }
+        if (path == "/cicadalug/kv-range") {
+            const auto prefix = query_text(target, "prefix");
+            ++m_lists[prefix];
+            return m_store.list(prefix, query_text(target, "after"));
+        }
+        if (path == "/cicadalug/kv-txn") {
+            return m_store.write(body);
+        }
+        if (path == "/cicadalug/kv-lease") {
+            return m_store.open_lease(milliseconds{body.at("ttl_ms").get<std::int64_t>()}, monotonic_now());
+        }
+        const auto id = path.substr(path.rfind('/') + 1);
+        const auto lease = std::strtoull(id.c_str(), nullptr, 10);
+        if (path.starts_with("/cicadalug/kv-keep/")) {
+            return m_store.renew_lease(lease, monotonic_now());
+        }
+        if (path.starts_with("/cicadalug/kv-lease-end/")) {
+            return m_store.end_lease(lease);
+        }
+        return {http::status::not_found, {{"error", "no such path"}}};
+    }
+
+    [[nodiscard]] auto watch(http_exchange& exchange, const http_target& target) -> asio::awaitable<void>
+    {
+        const auto prefix = query_text(target, "prefix");
+        const auto after = static_cast<std::uint64_t>(query_number(target, "after", 0));
+        const auto wait = milliseconds{query_number(target, "wait_ms", 0)};
+        const auto end = monotonic_now() + std::min(wait, longest_watch);
+        bool silenced = prefix == m_faults.m_silent_watch;
+        while (!silenced && m_store.changes_after(prefix, after).empty() && monotonic_now() < end) {
+            co_await sleep(poll_interval);
+            silenced = prefix == m_faults.m_silent_watch;
+        }
+        if (silenced) {
+            // A call that got no response gets none after the end of the fault, either.
+            bool closed{false};
+            exchange.on_peer_closed([&closed] { closed = true; });
+            while (!closed) {
+                co_await sleep(poll_interval);
+            }
+            exchange.drop();
+            co_return;
+        }
+        json changes;
+        changes["events"] = m_store.changes_after(prefix, after);
+        changes["store_revision"] = m_store.revision();
+        co_await exchange.respond(json_response(http::status::ok, changes));
+    }
+
+    auto set_faults(const json& body) -> void
+    {
+        m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
+        m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
+        const auto delays = body.value("delays_ms", json::object());
+        for (const auto& [path, delay] : delays.items()) {
+            m_faults.m_delays[path] = milliseconds{delay.get<std::int64_t>()};
+        }
+    }
+
+    /** @brief Returns the starts and stops with their times on the clock whose current value is "clock_ms". */
+    [[nodiscard]] auto observations() const -> json
+    {
+        const auto now = std::chrono::duration_cast<milliseconds>(monotonic_now().time_since_epoch());
+        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}};
+        seen["starts"] = json::array();
+        seen["stops"] = json::array();
+        for (const auto& worker : m_workers) {
+            seen["running"] = seen["running"].get<std::size_t>() + worker.running();
+            for (auto& row : events_json(worker.id(), worker.starts())) {
+                seen["starts"].push_back(std::move(row));
+            }
+            for (auto& row : events_json(worker.id(), worker.stops())) {
+                seen["stops"].push_back(std::move(row));
+            }
+        }
+        return seen;
+    }
+
+    asio::io_context& m_context;
+    const standin_options& m_options;
+    scheduler_store m_store;
+    std::vector<scheduler_worker> m_workers;
+    injected_faults m_faults;
+    /** @brief Number of lists by prefix. */
+    std::map<std::string, int> m_lists;
+};
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    standin_options options;
+    CLI::App app{"Stand-in for the store and the workers of the scheduler's platform"};
+    app.add_option("--listen", options.m_listen, "Address and port of the store");
+    app.add_option("--worker", options.m_workers, "Address and port of a worker");
+    app.add_option("--config", options.m_config, "Configuration of the operator, as JSON");
+    app.add_option("--cpu", options.m_cpu, "Capacity of each worker in thousandths of a core");
+    CLI11_PARSE(app, argc, argv);
+
+    findings errors;
+    asio::io_context context{1};
+    scheduler_platform platform{context, options};
+    const http_server_limits limits;
+    std::vector<std::unique_ptr<http_server>> servers;
+    for (std::size_t index = 0; index < options.m_workers.size(); ++index) {
+        servers.push_back(
+            std::make_unique<http_server>(context, parse_endpoint(options.m_workers[index], "--worker", errors), limits,
+                                          [&platform, index](http_exchange& exchange) {
+                                              return platform.handle_worker(exchange, platform.worker(index));
+                                          }));
+    }
+    servers.push_back(std::make_unique<http_server>(
+        context, parse_endpoint(options.m_listen, "--listen", errors), limits,
+        [&platform](http_exchange& exchange) { return platform.handle_store(exchange); }));
+    if (!errors.empty()) {
+        std::cerr << errors.to_string() << '\n';
+        return 2;
+    }
+    asio::co_spawn(context, platform.advance_time(), asio::detached);
+    asio::co_spawn(context, platform.register_workers(), asio::detached);
+    asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&context](const auto&, int) { context.stop(); });
+    context.run();
+    return 0;
+}
