Add tests of cancellations that the decider does not read

Cause: the decider reads cancellations only from its long-poll watch of the prefix job/. Evidence: with a silent watch and all other calls working, 18 tasks start later than cancel_ms (3,000 ms) after the response to the DELETE, in each of 20 runs (10 beside two busy processes); the last one 5,093 to 5,118 ms after it, shortly before the test ends. The log has cancel_stored of the other entry VM, no job_cancelled, and one term. If a new decider lists the jobs, the cancellation follows and the watch is silent, the last start is 5,444 to 5,459 ms after the response, also in 20 of 20 runs. Ruled out for these runs: a superseded decider, since the first test has one term and the second one kills the former decider; delayed calls and slow processes, since nothing but the watch and the lists is disturbed. Without faults, the same cancellation is carried out (scheduler_cancel.a_cancelled_job_is_stopped_and_starts_nothing).

--- a/test/process/scheduler_cancel.cpp
+++ b/test/process/scheduler_cancel.cpp
@@ -41,6 +41,9 @@
 constexpr milliseconds cancel_bound{3'000};
 constexpr milliseconds stop_grace{400};
 
+/** @brief How long the workers are observed after a cancellation. */
+constexpr milliseconds observed_time{6'000};
+
 /** @brief Limit for steps of a test that take a fraction of it on an idle machine. */
 constexpr milliseconds patience{15'000};
 
@@ -197,6 +200,8 @@
                             << " ms after the response to the cancellation, the last one " << latest << " ms after it";
     }
 
+    auto kill(const std::size_t index) -> void { m_entry_vms.at(index).reset(); }
+
 private:
     const std::string m_store{at_port(store_port, 0)};
     std::unique_ptr<child_process> m_platform;
@@ -234,4 +239,45 @@
     EXPECT_EQ(started_tasks(control()), 6 * concurrent_tasks);
 }
 
+// Guards against tasks that a decider starts by an outdated copy of the jobs, because its watch gets no responses.
+TEST_F(scheduler_cancel, no_task_starts_long_after_the_cancel_when_the_watch_of_jobs_is_silent)
+{
+    constexpr std::size_t tasks{10 * concurrent_tasks};
+    submit(first_job, tasks);
+    wait_until_workers_are_full();
+    const auto current = decider();
+    ASSERT_LT(current, entry_vm_count);
+    control({{"silent_watch", "job/"}});
+    const auto acknowledged = cancel(first_job, 1 - current);
+    std::this_thread::sleep_for(observed_time);
+    const auto seen = control();
+    expect_no_late_start(seen, acknowledged);
+    EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
+}
+
+// Guards against tasks that a new decider starts by a list of the jobs that is older than the cancellation.
+TEST_F(scheduler_cancel, no_task_starts_long_after_a_cancel_during_a_takeover_with_slow_lists)
+{
+    constexpr std::size_t tasks{10 * concurrent_tasks};
+    constexpr int list_delay_ms{450};
+    submit(first_job, tasks);
+    wait_until_workers_are_full();
+    const auto lists_of_jobs = [this] {
+        return control()["lists"].value("job/", 0);
+    };
+    const auto killed = decider();
+    ASSERT_LT(killed, entry_vm_count);
+    control({{"silent_watch", "job/"}, {"delays_ms", {{"/cicadalug/kv-range", list_delay_ms}}}});
+    kill(killed);
+    const auto lists_before = lists_of_jobs();
+    ASSERT_TRUE(wait_until([&] { return lists_of_jobs() > lists_before; }, patience));
+    const auto survivor = 1 - killed;
+    const auto acknowledged = cancel(first_job, survivor);
+    std::this_thread::sleep_for(observed_time);
+    const auto seen = control();
+    expect_no_late_start(seen, acknowledged);
+    EXPECT_EQ(decider(), survivor);
+    EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
+}
+
 } // namespace
