Start tasks only from a recent copy of the stored jobs

Cause: the decider starts tasks by its copy of the jobs, and nothing bounds the age of that copy. If the watch of the jobs makes no progress, because the event loop is behind, the connection is silent or the store is slow, the decider goes on starting tasks of opened steps.

Ruled out: a superseded decider, as the tokens are the current ones; a cancel lost between list and watch, as everything after the list is missing.

Change: m_jobs_current_at is the time at which the last successful list or watch was sent. Nothing starts when that is longer ago than the platform's bound for cancels less the timeout of a start and a margin; a start that waited is checked again when it is sent. The watch is requested again after 0.5 s, so that the age is known while nothing changes.

Why it works: a cancel acknowledged before the copy was read is in it, and one acknowledged later is younger than the bound when the last start arrives. It does not depend on why the copy is old.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -22,8 +22,9 @@
 using internal::failure_pause;
 using internal::store_timeout;
 
-/** @brief A watch is requested again after this time; bounds how long an unresponsive connection goes unnoticed. */
-constexpr milliseconds watch_wait{1'500};
+/** @brief A watch is requested again after this time; bounds how long an unresponsive connection goes unnoticed, and,
+ * while nothing changes, how old the copy of the store is known to be. */
+constexpr milliseconds watch_wait{500};
 
 /** @brief Minimum time between two watch requests for one prefix; changes in quick succession share a request. */
 constexpr milliseconds watch_gap{8};
@@ -177,6 +178,7 @@
             apply_cancel(*id, item.m_value, clock);
         }
     }
+    m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
     refresh(m_load.m_jobs, sent, monotonic_now());
     co_return true;
 }
@@ -279,6 +281,8 @@
             for (const auto& change : changes.m_changes) {
                 apply_job_change(change.m_key, change.m_value, false);
             }
+            // The response may have been delayed on its way; the store wrote it after the request was sent.
+            m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
             refresh(m_load.m_jobs, sent, monotonic_now());
             if (!changes.m_changes.empty()) {
                 schedule_pass();
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -41,9 +41,6 @@
 /** @brief Timeout of a permit request; the service takes some time for each worker in it. */
 constexpr milliseconds permit_timeout{1'500};
 
-/** @brief Timeout of a command to a worker. */
-constexpr milliseconds command_timeout{800};
-
 } // namespace
 
 auto decider::client_of(const worker_index index) -> std::shared_ptr<worker_client>
@@ -193,6 +190,13 @@
     if (job == nullptr) {
         co_return;
     }
+    const auto now = monotonic_now();
+    // Between the decision and this call the job may have been cancelled, or the copy of the jobs may have become too
+    // old.
+    if (is_final(job->m_state) || !are_jobs_current(m_state, now)) {
+        apply_start_result(m_state, command, command_result::withdrawn, now);
+        co_return;
+    }
     const auto client = client_of(command.m_worker);
     if (command.m_first_of_job) {
         log_start(command, *job);
@@ -209,7 +213,7 @@
     ++m_load.m_starts;
     m_settings.m_metrics->start_sent(age_of(m_load.m_jobs, monotonic_now()));
     begin_command(m_load);
-    const auto result = co_await client->start(std::move(start), command_timeout);
+    const auto result = co_await client->start(std::move(start), m_state.m_settings.m_command_timeout);
     end_command(m_load);
     if (!m_active) {
         co_return;
@@ -284,7 +288,8 @@
     ++m_load.m_stops;
     m_settings.m_metrics->stop_sent();
     begin_command(m_load);
-    const auto result = co_await client->stop(command.m_task, command.m_run, m_term.m_token, command_timeout);
+    const auto result =
+        co_await client->stop(command.m_task, command.m_run, m_term.m_token, m_state.m_settings.m_command_timeout);
     end_command(m_load);
     if (m_active) {
         apply_stop_result(m_state, command, result, monotonic_now());
@@ -300,7 +305,7 @@
     const auto client = client_of(command.m_worker);
     begin_command(m_load);
     const auto result = co_await client->set_speed(command.m_task, command.m_run, command.m_speed_percent,
-                                                   m_term.m_token, command_timeout);
+                                                   m_term.m_token, m_state.m_settings.m_command_timeout);
     end_command(m_load);
     if (m_active) {
         apply_throttle_result(m_state, command, result);
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -354,10 +354,17 @@
             }));
 }
 
+auto are_jobs_current(const scheduler_state& state, const time_point now) -> bool
+{
+    const auto& settings = state.m_settings;
+    return now - state.m_jobs_current_at <=
+           settings.m_cancel_time - settings.m_command_timeout - settings.m_cancel_margin;
+}
+
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
-    if (state.m_grant_limit < now + state.m_settings.m_min_lease) {
+    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !are_jobs_current(state, now)) {
         return;
     }
     for (const auto& [service, jobs] : state.m_active) {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -43,7 +43,20 @@
 [[nodiscard]] auto is_recovered(const scheduler_state& state, const service_id& service, time_point now) -> bool;
 
 /**
- * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline.
+ * @brief Checks whether the copy of the stored jobs is recent enough to start tasks.
+ *
+ * An older copy may lack cancels that were acknowledged so long ago that no task of the job may start any more. A
+ * decider that falls behind, whatever the reason, therefore starts nothing until it has caught up.
+ * @param state The scheduler.
+ * @param now Current time.
+ * @return True if a start sent now reaches its worker in time even if its job was cancelled right after the copy was
+ * read.
+ */
+[[nodiscard]] auto are_jobs_current(const scheduler_state& state, time_point now) -> bool;
+
+/**
+ * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline. Starts none
+ * if the copy of the stored jobs is too old.
  * @param state The scheduler; the commands are appended to its m_starts.
  * @param now Current time.
  */
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -45,6 +45,13 @@
     milliseconds m_worker_pause_limit{12'000};
     /** @brief Delay before a failed task is restarted, multiplied by the number of its failures. */
     milliseconds m_task_backoff{100};
+    /** @brief No task of a job starts later than this after the job's cancel was acknowledged; from the platform's
+     * settings. */
+    milliseconds m_cancel_time{3'000};
+    /** @brief Timeout of a command to a worker. */
+    milliseconds m_command_timeout{800};
+    /** @brief Part of m_cancel_time that is left for the transit of the acknowledgement and of the start. */
+    milliseconds m_cancel_margin{200};
 };
 
 /** @brief Phase of a task in the scheduler. */
@@ -252,6 +259,8 @@
     /** @brief Until this time no other decider can have begun its term. Afterwards another one may renew the leases of
      * workers that are unresponsive here, so that their runs cannot be assumed to have ended. */
     time_point m_term_guaranteed_until{};
+    /** @brief All jobs and cancels stored before this time have been applied. */
+    time_point m_jobs_current_at{};
     /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/src/cicadalug/scheduler/worker.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker.hpp
@@ -93,6 +93,8 @@
     other_worker,
     /** @brief No response: the command may have been carried out, or may still be. */
     unknown,
+    /** @brief The command was decided, but not sent. */
+    withdrawn,
 };
 
 } // namespace cicadalug
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -57,6 +57,27 @@
     EXPECT_EQ(simulation.starts_of({first, 0, 0, 7}), 0);
 }
 
+// Guards against starting tasks of a job whose cancel is stored but not yet read, however long the watch is silent.
+TEST(dispatch, nothing_starts_when_the_copy_of_the_jobs_is_older_than_the_cancel_time_allows)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto& settings = simulation.m_state.m_settings;
+    const auto job = simulation.submit(make_job("quotes", 40, 8'000, milliseconds{500}));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.total_starts(), 4) << "the step is open and most of its tasks wait";
+    simulation.m_job_watch_up = false;
+    simulation.run_for(settings.m_cancel_time - settings.m_command_timeout);
+    const auto starts = simulation.total_starts();
+    EXPECT_GT(starts, 4) << "a recent copy is good enough";
+    simulation.run_for(milliseconds{2'000});
+    EXPECT_EQ(simulation.total_starts(), starts);
+    simulation.m_job_watch_up = true;
+    simulation.run_for(milliseconds{6'000});
+    EXPECT_EQ(simulation.total_starts(), 40);
+    EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::completed);
+}
+
 // Guards against two tasks of a step on one worker when maintenance may make only one of them unavailable.
 TEST(dispatch, tasks_of_a_step_with_a_disruption_budget_are_spread)
 {
