Leave time for responses when the decider falls behind

Cause: a scheduling pass ran 2 ms after each change however long passes took, and each worker was polled again 60 ms after its last response however late the event loop was.

Ruled out: a blocked event loop; the decider logged without a silence of over 0.08 s while cancels were late.

Change: a pass is followed by a pause of four times its duration, at most 100 ms. The time between two polls of a worker is at least eight times the delay of the event loop, at most 600 ms.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -153,6 +153,8 @@
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
+    /** @brief Pause between the last scheduling pass and the next one. */
+    microseconds m_pass_pause{0};
 };
 
 } // namespace cicadalug
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -25,8 +25,13 @@
 /** @brief A renewal counts as lost this long after the requested wait. */
 constexpr milliseconds renewal_slack{500};
 
-/** @brief Minimum time between two renewals of one worker, so that ends in quick succession share a request. */
+/** @brief Limits of the time between two renewals of one worker, so that ends in quick succession share a request. */
 constexpr milliseconds renewal_gap{60};
+constexpr milliseconds longest_renewal_gap{600};
+
+/** @brief The time between two renewals is at least this many times the delay of the event loop: a decider that falls
+ * behind handles more ends with each request. */
+constexpr int renewal_gap_per_delay{8};
 
 /** @brief Delay after a renewal that failed or got no response. */
 constexpr milliseconds renewal_pause{200};
@@ -34,6 +39,10 @@
 /** @brief Delay before a scheduling pass, so that changes within this time share a pass. */
 constexpr milliseconds pass_delay{2};
 
+/** @brief A pass is followed by a pause of at least this many times its duration, so that long passes leave time for
+ * responses of the store and of the workers. */
+constexpr int pause_per_pass{4};
+
 /** @brief Maximum number of concurrent requests to the permit service. It handles one at a time; with two, the next one
  * has already arrived when a response is sent. */
 constexpr int max_permit_requests_in_flight{2};
@@ -58,6 +67,7 @@
 auto decider::renew_worker_lease(const std::shared_ptr<decider> self, const worker_index index) -> asio::awaitable<void>
 {
     const auto position = static_cast<std::size_t>(index);
+    microseconds gap = renewal_gap;
     while (self->m_active) {
         if (!m_state.m_workers[position].m_registered && m_state.m_workers[position].m_runs.empty()) {
             co_await sleep_for(m_executor, tick_interval);
@@ -84,7 +94,10 @@
             schedule_pass();
             m_progress_event.notify();
             if (!first) {
-                co_await sleep_for(m_executor, renewal_gap);
+                const auto begin = monotonic_now();
+                co_await sleep_for(m_executor, gap);
+                const auto delay = monotonic_now() - begin - gap;
+                gap = std::clamp<microseconds>(delay * renewal_gap_per_delay, renewal_gap, longest_renewal_gap);
             }
             continue;
         }
@@ -122,7 +135,7 @@
 
 auto decider::run_pass_later(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
-    co_await sleep_for(m_executor, pass_delay);
+    co_await sleep_for(m_executor, std::max<microseconds>(pass_delay, m_pass_pause));
     self->m_pass_scheduled = false;
     run_pass();
 }
@@ -182,6 +195,7 @@
     if (!m_state.m_dirty.empty()) {
         m_progress_event.notify();
     }
+    m_pass_pause = std::min<microseconds>((monotonic_now() - now) * pause_per_pass, tick_interval);
 }
 
 auto decider::send_start(const std::shared_ptr<decider> self, start_command command) -> asio::awaitable<void>
