End leases when the copy of the jobs is not renewed

Cause: a decider that cannot read cancels starts nothing, but renewed the leases of all workers without limit, so that runs of cancelled jobs went on (UNASKED, a task that runs on after the cancel).

Change: no lease is granted beyond m_grant_horizon (5.5 s) after the copy of the jobs was last known to be complete, as is the case for the decider's own lease. A store that is away ends both at the same time, as before.

Result: reports.leases_end_while_the_copy_of_the_jobs_is_not_renewed fails without the bound (lease of 3.5 s after 5.6 s of silence) and passes.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -122,7 +122,6 @@
     auto apply_workers() -> void;
     auto apply_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
     auto run_pass() -> void;
-    auto update_lease_limits() -> void;
     auto log_events() -> void;
     auto schedule_pass() -> void;
     auto check_deposed() -> void;
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -79,7 +79,7 @@
         renewal.m_token = m_term.m_token;
         renewal.m_acknowledged_end = worker.m_acknowledged_end;
         if (worker.m_has_reported) {
-            update_lease_limits();
+            update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = renewal_wait;
         }
@@ -158,19 +158,13 @@
     }
 }
 
-auto decider::update_lease_limits() -> void
-{
-    m_state.m_grant_limit = m_last_renewal() + m_state.m_settings.m_grant_horizon;
-    m_state.m_term_guaranteed_until = m_last_renewal() + m_settings.m_term_lease;
-}
-
 auto decider::run_pass() -> void
 {
     if (!m_active) {
         return;
     }
     const auto now = monotonic_now();
-    update_lease_limits();
+    update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
     expire_runs(m_state, now);
     if (m_state.m_dispatch_requested) {
         update_permit_queues();
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -384,6 +384,12 @@
     return worker.m_clock_read + milliseconds{slowest_ms} + state.m_settings.m_lease_margin;
 }
 
+auto update_lease_limits(scheduler_state& state, const time_point last_renewal, const milliseconds term_lease) -> void
+{
+    state.m_grant_limit = std::min(last_renewal, state.m_jobs_current_at) + state.m_settings.m_grant_horizon;
+    state.m_term_guaranteed_until = last_renewal + term_lease;
+}
+
 auto grant_lease(scheduler_state& state, const worker_index index, const time_point now) -> std::int64_t
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -45,6 +45,15 @@
  */
 [[nodiscard]] auto grant_lease(scheduler_state& state, worker_index index, time_point now) -> std::int64_t;
 
+/**
+ * @brief Updates the limits of the leases that may be granted.
+ * @param state The scheduler. A copy of the stored jobs that is older than the last renewal bounds the leases: while
+ * cancels cannot be read, runs of cancelled jobs are not stopped, but their leases end.
+ * @param last_renewal When the lease of this decider's term was last renewed.
+ * @param term_lease Duration of that lease.
+ */
+auto update_lease_limits(scheduler_state& state, time_point last_renewal, milliseconds term_lease) -> void;
+
 /** @brief Returns the local time after which all runs of the worker have certainly ended. */
 [[nodiscard]] auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point;
 
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -45,6 +45,20 @@
     EXPECT_EQ(find_task(state, task)->m_failed_runs.size(), 2U);
 }
 
+// Guards against keeping runs of cancelled jobs alive while cancels cannot be read.
+TEST(reports, leases_end_while_the_copy_of_the_jobs_is_not_renewed)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    static_cast<void>(simulation.submit(make_job("orders", 1, 1'000, milliseconds{60'000})));
+    simulation.run_for(milliseconds{100});
+    simulation.m_job_watch_up = false;
+    const auto& settings = simulation.m_state.m_settings;
+    simulation.run_for(settings.m_grant_horizon + milliseconds{100});
+    EXPECT_LE(lease_end(simulation.m_state, simulation.m_state.m_workers.front()),
+              simulation.now() + settings.m_lease_margin);
+}
+
 // Guards against ending the runs of an unresponsive worker while another decider may renew its lease.
 TEST(reports, leases_expire_only_while_the_term_is_guaranteed)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -245,11 +245,10 @@
 auto scheduler_simulation::step() -> void
 {
     m_now += simulation_step;
-    m_state.m_grant_limit = m_now + m_state.m_settings.m_grant_horizon;
-    m_state.m_term_guaranteed_until = m_now + milliseconds{1'000};
     if (m_job_watch_up) {
         m_state.m_jobs_current_at = m_now;
     }
+    update_lease_limits(m_state, m_now, milliseconds{1'000});
     for (auto& [id, worker] : m_workers) {
         report(id, worker);
     }
