Withdraw starts of runs that were stopped before the start was sent

Cause: between the decision and the call of a start, its run may have been stopped for any reason, not only by a cancel. The start was sent, and the stop followed on another connection. A start of an unknown job was dropped without freeing the capacity of its run.

Change: is_start_valid() looks at the run itself; a start that is not valid any more is withdrawn and frees its worker.

Result: dispatch.a_decided_start_is_not_sent_after_a_cancel_or_from_an_old_copy.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -194,17 +194,15 @@
 
 auto decider::send_start(const std::shared_ptr<decider> self, start_command command) -> asio::awaitable<void>
 {
-    const auto* job = self->m_active ? find_job(m_state, command.m_task.m_job) : nullptr;
-    if (job == nullptr) {
+    if (!self->m_active) {
         co_return;
     }
     const auto now = monotonic_now();
-    // Between the decision and this call the job may have been cancelled, or the copy of the jobs may have become too
-    // old.
-    if (is_final(job->m_state) || !are_jobs_current(m_state, now)) {
+    if (!is_start_valid(m_state, command, now)) {
         apply_start_result(m_state, command, command_result::withdrawn, now);
         co_return;
     }
+    const auto* job = find_job(m_state, command.m_task.m_job);
     const auto client = client_of(command.m_worker);
     if (command.m_first_of_job) {
         log_start(command, *job);
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -361,6 +361,15 @@
            settings.m_cancel_time - settings.m_command_timeout - settings.m_cancel_margin;
 }
 
+auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
+{
+    const auto& runs = state.m_workers[static_cast<std::size_t>(command.m_worker)].m_runs;
+    return are_jobs_current(state, now) && find_job(state, command.m_task.m_job) != nullptr &&
+           std::any_of(runs.begin(), runs.end(), [&command](const placed_run& run) {
+               return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
+           });
+}
+
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -54,6 +54,15 @@
  */
 [[nodiscard]] auto are_jobs_current(const scheduler_state& state, time_point now) -> bool;
 
+/**
+ * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
+ * meanwhile, and the copy of the stored jobs is recent enough.
+ * @param state The scheduler.
+ * @param command The start.
+ * @param now Current time.
+ */
+[[nodiscard]] auto is_start_valid(const scheduler_state& state, const start_command& command, time_point now) -> bool;
+
 /**
  * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline. Starts none
  * if the copy of the stored jobs is too old.
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -78,6 +78,32 @@
     EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::completed);
 }
 
+// Guards against sending a start whose job was cancelled, or whose copy of the jobs became too old, after the decision.
+TEST(dispatch, a_decided_start_is_not_sent_after_a_cancel_or_from_an_old_copy)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_job("quotes", 40, 8'000, milliseconds{500}));
+    simulation.run_for(milliseconds{500});
+    auto& state = simulation.m_state;
+    expire_runs(state, simulation.now());
+    state.m_workers.front().m_runs.clear();
+    state.m_workers.front().m_used = {};
+    dispatch(state, simulation.now());
+    ASSERT_FALSE(state.m_starts.empty());
+    const auto command = state.m_starts.front();
+    EXPECT_TRUE(is_start_valid(state, command, simulation.now()));
+    EXPECT_FALSE(is_start_valid(state, command, simulation.now() + state.m_settings.m_cancel_time));
+    cancel_job(state, job, simulation.now());
+    EXPECT_FALSE(is_start_valid(state, command, simulation.now()));
+    apply_start_result(state, command, command_result::withdrawn, simulation.now());
+    expire_runs(state, simulation.now());
+    const auto runs = std::count_if(
+        state.m_workers.front().m_runs.begin(), state.m_workers.front().m_runs.end(),
+        [&command](const placed_run& run) { return run.m_run == command.m_run && run.m_task == command.m_task; });
+    EXPECT_EQ(runs, 0) << "a start that was not sent occupies no worker";
+}
+
 // Guards against two tasks of a step on one worker when maintenance may make only one of them unavailable.
 TEST(dispatch, tasks_of_a_step_with_a_disruption_budget_are_spread)
 {
