Count pending jobs only from a recent copy of the jobs

Change: decider::pending() gives nothing while the copy is too old; the entry VM asks again until the client's deadline.

The process tests took an answered count as the sign of a loaded decider, which it is not any more while the watch is silent. They now ask the peers for a job: only a loaded decider answers 200 or 404 there, so that the check is as strict as before.

Not shown by a test of its own.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -256,8 +256,10 @@
 auto client_api::count_pending(const queue_config& queue, const time_point deadline) -> asio::awaitable<http_response>
 {
     while (monotonic_now() < deadline) {
-        if (const auto* own = local_decider()) {
-            co_return make_response(http::status::ok, encode_pending(own->pending(queue.m_policy.m_queue)));
+        const auto* own = local_decider();
+        const auto counted = own == nullptr ? std::nullopt : own->pending(queue.m_policy.m_queue);
+        if (counted) {
+            co_return make_response(http::status::ok, encode_pending(*counted));
         }
         auto target = std::string{peer_queue_path} + queue.m_policy.m_queue.str();
         const auto response = co_await query_decider(std::move(target), deadline);
@@ -282,7 +284,9 @@
     }
     if (target.starts_with(peer_queue_path)) {
         const queue_id queue{std::string{target.substr(peer_queue_path.size())}};
-        return make_response(http::status::ok, encode_pending(own->pending(queue)));
+        const auto counted = own->pending(queue);
+        return counted ? make_response(http::status::ok, encode_pending(*counted))
+                       : make_response(http::status::service_unavailable);
     }
     return make_response(http::status::not_found);
 }
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -4,6 +4,7 @@
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -71,9 +72,9 @@
     return job->m_started ? job_state::running : job_state::queued;
 }
 
-auto decider::pending(const queue_id& queue) const -> std::int64_t
+auto decider::pending(const queue_id& queue) const -> std::optional<std::int64_t>
 {
-    return pending_jobs(m_state, queue);
+    return are_jobs_current(m_state, monotonic_now()) ? std::optional{pending_jobs(m_state, queue)} : std::nullopt;
 }
 
 auto decider::start_fleet_controller() -> void
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -82,8 +82,12 @@
      */
     [[nodiscard]] auto visible_state(const job_id& id) const -> std::optional<job_state>;
 
-    /** @brief Counts the jobs of a queue that have started no task. @pre is_loaded(). */
-    [[nodiscard]] auto pending(const queue_id& queue) const -> std::int64_t;
+    /**
+     * @brief Counts the jobs of a queue that have started no task.
+     * @pre is_loaded().
+     * @return The number, or nothing while the copy of the stored jobs is too old to count them.
+     */
+    [[nodiscard]] auto pending(const queue_id& queue) const -> std::optional<std::int64_t>;
 
     /** @brief Writes the progress that is not stored yet, until all is stored or the time limit is reached. */
     [[nodiscard]] auto flush(milliseconds limit) -> asio::awaitable<void>;
--- a/test/process/scheduler_cancel.cpp
+++ b/test/process/scheduler_cancel.cpp
@@ -128,15 +128,20 @@
         return true;
     }
 
-    /** @brief Returns the index of the decider, or the number of entry VMs if there is none. */
+    /**
+     * @brief Returns the index of the decider that has loaded the jobs, or the number of entry VMs if there is none.
+     * Only a loaded decider tells its peers whether it knows a job; it counts jobs only while its copy is recent.
+     */
     [[nodiscard]] static auto decider() -> std::size_t
     {
-        std::size_t index{0};
-        while (index < entry_vm_count &&
-               call(http::verb::get, at_port(first_peer_port, index), "/queues/night").m_status != 200) {
-            ++index;
+        for (std::size_t index = 0; index < entry_vm_count; ++index) {
+            const auto status =
+                call(http::verb::get, at_port(first_peer_port, index), std::string{"/jobs/"} + first_job).m_status;
+            if (status == 200 || status == 404) {
+                return index;
+            }
         }
-        return index;
+        return entry_vm_count;
     }
 
     /** @brief Sets faults at the platform, or only reads its observations if `faults` is null. */
