Start tasks only from a recent copy of the worker registry

A decider that falls behind starts tasks on workers that have drained for longer than the platform allows (DRAIN).

Change: m_workers_current_at, set and checked like m_jobs_current_at, against the platform's time for draining.

Result: dispatch.nothing_starts_when_the_copy_of_the_workers_is_older_than_the_ drain_time_allows fails without the check and passes.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -196,6 +196,7 @@
     for (const auto& item : page.m_items) {
         apply_worker_entry(item.m_key, item.m_value);
     }
+    m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
     apply_workers();
     refresh(m_load.m_workers, sent, monotonic_now());
     co_return true;
@@ -344,6 +345,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_worker_entry(change.m_key, change.m_value);
             }
+            m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
             refresh(m_load.m_workers, sent, monotonic_now());
             if (!changes.m_changes.empty()) {
                 apply_workers();
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -116,6 +116,7 @@
         scheduler.m_worker_lease = std::min(scheduler.m_worker_lease, m_settings.m_longest_worker_lease);
         scheduler.m_stop_grace = m_settings.m_stop_grace;
         scheduler.m_cancel_time = m_settings.m_cancel_time;
+        scheduler.m_drain_time = m_settings.m_drain_time;
         settings.m_maintenance.m_maintenance_time = m_settings.m_maintenance_time;
         settings.m_status_retention = m_settings.m_status_retention;
         settings.m_moves.m_move_time = m_settings.m_move_time;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -46,6 +46,12 @@
  * terms of the score. */
 constexpr std::int64_t failed_worker_penalty{1'000'000'000};
 
+/** @brief Returns the maximum age of a copy from which a task may be started within a time limit of the platform. */
+[[nodiscard]] auto max_copy_age(const scheduler_settings& settings, const milliseconds limit) -> milliseconds
+{
+    return limit - settings.m_command_timeout - settings.m_start_margin;
+}
+
 [[nodiscard]] auto run_time_tolerance(const scheduler_state& state, const job_entry& job) -> double
 {
     const auto learned = state.m_run_times.find(job.m_record.m_policy.m_queue);
@@ -356,15 +362,19 @@
 
 auto are_jobs_current(const scheduler_state& state, const time_point now) -> bool
 {
-    const auto& settings = state.m_settings;
-    return now - state.m_jobs_current_at <=
-           settings.m_cancel_time - settings.m_command_timeout - settings.m_cancel_margin;
+    return now - state.m_jobs_current_at <= max_copy_age(state.m_settings, state.m_settings.m_cancel_time);
+}
+
+auto are_workers_current(const scheduler_state& state, const time_point now) -> bool
+{
+    return now - state.m_workers_current_at <= max_copy_age(state.m_settings, state.m_settings.m_drain_time);
 }
 
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& runs = state.m_workers[static_cast<std::size_t>(command.m_worker)].m_runs;
-    return are_jobs_current(state, now) && find_job(state, command.m_task.m_job) != nullptr &&
+    return are_jobs_current(state, now) && are_workers_current(state, now) &&
+           find_job(state, command.m_task.m_job) != nullptr &&
            std::any_of(runs.begin(), runs.end(), [&command](const placed_run& run) {
                return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
            });
@@ -373,7 +383,8 @@
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
-    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !are_jobs_current(state, now)) {
+    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !are_jobs_current(state, now) ||
+        !are_workers_current(state, now)) {
         return;
     }
     for (const auto& [service, jobs] : state.m_active) {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -54,9 +54,18 @@
  */
 [[nodiscard]] auto are_jobs_current(const scheduler_state& state, time_point now) -> bool;
 
+/**
+ * @brief Checks whether the copy of the worker registry is recent enough to start tasks.
+ * @param state The scheduler.
+ * @param now Current time.
+ * @return True if a start sent now reaches its worker in time even if the worker began to drain right after the copy
+ * was read.
+ */
+[[nodiscard]] auto are_workers_current(const scheduler_state& state, time_point now) -> bool;
+
 /**
  * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
- * meanwhile, and the copy of the stored jobs is recent enough.
+ * meanwhile, and the copies of the stored jobs and of the worker registry are recent enough.
  * @param state The scheduler.
  * @param command The start.
  * @param now Current time.
@@ -65,7 +74,7 @@
 
 /**
  * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline. Starts none
- * if the copy of the stored jobs is too old.
+ * if the copy of the stored jobs or of the worker registry is too old.
  * @param state The scheduler; the commands are appended to its m_starts.
  * @param now Current time.
  */
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -48,10 +48,14 @@
     /** @brief No task of a job starts later than this after the job's cancel was acknowledged; from the platform's
      * settings. */
     milliseconds m_cancel_time{3'000};
+    /** @brief No task starts on a worker later than this after the worker was registered as draining; from the
+     * platform's settings. */
+    milliseconds m_drain_time{2'000};
     /** @brief Timeout of a command to a worker. */
     milliseconds m_command_timeout{800};
-    /** @brief Part of m_cancel_time that is left for the transit of the acknowledgement and of the start. */
-    milliseconds m_cancel_margin{200};
+    /** @brief Part of m_cancel_time and m_drain_time that is left for the transit of the acknowledgement and of the
+     * start. */
+    milliseconds m_start_margin{200};
 };
 
 /** @brief Phase of a task in the scheduler. */
@@ -261,6 +265,8 @@
     time_point m_term_guaranteed_until{};
     /** @brief All jobs and cancels stored before this time have been applied. */
     time_point m_jobs_current_at{};
+    /** @brief All entries of workers stored before this time have been applied. */
+    time_point m_workers_current_at{};
     /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -78,6 +78,25 @@
     EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::completed);
 }
 
+// Guards against starting tasks on a worker that drains, while its entry in the registry cannot be read.
+TEST(dispatch, nothing_starts_when_the_copy_of_the_workers_is_older_than_the_drain_time_allows)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto& settings = simulation.m_state.m_settings;
+    static_cast<void>(simulation.submit(make_job("quotes", 40, 8'000, milliseconds{500})));
+    simulation.run_for(milliseconds{200});
+    simulation.m_worker_watch_up = false;
+    simulation.run_for(settings.m_drain_time - settings.m_command_timeout);
+    const auto starts = simulation.total_starts();
+    EXPECT_GT(starts, 4) << "a recent copy is good enough";
+    simulation.run_for(milliseconds{2'000});
+    EXPECT_EQ(simulation.total_starts(), starts);
+    simulation.m_worker_watch_up = true;
+    simulation.run_for(milliseconds{6'000});
+    EXPECT_EQ(simulation.total_starts(), 40);
+}
+
 // Guards against sending a start whose job was cancelled, or whose copy of the jobs became too old, after the decision.
 TEST(dispatch, a_decided_start_is_not_sent_after_a_cancel_or_from_an_old_copy)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -248,6 +248,9 @@
     if (m_job_watch_up) {
         m_state.m_jobs_current_at = m_now;
     }
+    if (m_worker_watch_up) {
+        m_state.m_workers_current_at = m_now;
+    }
     update_lease_limits(m_state, m_now, milliseconds{1'000});
     for (auto& [id, worker] : m_workers) {
         report(id, worker);
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -78,6 +78,8 @@
     bool m_store_up{true};
     /** @brief If false, the decider hears of no change of jobs. */
     bool m_job_watch_up{true};
+    /** @brief If false, the decider hears of no change of workers. */
+    bool m_worker_watch_up{true};
     std::int64_t m_move_count{0};
     /** @brief Workers on which the permit service allows steps to run, and how long its permits are valid. */
     std::set<worker_id> m_permitted;
