Decide nothing about a wave before the VMs are listed

Cause: a VM of a wave that is missing in the platform's list counts as removed, and its maintenance as done. The fleet controller plans waves after its first attempt to list the VMs, whether it succeeded or not. If it failed (timeout of 700 ms, 429, interface away), the list is empty and all VMs count as removed. Evidence: maintenance.a_wave_makes_no_progress_before_the_vms_are_listed fails before this change (m_begun is not empty, the wave is completed). Why it works: an empty list is no statement about any VM. A platform that lists VMs of a wave lists at least one; the moves between pools already wait for it.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -238,6 +238,9 @@
                       const std::vector<vm_status>& vms, const std::set<vm_id>& reserved, const time_point now)
     -> std::vector<vm_id>
 {
+    if (vms.empty()) {
+        return {};
+    }
     update_wave_progress(state, settings, wave, vms, now);
     // Commands of the previous decider may still be carried out.
     const auto unconfirmed =
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -56,6 +56,19 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against a wave that counts as completed because the VMs could not be listed yet.
+TEST(maintenance, a_wave_makes_no_progress_before_the_vms_are_listed)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    auto wave = make_wave(simulation, 2);
+    const auto begun =
+        plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, {}, {}, simulation.now());
+    EXPECT_TRUE(begun.empty());
+    EXPECT_TRUE(wave.m_begun.empty());
+    EXPECT_FALSE(is_wave_completed(wave));
+}
+
 // Guards against a command for a VM for which another decider has just sent one.
 TEST(maintenance, skips_vms_with_a_recent_command_of_another_decider)
 {
