Grant leases to a new incarnation of a worker by its own clock

A decider that loses touch with the worker restarts the tasks elsewhere after 3.7 s, and a successor after 5.7 s, while the first runs go on. Cause: a reading of a worker's clock is only taken if it is not below the last one. The clock of a new incarnation starts again, so that the reading of the previous incarnation stays in use until the new one has been up for as long. Leases are computed from it and end far in the future of the worker's clock, where the worker shortens them to its maximum; a lease is never shortened later. Evidence: reports.a_new_incarnation_of_a_worker_gets_leases_by_its_own_clock fails before this change (1,003,550 ms granted, 3,505 ms expected). Why it works: with the other state of the previous incarnation, its clock reading is discarded, so that the report that announces the new incarnation gives the first reading of its clock.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -235,6 +235,8 @@
         abandon_all_runs(state, worker, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
+        // The clock of the new incarnation starts again.
+        worker.m_clock_ms = 0;
         worker.m_lease_until_ms = 0;
         worker.m_cordoned = false;
         worker.m_failures_in_row = 0;
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -137,4 +137,17 @@
     EXPECT_EQ(state.m_workers[0].m_used.m_cpu, millicores{0});
 }
 
+// Guards against leases that outlast their expected end, as they are measured by the clock of an earlier incarnation.
+TEST(reports, a_new_incarnation_of_a_worker_gets_leases_by_its_own_clock)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    auto& state = simulation.m_state;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_clock_ms = 5;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    EXPECT_EQ(grant_lease(state, 0, simulation.now()), report.m_clock_ms + state.m_settings.m_worker_lease.count());
+}
+
 } // namespace cicadalug::test
