Never reuse a run number after an earlier run is adopted

Cause: a start without a response can be carried out seconds later by a new incarnation of the worker, which does not know that the run had been given up. The run is adopted when it is reported, the task then has its lower number, and the next start takes the number after that, which has been used before. Evidence: reports.run_numbers_increase_after_an_earlier_run_is_adopted fails before this change (number 1001 twice). Why it works: the next number is derived from the highest one that the task has had, not from that of its current run.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -185,6 +185,7 @@
     found.m_phase = task_phase::starting;
     found.m_worker = index;
     found.m_run = run;
+    found.m_highest_run = run;
     found.m_since = now;
     --step.m_waiting;
     const bool first = !job.m_started;
@@ -256,7 +257,7 @@
 [[nodiscard]] auto next_run(const scheduler_state& state, const task_state& task) -> run_number
 {
     const auto first = static_cast<std::int64_t>(state.m_token.value()) * runs_per_token + 1;
-    return run_number{std::max(first, task.m_run.value() + 1)};
+    return run_number{std::max(first, task.m_highest_run.value() + 1)};
 }
 
 /** @brief Starts all members of a gang together, or none of them. */
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -73,6 +73,7 @@
         task->m_phase = task_phase::running;
         task->m_worker = index;
         task->m_run = report.m_run;
+        task->m_highest_run = std::max(task->m_highest_run, report.m_run);
         task->m_since = now;
         auto& step = *find_step(*job, report.m_task);
         --step.m_waiting;
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -79,6 +79,8 @@
     task_phase m_phase{task_phase::waiting};
     worker_index m_worker{no_worker};
     run_number m_run;
+    /** @brief Highest number of a run so far; above m_run if an earlier run has been adopted. */
+    run_number m_highest_run;
     /** @brief Runs counted as failed attempts. */
     std::vector<run_number> m_failed_runs;
     /** @brief Workers on which runs of the task failed in this term; others are tried first. */
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -150,4 +150,29 @@
     EXPECT_EQ(grant_lease(state, 0, simulation.now()), report.m_clock_ms + state.m_settings.m_worker_lease.count());
 }
 
+// Guards against reusing a run number after a restarted worker has carried out a delayed start of an earlier run.
+TEST(reports, run_numbers_increase_after_an_earlier_run_is_adopted)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_job("orders", 1, 1'000, milliseconds{60'000}));
+    simulation.run_for(milliseconds{100});
+    auto& state = simulation.m_state;
+    const task_ref task{job, 0, 0, 0};
+    const auto last = find_task(state, task)->m_run;
+    const run_number earlier{last.value() - 1};
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_running.push_back({task, earlier, {}, 0, 0});
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    ASSERT_EQ(state.m_workers[0].m_runs.size(), 1U);
+    report.m_running.clear();
+    report.m_ended.push_back({1, task, earlier, run_end::failed, {}});
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    state.m_starts.clear();
+    dispatch(state, simulation.now() + milliseconds{200});
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    EXPECT_GT(state.m_starts.front().m_run, last);
+}
+
 } // namespace cicadalug::test
