Send no request after its deadline has passed

Possible effect, not seen in a run: a worker is told to start a task long after the decision, with what was known at that time; also after the job was cancelled. Cause: a request on a new connection is sent when the connection is there. If the process is delayed meanwhile (no processor time, suspended), the connection counts as opened in time however late its completion is handled, and the request was then sent with a remaining time of 1 ms, its response ignored. Evidence: http_pool.a_request_is_not_sent_after_its_deadline fails before this change: the server receives the request. Why it works: the deadline is checked after the last point at which the exchange waits before it writes. The failure is not_sent, which is true, so that a start counts as not made and a write to the store as not done.

--- a/packages/runtime/src/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.cpp
@@ -47,7 +47,11 @@
             connection = std::move(connected).assume_value();
         }
         const auto generation = m_generation;
-        const auto remaining = std::chrono::duration_cast<milliseconds>(deadline - monotonic_now());
+        const auto now = monotonic_now();
+        if (now >= deadline) {
+            co_return http_failure{http_progress::not_sent, true, "the deadline passed before the request was sent"};
+        }
+        const auto remaining = std::chrono::duration_cast<milliseconds>(deadline - now);
         auto response = co_await connection->exchange(request, std::max(remaining, milliseconds{1}));
         if (!response) {
             const auto& failure = response.assume_error();
--- a/packages/runtime/src/cicadalug/http/http_pool.hpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.hpp
@@ -39,7 +39,7 @@
      * @param request Request to send.
      * @param timeout Timeout for connecting and the exchange together.
      * @return The complete response, or the failure. An exchange that failed on an idle connection before a byte was
-     * sent is retried once on a new connection.
+     * sent is retried once on a new connection. After the timeout, nothing is sent any more (not_sent).
      */
     [[nodiscard]] auto exchange(http_request request, milliseconds timeout)
         -> asio::awaitable<result<http_response, http_failure>>;
--- a/packages/runtime/test/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/test/cicadalug/http/http_pool.cpp
@@ -2,11 +2,14 @@
 #include <cicadalug/http/http_server.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
 #include <mutex>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -99,3 +102,27 @@
     EXPECT_TRUE(exchange(pool));
     EXPECT_EQ(connections(), 2U);
 }
+
+// Guards against a request that is sent after its deadline because the event loop was delayed while it connected.
+TEST(http_pool, a_request_is_not_sent_after_its_deadline)
+{
+    constexpr milliseconds short_timeout{20};
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    http_pool pool{context.get_executor(), acceptor.local_endpoint()};
+    std::optional<http_progress> progress;
+    const auto exchange = [&]() -> asio::awaitable<void> {
+        http_request request{http::verb::get, "/", 11};
+        const auto response = co_await pool.exchange(std::move(request), short_timeout);
+        progress = response ? http_progress::maybe_sent : response.assume_error().m_progress;
+    };
+    asio::co_spawn(context, exchange(), asio::detached);
+    while (context.run_one() > 0) {
+        std::this_thread::sleep_for(short_timeout * 2);
+    }
+    EXPECT_EQ(progress, http_progress::not_sent);
+    auto server = acceptor.accept();
+    char byte{};
+    boost::system::error_code error;
+    EXPECT_EQ(server.read_some(asio::buffer(&byte, 1), error), 0U);
+}
