Withdraw a request that has timed out

Possible effect, not seen in a run: a request that was given up is delivered seconds later, when the network or the server recovers: a start after its task was restarted elsewhere or its job was cancelled, or the write of a job after its client was told that the job does not exist. Cause: a connection was closed in order, and the operating system goes on delivering the bytes that it has accepted. Evidence: http_connection.a_request_is_not_delivered_after_its_timeout fails before this change: the server receives the whole request after the timeout. Why it works: with a linger time of 0, closing resets the connection and discards what has not been delivered. An exchange that succeeded has nothing left to deliver. Requests that the server has received already are not affected.

--- a/packages/runtime/src/cicadalug/http/http_connection.cpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.cpp
@@ -41,6 +41,8 @@
         co_return failure(http_progress::not_sent, error);
     }
     connection->m_stream.socket().set_option(asio::ip::tcp::no_delay{true}, error);
+    // Closing discards what has not been delivered; otherwise a request could arrive long after its timeout.
+    connection->m_stream.socket().set_option(asio::socket_base::linger{true, 0}, error);
     connection->m_open = true;
     co_return std::move(connection);
 }
--- /dev/null
+++ b/packages/runtime/test/cicadalug/http/http_connection.cpp
@@ -0,0 +1,42 @@
+#include <cicadalug/http/http_connection.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+using namespace cicadalug;
+
+/** @brief Receive buffer of the server, in bytes; much smaller than the request. */
+constexpr int receive_buffer{4'096};
+
+constexpr std::size_t request_size{262'144};
+
+} // namespace
+
+// Guards against a request that the operating system delivers after the exchange has timed out.
+TEST(http_connection, a_request_is_not_delivered_after_its_timeout)
+{
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor acceptor{context};
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.set_option(asio::socket_base::receive_buffer_size{receive_buffer});
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    http_request request{http::verb::post, "/", 11};
+    request.body() = std::string(request_size, 'x');
+    const auto response = http_fetch_blocking(acceptor.local_endpoint(), request, milliseconds{50});
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.assume_error().m_progress, http_progress::maybe_sent);
+    auto server = acceptor.accept();
+    std::string received(request_size, '\0');
+    boost::system::error_code error;
+    const auto size = asio::read(server, asio::buffer(received), error);
+    EXPECT_LT(size, request_size);
+    EXPECT_EQ(error, asio::error::connection_reset);
+}
