Hand the term of a weak decider to a stronger entry VM

Cause: candidate_delay() only orders candidates that stand in the same election. A weak entry VM that wins because the strong ones start later, are stopped or are cut off at that moment was never replaced. Ruled out: a longer delay of weak candidates. It helps only as long as the strong ones come back within it, and each election without them takes longer. An entry VM with sufficient_cores that sees a holder without writes decider/request, on condition that the holder is unchanged and that there is no request.

--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -41,6 +41,9 @@
 /** @brief After SIGTERM the load balancer sends new connections until two checks, one per second, have failed. */
 constexpr milliseconds balancer_delay{2'600};
 
+/** @brief Time limit for storing progress before a term is ended or handed over. */
+constexpr milliseconds flush_limit{300};
+
 /** @brief The program exits this long before the platform would kill it. */
 constexpr milliseconds exit_margin{700};
 
@@ -81,7 +84,8 @@
         }
         m_clients = &clients;
         asio::co_spawn(m_executor, watch_config(), asio::detached);
-        m_election.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); });
+        m_election.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); },
+                         [this] { return flush_progress(); });
         asio::co_spawn(m_executor, shut_down_on_signal(), asio::detached);
         // SIGHUP would end the program by default. A reload needs no action, as watch_config() follows the
         // configuration in the store.
@@ -144,6 +148,13 @@
         }
     }
 
+    [[nodiscard]] auto flush_progress() -> asio::awaitable<void>
+    {
+        if (const auto own = m_decider) {
+            co_await own->flush(flush_limit);
+        }
+    }
+
     auto apply_config(const std::string& value) -> void
     {
         auto decoded = decode_config(value);
@@ -201,9 +212,7 @@
         LOG(INFO) << log_line{"stopping"}.with("entry_vm", m_settings.m_entry_vm);
         m_stopping = true;
         m_clients->stop_keep_alive();
-        if (const auto own = m_decider) {
-            co_await own->flush(milliseconds{300});
-        }
+        co_await flush_progress();
         co_await m_election.resign();
         co_await sleep_for(m_executor, std::max(microseconds{0}, begin + balancer_delay - monotonic_now()));
         m_clients->drain();
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -12,6 +12,12 @@
 /** @brief Key that the decider holds with its lease. Its revision is the decider's fencing token. */
 inline constexpr std::string_view holder_key{"decider/holder"};
 
+/** @brief Key with a lease by which an entry VM requests the term of a decider that lacks CPU capacity. */
+inline constexpr std::string_view term_request_key{"decider/request"};
+
+/** @brief Prefix of the keys of the election. */
+inline constexpr std::string_view election_prefix{"decider/"};
+
 /** @brief Key that each write of the decider's progress rewrites, so that the condition of a delayed write fails. */
 inline constexpr std::string_view decision_log_key{"decision-log"};
 
