--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -292,6 +292,7 @@
             }
             continue;
         }
+        ++m_load.m_failed_watches;
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
             LOG(WARNING) << log_line{"job_history_gone"}.with("revision", m_jobs_revision);
@@ -353,6 +354,7 @@
             }
             continue;
         }
+        ++m_load.m_failed_watches;
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
             static_cast<void>(co_await load_workers());
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -63,6 +63,7 @@
                      .with("window_ms", to_ms(now - load.m_began))
                      .with("jobs_age_ms", format_ms(max_age(load.m_jobs)))
                      .with("workers_age_ms", format_ms(max_age(load.m_workers)))
+                     .with("failed_watches", load.m_failed_watches)
                      .with("loop_delay_ms", to_ms(load.m_max_loop_delay))
                      .with("starts", load.m_starts)
                      .with("stops", load.m_stops)
--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -25,6 +25,8 @@
     time_point m_began{};
     copy_age m_jobs;
     copy_age m_workers;
+    /** @brief Watches of jobs and workers that failed or got no response in time. */
+    std::int64_t m_failed_watches{0};
     /** @brief How late a timer ran at most. */
     microseconds m_max_loop_delay{0};
     std::int64_t m_starts{0};
--- a/packages/scheduler/test/cicadalug/scheduler/decider_load.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/decider_load.cpp
@@ -40,6 +40,7 @@
     decider_load load;
     load.m_began = start;
     load.m_starts = 3;
+    load.m_failed_watches = 2;
     load.m_max_loop_delay = milliseconds{40};
     begin_command(load);
     begin_command(load);
@@ -51,6 +52,7 @@
     const auto ended = take_window(load, start + milliseconds{1'000});
     EXPECT_EQ(ended.m_began, start);
     EXPECT_EQ(ended.m_starts, 3);
+    EXPECT_EQ(ended.m_failed_watches, 2);
     EXPECT_EQ(ended.m_max_loop_delay, milliseconds{40});
     EXPECT_EQ(ended.m_max_commands_in_flight, 2);
     EXPECT_EQ(ended.m_cancels, 2);
@@ -60,6 +62,7 @@
     const auto next = take_window(load, start + milliseconds{2'000});
     EXPECT_EQ(next.m_began, start + milliseconds{1'000});
     EXPECT_EQ(next.m_starts, 0);
+    EXPECT_EQ(next.m_failed_watches, 0);
     EXPECT_EQ(next.m_max_loop_delay, milliseconds{0});
     EXPECT_EQ(next.m_max_commands_in_flight, 1) << "one command still has no response";
     EXPECT_EQ(next.m_cancels, 0);
