Ignore a list of VMs that was requested before the known one

Cause: each accepted maintenance command lists the VMs, beside the regular listing. Whichever response came last was kept, and its time was the time of receipt, so that a delayed response replaced a newer list and looked new. A failed listing left no trace in the log. Evidence: vm_list.a_late_response_does_not_replace_a_newer_list fails with the previous rule that each response replaces the list. Why it works: the list keeps the time at which it was requested; it shows each earlier change and may lack each later one, so that lists are ordered by it. A failed listing is logged, every tenth one, with the age of the known list.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/signal_event.hpp>
@@ -20,6 +21,8 @@
 
 namespace {
 
+using internal::to_ms;
+
 /** @brief Timeout of one call to the store or to the platform's interface to the VMs. */
 constexpr milliseconds call_timeout{700};
 
@@ -170,7 +173,7 @@
         progress.m_down.erase(vm);
         m_waves[number].m_dirty = true;
     }
-    const auto* listed = find_vm(m_vms, vm);
+    const auto* listed = find_vm(m_vms.m_vms, vm);
     const auto worker = listed == nullptr ? worker_id{} : listed->m_worker;
     if (result == vm_command_result::not_done) {
         progress.m_down.erase(vm);
@@ -195,7 +198,7 @@
     if (index == no_worker) {
         return;
     }
-    if (is_still_up(m_vms, vm, worker)) {
+    if (is_still_up(m_vms.m_vms, vm, worker)) {
         set_runs_ending(*m_dependencies.m_state, worker, false);
         m_dependencies.m_state->m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
     }
@@ -207,11 +210,20 @@
 
 auto fleet_controller::list_vms() -> asio::awaitable<void>
 {
+    const auto requested = monotonic_now();
     auto listed = co_await m_fleet->list(call_timeout);
-    if (listed) {
-        m_vms = std::move(*listed);
-        m_last_listing = monotonic_now();
+    if (!m_active) {
+        co_return;
+    }
+    const auto now = monotonic_now();
+    if (!listed) {
+        LOG_EVERY_N(WARNING, 10) << log_line{"vms_not_listed"}
+                                        .with("took_ms", to_ms(now - requested))
+                                        .with("list_age_ms", m_vms.m_vms.empty() ? -1 : to_ms(now - m_vms.m_requested));
+        co_return;
     }
+    update_vm_list(m_vms, std::move(*listed), requested);
+    m_last_listing = now;
 }
 
 auto fleet_controller::send_move(const std::shared_ptr<fleet_controller> self, const move_command command)
@@ -244,10 +256,10 @@
                 standby.insert(service.m_id);
             }
         }
-        record_own_capacity(m_demand, m_vms, standby);
+        record_own_capacity(m_demand, m_vms.m_vms, standby);
     }
     update_demand(m_demand, *m_dependencies.m_state, now);
-    if (config == nullptr || !m_dependencies.m_can_send_commands() || m_vms.empty()) {
+    if (config == nullptr || !m_dependencies.m_can_send_commands() || m_vms.m_vms.empty()) {
         return;
     }
     if (now - m_last_demand_log >= demand_log_interval) {
@@ -270,8 +282,8 @@
         }
     }
     const auto reserved = reserved_vms(read_clocks());
-    m_planned_moves =
-        plan_moves(*m_dependencies.m_state, m_demand, m_dependencies.m_moves, m_moves, m_vms, standby, reserved, now);
+    m_planned_moves = plan_moves(*m_dependencies.m_state, m_demand, m_dependencies.m_moves, m_moves, m_vms.m_vms,
+                                 standby, reserved, now);
 }
 
 auto fleet_controller::restore_state() -> asio::awaitable<bool>
@@ -386,7 +398,7 @@
         }
         if (m_dependencies.m_can_send_commands()) {
             static_cast<void>(plan_maintenance(*m_dependencies.m_state, m_dependencies.m_maintenance, wave.m_progress,
-                                               m_vms, recent, clock.m_now));
+                                               m_vms.m_vms, recent, clock.m_now));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
                 if (!wave.m_progress.m_begun.contains(vm) && m_pending_maintenance.insert(vm).second) {
@@ -406,7 +418,7 @@
 auto fleet_controller::log_blocked(const std::int64_t number, const wave_progress_state& wave) const -> void
 {
     const auto& requested = wave.m_request.m_vms;
-    for (const auto& vm : m_vms) {
+    for (const auto& vm : m_vms.m_vms) {
         if (wave.m_begun.contains(vm.m_vm) || wave.m_down.contains(vm.m_vm) ||
             std::find(requested.begin(), requested.end(), vm.m_vm) == requested.end()) {
             continue;
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -9,6 +9,7 @@
 #include <cicadalug/scheduler/queue_config.hpp>
 #include <cicadalug/scheduler/saved_fleet_state.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/vm_list.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -94,7 +95,7 @@
     fleet_controller_dependencies m_dependencies;
     std::unique_ptr<fleet_client> m_fleet;
     std::map<std::int64_t, open_wave> m_waves;
-    std::vector<vm_status> m_vms;
+    vm_list m_vms;
     std::set<vm_id> m_pending_maintenance;
     demand_state m_demand;
     move_state m_moves;
--- a/packages/scheduler/src/cicadalug/scheduler/demand.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.hpp
@@ -1,8 +1,8 @@
 #ifndef CICADALUG_SCHEDULER_DEMAND_HPP
 #define CICADALUG_SCHEDULER_DEMAND_HPP
 
-#include <cicadalug/scheduler/maintenance.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/vm_list.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -194,12 +194,6 @@
 
 } // namespace
 
-auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
-{
-    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
-    return found == vms.end() ? nullptr : &*found;
-}
-
 auto set_runs_ending(scheduler_state& state, const worker_id& worker, const bool ending) -> void
 {
     const auto index = find_worker(state, worker);
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/base/time.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/vm_list.hpp>
 
 #include <cstdint>
 #include <map>
@@ -12,23 +13,6 @@
 
 namespace cicadalug {
 
-/** @brief Phase of a VM of a pool, as listed by the platform. */
-enum class vm_phase : std::uint8_t { up, moving, in_maintenance, down };
-
-/** @brief Entry of a VM in the platform's list. */
-struct vm_status {
-    vm_id m_vm;
-    service_id m_pool;
-    vm_phase m_phase{vm_phase::down};
-    availability_zone_id m_zone;
-    /** @brief Worker that runs on the VM; empty while there is none. */
-    worker_id m_worker;
-    resources m_capacity;
-};
-
-/** @brief Finds a VM in the platform's list. @return The VM, or null. */
-[[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
-
 /** @brief Result of a command for a VM. */
 enum class vm_command_result : std::uint8_t {
     /** @brief Carried out now or before. */
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.cpp
@@ -0,0 +1,23 @@
+#include <cicadalug/scheduler/vm_list.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
+{
+    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
+    return found == vms.end() ? nullptr : &*found;
+}
+
+auto update_vm_list(vm_list& list, std::vector<vm_status> vms, const time_point requested) -> bool
+{
+    if (requested < list.m_requested) {
+        return false;
+    }
+    list = {std::move(vms), requested};
+    return true;
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
@@ -0,0 +1,48 @@
+#ifndef CICADALUG_SCHEDULER_VM_LIST_HPP
+#define CICADALUG_SCHEDULER_VM_LIST_HPP
+
+#include <cicadalug/base/time.hpp>
+#include <cicadalug/scheduler/ids.hpp>
+#include <cicadalug/scheduler/job.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace cicadalug {
+
+/** @brief Phase of a VM of a pool, as listed by the platform. */
+enum class vm_phase : std::uint8_t { up, moving, in_maintenance, down };
+
+/** @brief Entry of a VM in the platform's list. */
+struct vm_status {
+    vm_id m_vm;
+    service_id m_pool;
+    vm_phase m_phase{vm_phase::down};
+    availability_zone_id m_zone;
+    /** @brief Worker that runs on the VM; empty while there is none. */
+    worker_id m_worker;
+    resources m_capacity;
+};
+
+/** @brief The platform's list of VMs. */
+struct vm_list {
+    std::vector<vm_status> m_vms;
+    /** @brief When the list was requested; later changes may be missing in it. */
+    time_point m_requested{};
+};
+
+/** @brief Finds a VM in the platform's list. @return The VM, or null. */
+[[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
+
+/**
+ * @brief Replaces a list by a response of the platform, unless the list was requested later.
+ * @param list The list.
+ * @param vms VMs in the response.
+ * @param requested When the response was requested.
+ * @return True if the list has been replaced.
+ */
+auto update_vm_list(vm_list& list, std::vector<vm_status> vms, time_point requested) -> bool;
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/vm_list.cpp
@@ -0,0 +1,38 @@
+#include <cicadalug/scheduler/vm_list.hpp>
+
+#include <gtest/gtest.h>
+
+namespace cicadalug::test {
+
+namespace {
+
+constexpr time_point listing_time{milliseconds{10'000}};
+
+[[nodiscard]] auto make_vms(const vm_phase phase) -> std::vector<vm_status>
+{
+    return {{vm_id{"vm1"}, service_id{"ledger"}, phase, {}, worker_id{"w1"}, {}}};
+}
+
+} // namespace
+
+// Guards against replacing a newer list by the late response to an older request.
+TEST(vm_list, a_late_response_does_not_replace_a_newer_list)
+{
+    vm_list list;
+    EXPECT_TRUE(update_vm_list(list, make_vms(vm_phase::in_maintenance), listing_time));
+    EXPECT_FALSE(update_vm_list(list, make_vms(vm_phase::up), listing_time - milliseconds{1}));
+    EXPECT_EQ(list.m_vms.front().m_phase, vm_phase::in_maintenance);
+    EXPECT_EQ(list.m_requested, listing_time);
+    EXPECT_TRUE(update_vm_list(list, make_vms(vm_phase::up), listing_time + milliseconds{1}));
+    EXPECT_EQ(list.m_vms.front().m_phase, vm_phase::up);
+}
+
+// Guards against treating a VM that is missing in the list as present.
+TEST(vm_list, a_missing_vm_is_not_found)
+{
+    const auto vms = make_vms(vm_phase::up);
+    EXPECT_EQ(find_vm(vms, vm_id{"vm1"}), vms.data());
+    EXPECT_EQ(find_vm(vms, vm_id{"vm2"}), nullptr);
+}
+
+} // namespace cicadalug::test
