Decide nothing about VMs on an outdated list

VMs are cordoned and commanded by where they were then, and commands reach the interface the moment it is back. Cause: waves and moves were planned in each round on the list at hand; nothing bounded its age. Evidence: maintenance.no_vm_is_taken_down_on_an_outdated_list, moves.no_command_is_sent_on_an_outdated_list and vm_list.a_list_is_current_for_a_limited_time fail without the bound. Why it works: plan_maintenance() and plan_moves() decide nothing on a list that was requested more than 1.5 s ago, the duration of a move; a repeated command waits for a current list, too.

Two tests of moves planned seconds later on a list of the start; they now pass a list of the time of the decision.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -259,7 +259,7 @@
         record_own_capacity(m_demand, m_vms.m_vms, standby);
     }
     update_demand(m_demand, *m_dependencies.m_state, now);
-    if (config == nullptr || !m_dependencies.m_can_send_commands() || m_vms.m_vms.empty()) {
+    if (config == nullptr || !m_dependencies.m_can_send_commands() || !is_current(m_vms, now)) {
         return;
     }
     if (now - m_last_demand_log >= demand_log_interval) {
@@ -282,8 +282,8 @@
         }
     }
     const auto reserved = reserved_vms(read_clocks());
-    m_planned_moves = plan_moves(*m_dependencies.m_state, m_demand, m_dependencies.m_moves, m_moves, m_vms.m_vms,
-                                 standby, reserved, now);
+    m_planned_moves =
+        plan_moves(*m_dependencies.m_state, m_demand, m_dependencies.m_moves, m_moves, m_vms, standby, reserved, now);
 }
 
 auto fleet_controller::restore_state() -> asio::awaitable<bool>
@@ -396,9 +396,9 @@
         if (!wave.m_loaded || wave.m_completed) {
             continue;
         }
-        if (m_dependencies.m_can_send_commands()) {
+        if (m_dependencies.m_can_send_commands() && is_current(m_vms, clock.m_now)) {
             static_cast<void>(plan_maintenance(*m_dependencies.m_state, m_dependencies.m_maintenance, wave.m_progress,
-                                               m_vms.m_vms, recent, clock.m_now));
+                                               m_vms, recent, clock.m_now));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
                 if (!wave.m_progress.m_begun.contains(vm) && m_pending_maintenance.insert(vm).second) {
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -229,12 +229,12 @@
 }
 
 auto plan_maintenance(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
-                      const std::vector<vm_status>& vms, const std::set<vm_id>& reserved, const time_point now)
-    -> std::vector<vm_id>
+                      const vm_list& list, const std::set<vm_id>& reserved, const time_point now) -> std::vector<vm_id>
 {
-    if (vms.empty()) {
+    if (!is_current(list, now)) {
         return {};
     }
+    const auto& vms = list.m_vms;
     update_wave_progress(state, settings, wave, vms, now);
     // Commands of the previous decider may still be carried out.
     const auto unconfirmed =
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -80,14 +80,14 @@
  * @param state The scheduler; workers of chosen VMs are cordoned in it.
  * @param settings Settings.
  * @param wave The wave.
- * @param vms The platform's list of VMs; empty if it has not been read yet, in which case nothing is decided.
+ * @param vms The platform's list of VMs; if it is not current, nothing is decided.
  * @param reserved VMs for which no command may be sent now.
  * @param now Current time.
  * @return VMs whose maintenance begins now. They count as down from now on.
  */
 [[nodiscard]] auto plan_maintenance(scheduler_state& state, const maintenance_settings& settings,
-                                    wave_progress_state& wave, const std::vector<vm_status>& vms,
-                                    const std::set<vm_id>& reserved, time_point now) -> std::vector<vm_id>;
+                                    wave_progress_state& wave, const vm_list& vms, const std::set<vm_id>& reserved,
+                                    time_point now) -> std::vector<vm_id>;
 
 /**
  * @brief Checks whether a worker still runs on its VM, using a list that was read after a command for the VM.
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -262,9 +262,13 @@
 } // namespace
 
 auto plan_moves(scheduler_state& state, const demand_state& demand, const move_settings& settings, move_state& moves,
-                const std::vector<vm_status>& vms, const std::set<service_id>& standby, const std::set<vm_id>& reserved,
+                const vm_list& list, const std::set<service_id>& standby, const std::set<vm_id>& reserved,
                 const time_point now) -> std::vector<move_command>
 {
+    if (!is_current(list, now)) {
+        return {};
+    }
+    const auto& vms = list.m_vms;
     remove_ended_moves(state, settings, moves, vms, now);
     auto candidates = collect_candidates(state, moves, vms, standby, reserved, now);
     auto balance = balance_pools(state, demand, settings, moves, vms, standby, now);
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -65,14 +65,14 @@
  * @param demand The current demand.
  * @param settings Settings.
  * @param moves Moves in progress.
- * @param vms The platform's list of VMs.
+ * @param vms The platform's list of VMs; if it is not current, nothing is decided.
  * @param standby Pools whose VMs are off.
  * @param reserved VMs that are about to be maintained.
  * @param now Current time.
  * @return Commands to send now.
  */
 [[nodiscard]] auto plan_moves(scheduler_state& state, const demand_state& demand, const move_settings& settings,
-                              move_state& moves, const std::vector<vm_status>& vms, const std::set<service_id>& standby,
+                              move_state& moves, const vm_list& vms, const std::set<service_id>& standby,
                               const std::set<vm_id>& reserved, time_point now) -> std::vector<move_command>;
 
 /**
--- a/packages/scheduler/src/cicadalug/scheduler/vm_list.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.cpp
@@ -11,6 +11,11 @@
     return found == vms.end() ? nullptr : &*found;
 }
 
+auto is_current(const vm_list& list, const time_point now) -> bool
+{
+    return !list.m_vms.empty() && now - list.m_requested <= max_vm_list_age;
+}
+
 auto update_vm_list(vm_list& list, std::vector<vm_status> vms, const time_point requested) -> bool
 {
     if (requested < list.m_requested) {
--- a/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
@@ -10,6 +10,10 @@
 
 namespace cicadalug {
 
+/** @brief Maximum age of a list on which decisions are based. A move takes 1.5 s, so that an older list may lack all
+ * signs of one. */
+inline constexpr milliseconds max_vm_list_age{1'500};
+
 /** @brief Phase of a VM of a pool, as listed by the platform. */
 enum class vm_phase : std::uint8_t { up, moving, in_maintenance, down };
 
@@ -34,6 +38,9 @@
 /** @brief Finds a VM in the platform's list. @return The VM, or null. */
 [[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
 
+/** @brief Checks whether a list has been read and is not older than max_vm_list_age. */
+[[nodiscard]] auto is_current(const vm_list& list, time_point now) -> bool;
+
 /**
  * @brief Replaces a list by a response of the platform, unless the list was requested later.
  * @param list The list.
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -33,13 +33,13 @@
     simulation.run_for(milliseconds{200});
     auto wave = make_wave(simulation, 4);
     wave.m_request.m_duration = milliseconds{1'000};
-    const auto first = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms,
-                                        {}, simulation.now());
+    const auto first = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                        simulation.listed_vms(), {}, simulation.now());
     EXPECT_EQ(first.size(), 1U);
     // A report that was sent before the command still shows the task as available.
     simulation.run_for(milliseconds{10});
-    const auto second = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms,
-                                         {}, simulation.now());
+    const auto second = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                         simulation.listed_vms(), {}, simulation.now());
     EXPECT_TRUE(second.empty());
 }
 
@@ -50,8 +50,8 @@
     simulation.begin_with("ledger", 6);
     auto wave = make_wave(simulation, 2);
     wave.m_request.m_duration = milliseconds{500};
-    const auto begun = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms,
-                                        {}, simulation.now());
+    const auto begun = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                        simulation.listed_vms(), {}, simulation.now());
     EXPECT_EQ(begun.size(), 2U);
     EXPECT_FALSE(is_wave_completed(wave));
 }
@@ -69,6 +69,20 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against decisions on a list that has not been renewed, as the interface to the VMs is unavailable.
+TEST(maintenance, no_vm_is_taken_down_on_an_outdated_list)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    auto wave = make_wave(simulation, 2);
+    const auto vms = simulation.listed_vms();
+    const auto plan = [&](const time_point now) {
+        return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, vms, {}, now);
+    };
+    EXPECT_TRUE(plan(simulation.now() + max_vm_list_age + milliseconds{1}).empty());
+    EXPECT_FALSE(plan(simulation.now() + max_vm_list_age).empty());
+}
+
 // Guards against a command for a VM for which another decider has just sent one.
 TEST(maintenance, skips_vms_with_a_recent_command_of_another_decider)
 {
@@ -77,7 +91,7 @@
     auto wave = make_wave(simulation, 2);
     wave.m_request.m_duration = milliseconds{500};
     const std::set<vm_id> reserved{simulation.m_vms[0].m_vm, simulation.m_vms[1].m_vm};
-    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms,
+    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
                                  reserved, simulation.now())
                     .empty());
 }
@@ -95,8 +109,8 @@
     simulation.run_for(milliseconds{50});
     std::size_t begun{0};
     for (int tick = 0; tick < 50 && begun == 0; ++tick) {
-        begun = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms, {},
-                                 simulation.now())
+        begun = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
+                                 {}, simulation.now())
                     .size();
         simulation.run_for(milliseconds{100});
     }
@@ -112,8 +126,8 @@
     wave.m_request.m_duration = milliseconds{500};
     simulation.m_vms[0].m_phase = vm_phase::in_maintenance;
     const std::set<vm_id> reserved{simulation.m_vms[1].m_vm};
-    EXPECT_EQ(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms, reserved,
-                               simulation.now())
+    EXPECT_EQ(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
+                               reserved, simulation.now())
                   .size(),
               1U);
     EXPECT_TRUE(wave.m_begun.contains(simulation.m_vms[0].m_vm));
@@ -133,7 +147,7 @@
     for (int tick = 0; tick < 20; ++tick) {
         simulation.run_for(milliseconds{100});
         for (const auto& vm : plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
-                                               simulation.m_vms, {}, simulation.now())) {
+                                               simulation.listed_vms(), {}, simulation.now())) {
             EXPECT_NE(vm, simulation.m_vms[0].m_vm);
         }
     }
@@ -158,11 +172,11 @@
     auto wave = make_wave(simulation, 1);
     simulation.m_state.m_workers[0].m_last_end = 3;
     simulation.m_state.m_workers[0].m_acknowledged_end = 2;
-    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms, {},
-                                 simulation.now())
+    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
+                                 {}, simulation.now())
                     .empty());
     simulation.m_state.m_workers[0].m_acknowledged_end = 3;
-    EXPECT_EQ(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.m_vms, {},
+    EXPECT_EQ(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(), {},
                                simulation.now())
                   .size(),
               1U);
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -140,7 +140,7 @@
     record_own_capacity(demand, simulation.m_vms, simulation.m_standby);
     update_demand(demand, fresh, simulation.now());
     move_state moves;
-    const auto commands = plan_moves(fresh, demand, simulation.m_move_settings, moves, simulation.m_vms,
+    const auto commands = plan_moves(fresh, demand, simulation.m_move_settings, moves, simulation.listed_vms(),
                                      simulation.m_standby, {}, simulation.now());
     EXPECT_TRUE(commands.empty());
 }
@@ -181,8 +181,9 @@
     move_state moves;
     moves.m_moves[vm.m_vm] = {command.m_target, simulation.now(), true};
     const auto plan = [&](const milliseconds later) {
-        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, simulation.m_vms,
-                          simulation.m_standby, {}, simulation.now() + later);
+        const auto now = simulation.now() + later;
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                          {simulation.m_vms, now}, simulation.m_standby, {}, now);
     };
     apply_move_result(simulation.m_state, moves, command, vm_command_result::unknown, simulation.now());
     const auto again = plan(milliseconds{1'000});
@@ -207,8 +208,9 @@
     moves.m_moves[vm.m_vm] = {command.m_target, simulation.now(), true};
     apply_move_result(simulation.m_state, moves, command, vm_command_result::unknown, simulation.now());
     const auto plan = [&] {
-        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, simulation.m_vms,
-                          simulation.m_standby, {}, simulation.now() + milliseconds{2'000});
+        const auto now = simulation.now() + milliseconds{2'000};
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                          {simulation.m_vms, now}, simulation.m_standby, {}, now);
     };
     vm.m_phase = vm_phase::moving;
     EXPECT_TRUE(plan().empty()) << "the VM is moving";
@@ -221,6 +223,23 @@
     EXPECT_TRUE(moves.m_moves.empty());
 }
 
+// Guards against decisions on a list that has not been renewed, as the interface to the VMs is unavailable.
+TEST(moves, no_command_is_sent_on_an_outdated_list)
+{
+    scheduler_simulation simulation;
+    simulation.m_move_settings.m_standby_floor_percent = 100;
+    add_pools(simulation);
+    move_state moves;
+    moves.m_moves[simulation.m_vms.front().m_vm] = {service_id{"orders"}, simulation.now(), false};
+    const auto vms = simulation.listed_vms();
+    const auto plan = [&](const time_point now) {
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, vms,
+                          simulation.m_standby, {}, now);
+    };
+    EXPECT_TRUE(plan(simulation.now() + max_vm_list_age + milliseconds{1}).empty());
+    EXPECT_EQ(plan(simulation.now() + max_vm_list_age).size(), 1U);
+}
+
 // Guards against moving a worker whose tasks must not be ended.
 TEST(moves, workers_with_long_running_tasks_are_not_moved)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -267,7 +267,8 @@
     }
     record_own_capacity(m_demand, m_vms, m_standby);
     update_demand(m_demand, m_state, m_now);
-    for (const auto& command : plan_moves(m_state, m_demand, m_move_settings, m_moves, m_vms, m_standby, {}, m_now)) {
+    for (const auto& command :
+         plan_moves(m_state, m_demand, m_move_settings, m_moves, listed_vms(), m_standby, {}, m_now)) {
         ++m_move_count;
         m_moving_vms[command.m_vm] = {command.m_target, m_now + m_move_settings.m_move_time};
         const auto vm = std::find_if(m_vms.begin(), m_vms.end(),
--- a/packages/scheduler/test/cicadalug/scheduler/vm_list.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/vm_list.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+// Guards against decisions on a list that has not been renewed, as the interface to the VMs is unavailable.
+TEST(vm_list, a_list_is_current_for_a_limited_time)
+{
+    EXPECT_FALSE(is_current({{}, listing_time}, listing_time)) << "the list has not been read";
+    const vm_list list{make_vms(vm_phase::up), listing_time};
+    EXPECT_TRUE(is_current(list, listing_time + max_vm_list_age));
+    EXPECT_FALSE(is_current(list, listing_time + max_vm_list_age + milliseconds{1}));
+}
+
 // Guards against replacing a newer list by the late response to an older request.
 TEST(vm_list, a_late_response_does_not_replace_a_newer_list)
 {
