Confirm the end of a worker by a list requested after the command

Cause: after an accepted command the VMs are listed to tell whether the worker ended now or was maintained earlier. If that listing failed, or a listing from before the command was in flight, the decision was made on the old list, which shows the VM as up. The worker itself was looked up after the command, when the list may name the next worker on the VM or none. Evidence: maintenance.a_list_requested_before_a_command_does_not_show_its_effect fails with the previous rule that the list at hand decides. Why it works: the decision waits for a list that was requested after the response to the command. Until then the runs stay marked as ending and the worker cordoned; if it has ended, its lease runs out meanwhile. The worker is the one of the list at the time of the command.

is_still_up() becomes worker_presence_after(); its test checks the same three cases.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -156,6 +156,8 @@
 auto fleet_controller::send_maintenance(const std::shared_ptr<fleet_controller> self, const std::int64_t number,
                                         const vm_id vm) -> asio::awaitable<void>
 {
+    const auto* listed = find_vm(m_vms.m_vms, vm);
+    const auto worker = listed == nullptr ? worker_id{} : listed->m_worker;
     const auto result = co_await m_fleet->begin_maintenance(vm, number, m_dependencies.m_term.m_token, call_timeout);
     m_pending_maintenance.erase(vm);
     if (!self->m_active) {
@@ -173,39 +175,47 @@
         progress.m_down.erase(vm);
         m_waves[number].m_dirty = true;
     }
-    const auto* listed = find_vm(m_vms.m_vms, vm);
-    const auto worker = listed == nullptr ? worker_id{} : listed->m_worker;
     if (result == vm_command_result::not_done) {
         progress.m_down.erase(vm);
         set_runs_ending(*m_dependencies.m_state, worker, false);
     }
     else if (result == vm_command_result::accepted) {
+        const auto accepted = monotonic_now();
         progress.m_begun.insert(vm);
-        progress.m_down[vm] = monotonic_now();
+        progress.m_down[vm] = accepted;
         m_waves[number].m_dirty = true;
         // The command is also accepted if the maintenance was done before; the list shows whether this worker has
         // ended.
+        m_unconfirmed_ends[vm] = {worker, accepted};
         co_await list_vms();
-        if (self->m_active) {
-            confirm_end(vm, worker);
-        }
     }
 }
 
-auto fleet_controller::confirm_end(const vm_id& vm, const worker_id& worker) -> void
+auto fleet_controller::confirm_ends() -> void
 {
-    const auto index = find_worker(*m_dependencies.m_state, worker);
-    if (index == no_worker) {
-        return;
-    }
-    if (is_still_up(m_vms.m_vms, vm, worker)) {
-        set_runs_ending(*m_dependencies.m_state, worker, false);
-        m_dependencies.m_state->m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
+    auto& state = *m_dependencies.m_state;
+    bool changed{false};
+    for (auto end = m_unconfirmed_ends.begin(); end != m_unconfirmed_ends.end();) {
+        const auto& [worker, accepted] = end->second;
+        const auto presence = worker_presence_after(m_vms, end->first, worker, accepted);
+        if (presence == worker_presence::unknown) {
+            ++end;
+            continue;
+        }
+        const auto index = find_worker(state, worker);
+        if (index != no_worker && presence == worker_presence::up) {
+            set_runs_ending(state, worker, false);
+            state.m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
+        }
+        else if (index != no_worker) {
+            end_runs_of_worker(state, index, monotonic_now());
+        }
+        changed = changed || index != no_worker;
+        end = m_unconfirmed_ends.erase(end);
     }
-    else {
-        end_runs_of_worker(*m_dependencies.m_state, index, monotonic_now());
+    if (changed) {
+        m_dependencies.m_on_change();
     }
-    m_dependencies.m_on_change();
 }
 
 auto fleet_controller::list_vms() -> asio::awaitable<void>
@@ -224,6 +234,7 @@
     }
     update_vm_list(m_vms, std::move(*listed), requested);
     m_last_listing = now;
+    confirm_ends();
 }
 
 auto fleet_controller::send_move(const std::shared_ptr<fleet_controller> self, const move_command command)
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -71,7 +71,7 @@
     [[nodiscard]] auto send_commands() -> asio::awaitable<void>;
     [[nodiscard]] auto recently_commanded(const clock_reading& clock) const -> std::set<vm_id>;
     [[nodiscard]] auto reserved_vms(const clock_reading& clock) const -> std::set<vm_id>;
-    auto confirm_end(const vm_id& vm, const worker_id& worker) -> void;
+    auto confirm_ends() -> void;
     auto record_command(const vm_id& vm) -> void;
     auto advance_waves() -> void;
     auto advance_moves() -> void;
@@ -92,11 +92,18 @@
         bool m_completed{false};
     };
 
+    /** @brief A worker that has ended if its VM was not maintained earlier, as the next list shows. */
+    struct unconfirmed_end {
+        worker_id m_worker;
+        time_point m_accepted{};
+    };
+
     fleet_controller_dependencies m_dependencies;
     std::unique_ptr<fleet_client> m_fleet;
     std::map<std::int64_t, open_wave> m_waves;
     vm_list m_vms;
     std::set<vm_id> m_pending_maintenance;
+    std::map<vm_id, unconfirmed_end> m_unconfirmed_ends;
     demand_state m_demand;
     move_state m_moves;
     saved_fleet_state m_saved_state;
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -271,10 +271,15 @@
     return begin;
 }
 
-auto is_still_up(const std::vector<vm_status>& vms, const vm_id& vm, const worker_id& worker) -> bool
+auto worker_presence_after(const vm_list& list, const vm_id& vm, const worker_id& worker, const time_point accepted)
+    -> worker_presence
 {
-    const auto* listed = find_vm(vms, vm);
-    return listed != nullptr && listed->m_phase == vm_phase::up && listed->m_worker == worker;
+    if (list.m_requested < accepted || list.m_vms.empty()) {
+        return worker_presence::unknown;
+    }
+    const auto* listed = find_vm(list.m_vms, vm);
+    const bool up = listed != nullptr && listed->m_phase == vm_phase::up && listed->m_worker == worker;
+    return up ? worker_presence::up : worker_presence::ended;
 }
 
 auto is_wave_completed(const wave_progress_state& wave) -> bool
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -89,11 +89,24 @@
                                     wave_progress_state& wave, const vm_list& vms, const std::set<vm_id>& reserved,
                                     time_point now) -> std::vector<vm_id>;
 
+/** @brief What a list of VMs shows about a worker after a command for its VM was accepted. */
+enum class worker_presence : std::uint8_t {
+    /** @brief The list may be older than the command. */
+    unknown,
+    /** @brief The worker still runs: the command had been carried out earlier, and no run has ended. */
+    up,
+    ended,
+};
+
 /**
- * @brief Checks whether a worker still runs on its VM, using a list that was read after a command for the VM.
- * @return True if the VM is up with the same worker: the command had been carried out earlier, and no run has ended.
+ * @brief Determines whether a worker has ended with a command for its VM.
+ * @param list The platform's list of VMs.
+ * @param vm The VM.
+ * @param worker The worker that ran on it before the command.
+ * @param accepted When the response to the command arrived.
  */
-[[nodiscard]] auto is_still_up(const std::vector<vm_status>& vms, const vm_id& vm, const worker_id& worker) -> bool;
+[[nodiscard]] auto worker_presence_after(const vm_list& list, const vm_id& vm, const worker_id& worker,
+                                         time_point accepted) -> worker_presence;
 
 /** @brief Checks whether each VM of a wave that is still present has been maintained and is up again. */
 [[nodiscard]] auto is_wave_completed(const wave_progress_state& wave) -> bool;
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -157,11 +157,22 @@
 // accepted.
 TEST(maintenance, a_worker_on_a_vm_that_is_up_has_not_terminated)
 {
-    std::vector<vm_status> vms{{vm_id{"vm1"}, service_id{"ledger"}, vm_phase::up, {}, worker_id{"w1"}}};
-    EXPECT_TRUE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w1"}));
-    EXPECT_FALSE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w0"}));
-    vms.front().m_phase = vm_phase::in_maintenance;
-    EXPECT_FALSE(is_still_up(vms, vm_id{"vm1"}, worker_id{"w1"}));
+    const time_point accepted{milliseconds{10'000}};
+    vm_list list{{{vm_id{"vm1"}, service_id{"ledger"}, vm_phase::up, {}, worker_id{"w1"}, {}}}, accepted};
+    EXPECT_EQ(worker_presence_after(list, vm_id{"vm1"}, worker_id{"w1"}, accepted), worker_presence::up);
+    EXPECT_EQ(worker_presence_after(list, vm_id{"vm1"}, worker_id{"w0"}, accepted), worker_presence::ended);
+    list.m_vms.front().m_phase = vm_phase::in_maintenance;
+    EXPECT_EQ(worker_presence_after(list, vm_id{"vm1"}, worker_id{"w1"}, accepted), worker_presence::ended);
+}
+
+// Guards against taking a worker that a command has ended as still up, since the VMs could not be listed after it.
+TEST(maintenance, a_list_requested_before_a_command_does_not_show_its_effect)
+{
+    const time_point accepted{milliseconds{10'000}};
+    const vm_list list{{{vm_id{"vm1"}, service_id{"ledger"}, vm_phase::up, {}, worker_id{"w1"}, {}}},
+                       accepted - milliseconds{1}};
+    EXPECT_EQ(worker_presence_after(list, vm_id{"vm1"}, worker_id{"w1"}, accepted), worker_presence::unknown);
+    EXPECT_EQ(worker_presence_after(list, vm_id{"vm1"}, worker_id{"w0"}, accepted), worker_presence::unknown);
 }
 
 // Guards against a failure that is lost with its worker and therefore not counted by the next decider.
