Take a VM as back only by a list requested after its maintenance time

Possible effect, not seen in a run: a wave is reported as completed, or the next VM is taken down, while one more VM than allowed is still down for maintenance. Cause: a VM counts as back when the list shows it as up and the maintenance time has passed since the command. The time was compared with the time of the decision, not of the list: a list from before the command took effect passes. Evidence: maintenance.a_vm_is_not_back_by_a_list_requested_during_its_maintenance fails before this change (the wave is completed). Why it works: the list shows the state at its request or later. If that is after the maintenance time, a VM that it shows as up has been maintained.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -126,12 +126,13 @@
 
 /** @brief Records which VMs are up again after their maintenance, and which have been removed. */
 auto update_wave_progress(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
-                          const std::vector<vm_status>& vms, const time_point now) -> void
+                          const vm_list& list) -> void
 {
+    const auto& vms = list.m_vms;
     for (auto down = wave.m_down.begin(); down != wave.m_down.end();) {
         const auto* vm = find_vm(vms, down->first);
-        const bool back =
-            vm == nullptr || (vm->m_phase == vm_phase::up && now - down->second > settings.m_maintenance_time);
+        const bool maintained = list.m_requested - down->second > settings.m_maintenance_time;
+        const bool back = vm == nullptr || (vm->m_phase == vm_phase::up && maintained);
         down = back ? wave.m_down.erase(down) : std::next(down);
     }
     for (const auto& id : wave.m_request.m_vms) {
@@ -142,7 +143,7 @@
         else if (vm->m_phase == vm_phase::in_maintenance) {
             // The command was sent by the previous decider.
             wave.m_begun.insert(id);
-            wave.m_down.try_emplace(id, now - settings.m_maintenance_time);
+            wave.m_down.try_emplace(id, list.m_requested - settings.m_maintenance_time);
         }
     }
     for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
@@ -235,7 +236,7 @@
         return {};
     }
     const auto& vms = list.m_vms;
-    update_wave_progress(state, settings, wave, vms, now);
+    update_wave_progress(state, settings, wave, list);
     // Commands of the previous decider may still be carried out.
     const auto unconfirmed =
         std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -83,6 +83,25 @@
     EXPECT_FALSE(plan(simulation.now() + max_vm_list_age).empty());
 }
 
+// Guards against a wave that counts as completed although its last VM is still down, as the list is older than that.
+TEST(maintenance, a_vm_is_not_back_by_a_list_requested_during_its_maintenance)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 1);
+    const auto& vm = simulation.m_vms.front().m_vm;
+    auto wave = make_wave(simulation, 1);
+    wave.m_begun.insert(vm);
+    wave.m_down.emplace(vm, simulation.now());
+    const auto down_until = simulation.now() + simulation.m_maintenance_settings.m_maintenance_time;
+    const auto plan = [&](const time_point requested) {
+        static_cast<void>(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                           {simulation.m_vms, requested}, {}, down_until + milliseconds{1}));
+        return is_wave_completed(wave);
+    };
+    EXPECT_FALSE(plan(down_until - milliseconds{500}));
+    EXPECT_TRUE(plan(down_until + milliseconds{1}));
+}
+
 // Guards against a command for a VM for which another decider has just sent one.
 TEST(maintenance, skips_vms_with_a_recent_command_of_another_decider)
 {
