Check the term again before commands for VMs are sent

Cause: the lease of the term and the age of the list were checked when the commands were planned. The commands are stored before they are sent; that takes up to 0.7 s, and the write may succeed although its response comes after the last moment at which the lease is certain to be held. Evidence: by reading; the code between the write and the commands needs the store and the platform, and has no test. Why it works: after the write, both are checked again. Commands that may not be sent any more are treated, and now logged, like commands that were not stored.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -380,8 +380,16 @@
     if (!m_active) {
         co_return;
     }
+    // The write may have taken long enough for another decider to begin, or for the list of VMs to change.
+    const bool sendable = stored && m_dependencies.m_can_send_commands() && is_current(m_vms, monotonic_now());
+    if (!sendable && !(moves.empty() && maintenance.empty())) {
+        LOG(WARNING) << log_line{"vm_commands_not_sent"}
+                            .with("moves", moves.size())
+                            .with("maintenance", maintenance.size())
+                            .with("stored", stored);
+    }
     for (auto& command : moves) {
-        if (stored) {
+        if (sendable) {
             asio::co_spawn(m_dependencies.m_executor, send_move(shared_from_this(), std::move(command)),
                            asio::detached);
         }
@@ -390,7 +398,7 @@
         }
     }
     for (auto& [number, vm] : maintenance) {
-        if (stored) {
+        if (sendable) {
             asio::co_spawn(m_dependencies.m_executor, send_maintenance(shared_from_this(), number, vm), asio::detached);
         }
         else {
