Decide again about a VM whose maintenance command was not sent

Cause: if a maintenance command could not be stored, the VM stayed entered as down, and the command was sent as soon as commands could be stored again. That entry is meant for commands without a response, which are safe to repeat. Evidence: maintenance.a_withdrawn_command_is_decided_again_by_the_current_state fails if the entry stays (the VM counts as down, its task as unavailable). Why it works: a command that was never sent is withdrawn as if the platform had rejected it, and planned again by the state of that moment. Commands of which an earlier attempt had no response are repeated as before. The worker of the VM is now recorded when the command is planned.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -153,11 +153,11 @@
     stored.m_status_written = stored.m_status_written || written.m_status == store_status::ok;
 }
 
-auto fleet_controller::send_maintenance(const std::shared_ptr<fleet_controller> self, const std::int64_t number,
-                                        const vm_id vm) -> asio::awaitable<void>
+auto fleet_controller::send_maintenance(const std::shared_ptr<fleet_controller> self, const maintenance_command command)
+    -> asio::awaitable<void>
 {
-    const auto* listed = find_vm(m_vms.m_vms, vm);
-    const auto worker = listed == nullptr ? worker_id{} : listed->m_worker;
+    const auto number = command.m_wave;
+    const auto& vm = command.m_vm;
     const auto result = co_await m_fleet->begin_maintenance(vm, number, m_dependencies.m_term.m_token, call_timeout);
     m_pending_maintenance.erase(vm);
     if (!self->m_active) {
@@ -166,6 +166,11 @@
     LOG(INFO)
         << log_line{"upkeep_ordered"}.with("wave", number).with("vm", vm).with("result", static_cast<int>(result));
     auto& progress = m_waves[number].m_progress;
+    if (result == vm_command_result::unknown) {
+        m_unanswered_maintenance.insert(vm);
+        co_return;
+    }
+    m_unanswered_maintenance.erase(vm);
     if (result == vm_command_result::fenced) {
         m_dependencies.m_state->m_deposed = true;
         m_dependencies.m_on_change();
@@ -175,9 +180,8 @@
         progress.m_down.erase(vm);
         m_waves[number].m_dirty = true;
     }
-    if (result == vm_command_result::not_done) {
-        progress.m_down.erase(vm);
-        set_runs_ending(*m_dependencies.m_state, worker, false);
+    else if (result == vm_command_result::not_done) {
+        withdraw_maintenance(*m_dependencies.m_state, progress, vm, command.m_worker);
     }
     else if (result == vm_command_result::accepted) {
         const auto accepted = monotonic_now();
@@ -186,7 +190,7 @@
         m_waves[number].m_dirty = true;
         // The command is also accepted if the maintenance was done before; the list shows whether this worker has
         // ended.
-        m_unconfirmed_ends[vm] = {worker, accepted};
+        m_unconfirmed_ends[vm] = {command.m_worker, accepted};
         co_await list_vms();
     }
 }
@@ -371,8 +375,8 @@
     for (const auto& command : moves) {
         record_command(command.m_vm);
     }
-    for (const auto& [number, vm] : maintenance) {
-        record_command(vm);
+    for (const auto& command : maintenance) {
+        record_command(command.m_vm);
     }
     // The commands are stored before they are sent: a decider that takes over then sends none for these VMs, and one
     // that has lost its term fails to store them and sends none at all.
@@ -397,12 +401,16 @@
             apply_move_result(*m_dependencies.m_state, m_moves, command, vm_command_result::not_done, monotonic_now());
         }
     }
-    for (auto& [number, vm] : maintenance) {
+    for (auto& command : maintenance) {
         if (sendable) {
-            asio::co_spawn(m_dependencies.m_executor, send_maintenance(shared_from_this(), number, vm), asio::detached);
+            asio::co_spawn(m_dependencies.m_executor, send_maintenance(shared_from_this(), std::move(command)),
+                           asio::detached);
+            continue;
         }
-        else {
-            m_pending_maintenance.erase(vm);
+        m_pending_maintenance.erase(command.m_vm);
+        if (!m_unanswered_maintenance.contains(command.m_vm)) {
+            withdraw_maintenance(*m_dependencies.m_state, m_waves[command.m_wave].m_progress, command.m_vm,
+                                 command.m_worker);
         }
     }
 }
@@ -421,7 +429,8 @@
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
                 if (!wave.m_progress.m_begun.contains(vm) && m_pending_maintenance.insert(vm).second) {
-                    m_planned_maintenance.emplace_back(number, vm);
+                    const auto* listed = find_vm(m_vms.m_vms, vm);
+                    m_planned_maintenance.push_back({number, vm, listed == nullptr ? worker_id{} : listed->m_worker});
                 }
             }
         }
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -62,6 +62,14 @@
     auto stop() -> void { m_active = false; }
 
 private:
+    /** @brief Command to take a VM down for a wave. */
+    struct maintenance_command {
+        std::int64_t m_wave{0};
+        vm_id m_vm;
+        /** @brief Worker on the VM when the command was planned; empty if there was none. */
+        worker_id m_worker;
+    };
+
     [[nodiscard]] auto run(std::shared_ptr<fleet_controller> self) -> asio::awaitable<void>;
     [[nodiscard]] auto read_waves() -> asio::awaitable<bool>;
     [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
@@ -76,7 +84,7 @@
     auto advance_waves() -> void;
     auto advance_moves() -> void;
     [[nodiscard]] auto send_move(std::shared_ptr<fleet_controller> self, move_command command) -> asio::awaitable<void>;
-    [[nodiscard]] auto send_maintenance(std::shared_ptr<fleet_controller> self, std::int64_t wave, vm_id vm)
+    [[nodiscard]] auto send_maintenance(std::shared_ptr<fleet_controller> self, maintenance_command command)
         -> asio::awaitable<void>;
     [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
     auto log_blocked(std::int64_t number, const wave_progress_state& wave) const -> void;
@@ -103,6 +111,8 @@
     std::map<std::int64_t, open_wave> m_waves;
     vm_list m_vms;
     std::set<vm_id> m_pending_maintenance;
+    /** @brief VMs whose last maintenance command had no response and may still be carried out. */
+    std::set<vm_id> m_unanswered_maintenance;
     std::map<vm_id, unconfirmed_end> m_unconfirmed_ends;
     demand_state m_demand;
     move_state m_moves;
@@ -110,7 +120,7 @@
     /** @brief Commands of earlier deciders; their VMs get no others until the handover interval has passed. */
     std::vector<saved_vm_command> m_earlier_commands;
     std::vector<move_command> m_planned_moves;
-    std::vector<std::pair<std::int64_t, vm_id>> m_planned_maintenance;
+    std::vector<maintenance_command> m_planned_maintenance;
     /** @brief Begin of the latest surge in the saved state. */
     time_point m_saved_surge{};
     time_point m_last_listing{};
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -272,6 +272,13 @@
     return begin;
 }
 
+auto withdraw_maintenance(scheduler_state& state, wave_progress_state& wave, const vm_id& vm, const worker_id& worker)
+    -> void
+{
+    wave.m_down.erase(vm);
+    set_runs_ending(state, worker, false);
+}
+
 auto worker_presence_after(const vm_list& list, const vm_id& vm, const worker_id& worker, const time_point accepted)
     -> worker_presence
 {
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -89,6 +89,13 @@
                                     wave_progress_state& wave, const vm_list& vms, const std::set<vm_id>& reserved,
                                     time_point now) -> std::vector<vm_id>;
 
+/**
+ * @brief Reverts the decision to take a VM down, as the command for it has not been carried out. The VM stays cordoned,
+ * and is taken down when plan_maintenance() decides so again by the then current state.
+ */
+auto withdraw_maintenance(scheduler_state& state, wave_progress_state& wave, const vm_id& vm, const worker_id& worker)
+    -> void;
+
 /** @brief What a list of VMs shows about a worker after a command for its VM was accepted. */
 enum class worker_presence : std::uint8_t {
     /** @brief The list may be older than the command. */
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -102,6 +102,37 @@
     EXPECT_TRUE(plan(down_until + milliseconds{1}));
 }
 
+// Guards against a command that is sent long after it was decided, when another task of a step is unavailable.
+TEST(maintenance, a_withdrawn_command_is_decided_again_by_the_current_state)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    const auto job = simulation.submit(make_long_running_job("ledger", 2, 1));
+    simulation.run_for(milliseconds{200});
+    auto wave = make_wave(simulation, 2);
+    wave.m_request.m_duration = milliseconds{1'000};
+    const auto plan = [&] {
+        return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
+                                {}, simulation.now());
+    };
+    const auto first = plan();
+    ASSERT_EQ(first.size(), 1U);
+    const auto worker = find_vm(simulation.m_vms, first.front())->m_worker;
+    withdraw_maintenance(simulation.m_state, wave, first.front(), worker);
+    simulation.run_for(milliseconds{20});
+    EXPECT_TRUE(wave.m_down.empty());
+    for (std::int64_t index = 0; index < 2; ++index) {
+        auto* task = find_task(simulation.m_state, {job, 0, 0, index});
+        EXPECT_EQ(task->m_percent, 100) << "no task counts as unavailable";
+        if (task->m_worker != find_worker(simulation.m_state, worker)) {
+            task->m_percent = 0;
+        }
+    }
+    for (const auto& vm : plan()) {
+        EXPECT_NE(vm, first.front()) << "the other task of the step is unavailable";
+    }
+}
+
 // Guards against a command for a VM for which another decider has just sent one.
 TEST(maintenance, skips_vms_with_a_recent_command_of_another_decider)
 {
