Acknowledge ends only to the incarnation that reported them

A failure is not counted after a takeover (rule BUDGET), or a task that is done is started again (rule TWICE). Cause: the last end of each worker is captured before a write of the progress and acknowledged after it. If the worker began another incarnation during the write, its ends are numbered from the start: min(57, 1) acknowledged end 1, whose effect may not be part of the write. Evidence: reports.ends_of_a_new_incarnation_are_not_acknowledged_by_an_earlier_capture fails with the previous rule (1 is acknowledged). Why it works: the capture names the incarnation, and a worker whose incarnation has changed is skipped; its ends are part of the next capture. Without dirty jobs, nothing happens between the capture and the acknowledgement. Both, and the simulation of the scheduler, use the same functions now.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -52,9 +52,7 @@
             co_return;
         }
         if (m_state.m_dirty.empty()) {
-            for (auto& worker : m_state.m_workers) {
-                worker.m_acknowledged_end = worker.m_last_end;
-            }
+            acknowledge_ends(m_state, capture_ends(m_state));
             continue;
         }
         const bool written = co_await write_dirty_jobs();
@@ -68,10 +66,7 @@
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
     const auto jobs = std::exchange(m_state.m_dirty, {});
-    std::vector<std::int64_t> ends;
-    for (const auto& worker : m_state.m_workers) {
-        ends.push_back(worker.m_last_end);
-    }
+    const auto ends = capture_ends(m_state);
     for (auto* job : jobs) {
         job->m_dirty = false;
     }
@@ -85,11 +80,7 @@
             co_return false;
         }
     }
-    for (std::size_t index = 0; index < ends.size(); ++index) {
-        auto& worker = m_state.m_workers[index];
-        // A worker that has begun another incarnation meanwhile numbers its ends from the start.
-        worker.m_acknowledged_end = std::min(ends[index], worker.m_last_end);
-    }
+    acknowledge_ends(m_state, ends);
     co_return true;
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -404,6 +404,26 @@
     return worker.m_lease_until_ms;
 }
 
+auto capture_ends(const scheduler_state& state) -> std::vector<captured_end>
+{
+    std::vector<captured_end> captured;
+    captured.reserve(state.m_workers.size());
+    for (const auto& worker : state.m_workers) {
+        captured.push_back({worker.m_incarnation_start_unix_ms, worker.m_last_end});
+    }
+    return captured;
+}
+
+auto acknowledge_ends(scheduler_state& state, const std::vector<captured_end>& captured) -> void
+{
+    for (std::size_t index = 0; index < captured.size(); ++index) {
+        auto& worker = state.m_workers[index];
+        if (worker.m_incarnation_start_unix_ms == captured[index].m_incarnation_start_unix_ms) {
+            worker.m_acknowledged_end = captured[index].m_number;
+        }
+    }
+}
+
 auto expire_runs(scheduler_state& state, const time_point now) -> void
 {
     for (std::size_t position = 0; position < state.m_workers.size(); ++position) {
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -175,4 +175,26 @@
     EXPECT_GT(state.m_starts.front().m_run, last);
 }
 
+// Guards against losing an end that is not stored, as the last incarnation of its worker had reported a higher number.
+TEST(reports, ends_of_a_new_incarnation_are_not_acknowledged_by_an_earlier_capture)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 2);
+    auto& state = simulation.m_state;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_ended.push_back({57, {job_id{"a"}, 0, 0, 0}, run_number{1}, run_end::done, {}});
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    apply_report(state, 1, report, simulation.now(), simulation.now());
+    const auto captured = capture_ends(state);
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_ended.front().m_number = 1;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    acknowledge_ends(state, captured);
+    EXPECT_EQ(state.m_workers[0].m_acknowledged_end, 0);
+    EXPECT_EQ(state.m_workers[1].m_acknowledged_end, 57);
+    acknowledge_ends(state, capture_ends(state));
+    EXPECT_EQ(state.m_workers[0].m_acknowledged_end, 1);
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -210,9 +210,7 @@
             m_completed.try_emplace(job->m_record.m_id, m_now);
         }
     }
-    for (auto& worker : m_state.m_workers) {
-        worker.m_acknowledged_end = worker.m_last_end;
-    }
+    acknowledge_ends(m_state, capture_ends(m_state));
 }
 
 auto scheduler_simulation::finish_moves() -> void
