Count the age of a term from the opening of its lease

Cause: the write of the holder's key counted as the first renewal, but the lease runs from the arrival of the request that opened it. That is up to 0.5 s earlier, and more if a lease is kept after a write without a response, while the duration of the lease is 1.2 s. Evidence: by reading, and from the platform's protocol: the lease runs from the arrival of the call. The election needs the store and has no test. Why it works: the request is sent before it arrives, so that the lease lasts at least its duration from then. The first renewal follows after 0.3 s.

--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -238,6 +238,7 @@
     const milliseconds spread{seed % static_cast<std::size_t>(campaign_spread.count())};
     co_await sleep_for(m_executor, campaign_delay(view(), spread));
     if (m_lease == no_store_lease) {
+        m_lease_opened = monotonic_now();
         m_lease = co_await m_store.open_lease(m_lease_time, call_timeout);
     }
     if (m_lease == no_store_lease) {
@@ -245,7 +246,6 @@
         co_return;
     }
     const auto value = holder_value(m_self, m_peers, m_lease, m_cores);
-    const auto sent = monotonic_now();
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, store_revision{0}});
     write.m_puts.push_back({std::string{holder_key}, value, m_lease});
@@ -270,7 +270,8 @@
     m_term = decider_term{fencing_token{revision.value()}, revision};
     m_holder = decider_holder{m_self, m_peers, revision, m_cores};
     m_seen_revision = std::max(m_seen_revision, revision);
-    m_last_renewal = sent;
+    // The write of the key does not renew its lease.
+    m_last_renewal = m_lease_opened;
     LOG(INFO) << log_line{"term_began"}.with("token", m_term->m_token);
     asio::co_spawn(m_executor, keep_lease_alive(m_lease), asio::detached);
     m_begin(*m_term);
