Log when starts are suspended, and describe the age of copies

Cause: a decider whose copies are too old starts nothing, and only the ages in decider_load told so.

Change: starts_suspended and starts_resumed, once per change, and the number of withdrawn starts in decider_load. One function each records the time up to which a copy is complete.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -179,8 +179,7 @@
             apply_cancel(*id, item.m_value, clock);
         }
     }
-    m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
-    refresh(m_load.m_jobs, sent, monotonic_now());
+    record_jobs_read(sent);
     co_return true;
 }
 
@@ -196,9 +195,8 @@
     for (const auto& item : page.m_items) {
         apply_worker_entry(item.m_key, item.m_value);
     }
-    m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
+    record_workers_read(sent);
     apply_workers();
-    refresh(m_load.m_workers, sent, monotonic_now());
     co_return true;
 }
 
@@ -283,9 +281,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_job_change(change.m_key, change.m_value, false);
             }
-            // The response may have been delayed on its way; the store wrote it after the request was sent.
-            m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
-            refresh(m_load.m_jobs, sent, monotonic_now());
+            record_jobs_read(sent);
             if (!changes.m_changes.empty()) {
                 schedule_pass();
                 co_await sleep_for(m_executor, watch_gap);
@@ -346,8 +342,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_worker_entry(change.m_key, change.m_value);
             }
-            m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
-            refresh(m_load.m_workers, sent, monotonic_now());
+            record_workers_read(sent);
             if (!changes.m_changes.empty()) {
                 apply_workers();
                 co_await sleep_for(m_executor, watch_gap);
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -116,7 +116,12 @@
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
     auto apply_cancel(const job_id& id, std::string_view value, const clock_reading& clock) -> void;
+    /** @brief Records that all changes of jobs stored before a time have been applied. */
+    auto record_jobs_read(time_point sent) -> void;
+    /** @brief Records that all changes of workers stored before a time have been applied. */
+    auto record_workers_read(time_point sent) -> void;
     auto log_load() -> void;
+    auto log_suspension(time_point now) -> void;
     auto log_start(const start_command& command, const job_entry& job) -> void;
     auto log_dropped_lines(time_point now) -> void;
     auto start_fleet_controller() -> void;
@@ -156,6 +161,8 @@
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
+    /** @brief Nothing starts, as the copy of the jobs or of the workers is too old. */
+    bool m_starts_suspended{false};
     /** @brief Pause between the last scheduling pass and the next one. */
     microseconds m_pass_pause{0};
 };
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -116,6 +116,7 @@
     while (self->m_active) {
         open_due_occurrences(m_state, read_clocks());
         m_state.m_dispatch_requested = true;
+        log_suspension(monotonic_now());
         run_pass();
         for (auto& command : plan_throttling(m_state, m_settings.m_throttling, monotonic_now())) {
             asio::co_spawn(m_executor, send_throttle(self, std::move(command)), asio::detached);
@@ -199,6 +200,7 @@
     }
     const auto now = monotonic_now();
     if (!is_start_valid(m_state, command, now)) {
+        ++m_load.m_starts_withdrawn;
         apply_start_result(m_state, command, command_result::withdrawn, now);
         co_return;
     }
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/scheduler/cancel_time.hpp>
+#include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -54,6 +55,31 @@
     }
 }
 
+auto decider::record_jobs_read(const time_point sent) -> void
+{
+    // The store has answered at some time after the request was sent; that is all that is known.
+    m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
+    refresh(m_load.m_jobs, sent, monotonic_now());
+}
+
+auto decider::record_workers_read(const time_point sent) -> void
+{
+    m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
+    refresh(m_load.m_workers, sent, monotonic_now());
+}
+
+auto decider::log_suspension(const time_point now) -> void
+{
+    const bool suspended = !are_jobs_current(m_state, now) || !are_workers_current(m_state, now);
+    if (suspended != m_starts_suspended) {
+        m_starts_suspended = suspended;
+        LOG(INFO) << log_line{suspended ? "starts_suspended" : "starts_resumed"}
+                         .with("token", m_term.m_token)
+                         .with("jobs_age_ms", to_ms(now - m_state.m_jobs_current_at))
+                         .with("workers_age_ms", to_ms(now - m_state.m_workers_current_at));
+    }
+}
+
 auto decider::log_load() -> void
 {
     const auto now = monotonic_now();
@@ -66,6 +92,7 @@
                      .with("failed_watches", load.m_failed_watches)
                      .with("loop_delay_ms", to_ms(load.m_max_loop_delay))
                      .with("starts", load.m_starts)
+                     .with("starts_withdrawn", load.m_starts_withdrawn)
                      .with("stops", load.m_stops)
                      .with("commands_in_flight", load.m_max_commands_in_flight)
                      .with("cancels", load.m_cancels)
--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -30,6 +30,8 @@
     /** @brief How late a timer ran at most. */
     microseconds m_max_loop_delay{0};
     std::int64_t m_starts{0};
+    /** @brief Starts that were decided, but not sent. */
+    std::int64_t m_starts_withdrawn{0};
     std::int64_t m_stops{0};
     /** @brief Starts, stops and changes of speed that have no response yet. Lease renewals are not counted. */
     std::int64_t m_commands_in_flight{0};
