Count a job as started when its first start is sent

Cause, found in the review: a job counted as started, was stored as running and left the count of pending jobs when its first start was decided.

Change: mark_started() is called when a start is sent.

Result: dispatch.a_job_whose_first_start_was_withdrawn_is_still_pending.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -204,9 +204,9 @@
         apply_start_result(m_state, command, command_result::withdrawn, now);
         co_return;
     }
-    const auto* job = find_job(m_state, command.m_task.m_job);
+    auto* job = find_job(m_state, command.m_task.m_job);
     const auto client = client_of(command.m_worker);
-    if (command.m_first_of_job) {
+    if (mark_started(m_state, *job)) {
         log_start(command, *job);
     }
     run_start start;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -188,11 +188,6 @@
     found.m_highest_run = run;
     found.m_since = now;
     --step.m_waiting;
-    const bool first = !job.m_started;
-    if (first) {
-        job.m_started = true;
-        mark_dirty(state, job);
-    }
     placed_run placed;
     placed.m_task = task;
     placed.m_run = run;
@@ -204,7 +199,7 @@
     worker.m_runs.push_back(std::move(placed));
     const auto permit = step.m_permits.find(index);
     state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint,
-                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, first, now});
+                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, now});
 }
 
 /** @brief Capacity reserved for steps that are being opened, until the end of the dispatch pass. */
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -173,6 +173,16 @@
     }
 }
 
+auto mark_started(scheduler_state& state, job_entry& job) -> bool
+{
+    if (job.m_started) {
+        return false;
+    }
+    job.m_started = true;
+    mark_dirty(state, job);
+    return true;
+}
+
 auto add_job(scheduler_state& state, job_record record, const std::optional<job_progress>& progress,
              const bool recovered, const clock_reading& clock) -> void
 {
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -69,6 +69,9 @@
 /** @brief Marks a job whose progress differs from the store. */
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void;
 
+/** @brief Records that a start of a job is sent. @return True if it is the first one. */
+auto mark_started(scheduler_state& state, job_entry& job) -> bool;
+
 /** @brief Updates a job whose progress has been stored: its state may be reported, and opened steps may start. */
 auto apply_stored_progress(scheduler_state& state, job_entry& job, const job_progress& stored) -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -211,8 +211,6 @@
     std::int64_t m_lease_until_ms{0};
     std::string m_checkpoint;
     std::string m_permit;
-    /** @brief No task of the job was started before. */
-    bool m_first_of_job{false};
     /** @brief When the start was decided. */
     time_point m_decided{};
 };
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -97,6 +97,26 @@
     EXPECT_EQ(simulation.total_starts(), 40);
 }
 
+// Guards against a job that counts as started, and not as pending, although its first start was withdrawn.
+TEST(dispatch, a_job_whose_first_start_was_withdrawn_is_still_pending)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    const auto record = make_job("quotes", 1, 8'000, milliseconds{500});
+    const auto job = simulation.submit(record);
+    state.m_dispatch_requested = true;
+    find_job(state, job)->m_open.front().m_steps.front().m_opened = true;
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    apply_start_result(state, state.m_starts.front(), command_result::withdrawn, simulation.now());
+    state.m_starts.clear();
+    EXPECT_EQ(pending_jobs(state, record.m_policy.m_queue), 1);
+    simulation.run_for(milliseconds{200});
+    EXPECT_EQ(pending_jobs(state, record.m_policy.m_queue), 0);
+    EXPECT_EQ(simulation.total_starts(), 1);
+}
+
 // Guards against sending a start whose job was cancelled, or whose copy of the jobs became too old, after the decision.
 TEST(dispatch, a_decided_start_is_not_sent_after_a_cancel_or_from_an_old_copy)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -151,6 +151,7 @@
     for (const auto& command : std::exchange(m_state.m_starts, {})) {
         const auto& id = m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id;
         auto& worker = m_workers[id];
+        mark_started(m_state, *find_job(m_state, command.m_task.m_job));
         if (!worker.m_reachable || !worker.m_alive) {
             apply_start_result(m_state, command, command_result::unknown, m_now);
             continue;
