Stop a gang of which one member is not started

Cause, found in the review: each member of a gang is checked when its start is sent. If one is withdrawn or rejected, the others had been sent already and stayed alone: the step is started only as a whole, and nothing stopped them (GANG, and the job does not go on). Rejected starts did this before; starts that are withdrawn for an old copy make it likely.

Change: when a start of a gang is not made, the runs of the other members are stopped; the gang starts again when all have ended.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -166,6 +166,19 @@
     }
 }
 
+/** @brief Stops the runs of a gang of which one member has not been started. */
+auto stop_gang(scheduler_state& state, const start_command& rejected) -> void
+{
+    for (auto& worker : state.m_workers) {
+        for (auto& run : worker.m_runs) {
+            const bool member = run.m_run == rejected.m_run && run.m_task.m_job == rejected.m_task.m_job &&
+                                run.m_task.m_occurrence == rejected.m_task.m_occurrence &&
+                                run.m_task.m_step == rejected.m_task.m_step;
+            run.m_stop_requested = run.m_stop_requested || member;
+        }
+    }
+}
+
 auto apply_ended_report(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now)
     -> void
 {
@@ -354,6 +367,10 @@
         break;
     }
     abandon_run(state, worker, run, now);
+    const auto* job = find_job(state, command.m_task.m_job);
+    if (job != nullptr && step_of(*job, command.m_task).m_gang) {
+        stop_gang(state, command);
+    }
     if (current) {
         task->m_not_before = now + state.m_settings.m_task_backoff;
     }
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -117,6 +117,26 @@
     EXPECT_EQ(simulation.total_starts(), 1);
 }
 
+// Guards against a gang of which some members wait forever, as the start of another one was withdrawn or rejected.
+TEST(dispatch, a_gang_restarts_as_a_whole_when_the_start_of_a_member_is_withdrawn)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto record = make_job("quotes", 4, 8'000, milliseconds{500});
+    record.m_spec.m_steps.front().m_gang = true;
+    const auto job = simulation.submit(record);
+    auto& state = simulation.m_state;
+    find_job(state, job)->m_open.front().m_steps.front().m_opened = true;
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 4U);
+    apply_start_result(state, state.m_starts.back(), command_result::withdrawn, simulation.now());
+    state.m_starts.pop_back();
+    simulation.run_for(milliseconds{2'000});
+    EXPECT_EQ(find_job(state, job)->m_state, job_state::completed);
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 3}), 1);
+}
+
 // Guards against sending a start whose job was cancelled, or whose copy of the jobs became too old, after the decision.
 TEST(dispatch, a_decided_start_is_not_sent_after_a_cancel_or_from_an_old_copy)
 {
