Withdraw starts on workers that left service after the decision

Cause, found in the review: a start that waited was checked again for its job, but not for its worker. If the copy of the registry was as old as allowed when the start was decided, and the worker drained since then, the start went out later than the platform's time for draining (DRAIN). The same holds for workers that have been cordoned for a move or for maintenance.

Change: is_start_valid() checks the worker's state with the same function as the decision.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -109,11 +109,22 @@
     return found;
 }
 
+/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. */
+[[nodiscard]] auto is_in_service(const worker_slot& worker) -> bool
+{
+    return worker.m_registered && worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned;
+}
+
+/** @brief Checks whether the copies are recent enough to start tasks. */
+[[nodiscard]] auto may_start(const scheduler_state& state, const time_point now) -> bool
+{
+    return are_jobs_current(state, now) && are_workers_current(state, now);
+}
+
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
-    return worker.m_registered && worker.m_has_reported && worker.m_entry.m_service == service &&
-           worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned && !worker.m_unresponsive &&
-           worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
+    return is_in_service(worker) && worker.m_has_reported && worker.m_entry.m_service == service &&
+           !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
 }
 
 [[nodiscard]] auto has_label(const worker_slot& worker, const std::string& label) -> bool
@@ -368,10 +379,9 @@
 
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
-    const auto& runs = state.m_workers[static_cast<std::size_t>(command.m_worker)].m_runs;
-    return are_jobs_current(state, now) && are_workers_current(state, now) &&
-           find_job(state, command.m_task.m_job) != nullptr &&
-           std::any_of(runs.begin(), runs.end(), [&command](const placed_run& run) {
+    const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
+    return may_start(state, now) && is_in_service(worker) && find_job(state, command.m_task.m_job) != nullptr &&
+           std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&command](const placed_run& run) {
                return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
            });
 }
@@ -379,8 +389,7 @@
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
-    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !are_jobs_current(state, now) ||
-        !are_workers_current(state, now)) {
+    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !may_start(state, now)) {
         return;
     }
     for (const auto& [service, jobs] : state.m_active) {
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -152,6 +152,12 @@
     ASSERT_FALSE(state.m_starts.empty());
     const auto command = state.m_starts.front();
     EXPECT_TRUE(is_start_valid(state, command, simulation.now()));
+    state.m_workers.front().m_entry.m_state = worker_state::draining;
+    EXPECT_FALSE(is_start_valid(state, command, simulation.now())) << "the worker drains";
+    state.m_workers.front().m_entry.m_state = worker_state::ready;
+    state.m_workers.front().m_cordoned = true;
+    EXPECT_FALSE(is_start_valid(state, command, simulation.now())) << "the VM is about to be moved";
+    state.m_workers.front().m_cordoned = false;
     EXPECT_FALSE(is_start_valid(state, command, simulation.now() + state.m_settings.m_cancel_time));
     cancel_job(state, job, simulation.now());
     EXPECT_FALSE(is_start_valid(state, command, simulation.now()));
