Start tasks only while no successor can have begun

Cause, found in the review: starts were bounded by the leases that may be granted, 4.7 s after the last renewal of the term, while the lease of the term lasts 1.2 s.

Change: may_start() is checked where a start is decided and where it is sent. Leases of running tasks are granted for as long as before.

Result: dispatch.nothing_starts_when_the_term_may_have_ended fails without the check and passes. starts_suspended has the age of the last renewal.

--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -70,11 +70,12 @@
 
 auto decider::log_suspension(const time_point now) -> void
 {
-    const bool suspended = !are_jobs_current(m_state, now) || !are_workers_current(m_state, now);
+    const bool suspended = !may_start(m_state, now);
     if (suspended != m_starts_suspended) {
         m_starts_suspended = suspended;
         LOG(INFO) << log_line{suspended ? "starts_suspended" : "starts_resumed"}
                          .with("token", m_term.m_token)
+                         .with("renewal_age_ms", to_ms(now - m_last_renewal()))
                          .with("jobs_age_ms", to_ms(now - m_state.m_jobs_current_at))
                          .with("workers_age_ms", to_ms(now - m_state.m_workers_current_at));
     }
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -115,12 +115,6 @@
     return worker.m_registered && worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned;
 }
 
-/** @brief Checks whether the copies are recent enough to start tasks. */
-[[nodiscard]] auto may_start(const scheduler_state& state, const time_point now) -> bool
-{
-    return are_jobs_current(state, now) && are_workers_current(state, now);
-}
-
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
     return is_in_service(worker) && worker.m_has_reported && worker.m_entry.m_service == service &&
@@ -377,6 +371,11 @@
     return now - state.m_workers_current_at <= max_copy_age(state.m_settings, state.m_settings.m_drain_time);
 }
 
+auto may_start(const scheduler_state& state, const time_point now) -> bool
+{
+    return now < state.m_term_guaranteed_until && are_jobs_current(state, now) && are_workers_current(state, now);
+}
+
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -63,9 +63,16 @@
  */
 [[nodiscard]] auto are_workers_current(const scheduler_state& state, time_point now) -> bool;
 
+/**
+ * @brief Checks whether tasks may be started: the copies are recent enough, and no successor can have begun its term.
+ * @param state The scheduler.
+ * @param now Current time.
+ */
+[[nodiscard]] auto may_start(const scheduler_state& state, time_point now) -> bool;
+
 /**
  * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
- * meanwhile, and the copies of the stored jobs and of the worker registry are recent enough.
+ * meanwhile, its worker is still in service, the term cannot have ended, and the copies are recent enough.
  * @param state The scheduler.
  * @param command The start.
  * @param now Current time.
@@ -74,7 +81,7 @@
 
 /**
  * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline. Starts none
- * if the copy of the stored jobs or of the worker registry is too old.
+ * if the copy of the stored jobs or of the worker registry is too old, or if the term may have ended.
  * @param state The scheduler; the commands are appended to its m_starts.
  * @param now Current time.
  */
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -97,6 +97,21 @@
     EXPECT_EQ(simulation.total_starts(), 40);
 }
 
+// Guards against starts by a decider whose successor may have begun, on workers that the successor has not reached.
+TEST(dispatch, nothing_starts_when_the_term_may_have_ended)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 40, 8'000, milliseconds{500})));
+    simulation.run_for(milliseconds{200});
+    simulation.m_term_renewed = false;
+    simulation.run_for(simulation.m_term_lease);
+    const auto starts = simulation.total_starts();
+    EXPECT_GT(starts, 4);
+    simulation.run_for(milliseconds{2'000});
+    EXPECT_EQ(simulation.total_starts(), starts);
+}
+
 // Guards against a job that counts as started, and not as pending, although its first start was withdrawn.
 TEST(dispatch, a_job_whose_first_start_was_withdrawn_is_still_pending)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -250,7 +250,10 @@
     if (m_worker_watch_up) {
         m_state.m_workers_current_at = m_now;
     }
-    update_lease_limits(m_state, m_now, milliseconds{1'000});
+    if (m_term_renewed) {
+        m_last_renewal = m_now;
+    }
+    update_lease_limits(m_state, m_last_renewal, m_term_lease);
     for (auto& [id, worker] : m_workers) {
         report(id, worker);
     }
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -82,6 +82,9 @@
     bool m_job_watch_up{true};
     /** @brief If false, the decider hears of no change of workers. */
     bool m_worker_watch_up{true};
+    /** @brief If false, the lease of the term is not renewed. */
+    bool m_term_renewed{true};
+    milliseconds m_term_lease{1'000};
     std::int64_t m_move_count{0};
     /** @brief Workers on which the permit service allows steps to run, and how long its permits are valid. */
     std::set<worker_id> m_permitted;
@@ -105,6 +108,7 @@
     };
 
     time_point m_now{milliseconds{1'000'000}};
+    time_point m_last_renewal{};
     std::map<worker_id, simulated_worker> m_workers;
     std::map<worker_id, worker_entry> m_registry;
     std::map<vm_id, std::pair<service_id, time_point>> m_moving_vms;
