Accept copies as old as a watch without changes leaves them

Change: the bound is at least 1.1 s, twice the wait of a watch and a response.

Result: dispatch.tasks_start_while_a_watch_without_changes_is_under_way fails without the lower limit and passes.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -49,7 +49,7 @@
 /** @brief Returns the maximum age of a copy from which a task may be started within a time limit of the platform. */
 [[nodiscard]] auto max_copy_age(const scheduler_settings& settings, const milliseconds limit) -> milliseconds
 {
-    return limit - settings.m_command_timeout - settings.m_start_margin;
+    return std::max(limit - settings.m_command_timeout - settings.m_start_margin, settings.m_min_copy_age);
 }
 
 [[nodiscard]] auto run_time_tolerance(const scheduler_state& state, const job_entry& job) -> double
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -56,6 +56,9 @@
     /** @brief Part of m_cancel_time and m_drain_time that is left for the transit of the acknowledgement and of the
      * start. */
     milliseconds m_start_margin{200};
+    /** @brief Copies of this age are always recent enough: while nothing changes, a copy gets twice as old as a watch
+     * waits. */
+    milliseconds m_min_copy_age{1'100};
 };
 
 /** @brief Phase of a task in the scheduler. */
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -78,6 +78,19 @@
     EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::completed);
 }
 
+// Guards against a deployment with short time limits on which nothing ever starts.
+TEST(dispatch, tasks_start_while_a_watch_without_changes_is_under_way)
+{
+    scheduler_simulation simulation;
+    simulation.m_state.m_settings.m_drain_time = milliseconds{500};
+    simulation.begin_with("quotes", 1);
+    simulation.m_worker_watch_up = false;
+    simulation.run_for(milliseconds{1'000});
+    static_cast<void>(simulation.submit(make_job("quotes", 1, 8'000, milliseconds{500})));
+    simulation.run_for(milliseconds{50});
+    EXPECT_EQ(simulation.total_starts(), 1);
+}
+
 // Guards against starting tasks on a worker that drains, while its entry in the registry cannot be read.
 TEST(dispatch, nothing_starts_when_the_copy_of_the_workers_is_older_than_the_drain_time_allows)
 {
