Let leases outlast an outage as long as before the bound by the copy

Cause, found in the review: without changes, the copy of the jobs is up to 1.1 s older than the last renewal of the term. Bounding leases by it shortened the outage of the store that running tasks outlast from 5.2 to about 4.4 s.

Change: the copy may be older than the renewal by the age that it reaches without changes. A decider that renews its term but cannot read cancels keeps leases for 6.6 s after its last copy; that is more than the platform's bound for runs of cancelled jobs, which such a decider cannot keep without ending all runs in each short outage.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -406,7 +406,9 @@
 
 auto update_lease_limits(scheduler_state& state, const time_point last_renewal, const milliseconds term_lease) -> void
 {
-    state.m_grant_limit = std::min(last_renewal, state.m_jobs_current_at) + state.m_settings.m_grant_horizon;
+    // While nothing changes, the copy is older than the last renewal; in an outage both get older together.
+    const auto copy = state.m_jobs_current_at + state.m_settings.m_min_copy_age;
+    state.m_grant_limit = std::min(last_renewal, copy) + state.m_settings.m_grant_horizon;
     state.m_term_guaranteed_until = last_renewal + term_lease;
 }
 
