Give a watch more time after one that failed

Cause, found in the review: with its wait reduced to 0.5 s, the whole response of a watch had 1.1 s to arrive. On a slow link or without processor time a response that takes longer is dropped, the next one carries more changes and takes longer still, so that a decider that is behind may never catch up.

Change: the response of a watch after a failed one may take 2.1 s, as before the reduction. A silent connection is still noticed after 1.1 s.

Not shown by a test.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -27,6 +27,10 @@
  * while nothing changes, how old the copy of the store is known to be. */
 constexpr milliseconds watch_wait{500};
 
+/** @brief Slack of a watch after one that failed. The changes that it missed come with the next response, which takes
+ * longer; with the same timeout, a decider that is behind might never receive it. */
+constexpr milliseconds retried_watch_slack{1'600};
+
 /** @brief Minimum time between two watch requests for one prefix; changes in quick succession share a request. */
 constexpr milliseconds watch_gap{8};
 
@@ -270,12 +274,14 @@
 
 auto decider::watch_jobs(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
+    milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
-        const auto changes = co_await m_store.watch(std::string{job_prefix}, m_jobs_revision, watch_wait);
+        const auto changes = co_await m_store.watch(std::string{job_prefix}, m_jobs_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
         }
+        slack = changes.m_status == store_status::ok ? watch_slack : retried_watch_slack;
         if (changes.m_status == store_status::ok) {
             m_jobs_revision = std::max(m_jobs_revision, changes.m_revision);
             for (const auto& change : changes.m_changes) {
@@ -331,12 +337,14 @@
 
 auto decider::watch_workers(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
+    milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
-        const auto changes = co_await m_store.watch(std::string{worker_prefix}, m_workers_revision, watch_wait);
+        const auto changes = co_await m_store.watch(std::string{worker_prefix}, m_workers_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
         }
+        slack = changes.m_status == store_status::ok ? watch_slack : retried_watch_slack;
         if (changes.m_status == store_status::ok) {
             m_workers_revision = std::max(m_workers_revision, changes.m_revision);
             for (const auto& change : changes.m_changes) {
