Let a former holder campaign on time, and withdraw its request at a shutdown

Cause, found in the review: an entry VM that handed its term over chose its next step only when its watch had ended, up to 2.1 s after its pause of 3 s; if no other candidate exists, nobody decides meanwhile. And an entry VM that shuts down left its request for the term, so that a weak decider could hand its term to it.

Change: the watch ends with the pause, and the request's lease is ended at a shutdown.

Result: candidacy.* and scheduler_cancel.* pass; the waiting itself has no test.

--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -166,7 +166,10 @@
 
 auto decider_election::watch_election() -> asio::awaitable<void>
 {
-    const auto changes = co_await m_store.watch(std::string{election_prefix}, m_seen_revision, watch_wait);
+    // A former holder stands in the election as soon as its pause is over.
+    const auto pause = std::chrono::ceil<milliseconds>(m_campaign_from - monotonic_now());
+    const auto wait = !m_holder && pause > milliseconds{0} ? std::min(watch_wait, pause) : watch_wait;
+    const auto changes = co_await m_store.watch(std::string{election_prefix}, m_seen_revision, wait);
     if (changes.m_status != store_status::ok) {
         co_await sleep_for(m_executor, failure_pause);
         co_await refresh_until_read();
@@ -201,6 +204,7 @@
     const auto written = co_await m_store.write(std::move(write), call_timeout);
     if (written.m_status == store_status::ok) {
         m_request = request;
+        m_request_lease = lease;
         LOG(INFO) << log_line{"term_requested"}.with("revision", request.m_holder).with("cores", m_cores);
     }
     else if (written.m_status != store_status::unknown) {
@@ -323,6 +327,9 @@
 {
     m_resigned = true;
     co_await release_term();
+    if (m_request_lease != no_store_lease) {
+        static_cast<void>(co_await m_store.end_lease(m_request_lease, call_timeout));
+    }
 }
 
 auto decider_election::start(begin_function begin, end_function end, flush_function flush) -> void
--- a/packages/entry/src/cicadalug/entry/decider_election.hpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.hpp
@@ -103,6 +103,8 @@
     std::optional<term_request> m_request;
     std::optional<decider_term> m_term;
     store_lease m_lease{no_store_lease};
+    /** @brief Lease of this entry VM's last request for the term. */
+    store_lease m_request_lease{no_store_lease};
     /** @brief When the request that opened the lease was sent. */
     time_point m_lease_opened{};
     store_revision m_seen_revision;
