--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -161,7 +161,7 @@
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
-    /** @brief Nothing starts, as the copy of the jobs or of the workers is too old. */
+    /** @brief Nothing starts, as a copy is too old or the term may have ended. */
     bool m_starts_suspended{false};
     /** @brief Pause between the last scheduling pass and the next one. */
     microseconds m_pass_pause{0};
