--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -116,8 +116,8 @@
     while (self->m_active) {
         open_due_occurrences(m_state, read_clocks());
         m_state.m_dispatch_requested = true;
-        log_suspension(monotonic_now());
         run_pass();
+        log_suspension(monotonic_now());
         for (auto& command : plan_throttling(m_state, m_settings.m_throttling, monotonic_now())) {
             asio::co_spawn(m_executor, send_throttle(self, std::move(command)), asio::detached);
         }
