--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -293,6 +293,12 @@
 
 auto client_api::handle_peer(http_exchange& exchange) -> asio::awaitable<void>
 {
+    if (const auto own = *m_dependencies.m_decider; own != nullptr) {
+        const bool handled = co_await own->handle_relay(exchange);
+        if (handled) {
+            co_return;
+        }
+    }
     auto response = make_peer_response(to_view(exchange.request().target()));
     co_await exchange.respond(std::move(response));
 }
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -31,15 +31,21 @@
  * longer; with the same timeout, a decider that is behind might never receive it. */
 constexpr milliseconds retried_watch_slack{1'600};
 
+/** @brief Workers are called directly if no relay offers itself within this time after relays are needed. Entry VMs
+ * learn of a new decider within milliseconds; as long as no worker is called, each lease of the last term continues. */
+constexpr milliseconds first_relay_wait{600};
+
 /** @brief Minimum time between two watch requests for one prefix; changes in quick succession share a request. */
 constexpr milliseconds watch_gap{8};
 
 } // namespace
 
-decider::decider(asio::any_io_executor executor, store_client& store, const decider_settings& settings,
-                 const decider_term& term, std::function<time_point()> last_renewal, std::function<void()> on_deposed)
-    : m_executor{std::move(executor)}, m_store{store}, m_term{term}, m_settings{settings},
-      m_last_renewal{std::move(last_renewal)}, m_on_deposed{std::move(on_deposed)}, m_progress_event{m_executor}
+decider::decider(asio::any_io_executor executor, store_client& store, worker_calls& calls,
+                 const decider_settings& settings, const decider_term& term, std::function<time_point()> last_renewal,
+                 std::function<void()> on_deposed)
+    : m_executor{std::move(executor)}, m_store{store}, m_calls{calls}, m_term{term}, m_settings{settings},
+      m_last_renewal{std::move(last_renewal)}, m_on_deposed{std::move(on_deposed)},
+      m_relays{std::make_shared<relay_sessions>(m_executor, term.m_token)}, m_progress_event{m_executor}
 {
     m_state.m_settings = settings.m_scheduler;
     m_state.m_token = term.m_token;
@@ -48,6 +54,7 @@
 auto decider::start() -> void
 {
     m_load.m_began = monotonic_now();
+    m_relays->start();
     asio::co_spawn(m_executor, load(shared_from_this()), asio::detached);
     asio::co_spawn(m_executor, observe_load(shared_from_this()), asio::detached);
 }
@@ -58,6 +65,7 @@
         log_load();
     }
     m_active = false;
+    m_relays->stop();
     if (m_fleet_controller != nullptr) {
         m_fleet_controller->stop();
     }
@@ -115,15 +123,21 @@
 auto decider::read_decision_log() -> asio::awaitable<bool>
 {
     const auto read = co_await m_store.read(std::string{decision_log_key}, store_timeout);
-    if (read.m_status == store_status::ok) {
-        std::istringstream text{read.m_item.m_value};
-        std::string word;
-        text >> word >> word;
-        while (text >> word) {
+    const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
+    const auto is_read = [](const store_read& result) {
+        return result.m_status == store_status::ok || result.m_status == store_status::missing;
+    };
+    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number.
+    std::istringstream log{read.m_item.m_value};
+    std::istringstream list{leases.m_item.m_value};
+    std::string word;
+    log >> word >> word;
+    for (auto* text : {&log, &list}) {
+        while (*text >> word) {
             m_state.m_expected_workers.emplace(word);
         }
     }
-    co_return read.m_status == store_status::ok || read.m_status == store_status::missing;
+    co_return is_read(read) && is_read(leases);
 }
 
 auto decider::begin_decision_log() -> asio::awaitable<bool>
@@ -318,6 +332,20 @@
     m_registry.insert_or_assign(key, std::move(entry).assume_value());
 }
 
+auto decider::apply_worker_change(const std::string& key, const std::optional<std::string>& value) -> void
+{
+    const auto known = m_registry.find(key);
+    const auto before = known == m_registry.end() ? worker_id{} : known->second.m_id;
+    apply_worker_entry(key, value);
+    const auto entry = m_registry.find(key);
+    if (entry != m_registry.end()) {
+        register_worker(m_state, entry->second);
+    }
+    else if (!before.empty()) {
+        unregister_worker(m_state, before);
+    }
+}
+
 auto decider::apply_workers() -> void
 {
     std::vector<worker_entry> entries;
@@ -325,16 +353,48 @@
     for (const auto& [key, entry] : m_registry) {
         entries.push_back(entry);
     }
-    const auto known = m_state.m_workers.size();
     apply_registry(m_state, entries);
-    m_clients.resize(m_state.m_workers.size());
-    for (auto index = known; index < m_state.m_workers.size(); ++index) {
-        asio::co_spawn(m_executor, renew_worker_lease(shared_from_this(), static_cast<worker_index>(index)),
-                       asio::detached);
-    }
+    update_relay_admission();
+    start_renewals();
     schedule_pass();
 }
 
+auto decider::start_renewals() -> void
+{
+    m_renewing.resize(m_state.m_workers.size(), false);
+    for (const auto index : m_state.m_current_workers) {
+        if (!m_renewing[static_cast<std::size_t>(index)]) {
+            m_renewing[static_cast<std::size_t>(index)] = true;
+            asio::co_spawn(m_executor, renew_worker_lease(shared_from_this(), index), asio::detached);
+        }
+    }
+}
+
+auto decider::update_relay_admission() -> void
+{
+    const bool needed = needs_relays(m_registry.size(), m_settings.m_cores);
+    m_relays->set_admission(needed ? relay_admission::open : relay_admission::not_needed);
+    if (needed && !m_uses_relays) {
+        m_relays_awaited_until = monotonic_now() + first_relay_wait;
+        LOG(INFO) << log_line{"relays_needed"}
+                         .with("token", m_term.m_token)
+                         .with("workers", m_registry.size())
+                         .with("cores", m_settings.m_cores);
+    }
+    m_uses_relays = needed;
+}
+
+auto decider::awaits_relays() const -> bool
+{
+    return m_uses_relays && !m_relays->is_available() && monotonic_now() < m_relays_awaited_until;
+}
+
+auto decider::handle_relay(http_exchange& exchange) -> asio::awaitable<bool>
+{
+    const auto relays = m_relays;
+    co_return co_await relays->handle(exchange);
+}
+
 auto decider::watch_workers(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
     milliseconds slack{watch_slack};
@@ -348,11 +408,13 @@
         if (changes.m_status == store_status::ok) {
             m_workers_revision = std::max(m_workers_revision, changes.m_revision);
             for (const auto& change : changes.m_changes) {
-                apply_worker_entry(change.m_key, change.m_value);
+                apply_worker_change(change.m_key, change.m_value);
             }
             record_workers_read(sent);
             if (!changes.m_changes.empty()) {
-                apply_workers();
+                update_relay_admission();
+                start_renewals();
+                schedule_pass();
                 co_await sleep_for(m_executor, watch_gap);
             }
             continue;
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -3,10 +3,11 @@
 
 #include <cicadalug/adapter/permit_client.hpp>
 #include <cicadalug/adapter/store_client.hpp>
-#include <cicadalug/adapter/worker_client.hpp>
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
+#include <cicadalug/entry/relay_sessions.hpp>
 #include <cicadalug/entry/signal_event.hpp>
+#include <cicadalug/entry/worker_calls.hpp>
 #include <cicadalug/scheduler/decider_load.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/log_budget.hpp>
@@ -36,6 +37,8 @@
     /** @brief Returns the configuration in force, or null. */
     std::function<std::shared_ptr<const fleet_config>()> m_config;
     entry_vm_id m_self;
+    /** @brief CPU capacity of this entry VM, in cores. */
+    double m_cores{1.0};
     /** @brief Address of the platform's interface to the VMs; port 0 if there is none. */
     tcp_endpoint m_fleet;
     /** @brief Address of the placement permit service; port 0 if there is none. */
@@ -59,12 +62,13 @@
      * @brief Constructs a decider; start() runs it.
      * @param executor Runs the decider.
      * @param store Client of the store; must outlive the decider.
+     * @param calls Sends the calls to workers that no relay carries out; must outlive the decider.
      * @param settings Settings.
      * @param term The term.
      * @param last_renewal Returns when the term's lease was last renewed.
      * @param on_deposed Called when another decider has been detected.
      */
-    decider(asio::any_io_executor executor, store_client& store, const decider_settings& settings,
+    decider(asio::any_io_executor executor, store_client& store, worker_calls& calls, const decider_settings& settings,
             const decider_term& term, std::function<time_point()> last_renewal, std::function<void()> on_deposed);
 
     /** @brief Starts the takeover. @pre Called once, on an object owned by a shared_ptr. */
@@ -89,6 +93,9 @@
      */
     [[nodiscard]] auto pending(const queue_id& queue) const -> std::optional<std::int64_t>;
 
+    /** @brief Handles a request of a relay. @return False if the request is none. */
+    [[nodiscard]] auto handle_relay(http_exchange& exchange) -> asio::awaitable<bool>;
+
     /** @brief Writes the progress that is not stored yet, until all is stored or the time limit is reached. */
     [[nodiscard]] auto flush(milliseconds limit) -> asio::awaitable<void>;
 
@@ -127,17 +134,32 @@
     auto start_fleet_controller() -> void;
     auto update_permit_queues() -> void;
     [[nodiscard]] auto decision_log_value() const -> std::string;
+    /** @brief Checks whether a worker got its first lease since the stored list of leased workers was written. */
+    [[nodiscard]] auto has_unlisted_lease() const -> bool;
+    /** @brief Lists the workers with leases. */
+    [[nodiscard]] auto take_leased_workers() -> std::string;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
+    /** @brief Applies an entry of the registry to the copy of it. */
     auto apply_worker_entry(const std::string& key, const std::optional<std::string>& value) -> void;
+    /** @brief Applies a changed entry to the copy of the registry and to the table of workers. */
+    auto apply_worker_change(const std::string& key, const std::optional<std::string>& value) -> void;
     auto run_pass() -> void;
     auto log_events() -> void;
     auto schedule_pass() -> void;
     auto check_deposed() -> void;
-    [[nodiscard]] auto client_of(worker_index index) -> std::shared_ptr<worker_client>;
+    /** @brief Returns a call to a worker; its kind's own members are set by the caller. */
+    [[nodiscard]] auto make_call(worker_index index, worker_call_kind kind, milliseconds timeout) const -> worker_call;
+    /** @brief Carries out a call, through a relay if the deployment needs them and one is there. */
+    [[nodiscard]] auto call_worker(worker_index index, worker_call call) -> asio::awaitable<worker_call_result>;
+    /** @brief Checks whether calls wait for the first relay of this term. */
+    [[nodiscard]] auto awaits_relays() const -> bool;
+    auto update_relay_admission() -> void;
+    auto start_renewals() -> void;
 
     asio::any_io_executor m_executor;
     store_client& m_store;
+    worker_calls& m_calls;
     decider_term m_term;
     decider_settings m_settings;
     std::function<time_point()> m_last_renewal;
@@ -145,11 +167,19 @@
     std::shared_ptr<fleet_controller> m_fleet_controller;
     scheduler_state m_state;
     std::map<std::string, worker_entry> m_registry;
-    std::vector<std::shared_ptr<worker_client>> m_clients;
+    std::shared_ptr<relay_sessions> m_relays;
+    bool m_uses_relays{false};
+    /** @brief When the first relays are waited for at most. */
+    time_point m_relays_awaited_until{};
+    /** @brief Whether the lease of each worker is being renewed. */
+    std::vector<bool> m_renewing;
     store_revision m_decision_log_revision;
     store_revision m_jobs_revision;
     store_revision m_workers_revision;
     std::uint64_t m_decision_log_sequence{0};
+    /** @brief Workers in the stored list of leased workers, and when it was written. */
+    std::vector<bool> m_listed_leases;
+    time_point m_leases_listed_at{};
     signal_event m_progress_event;
     std::unique_ptr<permit_client> m_permit_client;
     std::deque<permit_request> m_pending_permit_requests;
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+using internal::failure_pause;
 using internal::tick_interval;
 
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
@@ -52,16 +53,29 @@
 
 } // namespace
 
-auto decider::client_of(const worker_index index) -> std::shared_ptr<worker_client>
+auto decider::make_call(const worker_index index, const worker_call_kind kind, const milliseconds timeout) const
+    -> worker_call
 {
     const auto& entry = m_state.m_workers[static_cast<std::size_t>(index)].m_entry;
-    auto& client = m_clients[static_cast<std::size_t>(index)];
-    findings found;
-    const auto endpoint = parse_endpoint(entry.m_address, entry.m_id.str(), found);
-    if (client == nullptr || client->endpoint() != endpoint) {
-        client = std::make_shared<worker_client>(m_executor, entry.m_id, endpoint);
+    worker_call call;
+    call.m_kind = kind;
+    call.m_worker = entry.m_id;
+    call.m_address = entry.m_address;
+    call.m_token = m_term.m_token;
+    call.m_timeout = timeout;
+    return call;
+}
+
+auto decider::call_worker(const worker_index index, worker_call call) -> asio::awaitable<worker_call_result>
+{
+    if (m_uses_relays && m_relays->is_available()) {
+        const auto relays = m_relays;
+        auto zone = m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_zone;
+        auto relayed = co_await relays->perform(std::move(call), std::move(zone));
+        co_return relayed;
     }
-    return client;
+    auto result = co_await m_calls.perform(std::move(call));
+    co_return result;
 }
 
 auto decider::renew_worker_lease(const std::shared_ptr<decider> self, const worker_index index) -> asio::awaitable<void>
@@ -70,21 +84,24 @@
     microseconds gap = renewal_gap;
     while (self->m_active) {
         if (!m_state.m_workers[position].m_registered && m_state.m_workers[position].m_runs.empty()) {
-            co_await sleep_for(m_executor, tick_interval);
+            m_renewing[position] = false;
+            co_return;
+        }
+        if (awaits_relays()) {
+            co_await sleep_for(m_executor, failure_pause);
             continue;
         }
-        const auto client = client_of(index);
         const auto& worker = m_state.m_workers[position];
-        lease_renewal renewal;
-        renewal.m_token = m_term.m_token;
+        auto renewal = make_call(index, worker_call_kind::renew, renewal_slack);
         renewal.m_acknowledged_end = worker.m_acknowledged_end;
         if (worker.m_has_reported) {
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
-            renewal.m_until_ms = grant_lease(m_state, index, monotonic_now());
+            renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = renewal_wait;
+            renewal.m_timeout += renewal_wait;
         }
         const auto sent = monotonic_now();
-        const auto response = co_await client->renew(renewal, renewal.m_wait + renewal_slack);
+        const auto response = co_await call_worker(index, std::move(renewal));
         if (!m_active) {
             co_return;
         }
@@ -106,6 +123,11 @@
             check_deposed();
             co_return;
         }
+        if (response.m_result == command_result::withdrawn) {
+            // Not sent: this says nothing about the worker.
+            co_await sleep_for(m_executor, failure_pause);
+            continue;
+        }
         m_state.m_workers[position].m_unresponsive = true;
         co_await sleep_for(m_executor, renewal_pause);
     }
@@ -205,36 +227,36 @@
         co_return;
     }
     auto* job = find_job(m_state, command.m_task.m_job);
-    const auto client = client_of(command.m_worker);
     if (mark_started(m_state, *job)) {
         log_start(command, *job);
     }
-    run_start start;
+    auto start = make_call(command.m_worker, worker_call_kind::start, m_state.m_settings.m_command_timeout);
     start.m_task = command.m_task;
     start.m_run = command.m_run;
     start.m_text = job->m_record.m_spec.m_text;
     start.m_lease_until_ms = command.m_lease_until_ms;
     start.m_checkpoint = command.m_checkpoint;
     start.m_permit = command.m_permit;
-
-    start.m_token = m_term.m_token;
     ++m_load.m_starts;
     m_settings.m_metrics->start_sent(age_of(m_load.m_jobs, monotonic_now()));
     begin_command(m_load);
-    const auto result = co_await client->start(std::move(start), m_state.m_settings.m_command_timeout);
+    const auto response = co_await call_worker(command.m_worker, std::move(start));
+    const auto result = response.m_result;
     end_command(m_load);
     if (!m_active) {
         co_return;
     }
     apply_start_result(m_state, command, result, monotonic_now());
     check_deposed();
-    if (result != command_result::accepted) {
+    if (result != command_result::accepted && admit_line(m_run_log_budget)) {
         LOG(INFO) << log_line{"start_not_accepted"}
                          .with("request", command.m_task.m_job)
                          .with("step", command.m_task.m_step)
                          .with("index", command.m_task.m_index)
                          .with("worker", m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id)
                          .with("result", static_cast<int>(result));
+    }
+    if (result != command_result::accepted) {
         schedule_pass();
     }
 }
@@ -292,15 +314,16 @@
     if (!self->m_active) {
         co_return;
     }
-    const auto client = client_of(command.m_worker);
+    auto stop = make_call(command.m_worker, worker_call_kind::stop, m_state.m_settings.m_command_timeout);
+    stop.m_task = command.m_task;
+    stop.m_run = command.m_run;
     ++m_load.m_stops;
     m_settings.m_metrics->stop_sent();
     begin_command(m_load);
-    const auto result =
-        co_await client->stop(command.m_task, command.m_run, m_term.m_token, m_state.m_settings.m_command_timeout);
+    const auto response = co_await call_worker(command.m_worker, std::move(stop));
     end_command(m_load);
     if (m_active) {
-        apply_stop_result(m_state, command, result, monotonic_now());
+        apply_stop_result(m_state, command, response.m_result, monotonic_now());
         check_deposed();
     }
 }
@@ -310,13 +333,15 @@
     if (!self->m_active) {
         co_return;
     }
-    const auto client = client_of(command.m_worker);
+    auto throttle = make_call(command.m_worker, worker_call_kind::set_speed, m_state.m_settings.m_command_timeout);
+    throttle.m_task = command.m_task;
+    throttle.m_run = command.m_run;
+    throttle.m_speed_percent = command.m_speed_percent;
     begin_command(m_load);
-    const auto result = co_await client->set_speed(command.m_task, command.m_run, command.m_speed_percent,
-                                                   m_term.m_token, m_state.m_settings.m_command_timeout);
+    const auto response = co_await call_worker(command.m_worker, std::move(throttle));
     end_command(m_load);
     if (m_active) {
-        apply_throttle_result(m_state, command, result);
+        apply_throttle_result(m_state, command, response.m_result);
         check_deposed();
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -85,6 +85,7 @@
 {
     const auto now = monotonic_now();
     const auto load = take_window(m_load, now);
+    m_settings.m_metrics->set_relays(m_relays->live_relays());
     LOG(INFO) << log_line{"decider_load"}
                      .with("token", m_term.m_token)
                      .with("window_ms", to_ms(now - load.m_began))
@@ -98,6 +99,7 @@
                      .with("commands_in_flight", load.m_max_commands_in_flight)
                      .with("cancels", load.m_cancels)
                      .with("cancel_delay_ms", load.m_max_cancel_delay.count())
+                     .with("relays", m_relays->live_relays())
                      .with("passes", load.m_passes)
                      .with("pass_ms", to_ms(load.m_pass_time));
 }
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -22,9 +22,12 @@
 /** @brief Delay after each write of progress, so that progress within this time shares a write. */
 constexpr milliseconds progress_gap{12};
 
-/** @brief Maximum number of jobs in one write; three entries are the conditions on the term and on the decision log and
- * the put of the decision log. */
-constexpr std::size_t progress_jobs{store_write_entries - 3};
+/** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision log,
+ * and the puts of the decision log and of the list of leased workers. */
+constexpr std::size_t progress_jobs{store_write_entries - 4};
+
+/** @brief Interval at which the list of leased workers is written again without those whose leases have ended. */
+constexpr milliseconds lease_list_interval{5'000};
 
 /** @brief Jobs whose final state has been kept long enough are removed at this interval, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
@@ -33,12 +36,36 @@
 } // namespace
 
 auto decider::decision_log_value() const -> std::string
+{
+    return std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
+}
+
+auto decider::has_unlisted_lease() const -> bool
+{
+    return std::any_of(m_state.m_current_workers.begin(), m_state.m_current_workers.end(), [this](const auto index) {
+        const auto position = static_cast<std::size_t>(index);
+        const bool listed = position < m_listed_leases.size() && m_listed_leases[position];
+        return m_state.m_workers[position].m_lease_until_ms > 0 && !listed;
+    });
+}
+
+auto decider::take_leased_workers() -> std::string
 {
     const auto now = monotonic_now();
-    auto text = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
-    for (const auto& worker : m_state.m_workers) {
+    std::string text;
+    m_listed_leases.assign(m_state.m_workers.size(), false);
+    m_leases_listed_at = now;
+    for (const auto index : m_state.m_current_workers) {
+        const auto& worker = m_state.m_workers[static_cast<std::size_t>(index)];
         if (worker.m_lease_until_ms > 0 && lease_end(m_state, worker) > now) {
-            text += ' ' + worker.m_entry.m_id.str();
+            m_listed_leases[static_cast<std::size_t>(index)] = true;
+            text += worker.m_entry.m_id.str() + ' ';
+        }
+    }
+    // Leases of the last term that may still run; this term can end before their workers have reported.
+    if (now < m_state.m_began + m_state.m_settings.m_grant_horizon + m_state.m_settings.m_lease_margin) {
+        for (const auto& worker : m_state.m_expected_workers) {
+            text += worker.str() + ' ';
         }
     }
     return text;
@@ -92,6 +119,11 @@
     write.m_conditions.push_back({std::string{decision_log_key}, m_decision_log_revision});
     ++m_decision_log_sequence;
     write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
+    // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
+    const bool lists_leases = has_unlisted_lease() || monotonic_now() - m_leases_listed_at > lease_list_interval;
+    if (lists_leases) {
+        write.m_puts.push_back({std::string{leased_workers_key}, take_leased_workers(), no_store_lease});
+    }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
         stored.push_back(progress_of(*jobs[position]));
@@ -113,6 +145,9 @@
         m_state.m_deposed = m_state.m_deposed || !holder_there;
         check_deposed();
     }
+    if (written.m_status != store_status::ok && lists_leases) {
+        m_listed_leases.clear();
+    }
     if (written.m_status != store_status::ok) {
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -8,6 +8,8 @@
 #include <cicadalug/entry/entry_program.hpp>
 #include <cicadalug/entry/job_intake.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/entry/worker_calls.hpp>
+#include <cicadalug/entry/worker_relay.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 #include <cicadalug/telemetry/scheduler_metrics.hpp>
 
@@ -47,6 +49,9 @@
 /** @brief The program exits this long before the platform would kill it. */
 constexpr milliseconds exit_margin{700};
 
+/** @brief Maximum size of a request between entry VMs, in bytes; results of relays carry reports of many workers. */
+constexpr std::uint64_t max_peer_body{16'777'216};
+
 /** @brief Servers, store client, election and decider of an entry VM, with its shutdown. */
 class entry_program {
 public:
@@ -58,6 +63,11 @@
                                                     settings.m_peers,
                                                     std::max(decider_lease, settings.m_shortest_store_lease),
                                                     settings.m_cores},
+          m_calls{m_executor},
+          m_relay{m_executor,
+                  {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics},
+                  m_election,
+                  m_calls},
           m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
     {
     }
@@ -68,7 +78,9 @@
         http_server clients{m_context, m_settings.m_clients, limits, [this](http_exchange& exchange) {
                                 return m_api.handle(exchange);
                             }};
-        http_server peers{m_context, m_settings.m_peers, limits, [this](http_exchange& exchange) {
+        http_server_limits peer_limits;
+        peer_limits.m_body_bytes = max_peer_body;
+        http_server peers{m_context, m_settings.m_peers, peer_limits, [this](http_exchange& exchange) {
                               return m_api.handle_peer(exchange);
                           }};
         http_server readiness{m_context, m_settings.m_readiness, limits, [this](http_exchange& exchange) {
@@ -86,6 +98,7 @@
         asio::co_spawn(m_executor, watch_config(), asio::detached);
         m_election.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); },
                          [this] { return flush_progress(); });
+        m_relay.start();
         asio::co_spawn(m_executor, shut_down_on_signal(), asio::detached);
         // SIGHUP would end the program by default. A reload needs no action, as watch_config() follows the
         // configuration in the store.
@@ -128,13 +141,14 @@
             return m_config;
         };
         settings.m_self = m_settings.m_entry_vm;
+        settings.m_cores = m_settings.m_cores;
         settings.m_fleet = m_settings.m_fleet;
         settings.m_permits = m_settings.m_permits;
         settings.m_handover_interval = m_settings.m_handover_interval;
         settings.m_metrics = m_metrics;
         settings.m_term_lease = std::max(decider_lease, m_settings.m_shortest_store_lease);
         m_decider = std::make_shared<decider>(
-            m_executor, m_store, settings, term, [this] { return m_election.last_renewal(); },
+            m_executor, m_store, m_calls, settings, term, [this] { return m_election.last_renewal(); },
             [this] { m_election.depose(); });
         m_metrics->set_decider(true);
         m_decider->start();
@@ -211,6 +225,7 @@
         const auto end = begin + m_settings.m_shutdown_grace - exit_margin;
         LOG(INFO) << log_line{"stopping"}.with("entry_vm", m_settings.m_entry_vm);
         m_stopping = true;
+        m_relay.stop();
         m_clients->stop_keep_alive();
         co_await flush_progress();
         co_await m_election.resign();
@@ -232,6 +247,8 @@
     const std::shared_ptr<scheduler_metrics> m_metrics{std::make_shared<scheduler_metrics>()};
     std::shared_ptr<decider> m_decider;
     std::shared_ptr<const fleet_config> m_config;
+    worker_calls m_calls;
+    worker_relay m_relay;
     client_api m_api;
     asio::signal_set m_signals;
     http_server* m_clients{nullptr};
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -191,7 +191,8 @@
         // The command is also accepted if the maintenance was done before; the list shows whether this worker has
         // ended.
         m_unconfirmed_ends[vm] = {command.m_worker, accepted};
-        co_await list_vms();
+        // In a wave, commands are accepted in quick succession; they share a list, which has several pages.
+        m_list_requested = true;
     }
 }
 
@@ -487,7 +488,8 @@
             waves_read = monotonic_now();
         }
 
-        if (monotonic_now() - m_last_listing >= list_interval) {
+        if (m_list_requested || monotonic_now() - m_last_listing >= list_interval) {
+            m_list_requested = false;
             co_await list_vms();
         }
         if (self->m_active) {
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -123,6 +123,8 @@
     std::vector<maintenance_command> m_planned_maintenance;
     /** @brief Begin of the latest surge in the saved state. */
     time_point m_saved_surge{};
+    /** @brief A command was accepted whose effect the next list shows. */
+    bool m_list_requested{false};
     time_point m_last_listing{};
     time_point m_last_demand_log{};
     bool m_active{true};
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/worker_calls.cpp
@@ -0,0 +1,79 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/worker_calls.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Workers are called at least every second; one without calls for this long has gone or has another caller. */
+constexpr milliseconds idle_limit{10'000};
+
+} // namespace
+
+auto worker_calls::client_of(const worker_call& call) -> std::shared_ptr<worker_client>
+{
+    auto& known = m_workers[call.m_worker];
+    known.m_last_call = monotonic_now();
+    if (known.m_client == nullptr || known.m_address != call.m_address) {
+        findings found;
+        const auto endpoint = parse_endpoint(call.m_address, call.m_worker.str(), found);
+        if (!found.empty()) {
+            LOG(ERROR) << log_line{"worker_address_unreadable"}.with("findings", found.to_string());
+            m_workers.erase(call.m_worker);
+            return nullptr;
+        }
+        known.m_client = std::make_shared<worker_client>(m_executor, call.m_worker, endpoint);
+        known.m_address = call.m_address;
+    }
+    return known.m_client;
+}
+
+auto worker_calls::perform(worker_call call) -> asio::awaitable<worker_call_result>
+{
+    worker_call_result result;
+    result.m_number = call.m_number;
+    const auto client = client_of(call);
+    if (client == nullptr) {
+        result.m_result = command_result::invalid;
+        co_return result;
+    }
+    switch (call.m_kind) {
+    case worker_call_kind::renew: {
+        lease_renewal renewal{call.m_token, call.m_acknowledged_end, std::nullopt, call.m_wait};
+        if (call.m_lease_until_ms >= 0) {
+            renewal.m_until_ms = call.m_lease_until_ms;
+        }
+        auto response = co_await client->renew(renewal, call.m_timeout);
+        result.m_result = response.m_result;
+        result.m_report = std::move(response.m_report);
+        break;
+    }
+    case worker_call_kind::start: {
+        run_start start{call.m_task,       call.m_run,    std::move(call.m_text), call.m_lease_until_ms,
+                        call.m_checkpoint, call.m_permit, call.m_token};
+        result.m_result = co_await client->start(std::move(start), call.m_timeout);
+        break;
+    }
+    case worker_call_kind::stop:
+        result.m_result = co_await client->stop(call.m_task, call.m_run, call.m_token, call.m_timeout);
+        break;
+    case worker_call_kind::set_speed:
+        result.m_result =
+            co_await client->set_speed(call.m_task, call.m_run, call.m_speed_percent, call.m_token, call.m_timeout);
+        break;
+    }
+    co_return result;
+}
+
+auto worker_calls::drop_idle_workers() -> void
+{
+    const auto now = monotonic_now();
+    std::erase_if(m_workers, [now](const auto& known) { return now - known.second.m_last_call > idle_limit; });
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/worker_calls.hpp
@@ -0,0 +1,49 @@
+#ifndef CICADALUG_ENTRY_WORKER_CALLS_HPP
+#define CICADALUG_ENTRY_WORKER_CALLS_HPP
+
+#include <cicadalug/adapter/worker_client.hpp>
+#include <cicadalug/scheduler/worker_call.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace cicadalug {
+
+/**
+ * @brief Sends calls to workers and keeps their connections.
+ * @note Thread safety: all functions on the executor given to the constructor.
+ */
+class worker_calls {
+public:
+    /** @brief Constructs an object without connections. */
+    explicit worker_calls(asio::any_io_executor executor) : m_executor{std::move(executor)} {}
+
+    /**
+     * @brief Carries out a call.
+     * @pre The object outlives the call.
+     * @param call The call.
+     * @return Its result: invalid if the call states no address, unknown if no response arrived in its time.
+     */
+    [[nodiscard]] auto perform(worker_call call) -> asio::awaitable<worker_call_result>;
+
+    /** @brief Closes the connections of workers that have not been called for a while. */
+    auto drop_idle_workers() -> void;
+
+private:
+    struct known_worker {
+        std::shared_ptr<worker_client> m_client;
+        std::string m_address;
+        time_point m_last_call{};
+    };
+
+    [[nodiscard]] auto client_of(const worker_call& call) -> std::shared_ptr<worker_client>;
+
+    asio::any_io_executor m_executor;
+    std::unordered_map<worker_id, known_worker> m_workers;
+};
+
+} // namespace cicadalug
+
+#endif
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -0,0 +1,203 @@
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/relay_paths.hpp>
+#include <cicadalug/entry/worker_relay.hpp>
+#include <cicadalug/scheduler/relays.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Interval at which a relay without a link looks for a decider. */
+constexpr milliseconds search_interval{100};
+
+/** @brief Delay after a poll that failed, and after one to a decider that is still loading. */
+constexpr milliseconds failure_pause{60};
+
+/** @brief Delay after a refused offer, with a spread so that the offers of a zone do not arrive together. */
+constexpr milliseconds refused_pause{3'000};
+constexpr std::size_t refused_spread_ms{1'000};
+
+/** @brief A poll counts as lost this long after the decider should have answered it. */
+constexpr milliseconds poll_slack{350};
+
+/** @brief Results within this time share a message, unless a poll takes them along earlier. */
+constexpr milliseconds results_delay{12};
+
+/** @brief Timeout of a message with results, and number of attempts. */
+constexpr milliseconds results_timeout{300};
+constexpr int results_attempts{2};
+
+/** @brief Maximum number of results in a message. */
+constexpr std::size_t results_limit{256};
+
+[[nodiscard]] auto held_time(const http_response& response) -> microseconds
+{
+    const auto text = response[beast::string_view{internal::relay_held_header.data(), internal::relay_held_header.size()}];
+    std::int64_t value{0};
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return microseconds{std::max<std::int64_t>(0, value)};
+}
+
+[[nodiscard]] auto take_results(std::vector<worker_call_result>& results) -> std::vector<worker_call_result>
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min(results.size(), results_limit));
+    std::vector<worker_call_result> taken{std::make_move_iterator(results.begin()),
+                                          std::make_move_iterator(results.begin() + count)};
+    results.erase(results.begin(), results.begin() + count);
+    return taken;
+}
+
+} // namespace
+
+worker_relay::worker_relay(asio::any_io_executor executor, worker_relay_settings settings,
+                           const decider_election& election, worker_calls& calls)
+    : m_executor{std::move(executor)}, m_settings{std::move(settings)}, m_election{election}, m_calls{calls}
+{
+}
+
+auto worker_relay::start() -> void
+{
+    asio::co_spawn(m_executor, run(), asio::detached);
+}
+
+auto worker_relay::is_wanted() const -> bool
+{
+    const auto& holder = m_election.holder();
+    return holder && !m_election.is_decider() && may_be_relay(m_settings.m_cores, holder->m_cores);
+}
+
+auto worker_relay::make_request(const link& current, const std::string_view path) const -> http_request
+{
+    const auto to_beast = [](const std::string_view text) {
+        return beast::string_view{text.data(), text.size()};
+    };
+    const auto target = std::string{path} + m_settings.m_self.str();
+    http_request request{http::verb::post, target, 11};
+    request.set(http::field::host, "decider");
+    request.set(to_beast(internal::relay_zone_header), m_settings.m_zone.str());
+    request.set(to_beast(internal::relay_token_header), std::to_string(current.m_term.value()));
+    return request;
+}
+
+auto worker_relay::run() -> asio::awaitable<void>
+{
+    std::shared_ptr<link> current;
+    while (!m_stopping) {
+        m_calls.drop_idle_workers();
+        const auto holder = m_election.holder();
+        if (current != nullptr && (!is_wanted() || holder->m_revision != current->m_term)) {
+            current->m_closed = true;
+            current->m_results_event.notify();
+            current.reset();
+        }
+        if (!is_wanted()) {
+            co_await sleep_for(m_executor, search_interval);
+            continue;
+        }
+        if (current == nullptr) {
+            current = std::make_shared<link>(m_executor, holder->m_peers, holder->m_revision);
+            asio::co_spawn(m_executor, return_results(current), asio::detached);
+        }
+        co_await poll(current);
+    }
+    if (current != nullptr) {
+        current->m_closed = true;
+        current->m_results_event.notify();
+    }
+}
+
+auto worker_relay::poll(const std::shared_ptr<link> current) -> asio::awaitable<void>
+{
+    auto request = make_request(*current, internal::relay_poll_path);
+    const auto results = take_results(current->m_results);
+    if (!results.empty()) {
+        request.body() = encode(results);
+    }
+    const auto sent = monotonic_now();
+    const auto response =
+        co_await current->m_polls.exchange(std::move(request), internal::relay_poll_wait + poll_slack);
+    const auto round_trip = monotonic_now() - sent;
+    const auto status = response ? response.assume_value().result() : http::status::unknown;
+    if (status != http::status::ok && !results.empty()) {
+        // Results that arrive twice are ignored.
+        std::copy(results.begin(), results.end(), std::back_inserter(current->m_results));
+        current->m_results_event.notify();
+    }
+    if (status == http::status::too_many_requests) {
+        const milliseconds spread{std::hash<std::string>{}(m_settings.m_self.str()) % refused_spread_ms};
+        const auto until = monotonic_now() + refused_pause + spread;
+        // A new decider needs relays at once.
+        while (monotonic_now() < until && m_election.holder() && m_election.holder()->m_revision == current->m_term) {
+            co_await sleep_for(m_executor, search_interval);
+        }
+        co_return;
+    }
+    if (status != http::status::ok) {
+        co_await sleep_for(m_executor, failure_pause);
+        co_return;
+    }
+    const auto& body = response.assume_value().body();
+    if (body.empty()) {
+        co_return;
+    }
+    auto calls = decode_worker_calls(body);
+    if (!calls) {
+        LOG(ERROR) << log_line{"relay_calls_unreadable"}.with("findings", calls.assume_error().to_string());
+        co_return;
+    }
+    const auto held = held_time(response.assume_value());
+    for (auto& call : std::move(calls).assume_value()) {
+        call.m_timeout = call_time_left(call.m_timeout, round_trip, held);
+        asio::co_spawn(m_executor, carry_out(current, std::move(call)), asio::detached);
+    }
+}
+
+auto worker_relay::carry_out(const std::shared_ptr<link> current, worker_call call) -> asio::awaitable<void>
+{
+    worker_call_result result{call.m_number, command_result::withdrawn, {}};
+    if (call.m_timeout > milliseconds{0}) {
+        m_settings.m_metrics->call_relayed();
+        result = co_await m_calls.perform(std::move(call));
+    }
+    current->m_results.push_back(std::move(result));
+    current->m_results_event.notify();
+}
+
+auto worker_relay::return_results(const std::shared_ptr<link> current) -> asio::awaitable<void>
+{
+    while (!current->m_closed || !current->m_results.empty()) {
+        co_await current->m_results_event.wait(search_interval);
+        if (current->m_results.empty()) {
+            continue;
+        }
+        co_await sleep_for(m_executor, results_delay);
+        const auto results = take_results(current->m_results);
+        if (results.empty()) {
+            continue;
+        }
+        bool returned{false};
+        for (int attempt = 0; !returned && attempt < results_attempts; ++attempt) {
+            auto request = make_request(*current, internal::relay_results_path);
+            request.body() = encode(results);
+            const auto response = co_await current->m_answers.exchange(std::move(request), results_timeout);
+            returned = response && response.assume_value().result() == http::status::ok;
+        }
+        if (!returned) {
+            // The decider ends these calls as unknown.
+            LOG(WARNING) << log_line{"relay_results_not_returned"}.with("results", results.size());
+        }
+    }
+}
+
+} // namespace cicadalug
--- a/packages/runtime/src/cicadalug/http/http_connection.cpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/http/body_buffer.hpp>
 #include <cicadalug/http/http_connection.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -72,6 +73,7 @@
             co_return http_failure{http_progress::maybe_sent, false, "the answer states no length"};
         }
         if (!error && !parser.is_done()) {
+            reserve_body(m_buffer, parser.content_length());
             co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         }
         if (error) {
--- a/packages/runtime/src/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.cpp
@@ -1,6 +1,9 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/http/http_pool.hpp>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -31,16 +34,58 @@
     ++m_generation;
 }
 
+auto http_pool::wait_for_turn(const time_point deadline) -> asio::awaitable<bool>
+{
+    if (m_exchanges < m_max_exchanges) {
+        ++m_exchanges;
+        co_return true;
+    }
+    const auto waiting = std::make_shared<waiter>(m_executor);
+    m_waiters.push_back(waiting);
+    boost::system::error_code ignored;
+    waiting->m_timer.expires_after(std::max(microseconds{0}, deadline - monotonic_now()));
+    co_await waiting->m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (!waiting->m_has_turn) {
+        std::erase(m_waiters, waiting);
+    }
+    co_return waiting->m_has_turn;
+}
+
+auto http_pool::end_turn() -> void
+{
+    if (m_waiters.empty()) {
+        --m_exchanges;
+        return;
+    }
+    const auto next = std::move(m_waiters.front());
+    m_waiters.pop_front();
+    next->m_has_turn = true;
+    next->m_timer.cancel();
+}
+
 auto http_pool::exchange(http_request request, const milliseconds timeout)
     -> asio::awaitable<result<http_response, http_failure>>
 {
     const auto deadline = monotonic_now() + timeout;
+    const bool has_turn = co_await wait_for_turn(deadline);
+    if (!has_turn) {
+        co_return http_failure{http_progress::not_sent, true, "no connection became free in time"};
+    }
+    auto response = co_await exchange_now(std::move(request), deadline);
+    end_turn();
+    co_return response;
+}
+
+auto http_pool::exchange_now(http_request request, const time_point deadline)
+    -> asio::awaitable<result<http_response, http_failure>>
+{
     for (int attempt = 0;; ++attempt) {
         auto connection = attempt == 0 ? take_idle() : nullptr;
         const bool is_new = connection == nullptr;
         if (is_new) {
-            auto connected =
-                co_await http_connection::connect(m_executor, m_endpoint, timeout / connect_timeout_divisor);
+            const auto left = std::chrono::duration_cast<milliseconds>(deadline - monotonic_now());
+            auto connected = co_await http_connection::connect(m_executor, m_endpoint,
+                                                               std::max(left, milliseconds{1}) / connect_timeout_divisor);
             if (!connected) {
                 co_return std::move(connected).assume_error();
             }
--- a/packages/runtime/src/cicadalug/http/http_pool.hpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.hpp
@@ -4,9 +4,11 @@
 #include <cicadalug/http/http_connection.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <memory>
 #include <vector>
@@ -26,10 +28,13 @@
      * @param endpoint Address and port of the server.
      * @param max_idle Maximum number of idle connections that are kept; unlimited by default, because a new connection
      * is expensive for the server.
+     * @param max_exchanges Maximum number of concurrent exchanges; further ones wait. Unlimited by default.
      */
     http_pool(asio::any_io_executor executor, tcp_endpoint endpoint,
-              const std::size_t max_idle = std::numeric_limits<std::size_t>::max())
-        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}, m_max_idle{max_idle}
+              const std::size_t max_idle = std::numeric_limits<std::size_t>::max(),
+              const std::size_t max_exchanges = std::numeric_limits<std::size_t>::max())
+        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}, m_max_idle{max_idle},
+          m_max_exchanges{max_exchanges}
     {
     }
 
@@ -37,7 +42,7 @@
      * @brief Performs one exchange on an idle connection, or on a new one.
      * @pre The pool outlives the exchange.
      * @param request Request to send.
-     * @param timeout Timeout for connecting and the exchange together.
+     * @param timeout Timeout for the wait for a connection, connecting and the exchange together.
      * @return The complete response, or the failure. An exchange that failed on an idle connection before a byte was
      * sent is retried once on a new connection. After the timeout, nothing is sent any more (not_sent).
      */
@@ -51,11 +56,25 @@
     [[nodiscard]] auto endpoint() const noexcept -> const tcp_endpoint& { return m_endpoint; }
 
 private:
+    struct waiter {
+        explicit waiter(const asio::any_io_executor& executor) : m_timer{executor} {}
+        asio::steady_timer m_timer;
+        bool m_has_turn{false};
+    };
+
+    [[nodiscard]] auto exchange_now(http_request request, time_point deadline)
+        -> asio::awaitable<result<http_response, http_failure>>;
+    [[nodiscard]] auto wait_for_turn(time_point deadline) -> asio::awaitable<bool>;
+    auto end_turn() -> void;
     [[nodiscard]] auto take_idle() -> std::unique_ptr<http_connection>;
 
     asio::any_io_executor m_executor;
     tcp_endpoint m_endpoint;
     std::size_t m_max_idle;
+    std::size_t m_max_exchanges;
+    /** @brief Exchanges that have a turn, and those that wait for one in order of arrival. */
+    std::size_t m_exchanges{0};
+    std::deque<std::shared_ptr<waiter>> m_waiters;
 
     std::vector<std::unique_ptr<http_connection>> m_idle;
     /** @brief Incremented when the connections opened so far must not be reused; those in use are then not kept. */
--- a/packages/runtime/src/cicadalug/http/http_server.cpp
+++ b/packages/runtime/src/cicadalug/http/http_server.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/http/body_buffer.hpp>
 #include <cicadalug/http/http_server.hpp>
 
 #include <boost/asio/bind_executor.hpp>
@@ -163,7 +164,11 @@
             self->m_stream.cancel();
         }
     });
-    co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !parser.is_done()) {
+        reserve_body(m_buffer, parser.content_length());
+        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
     *reading = false;
     if (error == asio::error::operation_aborted) {
         error = beast::error::timeout;
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -34,6 +34,11 @@
     Counter& m_stops{counter(m_registry, "cicadalug_scheduler_stops_total", "Stops of runs sent to workers.").Add({})};
     Counter& m_cancels{
         counter(m_registry, "cicadalug_scheduler_cancels_total", "Cancellations of jobs that were applied.").Add({})};
+    Counter& m_relayed_calls{counter(m_registry, "cicadalug_scheduler_relayed_calls_total",
+                                     "Calls to workers carried out for the decider on another entry VM.")
+                                 .Add({})};
+    Gauge& m_relays{
+        gauge(m_registry, "cicadalug_scheduler_relays", "Entry VMs that carry out calls of this decider.").Add({})};
     Counter& m_passes{counter(m_registry, "cicadalug_scheduler_passes_total", "Scheduling passes.").Add({})};
     Histogram& m_cancel_delay{histogram(m_registry, "cicadalug_scheduler_cancel_delay_seconds",
                                         "Time from the write of a cancellation to its application.")
@@ -76,6 +81,16 @@
     }
 }
 
+auto scheduler_metrics::call_relayed() -> void
+{
+    m_series->m_relayed_calls.Increment();
+}
+
+auto scheduler_metrics::set_relays(const std::size_t relays) -> void
+{
+    m_series->m_relays.Set(static_cast<double>(relays));
+}
+
 auto scheduler_metrics::pass_run() -> void
 {
     m_series->m_passes.Increment();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/base/time.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,12 @@
     /** @brief Counts an applied cancellation. @param delay Time since its write, or nothing if that is not known. */
     auto cancel_applied(std::optional<microseconds> delay) -> void;
 
+    /** @brief Counts a call to a worker that this entry VM has carried out as a relay. */
+    auto call_relayed() -> void;
+
+    /** @brief Sets the number of relays that carry out calls of this decider. */
+    auto set_relays(std::size_t relays) -> void;
+
     /** @brief Counts a scheduling pass. */
     auto pass_run() -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -207,6 +207,32 @@
                               permit == step.m_permits.end() ? std::string{} : permit->second.m_text, now});
 }
 
+/**
+ * @brief Demands for which no worker of a service has free capacity in this pass. Capacity only shrinks during a pass,
+ * so that equal or larger demands need no search either.
+ *
+ * Load pattern: in a surge, a thousand steps wait for a full pool of 300 workers, and a search of the whole pool for
+ * each of them in each pass takes most of the decider's processor time.
+ */
+using unplaceable_demands = std::vector<resources>;
+
+[[nodiscard]] auto is_unplaceable(const unplaceable_demands& unplaceable, const resources& demand) -> bool
+{
+    return std::any_of(unplaceable.begin(), unplaceable.end(),
+                       [&demand](const resources& known) { return fits(known, demand); });
+}
+
+/** @brief Records that no worker can hold a task of a step, unless workers with enough capacity were ruled out. */
+auto record_unplaceable(unplaceable_demands& unplaceable, const step_spec& spec, const bool needs_permit) -> void
+{
+    if (needs_permit || !spec.m_required_label.empty() || spec.m_max_per_worker > 0) {
+        return;
+    }
+    const auto demand = reserved_demand(spec);
+    std::erase_if(unplaceable, [&demand](const resources& known) { return fits(demand, known); });
+    unplaceable.push_back(demand);
+}
+
 /** @brief Capacity reserved for steps that are being opened, until the end of the dispatch pass. */
 using capacity_reservations = std::vector<std::pair<worker_index, resources>>;
 
@@ -297,7 +323,7 @@
 }
 
 auto start_tasks(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                 capacity_reservations& reserved, const time_point now) -> void
+                 capacity_reservations& reserved, unplaceable_demands& unplaceable, const time_point now) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
@@ -311,6 +337,7 @@
         const auto worker = choose_worker(state, candidates, spec, task, member.m_failed_workers,
                                           waiting.m_needs_permit ? &step : nullptr, now);
         if (worker == no_worker) {
+            record_unplaceable(unplaceable, spec, waiting.m_needs_permit);
             if (waiting.m_needs_permit) {
                 request_permits(state, task, step, candidates, now);
             }
@@ -356,8 +383,9 @@
                          state.m_settings.m_lease_margin;
     return (now > state.m_began + longest && now < state.m_term_guaranteed_until) ||
            (state.m_expected_workers.empty() &&
-            std::all_of(state.m_workers.begin(), state.m_workers.end(), [&service](const worker_slot& worker) {
-                return worker.m_entry.m_service != service || worker.m_has_reported;
+            std::all_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+                return worker.m_has_reported || worker.m_entry.m_service != service;
             }));
 }
 
@@ -396,21 +424,26 @@
             continue;
         }
         std::vector<worker_index> candidates;
-        for (std::size_t index = 0; index < state.m_workers.size(); ++index) {
-            if (accepts_new_work(state.m_workers[index], service, now)) {
-                candidates.push_back(static_cast<worker_index>(index));
+        for (const auto index : state.m_current_workers) {
+            if (accepts_new_work(state.m_workers[static_cast<std::size_t>(index)], service, now)) {
+                candidates.push_back(index);
             }
         }
         if (candidates.empty()) {
             continue;
         }
         capacity_reservations reserved;
+        unplaceable_demands unplaceable;
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
-            if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
+            const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
+            if (!waiting.m_needs_permit && is_unplaceable(unplaceable, reserved_demand(spec))) {
+                continue;
+            }
+            if (spec.m_gang) {
                 start_gang(state, waiting, candidates, reserved, now);
             }
             else {
-                start_tasks(state, waiting, candidates, reserved, now);
+                start_tasks(state, waiting, candidates, reserved, unplaceable, now);
             }
         }
         release_capacity(state, reserved);
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -276,23 +276,39 @@
     }
 }
 
+auto register_worker(scheduler_state& state, const worker_entry& entry) -> void
+{
+    const auto [known, added] =
+        state.m_worker_by_id.try_emplace(entry.m_id, static_cast<worker_index>(state.m_workers.size()));
+    if (added) {
+        state.m_workers.emplace_back();
+    }
+    auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
+    worker.m_registered = true;
+    worker.m_entry = entry;
+    if (!worker.m_current) {
+        worker.m_current = true;
+        state.m_current_workers.push_back(known->second);
+    }
+    state.m_dispatch_requested = true;
+}
+
+auto unregister_worker(scheduler_state& state, const worker_id& id) -> void
+{
+    const auto index = find_worker(state, id);
+    if (index != no_worker) {
+        state.m_workers[static_cast<std::size_t>(index)].m_registered = false;
+        state.m_dispatch_requested = true;
+    }
+}
+
 auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries) -> void
 {
     for (auto& worker : state.m_workers) {
         worker.m_registered = false;
     }
     for (const auto& entry : entries) {
-        const auto known = state.m_worker_by_id.find(entry.m_id);
-        if (known != state.m_worker_by_id.end()) {
-            auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
-            worker.m_registered = true;
-            worker.m_entry = entry;
-            continue;
-        }
-        state.m_worker_by_id.emplace(entry.m_id, static_cast<worker_index>(state.m_workers.size()));
-        worker_slot added;
-        added.m_entry = entry;
-        state.m_workers.push_back(std::move(added));
+        register_worker(state, entry);
     }
     state.m_dispatch_requested = true;
 }
@@ -445,8 +461,8 @@
 
 auto expire_runs(scheduler_state& state, const time_point now) -> void
 {
-    for (std::size_t position = 0; position < state.m_workers.size(); ++position) {
-        auto& worker = state.m_workers[position];
+    for (const auto position : state.m_current_workers) {
+        auto& worker = state.m_workers[static_cast<std::size_t>(position)];
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
             abandon_all_runs(state, worker, now);
@@ -456,10 +472,15 @@
                                 (!run.m_stop_accepted && now - run.m_stop_sent > state.m_settings.m_start_timeout);
             if (run.m_stop_requested && repeat) {
                 run.m_stop_sent = now;
-                state.m_stops.push_back({static_cast<worker_index>(position), run.m_task, run.m_run});
+                state.m_stops.push_back({position, run.m_task, run.m_run});
             }
         }
     }
+    std::erase_if(state.m_current_workers, [&state](const worker_index index) {
+        auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        worker.m_current = worker.m_registered || !worker.m_runs.empty() || !worker.m_has_reported;
+        return !worker.m_current;
+    });
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -15,6 +15,18 @@
  */
 auto apply_registry(scheduler_state& state, const std::vector<worker_entry>& entries) -> void;
 
+/**
+ * @brief Applies a new or changed entry of the registry, without a look at the others.
+ *
+ * Load pattern: with 1,100 VMs of which 100 a second change their pool, entries change all the time.
+ * @param state The scheduler.
+ * @param entry The entry.
+ */
+auto register_worker(scheduler_state& state, const worker_entry& entry) -> void;
+
+/** @brief Applies the removal of an entry from the registry. An unknown id is ignored. */
+auto unregister_worker(scheduler_state& state, const worker_id& id) -> void;
+
 /**
  * @brief Applies a worker's report of its runs to the table.
  * @param state The scheduler.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -178,6 +178,8 @@
     worker_entry m_entry;
     /** @brief False after the entry left the registry. */
     bool m_registered{true};
+    /** @brief Whether the worker is in m_current_workers of the state. */
+    bool m_current{false};
     /** @brief The worker has reported in this term of the decider. */
     bool m_has_reported{false};
     time_point m_last_report{};
@@ -277,6 +279,9 @@
     std::map<service_id, std::vector<job_entry*>> m_active;
     std::vector<worker_slot> m_workers;
     std::unordered_map<worker_id, worker_index> m_worker_by_id;
+    /** @brief Workers that are registered, may hold runs, or have not reported yet. The table keeps all workers of the
+     * term, and with each move of a VM it gets another one. */
+    std::vector<worker_index> m_current_workers;
     /** @brief Jobs whose progress differs from the store. */
     std::vector<job_entry*> m_dirty;
     std::map<queue_id, run_time_estimate> m_run_times;
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
@@ -0,0 +1,286 @@
+#include <cicadalug/scheduler/worker_call.hpp>
+
+#include <cstddef>
+#include <limits>
+#include <type_traits>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief First byte of all messages; changed with each incompatible change of the format. */
+constexpr char format_version{1};
+
+/** @brief Number of payload bits in a byte of a variable-length integer. */
+constexpr unsigned varint_bits{7};
+constexpr std::uint64_t varint_continues{0x80};
+
+/** @brief Appends values to a message. Integers have a variable length, strings are preceded by theirs. */
+class byte_writer {
+public:
+    auto number(const std::uint64_t value) -> void
+    {
+        auto rest = value;
+        for (; rest >= varint_continues; rest >>= varint_bits) {
+            m_bytes.push_back(static_cast<char>((rest & (varint_continues - 1)) | varint_continues));
+        }
+        m_bytes.push_back(static_cast<char>(rest));
+    }
+
+    auto integer(const std::int64_t value) -> void
+    {
+        // Zigzag: small negative numbers are short, too.
+        number((static_cast<std::uint64_t>(value) << 1U) ^ static_cast<std::uint64_t>(value >> 63));
+    }
+
+    auto text(const std::string& value) -> void
+    {
+        number(value.size());
+        m_bytes += value;
+    }
+
+    auto version() -> void { m_bytes.push_back(format_version); }
+
+    [[nodiscard]] auto take() -> std::string { return std::move(m_bytes); }
+
+private:
+    std::string m_bytes;
+};
+
+/** @brief Reads what byte_writer has written. After the first error, all values are empty. */
+class byte_reader {
+public:
+    explicit byte_reader(const std::string_view bytes) : m_bytes{bytes}
+    {
+        m_failed = m_bytes.empty() || m_bytes.front() != format_version;
+        m_position = 1;
+    }
+
+    [[nodiscard]] auto number() -> std::uint64_t
+    {
+        std::uint64_t value{0};
+        for (unsigned shift{0}; shift < std::numeric_limits<std::uint64_t>::digits; shift += varint_bits) {
+            if (m_failed || m_position >= m_bytes.size()) {
+                break;
+            }
+            const auto byte = static_cast<unsigned char>(m_bytes[m_position++]);
+            value |= (byte & (varint_continues - 1)) << shift;
+            if (byte < varint_continues) {
+                return value;
+            }
+        }
+        m_failed = true;
+        return 0;
+    }
+
+    [[nodiscard]] auto integer() -> std::int64_t
+    {
+        const auto value = number();
+        return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
+    }
+
+    [[nodiscard]] auto text() -> std::string
+    {
+        const auto size = number();
+        if (m_failed || size > m_bytes.size() - m_position) {
+            m_failed = true;
+            return {};
+        }
+        std::string value{m_bytes.substr(m_position, size)};
+        m_position += size;
+        return value;
+    }
+
+    /** @brief Reads an enumerator. @param last The highest valid one. */
+    template<typename Enum>
+    [[nodiscard]] auto enumerator(const Enum last) -> Enum
+    {
+        const auto value = number();
+        m_failed = m_failed || value > static_cast<std::uint64_t>(last);
+        return m_failed ? Enum{} : static_cast<Enum>(value);
+    }
+
+    /** @brief Reads the length of a list whose elements take at least one byte each. */
+    [[nodiscard]] auto count() -> std::size_t
+    {
+        const auto value = number();
+        m_failed = m_failed || value > m_bytes.size() - m_position;
+        return m_failed ? 0 : static_cast<std::size_t>(value);
+    }
+
+    /** @brief Checks whether the whole message was read without an error. */
+    [[nodiscard]] auto is_complete() const -> bool { return !m_failed && m_position == m_bytes.size(); }
+
+private:
+    std::string_view m_bytes;
+    std::size_t m_position{0};
+    bool m_failed{false};
+};
+
+auto write_task(byte_writer& bytes, const task_ref& task) -> void
+{
+    bytes.text(task.m_job.str());
+    bytes.integer(task.m_occurrence);
+    bytes.integer(task.m_step);
+    bytes.integer(task.m_index);
+}
+
+[[nodiscard]] auto read_task(byte_reader& bytes) -> task_ref
+{
+    task_ref task;
+    task.m_job = job_id{bytes.text()};
+    task.m_occurrence = bytes.integer();
+    task.m_step = bytes.integer();
+    task.m_index = bytes.integer();
+    return task;
+}
+
+auto write_call(byte_writer& bytes, const worker_call& call) -> void
+{
+    bytes.number(call.m_number.value());
+    bytes.number(static_cast<std::uint64_t>(call.m_kind));
+    bytes.text(call.m_worker.str());
+    bytes.text(call.m_address);
+    bytes.number(call.m_token.value());
+    bytes.integer(call.m_timeout.count());
+    bytes.integer(call.m_lease_until_ms);
+    if (call.m_kind == worker_call_kind::renew) {
+        bytes.integer(call.m_acknowledged_end);
+        bytes.integer(call.m_wait.count());
+        return;
+    }
+    write_task(bytes, call.m_task);
+    bytes.integer(call.m_run.value());
+    bytes.text(call.m_text);
+    bytes.text(call.m_checkpoint);
+    bytes.text(call.m_permit);
+    bytes.integer(call.m_speed_percent);
+}
+
+[[nodiscard]] auto read_call(byte_reader& bytes) -> worker_call
+{
+    worker_call call;
+    call.m_number = call_number{bytes.number()};
+    call.m_kind = bytes.enumerator(worker_call_kind::set_speed);
+    call.m_worker = worker_id{bytes.text()};
+    call.m_address = bytes.text();
+    call.m_token = fencing_token{bytes.number()};
+    call.m_timeout = milliseconds{bytes.integer()};
+    call.m_lease_until_ms = bytes.integer();
+    if (call.m_kind == worker_call_kind::renew) {
+        call.m_acknowledged_end = bytes.integer();
+        call.m_wait = milliseconds{bytes.integer()};
+        return call;
+    }
+    call.m_task = read_task(bytes);
+    call.m_run = run_number{bytes.integer()};
+    call.m_text = bytes.text();
+    call.m_checkpoint = bytes.text();
+    call.m_permit = bytes.text();
+    call.m_speed_percent = bytes.integer();
+    return call;
+}
+
+auto write_result(byte_writer& bytes, const worker_call_result& result) -> void
+{
+    bytes.number(result.m_number.value());
+    bytes.number(static_cast<std::uint64_t>(result.m_result));
+    const auto& report = result.m_report;
+    bytes.integer(report.m_incarnation_start_unix_ms);
+    bytes.integer(report.m_clock_ms);
+    bytes.number(report.m_running.size());
+    for (const auto& running : report.m_running) {
+        write_task(bytes, running.m_task);
+        bytes.integer(running.m_run.value());
+        bytes.text(running.m_checkpoint);
+        bytes.integer(running.m_percent);
+        bytes.integer(running.m_usage);
+    }
+    bytes.number(report.m_ended.size());
+    for (const auto& ended : report.m_ended) {
+        bytes.integer(ended.m_number);
+        write_task(bytes, ended.m_task);
+        bytes.integer(ended.m_run.value());
+        bytes.number(static_cast<std::uint64_t>(ended.m_outcome));
+        bytes.text(ended.m_checkpoint);
+    }
+}
+
+[[nodiscard]] auto read_result(byte_reader& bytes) -> worker_call_result
+{
+    worker_call_result read;
+    read.m_number = call_number{bytes.number()};
+    read.m_result = bytes.enumerator(command_result::withdrawn);
+    auto& report = read.m_report;
+    report.m_incarnation_start_unix_ms = bytes.integer();
+    report.m_clock_ms = bytes.integer();
+    report.m_running.resize(bytes.count());
+    for (auto& running : report.m_running) {
+        running.m_task = read_task(bytes);
+        running.m_run = run_number{bytes.integer()};
+        running.m_checkpoint = bytes.text();
+        running.m_percent = bytes.integer();
+        running.m_usage = bytes.integer();
+    }
+    report.m_ended.resize(bytes.count());
+    for (auto& ended : report.m_ended) {
+        ended.m_number = bytes.integer();
+        ended.m_task = read_task(bytes);
+        ended.m_run = run_number{bytes.integer()};
+        ended.m_outcome = bytes.enumerator(run_end::gang_timeout);
+        ended.m_checkpoint = bytes.text();
+    }
+    return read;
+}
+
+template<typename Element, typename Write>
+[[nodiscard]] auto encode_list(const std::vector<Element>& list, const Write& write) -> std::string
+{
+    byte_writer bytes;
+    bytes.version();
+    bytes.number(list.size());
+    for (const auto& element : list) {
+        write(bytes, element);
+    }
+    return bytes.take();
+}
+
+template<typename Element, typename Read>
+[[nodiscard]] auto decode_list(const std::string_view encoded, const char* place, const Read& read)
+    -> result<std::vector<Element>>
+{
+    byte_reader bytes{encoded};
+    std::vector<Element> list(bytes.count());
+    for (auto& element : list) {
+        element = read(bytes);
+    }
+    if (!bytes.is_complete()) {
+        return findings{place, "cannot be decoded, " + std::to_string(encoded.size()) + " bytes"};
+    }
+    return list;
+}
+
+} // namespace
+
+auto encode(const std::vector<worker_call>& calls) -> std::string
+{
+    return encode_list(calls, write_call);
+}
+
+auto encode(const std::vector<worker_call_result>& results) -> std::string
+{
+    return encode_list(results, write_result);
+}
+
+auto decode_worker_calls(const std::string_view bytes) -> result<std::vector<worker_call>>
+{
+    return decode_list<worker_call>(bytes, "worker calls", read_call);
+}
+
+auto decode_worker_call_results(const std::string_view bytes) -> result<std::vector<worker_call_result>>
+{
+    return decode_list<worker_call_result>(bytes, "worker call results", read_result);
+}
+
+} // namespace cicadalug
