Keep ids of jobs without allocations

Change: short_id holds its text inline and is compared as a whole. The stored and the sent formats are the same.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -278,7 +278,7 @@
         return make_response(http::status::service_unavailable);
     }
     if (target.starts_with(peer_job_path)) {
-        const auto state = own->visible_state(job_id{std::string{target.substr(peer_job_path.size())}});
+        const auto state = own->visible_state(job_id{target.substr(peer_job_path.size())});
         return state ? make_response(http::status::ok, encode_job_state(*state))
                      : make_response(http::status::not_found);
     }
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -54,7 +54,7 @@
     if (key.size() <= job_prefix.size() + cancel_suffix.size() || !key.ends_with(cancel_suffix)) {
         return std::nullopt;
     }
-    return job_id{std::string{key.substr(job_prefix.size(), key.size() - job_prefix.size() - cancel_suffix.size())}};
+    return job_id{key.substr(job_prefix.size(), key.size() - job_prefix.size() - cancel_suffix.size())};
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/ids.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/ids.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_IDS_HPP
 
 #include <cicadalug/base/ids.hpp>
+#include <cicadalug/base/short_id.hpp>
 #include <cicadalug/base/strong_id.hpp>
 #include <cicadalug/base/strong_number.hpp>
 
@@ -9,7 +10,8 @@
 
 namespace cicadalug {
 
-using job_id = strong_id<struct job_tag>;
+/** @brief Identifies a job. Each run, report and command holds one. */
+using job_id = short_id<struct job_tag>;
 using queue_id = strong_id<struct queue_tag>;
 
 /** @brief Identifies one registration of a worker process on a VM. A VM that changes its pool gets a new one. */
--- a/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
@@ -34,7 +34,7 @@
         number((static_cast<std::uint64_t>(value) << 1U) ^ static_cast<std::uint64_t>(value >> 63));
     }
 
-    auto text(const std::string& value) -> void
+    auto text(const std::string_view value) -> void
     {
         number(value.size());
         m_bytes += value;
@@ -80,18 +80,21 @@
         return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
     }
 
-    [[nodiscard]] auto text() -> std::string
+    /** @brief Reads a text. @return A view of the message. */
+    [[nodiscard]] auto view() -> std::string_view
     {
         const auto size = number();
         if (m_failed || size > m_bytes.size() - m_position) {
             m_failed = true;
             return {};
         }
-        std::string value{m_bytes.substr(m_position, size)};
+        const auto value = m_bytes.substr(m_position, size);
         m_position += size;
         return value;
     }
 
+    [[nodiscard]] auto text() -> std::string { return std::string{view()}; }
+
     /** @brief Reads an enumerator. @param last The highest valid one. */
     template<typename Enum>
     [[nodiscard]] auto enumerator(const Enum last) -> Enum
@@ -120,7 +123,7 @@
 
 auto write_task(byte_writer& bytes, const task_ref& task) -> void
 {
-    bytes.text(task.m_job.str());
+    bytes.text(task.m_job.view());
     bytes.integer(task.m_occurrence);
     bytes.integer(task.m_step);
     bytes.integer(task.m_index);
@@ -129,7 +132,7 @@
 [[nodiscard]] auto read_task(byte_reader& bytes) -> task_ref
 {
     task_ref task;
-    task.m_job = job_id{bytes.text()};
+    task.m_job = job_id{bytes.view()};
     task.m_occurrence = bytes.integer();
     task.m_step = bytes.integer();
     task.m_index = bytes.integer();
