Place tasks by an index of free capacity

Cause: each start, and in each pass each step that is being opened, looked at all workers of its service.

The list of VMs is kept in the order of ids, since plans of maintenance waves look up each VM (5.5 % of the decider's profile).

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -22,8 +22,8 @@
 /** @brief Delay after each write of progress, so that progress within this time shares a write. */
 constexpr milliseconds progress_gap{12};
 
-/** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision log,
- * and the puts of the decision log and of the list of leased workers. */
+/** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision
+ * log, and the puts of the decision log and of the list of leased workers. */
 constexpr std::size_t progress_jobs{store_write_entries - 4};
 
 /** @brief Interval at which the list of leased workers is written again without those whose leases have ended. */
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -63,11 +63,10 @@
                                                     settings.m_peers,
                                                     std::max(decider_lease, settings.m_shortest_store_lease),
                                                     settings.m_cores},
-          m_calls{m_executor},
-          m_relay{m_executor,
-                  {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics},
-                  m_election,
-                  m_calls},
+          m_calls{m_executor}, m_relay{m_executor,
+                                       {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics},
+                                       m_election,
+                                       m_calls},
           m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
     {
     }
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -446,13 +446,12 @@
 
 auto fleet_controller::log_blocked(const std::int64_t number, const wave_progress_state& wave) const -> void
 {
-    const auto& requested = wave.m_request.m_vms;
-    for (const auto& vm : m_vms.m_vms) {
-        if (wave.m_begun.contains(vm.m_vm) || wave.m_down.contains(vm.m_vm) ||
-            std::find(requested.begin(), requested.end(), vm.m_vm) == requested.end()) {
+    for (const auto& id : wave.m_request.m_vms) {
+        const auto* vm = find_vm(m_vms.m_vms, id);
+        if (vm == nullptr || wave.m_begun.contains(id) || wave.m_down.contains(id)) {
             continue;
         }
-        const auto task = blocking_task(*m_dependencies.m_state, vm.m_worker);
+        const auto task = blocking_task(*m_dependencies.m_state, vm->m_worker);
         if (task) {
             std::ostringstream members;
             for (std::int64_t index = 0;; ++index) {
@@ -465,7 +464,7 @@
             }
             LOG_EVERY_N(INFO, 10) << log_line{"upkeep_blocked"}
                                          .with("wave", number)
-                                         .with("vm", vm.m_vm)
+                                         .with("vm", id)
                                          .with("request", task->m_job)
                                          .with("step", task->m_step)
                                          .with("tasks", members.str());
--- a/packages/entry/src/cicadalug/entry/relay_sessions.cpp
+++ b/packages/entry/src/cicadalug/entry/relay_sessions.cpp
@@ -84,17 +84,16 @@
 auto relay_sessions::is_available() const -> bool
 {
     const auto now = monotonic_now();
-    return m_active && m_admission == relay_admission::open && std::any_of(m_relays.begin(), m_relays.end(), [now](const relay_state& relay) {
-               return is_live(relay, now);
-           });
+    return m_active && m_admission == relay_admission::open &&
+           std::any_of(m_relays.begin(), m_relays.end(),
+                       [now](const relay_state& relay) { return is_live(relay, now); });
 }
 
 auto relay_sessions::live_relays() const -> std::size_t
 {
     const auto now = monotonic_now();
-    return static_cast<std::size_t>(std::count_if(m_relays.begin(), m_relays.end(), [now](const relay_state& relay) {
-        return is_live(relay, now);
-    }));
+    return static_cast<std::size_t>(std::count_if(m_relays.begin(), m_relays.end(),
+                                                  [now](const relay_state& relay) { return is_live(relay, now); }));
 }
 
 auto relay_sessions::enqueue(worker_call call, const availability_zone_id& zone,
--- a/packages/entry/src/cicadalug/entry/worker_calls.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_calls.cpp
@@ -54,8 +54,8 @@
         break;
     }
     case worker_call_kind::start: {
-        run_start start{call.m_task,       call.m_run,    std::move(call.m_text), call.m_lease_until_ms,
-                        call.m_checkpoint, call.m_permit, call.m_token};
+        run_start start{call.m_task,   call.m_run,  std::move(call.m_text), call.m_lease_until_ms, call.m_checkpoint,
+                        call.m_permit, call.m_token};
         result.m_result = co_await client->start(std::move(start), call.m_timeout);
         break;
     }
--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -43,7 +43,8 @@
 
 [[nodiscard]] auto held_time(const http_response& response) -> microseconds
 {
-    const auto text = response[beast::string_view{internal::relay_held_header.data(), internal::relay_held_header.size()}];
+    const auto text =
+        response[beast::string_view{internal::relay_held_header.data(), internal::relay_held_header.size()}];
     std::int64_t value{0};
     std::from_chars(text.data(), text.data() + text.size(), value);
     return microseconds{std::max<std::int64_t>(0, value)};
--- a/packages/runtime/src/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.cpp
@@ -84,8 +84,8 @@
         const bool is_new = connection == nullptr;
         if (is_new) {
             const auto left = std::chrono::duration_cast<milliseconds>(deadline - monotonic_now());
-            auto connected = co_await http_connection::connect(m_executor, m_endpoint,
-                                                               std::max(left, milliseconds{1}) / connect_timeout_divisor);
+            auto connected = co_await http_connection::connect(
+                m_executor, m_endpoint, std::max(left, milliseconds{1}) / connect_timeout_divisor);
             if (!connected) {
                 co_return std::move(connected).assume_error();
             }
--- a/packages/runtime/src/cicadalug/http/http_pool.hpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.hpp
@@ -33,8 +33,8 @@
     http_pool(asio::any_io_executor executor, tcp_endpoint endpoint,
               const std::size_t max_idle = std::numeric_limits<std::size_t>::max(),
               const std::size_t max_exchanges = std::numeric_limits<std::size_t>::max())
-        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}, m_max_idle{max_idle},
-          m_max_exchanges{max_exchanges}
+        : m_executor{std::move(executor)}, m_endpoint{std::move(endpoint)}, m_max_idle{max_idle}, m_max_exchanges{
+                                                                                                      max_exchanges}
     {
     }
 
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
+#include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 
 #include <algorithm>
@@ -25,12 +26,6 @@
 /** @brief Run numbers of a token begin at token * this; more starts of one task in one term are not expected. */
 constexpr std::int64_t runs_per_token{1'000};
 
-/** @brief Score bonus of a worker on the rack of the data, in thousandths of a core of free capacity. */
-constexpr std::int64_t data_rack_bonus{1'000'000};
-
-/** @brief Score bonus of a worker with long-running tasks. */
-constexpr std::int64_t shared_worker_bonus{1'000'000};
-
 /** @brief A job counts as in time if it meets its objective with run times that are shorter by this multiple of their
  * mean deviation. Run times are estimates, and a job that is deprioritized too early is certain to be late. */
 constexpr double deviation_tolerance{0.35};
@@ -38,14 +33,6 @@
 /** @brief Upper bound of the tolerance, as a share of the run time. */
 constexpr double tolerance_limit{0.15};
 
-/** @brief Score penalty for each task of the same step on a worker. Maintenance of a VM with more of them than the
- * disruption budget has to wait until some have been moved to other workers. */
-constexpr std::int64_t same_step_penalty{10'000'000};
-
-/** @brief Score penalty of a worker on which the task has failed, as the worker may be the cause. Outweighs all other
- * terms of the score. */
-constexpr std::int64_t failed_worker_penalty{1'000'000'000};
-
 /** @brief Returns the maximum age of a copy from which a task may be started within a time limit of the platform. */
 [[nodiscard]] auto max_copy_age(const scheduler_settings& settings, const milliseconds limit) -> milliseconds
 {
@@ -121,77 +108,35 @@
            !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
 }
 
-[[nodiscard]] auto has_label(const worker_slot& worker, const std::string& label) -> bool
-{
-    const auto& labels = worker.m_entry.m_labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
-[[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t
-{
-    return std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&task](const placed_run& run) {
-        return run.m_task.m_job == task.m_job && run.m_task.m_occurrence == task.m_occurrence &&
-               run.m_task.m_step == task.m_step;
-    });
-}
+/** @brief State of a scheduling pass for one service. */
+struct service_pass {
+    scheduler_state& m_state;
+    placement_index m_index;
+    /** @brief Capacity reserved for steps that are being opened, until the end of the pass. */
+    std::vector<std::pair<worker_index, resources>> m_reserved;
+    time_point m_now{};
+};
 
-/**
- * @brief Selects the worker for a task: one on the rack of its data if that has free capacity, else the one with the
- * least free capacity.
- * @param failed_workers Workers to use only if no other one has free capacity.
- * @param permits The task's step if its queue needs permits, else null.
- */
-[[nodiscard]] auto choose_worker(const scheduler_state& state, const std::vector<worker_index>& candidates,
-                                 const step_spec& spec, const task_ref& task,
-                                 const std::vector<worker_index>& failed_workers, const step_state* permits,
-                                 const time_point now) -> worker_index
+/** @brief Changes the used capacity of a worker, and its place in the index. */
+auto add_used(service_pass& pass, const worker_index index, const resources& demand) -> void
 {
-    auto best = no_worker;
-    std::int64_t best_score{0};
-    const auto demand = reserved_demand(spec);
-    for (const auto index : candidates) {
-        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        const auto free = worker.m_entry.m_capacity - worker.m_used;
-        if (!fits(demand, free) || !has_required_label(spec, worker) ||
-            (permits != nullptr && !has_permit(*permits, worker, index, now)) ||
-            (spec.m_max_per_worker > 0 && tasks_of_step(worker, task) >= spec.m_max_per_worker)) {
-            continue;
-        }
-        // Best fit: the fullest worker first, so that the others soon drain and can change pools when the surge ends.
-        auto score = -free.m_cpu.value();
-        if (!spec.m_data_rack.empty() && has_label(worker, spec.m_data_rack)) {
-            score += data_rack_bonus;
-        }
-        // Long-running tasks share few workers, and short tasks are placed there first, so that the other workers can
-        // change pools.
-        if (std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
-                        [](const placed_run& run) { return run.m_long_running; })) {
-            score += shared_worker_bonus;
-        }
-        if (std::find(failed_workers.begin(), failed_workers.end(), index) != failed_workers.end()) {
-            score -= failed_worker_penalty;
-        }
-        if (spec.m_disruption_budget > 0) {
-            score -= same_step_penalty * tasks_of_step(worker, task);
-        }
-        if (best == no_worker || score > best_score) {
-            best = index;
-            best_score = score;
-        }
-    }
-    return best;
+    auto& worker = pass.m_state.m_workers[static_cast<std::size_t>(index)];
+    const auto free_before = (worker.m_entry.m_capacity - worker.m_used).m_cpu;
+    worker.m_used = worker.m_used + demand;
+    update_placement(pass.m_index, pass.m_state, index, free_before);
 }
 
-auto start_task(scheduler_state& state, job_entry& job, step_state& step, const task_ref& task,
-                const worker_index index, const run_number run, const time_point now) -> void
+auto start_task(service_pass& pass, job_entry& job, step_state& step, const task_ref& task, const worker_index index,
+                const run_number run) -> void
 {
+    auto& state = pass.m_state;
     auto& found = step.m_tasks[static_cast<std::size_t>(task.m_index)];
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
     found.m_phase = task_phase::starting;
     found.m_worker = index;
     found.m_run = run;
     found.m_highest_run = run;
-    found.m_since = now;
+    found.m_since = pass.m_now;
     --step.m_waiting;
     placed_run placed;
     placed.m_task = task;
@@ -199,84 +144,63 @@
     placed.m_demand = reserved_demand(step_of(job, task));
     placed.m_long_running = step_of(job, task).m_long_running;
     placed.m_best_effort = step_of(job, task).m_best_effort;
-    placed.m_sent = now;
-    worker.m_used = worker.m_used + placed.m_demand;
+    placed.m_sent = pass.m_now;
+    const auto demand = placed.m_demand;
     worker.m_runs.push_back(std::move(placed));
+    add_used(pass, index, demand);
     const auto permit = step.m_permits.find(index);
-    state.m_starts.push_back({index, task, run, grant_lease(state, index, now), found.m_checkpoint,
-                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, now});
+    state.m_starts.push_back({index, task, run, grant_lease(state, index, pass.m_now), found.m_checkpoint,
+                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, pass.m_now});
 }
 
-/**
- * @brief Demands for which no worker of a service has free capacity in this pass. Capacity only shrinks during a pass,
- * so that equal or larger demands need no search either.
- *
- * Load pattern: in a surge, a thousand steps wait for a full pool of 300 workers, and a search of the whole pool for
- * each of them in each pass takes most of the decider's processor time.
- */
-using unplaceable_demands = std::vector<resources>;
-
-[[nodiscard]] auto is_unplaceable(const unplaceable_demands& unplaceable, const resources& demand) -> bool
+auto reserve_capacity(service_pass& pass, const worker_index index, const resources& demand) -> void
 {
-    return std::any_of(unplaceable.begin(), unplaceable.end(),
-                       [&demand](const resources& known) { return fits(known, demand); });
+    add_used(pass, index, demand);
+    pass.m_reserved.emplace_back(index, demand);
 }
 
-/** @brief Records that no worker can hold a task of a step, unless workers with enough capacity were ruled out. */
-auto record_unplaceable(unplaceable_demands& unplaceable, const step_spec& spec, const bool needs_permit) -> void
+/** @brief Releases the reservations from a position on. */
+auto release_capacity(service_pass& pass, const std::size_t first) -> void
 {
-    if (needs_permit || !spec.m_required_label.empty() || spec.m_max_per_worker > 0) {
-        return;
-    }
-    const auto demand = reserved_demand(spec);
-    std::erase_if(unplaceable, [&demand](const resources& known) { return fits(demand, known); });
-    unplaceable.push_back(demand);
-}
-
-/** @brief Capacity reserved for steps that are being opened, until the end of the dispatch pass. */
-using capacity_reservations = std::vector<std::pair<worker_index, resources>>;
-
-auto reserve_capacity(scheduler_state& state, capacity_reservations& reserved, const worker_index index,
-                      const resources& demand) -> void
-{
-    auto& used = state.m_workers[static_cast<std::size_t>(index)].m_used;
-    used = used + demand;
-    reserved.emplace_back(index, demand);
-}
-
-auto release_capacity(scheduler_state& state, const capacity_reservations& reserved) -> void
-{
-    for (const auto& [index, demand] : reserved) {
-        auto& used = state.m_workers[static_cast<std::size_t>(index)].m_used;
-        used = used - demand;
+    for (auto position = first; position < pass.m_reserved.size(); ++position) {
+        const auto& [index, demand] = pass.m_reserved[position];
+        add_used(pass, index, resources{} - demand);
     }
+    pass.m_reserved.resize(first);
 }
 
 /** @brief Requests a write that opens a step. @return True while capacity should be reserved for the step. */
-[[nodiscard]] auto open_step(scheduler_state& state, job_entry& job, step_state& step, const time_point now) -> bool
+[[nodiscard]] auto open_step(service_pass& pass, job_entry& job, step_state& step) -> bool
 {
     if (!step.m_opening) {
         step.m_opening = true;
-        step.m_opening_since = now;
-        mark_dirty(state, job);
+        step.m_opening_since = pass.m_now;
+        mark_dirty(pass.m_state, job);
     }
-    return now - step.m_opening_since < opening_reservation_time;
+    return pass.m_now - step.m_opening_since < opening_reservation_time;
+}
+
+[[nodiscard]] auto choose_worker(service_pass& pass, const waiting_step& waiting, const std::size_t index)
+    -> worker_index
+{
+    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    return choose_worker(pass.m_index, pass.m_state,
+                         {&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
+                          &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr},
+                         pass.m_now);
 }
 
 /** @brief Reserves capacity for the tasks of a step that is being opened. */
-auto reserve_for_step(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                      capacity_reservations& reserved, const time_point now) -> void
+auto reserve_for_step(service_pass& pass, const waiting_step& waiting) -> void
 {
-    auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
     const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const auto worker =
-            choose_worker(state, candidates, spec, task_of(waiting, index), step.m_tasks[index].m_failed_workers,
-                          waiting.m_needs_permit ? &step : nullptr, now);
+        const auto worker = choose_worker(pass, waiting, index);
         if (worker == no_worker) {
             return;
         }
-        reserve_capacity(state, reserved, worker, reserved_demand(spec));
+        reserve_capacity(pass, worker, reserved_demand(spec));
     }
 }
 
@@ -287,11 +211,11 @@
 }
 
 /** @brief Starts all members of a gang together, or none of them. */
-auto start_gang(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                capacity_reservations& reserved, const time_point now) -> void
+auto start_gang(service_pass& pass, const waiting_step& waiting) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto now = pass.m_now;
     const bool in_backoff = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
                                         [now](const task_state& member) { return member.m_not_before > now; });
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
@@ -299,58 +223,59 @@
     }
     auto run = run_number{0};
     for (const auto& member : step.m_tasks) {
-        run = std::max(run, next_run(state, member));
+        run = std::max(run, next_run(pass.m_state, member));
     }
-    capacity_reservations members;
-    reserve_for_step(state, waiting, candidates, members, now);
-    release_capacity(state, members);
+    const auto first = pass.m_reserved.size();
+    // Demands that do not fit only beside these reservations fit again after their release.
+    const auto unplaceable = pass.m_index.m_unplaceable;
+    reserve_for_step(pass, waiting);
+    const std::vector<std::pair<worker_index, resources>> members{
+        pass.m_reserved.begin() + static_cast<std::ptrdiff_t>(first), pass.m_reserved.end()};
+    release_capacity(pass, first);
+    pass.m_index.m_unplaceable = unplaceable;
     if (members.size() != step.m_tasks.size()) {
         if (waiting.m_needs_permit) {
-            request_permits(state, task_of(waiting, 0), step, candidates, now);
+            request_permits(pass.m_state, task_of(waiting, 0), step, pass.m_index.m_candidates, now);
         }
         return;
     }
     if (!step.m_opened) {
-        if (open_step(state, job, step, now)) {
-            reserve_for_step(state, waiting, candidates, reserved, now);
+        if (open_step(pass, job, step)) {
+            reserve_for_step(pass, waiting);
         }
         return;
     }
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         step.m_tasks[index].m_checkpoint = step.m_tasks.front().m_checkpoint;
-        start_task(state, job, step, task_of(waiting, index), members[index].first, run, now);
+        start_task(pass, job, step, task_of(waiting, index), members[index].first, run);
     }
 }
 
-auto start_tasks(scheduler_state& state, const waiting_step& waiting, const std::vector<worker_index>& candidates,
-                 capacity_reservations& reserved, unplaceable_demands& unplaceable, const time_point now) -> void
+auto start_tasks(service_pass& pass, const waiting_step& waiting) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const auto& spec = job.m_record.m_spec.m_steps[waiting.m_step];
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const auto& member = step.m_tasks[index];
-        if (member.m_phase != task_phase::waiting || member.m_not_before > now) {
+        if (member.m_phase != task_phase::waiting || member.m_not_before > pass.m_now) {
             continue;
         }
         const auto task = task_of(waiting, index);
-        const auto worker = choose_worker(state, candidates, spec, task, member.m_failed_workers,
-                                          waiting.m_needs_permit ? &step : nullptr, now);
+        const auto worker = choose_worker(pass, waiting, index);
         if (worker == no_worker) {
-            record_unplaceable(unplaceable, spec, waiting.m_needs_permit);
             if (waiting.m_needs_permit) {
-                request_permits(state, task, step, candidates, now);
+                request_permits(pass.m_state, task, step, pass.m_index.m_candidates, pass.m_now);
             }
             return;
         }
         if (!step.m_opened) {
             // Less urgent steps that are already open would take the capacity while the write is in progress.
-            if (open_step(state, job, step, now)) {
-                reserve_for_step(state, waiting, candidates, reserved, now);
+            if (open_step(pass, job, step)) {
+                reserve_for_step(pass, waiting);
             }
             return;
         }
-        start_task(state, job, step, task, worker, next_run(state, member), now);
+        start_task(pass, job, step, task, worker, next_run(pass.m_state, member));
     }
 }
 
@@ -432,21 +357,16 @@
         if (candidates.empty()) {
             continue;
         }
-        capacity_reservations reserved;
-        unplaceable_demands unplaceable;
+        service_pass pass{state, make_placement_index(state, std::move(candidates)), {}, now};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
-            const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
-            if (!waiting.m_needs_permit && is_unplaceable(unplaceable, reserved_demand(spec))) {
-                continue;
-            }
-            if (spec.m_gang) {
-                start_gang(state, waiting, candidates, reserved, now);
+            if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
+                start_gang(pass, waiting);
             }
             else {
-                start_tasks(state, waiting, candidates, reserved, unplaceable, now);
+                start_tasks(pass, waiting);
             }
         }
-        release_capacity(state, reserved);
+        release_capacity(pass, 0);
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/vm_list.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.cpp
@@ -7,8 +7,9 @@
 
 auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*
 {
-    const auto found = std::find_if(vms.begin(), vms.end(), [&id](const vm_status& vm) { return vm.m_vm == id; });
-    return found == vms.end() ? nullptr : &*found;
+    const auto found = std::lower_bound(vms.begin(), vms.end(), id,
+                                        [](const vm_status& vm, const vm_id& wanted) { return vm.m_vm < wanted; });
+    return found == vms.end() || found->m_vm != id ? nullptr : &*found;
 }
 
 auto is_current(const vm_list& list, const time_point now) -> bool
@@ -21,6 +22,8 @@
     if (requested < list.m_requested) {
         return false;
     }
+    std::sort(vms.begin(), vms.end(),
+              [](const vm_status& left, const vm_status& right) { return left.m_vm < right.m_vm; });
     list = {std::move(vms), requested};
     return true;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
@@ -30,12 +30,13 @@
 
 /** @brief The platform's list of VMs. */
 struct vm_list {
+    /** @brief VMs in the order of their ids. */
     std::vector<vm_status> m_vms;
     /** @brief When the list was requested; later changes may be missing in it. */
     time_point m_requested{};
 };
 
-/** @brief Finds a VM in the platform's list. @return The VM, or null. */
+/** @brief Finds a VM. @pre The VMs are in the order of their ids. @return The VM, or null. */
 [[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
 
 /** @brief Checks whether a list has been read and is not older than max_vm_list_age. */
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -117,7 +117,7 @@
     };
     const auto first = plan();
     ASSERT_EQ(first.size(), 1U);
-    const auto worker = find_vm(simulation.m_vms, first.front())->m_worker;
+    const auto worker = find_vm(simulation.listed_vms().m_vms, first.front())->m_worker;
     withdraw_maintenance(simulation.m_state, wave, first.front(), worker);
     simulation.run_for(milliseconds{20});
     EXPECT_TRUE(wave.m_down.empty());
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -65,6 +65,13 @@
     run_for(milliseconds{50});
 }
 
+auto scheduler_simulation::listed_vms() const -> vm_list
+{
+    vm_list list;
+    update_vm_list(list, m_vms, m_now);
+    return list;
+}
+
 auto scheduler_simulation::add_vms(const std::string& pool, const std::size_t count) -> void
 {
     for (std::size_t number = 0; number < count; ++number) {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -59,7 +59,7 @@
 
     [[nodiscard]] auto now() const -> time_point { return m_now; }
     /** @brief Returns the list of VMs as the platform would report it now. */
-    [[nodiscard]] auto listed_vms() const -> vm_list { return {m_vms, m_now}; }
+    [[nodiscard]] auto listed_vms() const -> vm_list;
     [[nodiscard]] auto clock() const -> clock_reading;
     [[nodiscard]] auto in_time_share() const -> double;
     [[nodiscard]] auto worker(const std::string& id) -> simulated_worker& { return m_workers[worker_id{id}]; }
--- a/packages/scheduler/test/cicadalug/scheduler/worker_call.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/worker_call.cpp
@@ -42,8 +42,8 @@
     result.m_report.m_clock_ms = *rc::gen::arbitrary<std::int64_t>();
     result.m_report.m_incarnation_start_unix_ms = *rc::gen::arbitrary<std::int64_t>();
     for (auto count = *rc::gen::inRange(0, 4); count > 0; --count) {
-        result.m_report.m_running.push_back({any_task(), run_number{*rc::gen::arbitrary<std::int64_t>()},
-                                             *rc::gen::arbitrary<std::string>(), 41, -1});
+        result.m_report.m_running.push_back(
+            {any_task(), run_number{*rc::gen::arbitrary<std::int64_t>()}, *rc::gen::arbitrary<std::string>(), 41, -1});
         result.m_report.m_ended.push_back({*rc::gen::arbitrary<std::int64_t>(), any_task(), run_number{7},
                                            *rc::gen::element(run_end::done, run_end::expired, run_end::gang_timeout),
                                            *rc::gen::arbitrary<std::string>()});
