--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -52,6 +52,15 @@
 /** @brief Maximum size of a request between entry VMs, in bytes; results of relays carry reports of many workers. */
 constexpr std::uint64_t max_peer_body{16'777'216};
 
+/** @brief Descriptors that are not for connections to workers: the platform reserves 200 for files, and the servers for
+ * clients and other entry VMs, the store and the interface to the VMs need connections, too. */
+constexpr std::int64_t other_descriptors{1'500};
+
+[[nodiscard]] auto worker_connection_limit(const std::int64_t max_descriptors) -> std::size_t
+{
+    return static_cast<std::size_t>(std::max<std::int64_t>(max_descriptors - other_descriptors, max_descriptors / 4));
+}
+
 /** @brief Servers, store client, election and decider of an entry VM, with its shutdown. */
 class entry_program {
 public:
@@ -63,10 +72,8 @@
                                                     settings.m_peers,
                                                     std::max(decider_lease, settings.m_shortest_store_lease),
                                                     settings.m_cores},
-          m_calls{m_executor}, m_relay{m_executor,
-                                       {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics},
-                                       m_election,
-                                       m_calls},
+          m_calls{m_executor, worker_connection_limit(settings.m_max_descriptors)},
+          m_relay{m_executor, {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics}, m_election, m_calls},
           m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
     {
     }
--- a/packages/entry/src/cicadalug/entry/worker_calls.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_calls.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cicadalug {
@@ -15,8 +16,27 @@
 
 } // namespace
 
+worker_calls::worker_calls(asio::any_io_executor executor, const std::size_t max_connections)
+    : m_executor{std::move(executor)}, m_max_workers{
+                                           std::max<std::size_t>(1, max_connections / worker_client::max_connections)}
+{
+}
+
+auto worker_calls::drop_least_recent() -> void
+{
+    // A client with a call under way is kept alive by that call.
+    const auto oldest = std::min_element(m_workers.begin(), m_workers.end(), [](const auto& left, const auto& right) {
+        return left.second.m_last_call < right.second.m_last_call;
+    });
+    LOG_EVERY_N(WARNING, 100) << log_line{"worker_connections_limited"}.with("workers", m_workers.size());
+    m_workers.erase(oldest);
+}
+
 auto worker_calls::client_of(const worker_call& call) -> std::shared_ptr<worker_client>
 {
+    if (m_workers.size() >= m_max_workers && !m_workers.contains(call.m_worker)) {
+        drop_least_recent();
+    }
     auto& known = m_workers[call.m_worker];
     known.m_last_call = monotonic_now();
     if (known.m_client == nullptr || known.m_address != call.m_address) {
--- a/packages/entry/src/cicadalug/entry/worker_calls.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_calls.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <unordered_map>
 
@@ -17,8 +18,13 @@
  */
 class worker_calls {
 public:
-    /** @brief Constructs an object without connections. */
-    explicit worker_calls(asio::any_io_executor executor) : m_executor{std::move(executor)} {}
+    /**
+     * @brief Constructs an object without connections.
+     * @param executor Runs the calls.
+     * @param max_connections Maximum number of connections to all workers together. Beyond it, those of the worker that
+     * was called least recently are closed.
+     */
+    worker_calls(asio::any_io_executor executor, std::size_t max_connections);
 
     /**
      * @brief Carries out a call.
@@ -31,6 +37,9 @@
     /** @brief Closes the connections of workers that have not been called for a while. */
     auto drop_idle_workers() -> void;
 
+    /** @brief Returns the number of workers to which connections may be open. */
+    [[nodiscard]] auto worker_count() const noexcept -> std::size_t { return m_workers.size(); }
+
 private:
     struct known_worker {
         std::shared_ptr<worker_client> m_client;
@@ -39,8 +48,10 @@
     };
 
     [[nodiscard]] auto client_of(const worker_call& call) -> std::shared_ptr<worker_client>;
+    auto drop_least_recent() -> void;
 
     asio::any_io_executor m_executor;
+    std::size_t m_max_workers;
     std::unordered_map<worker_id, known_worker> m_workers;
 };
 
--- a/packages/runtime/src/cicadalug/http/http_connection.cpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.cpp
@@ -26,7 +26,10 @@
 
 [[nodiscard]] auto failure(const http_progress progress, const boost::system::error_code& error) -> http_failure
 {
-    return {progress, error == beast::error::timeout, error.message()};
+    const bool lacks_resources = error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
+                                 error == asio::error::no_memory ||
+                                 error == boost::system::errc::too_many_files_open_in_system;
+    return {progress, error == beast::error::timeout, error.message(), lacks_resources};
 }
 
 } // namespace
--- a/packages/runtime/src/cicadalug/http/http_connection.hpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.hpp
@@ -29,6 +29,8 @@
     /** @brief True if the timeout expired. */
     bool m_timed_out{false};
     std::string m_message;
+    /** @brief True if this process lacks file descriptors or memory for sockets; says nothing about the server. */
+    bool m_lacks_resources{false};
 };
 
 /**
--- a/packages/runtime/test/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/test/cicadalug/http/http_pool.cpp
@@ -8,12 +8,14 @@
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
 
+#include <future>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -103,6 +105,40 @@
     EXPECT_EQ(connections(), 2U);
 }
 
+// Guards against a connection for each of many requests at the same time, which would use up the descriptors.
+TEST_F(http_pool_test, no_more_exchanges_run_at_once_than_allowed)
+{
+    constexpr std::size_t exchanges{5};
+    http_pool pool{m_context.get_executor(), m_server.endpoint(), 1, 1};
+    std::vector<std::future<bool>> answered;
+    for (std::size_t number = 0; number < exchanges; ++number) {
+        answered.push_back(asio::co_spawn(m_context, succeeds(pool), asio::use_future));
+    }
+    for (auto& response : answered) {
+        EXPECT_TRUE(response.get());
+    }
+    EXPECT_EQ(connections(), 1U);
+}
+
+// Guards against an exchange that waits longer for its turn than its timeout, or is taken for one that was sent.
+TEST(http_pool, an_exchange_whose_turn_does_not_come_in_time_is_not_sent)
+{
+    constexpr milliseconds timeout{50};
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor silent_server{context, {asio::ip::address_v4::loopback(), 0}};
+    http_pool pool{context.get_executor(), silent_server.local_endpoint(), 1, 1};
+    std::vector<http_progress> progress;
+    const auto exchange = [&](const milliseconds limit) -> asio::awaitable<void> {
+        http_request request{http::verb::get, "/", 11};
+        const auto response = co_await pool.exchange(std::move(request), limit);
+        progress.push_back(response ? http_progress::maybe_sent : response.assume_error().m_progress);
+    };
+    asio::co_spawn(context, exchange(timeout * 4), asio::detached);
+    asio::co_spawn(context, exchange(timeout), asio::detached);
+    context.run();
+    EXPECT_EQ(progress, (std::vector{http_progress::not_sent, http_progress::maybe_sent}));
+}
+
 // Guards against a request that is sent after its deadline because the event loop was delayed while it connected.
 TEST(http_pool, a_request_is_not_sent_after_its_deadline)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -207,4 +207,35 @@
     EXPECT_EQ(state.m_workers[0].m_acknowledged_end, 1);
 }
 
+// Guards against passes that look at all workers of the term: with each move of a VM, another one has left for good.
+TEST(reports, workers_that_left_and_hold_nothing_are_not_current)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    ASSERT_EQ(state.m_current_workers.size(), 2U);
+    const auto entry = state.m_workers.front().m_entry;
+    unregister_worker(state, entry.m_id);
+    expire_runs(state, simulation.now());
+    EXPECT_EQ(state.m_current_workers.size(), 1U);
+    register_worker(state, entry);
+    register_worker(state, entry);
+    EXPECT_EQ(state.m_current_workers.size(), 2U);
+    EXPECT_EQ(state.m_workers.size(), 2U);
+}
+
+// Guards against a restart of tasks that a worker may still run although its entry has expired.
+TEST(reports, a_worker_that_left_stays_current_while_it_may_hold_runs)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 1, 1'000, milliseconds{5'000})));
+    simulation.run_for(milliseconds{200});
+    auto& state = simulation.m_state;
+    ASSERT_FALSE(state.m_workers.front().m_runs.empty());
+    unregister_worker(state, state.m_workers.front().m_entry.m_id);
+    expire_runs(state, simulation.now());
+    EXPECT_EQ(state.m_current_workers.size(), 1U);
+}
+
 } // namespace cicadalug::test
