--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -135,7 +135,8 @@
         std::copy(results.begin(), results.end(), std::back_inserter(current->m_results));
         current->m_results_event.notify();
     }
-    if (status == http::status::too_many_requests) {
+    // A decider of an earlier version knows no relays and answers 404.
+    if (status == http::status::too_many_requests || status == http::status::not_found) {
         const milliseconds spread{std::hash<std::string>{}(m_settings.m_self.str()) % refused_spread_ms};
         const auto until = monotonic_now() + refused_pause + spread;
         // A new decider needs relays at once.
