Grant no longer lease after a renewal that was not sent

Found by reading: a renewal that no relay fetched, or for which descriptors were lacking, left the worker marked as responsive, so that the lease that counts as granted grew with each attempt while the worker's own ended. Also: the list of leased workers is not written again for workers whose leases have ended; a name and an unused member.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -136,8 +136,8 @@
     [[nodiscard]] auto decision_log_value() const -> std::string;
     /** @brief Checks whether a worker got its first lease since the stored list of leased workers was written. */
     [[nodiscard]] auto has_unlisted_lease() const -> bool;
-    /** @brief Lists the workers with leases. */
-    [[nodiscard]] auto take_leased_workers() -> std::string;
+    /** @brief Returns the ids of the workers with leases, to be written, and records which ones they are. */
+    [[nodiscard]] auto list_leased_workers() -> std::string;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
     /** @brief Applies an entry of the registry to the copy of it. */
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -123,13 +123,10 @@
             check_deposed();
             co_return;
         }
-        if (response.m_result == command_result::withdrawn) {
-            // Not sent: this says nothing about the worker.
-            co_await sleep_for(m_executor, failure_pause);
-            continue;
-        }
         m_state.m_workers[position].m_unresponsive = true;
-        co_await sleep_for(m_executor, renewal_pause);
+        // A renewal that was not sent says nothing about the worker, but its lease has not been extended either.
+        const bool sent_to_worker = response.m_result != command_result::withdrawn;
+        co_await sleep_for(m_executor, sent_to_worker ? renewal_pause : failure_pause);
     }
 }
 
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -33,6 +33,11 @@
 constexpr milliseconds garbage_interval{2'000};
 constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
 
+[[nodiscard]] auto has_lease(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
+{
+    return worker.m_lease_until_ms > 0 && lease_end(state, worker) > now;
+}
+
 } // namespace
 
 auto decider::decision_log_value() const -> std::string
@@ -42,14 +47,15 @@
 
 auto decider::has_unlisted_lease() const -> bool
 {
-    return std::any_of(m_state.m_current_workers.begin(), m_state.m_current_workers.end(), [this](const auto index) {
+    const auto now = monotonic_now();
+    return std::any_of(m_state.m_current_workers.begin(), m_state.m_current_workers.end(), [&](const auto index) {
         const auto position = static_cast<std::size_t>(index);
         const bool listed = position < m_listed_leases.size() && m_listed_leases[position];
-        return m_state.m_workers[position].m_lease_until_ms > 0 && !listed;
+        return !listed && has_lease(m_state, m_state.m_workers[position], now);
     });
 }
 
-auto decider::take_leased_workers() -> std::string
+auto decider::list_leased_workers() -> std::string
 {
     const auto now = monotonic_now();
     std::string text;
@@ -57,7 +63,7 @@
     m_leases_listed_at = now;
     for (const auto index : m_state.m_current_workers) {
         const auto& worker = m_state.m_workers[static_cast<std::size_t>(index)];
-        if (worker.m_lease_until_ms > 0 && lease_end(m_state, worker) > now) {
+        if (has_lease(m_state, worker, now)) {
             m_listed_leases[static_cast<std::size_t>(index)] = true;
             text += worker.m_entry.m_id.str() + ' ';
         }
@@ -122,7 +128,7 @@
     // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
     const bool lists_leases = has_unlisted_lease() || monotonic_now() - m_leases_listed_at > lease_list_interval;
     if (lists_leases) {
-        write.m_puts.push_back({std::string{leased_workers_key}, take_leased_workers(), no_store_lease});
+        write.m_puts.push_back({std::string{leased_workers_key}, list_leased_workers(), no_store_lease});
     }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
--- a/packages/scheduler/src/cicadalug/scheduler/relays.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/relays.hpp
@@ -32,8 +32,6 @@
     time_point m_last_contact{};
     /** @brief A poll of it waits for calls. */
     bool m_polling{false};
-    /** @brief When the waiting poll arrived. */
-    time_point m_poll_began{};
     /** @brief Number of calls without a result. */
     std::size_t m_in_flight{0};
 };
