--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -50,16 +50,11 @@
     return response;
 }
 
-[[nodiscard]] auto to_view(const beast::string_view text) -> std::string_view
-{
-    return {text.data(), text.size()};
-}
-
 /** @brief Returns when a request must be done, by the shorter of its client's time limit and its queue's timeout. */
 [[nodiscard]] auto deadline_of(const http_request& request, const milliseconds queue_timeout) -> time_point
 {
     auto limit = queue_timeout;
-    const auto text = to_view(request[beast::string_view{deadline_header.data(), deadline_header.size()}]);
+    const auto text = to_view(request[to_beast(deadline_header)]);
     std::int64_t client_limit_ms{0};
     if (std::from_chars(text.data(), text.data() + text.size(), client_limit_ms).ec == std::errc{} &&
         client_limit_ms > 0) {
--- a/packages/entry/src/cicadalug/entry/relay_sessions.cpp
+++ b/packages/entry/src/cicadalug/entry/relay_sessions.cpp
@@ -29,14 +29,9 @@
 /** @brief Value of the Retry-After header of a refused offer, in seconds. */
 constexpr const char* refused_offer_retry_s{"3"};
 
-[[nodiscard]] auto to_view(const beast::string_view text) -> std::string_view
-{
-    return {text.data(), text.size()};
-}
-
 [[nodiscard]] auto header_of(const http_request& request, const std::string_view name) -> std::string
 {
-    return std::string{to_view(request[beast::string_view{name.data(), name.size()}])};
+    return std::string{to_view(request[to_beast(name)])};
 }
 
 [[nodiscard]] auto make_answer(const http::status status, std::string body = {}) -> http_response
@@ -256,8 +251,7 @@
     }
     auto response = make_answer(m_active ? http::status::ok : http::status::service_unavailable,
                                 batch.empty() ? std::string{} : encode(batch));
-    response.set(beast::string_view{internal::relay_held_header.data(), internal::relay_held_header.size()},
-                 std::to_string((now - began).count()));
+    response.set(to_beast(internal::relay_held_header), std::to_string((now - began).count()));
     co_await exchange.respond(std::move(response));
 }
 
--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -43,8 +43,7 @@
 
 [[nodiscard]] auto held_time(const http_response& response) -> microseconds
 {
-    const auto text =
-        response[beast::string_view{internal::relay_held_header.data(), internal::relay_held_header.size()}];
+    const auto text = response[to_beast(internal::relay_held_header)];
     std::int64_t value{0};
     std::from_chars(text.data(), text.data() + text.size(), value);
     return microseconds{std::max<std::int64_t>(0, value)};
@@ -80,9 +79,6 @@
 
 auto worker_relay::make_request(const link& current, const std::string_view path) const -> http_request
 {
-    const auto to_beast = [](const std::string_view text) {
-        return beast::string_view{text.data(), text.size()};
-    };
     const auto target = std::string{path} + m_settings.m_self.str();
     http_request request{http::verb::post, target, 11};
     request.set(http::field::host, "decider");
--- a/packages/runtime/src/cicadalug/http/message.hpp
+++ b/packages/runtime/src/cicadalug/http/message.hpp
@@ -54,6 +54,18 @@
  */
 [[nodiscard]] auto parse_endpoint(std::string_view text, const std::string& location, findings& found) -> tcp_endpoint;
 
+/** @brief Converts a view of Beast, for example a header, to one of the standard library. */
+[[nodiscard]] inline auto to_view(const beast::string_view text) noexcept -> std::string_view
+{
+    return {text.data(), text.size()};
+}
+
+/** @brief Converts a view of the standard library, for example the name of a header, to one of Beast. */
+[[nodiscard]] inline auto to_beast(const std::string_view text) noexcept -> beast::string_view
+{
+    return {text.data(), text.size()};
+}
+
 } // namespace cicadalug
 
 #endif
