--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -137,8 +137,8 @@
         m_state.m_dispatch_requested = true;
         run_pass();
         log_suspension(monotonic_now());
-        for (auto& command : plan_throttling(m_state, m_settings.m_throttling, monotonic_now())) {
-            asio::co_spawn(m_executor, send_throttle(self, std::move(command)), asio::detached);
+        for (const auto& command : plan_throttling(m_state, m_settings.m_throttling, monotonic_now())) {
+            asio::co_spawn(m_executor, send_throttle(self, command), asio::detached);
         }
         co_await sleep_for(m_executor, tick_interval);
     }
@@ -203,8 +203,8 @@
     for (auto& command : std::exchange(m_state.m_starts, {})) {
         asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(command)), asio::detached);
     }
-    for (auto& command : std::exchange(m_state.m_stops, {})) {
-        asio::co_spawn(m_executor, send_stop(shared_from_this(), std::move(command)), asio::detached);
+    for (const auto& command : std::exchange(m_state.m_stops, {})) {
+        asio::co_spawn(m_executor, send_stop(shared_from_this(), command), asio::detached);
     }
     if (!m_state.m_dirty.empty()) {
         m_progress_event.notify();
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -146,7 +146,7 @@
     placed.m_best_effort = step_of(job, task).m_best_effort;
     placed.m_sent = pass.m_now;
     const auto demand = placed.m_demand;
-    worker.m_runs.push_back(std::move(placed));
+    worker.m_runs.push_back(placed);
     add_used(pass, index, demand);
     const auto permit = step.m_permits.find(index);
     state.m_starts.push_back({index, task, run, grant_lease(state, index, pass.m_now), found.m_checkpoint,
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -16,7 +16,8 @@
     std::int64_t m_free_cpu{0};
     worker_index m_worker{no_worker};
 
-    [[nodiscard]] friend auto operator<=>(const placement_entry&, const placement_entry&) = default;
+    [[nodiscard]] friend auto operator<=>(const placement_entry&, const placement_entry&)
+        -> std::strong_ordering = default;
 };
 
 /**
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -88,7 +88,7 @@
         placed.m_speed_percent = -1;
     }
     worker.m_used = worker.m_used + placed.m_demand;
-    worker.m_runs.push_back(std::move(placed));
+    worker.m_runs.push_back(placed);
 }
 
 auto apply_running_report(scheduler_state& state, worker_slot& worker, const worker_index index,
