--- a/packages/scheduler/src/cicadalug/scheduler/relays.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/relays.hpp
@@ -39,8 +39,8 @@
 /**
  * @brief Checks whether a decider leaves the calls of its workers to relays.
  *
- * Load pattern: 1,100 workers with 2,000 starts a second. The messages of one start and the polls of its worker take
- * ten times the processor time of the decision, and one entry VM cannot handle them.
+ * Load pattern: 1,100 workers with 2,000 starts a second. The messages of the starts and the polls of the workers take
+ * more processor time than one entry VM has; the decisions do not.
  * @param workers Number of registered workers.
  * @param cores CPU capacity of the decider's entry VM, in cores.
  */
