Test that leases outlast two takeovers in quick succession

The users saw a task run on two workers at the same time: a decider started it 1.2 s before the lease of its first run ended.

The stand-in of the platform can remove a worker from the registry and counts starts of a task that runs elsewhere; entry VMs can be started again.

--- a/test/process/scheduler_deployment.hpp
+++ b/test/process/scheduler_deployment.hpp
@@ -78,11 +78,9 @@
             std::make_unique<child_process>(CICADALUG_STANDIN_DIRECTORY "/scheduler_platform_standin", arguments);
         EXPECT_TRUE(wait_for_port(m_store));
         for (std::size_t index = 0; index < entry_vm_count; ++index) {
-            const auto path = settings_path(index);
-            write_settings(path, index);
-            ::setenv("CICADALUG_NODE_FILE", path.c_str(), 1);
-            m_entry_vms.push_back(
-                std::make_unique<child_process>(CICADALUG_CICADALUGD, std::vector<std::string>{"--scheduler"}));
+            write_settings(settings_path(index), index);
+            m_entry_vms.emplace_back();
+            start(index);
         }
         EXPECT_TRUE(wait_until([this] { return are_ready() && decider() < entry_vm_count; }, patience));
     }
@@ -231,6 +229,14 @@
         return 0.0;
     }
 
+    /** @brief Starts the process of an entry VM. @pre It does not run. */
+    auto start(const std::size_t index) -> void
+    {
+        ::setenv("CICADALUG_NODE_FILE", settings_path(index).c_str(), 1);
+        m_entry_vms.at(index) =
+            std::make_unique<child_process>(CICADALUG_CICADALUGD, std::vector<std::string>{"--scheduler"});
+    }
+
     auto kill(const std::size_t index) -> void { m_entry_vms.at(index).reset(); }
 
 private:
--- /dev/null
+++ b/test/process/scheduler_takeover.cpp
@@ -0,0 +1,37 @@
+#include "scheduler_deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <string>
+
+namespace {
+
+using namespace cicadalug;
+using namespace cicadalug::process_test;
+
+class scheduler_takeover : public scheduler_deployment {};
+
+// Guards against a second run of a task on a worker that the registry has lost, after two takeovers in quick
+// succession: a decider whose term was short has to pass on which workers its predecessor had granted leases.
+TEST_F(scheduler_takeover, a_lease_outlasts_two_takeovers_without_a_second_run)
+{
+    control({{"run_ms", 60'000}});
+    submit(first_job, 1);
+    ASSERT_TRUE(wait_until([this] { return control()["starts"].size() == 1; }, patience));
+    const auto first = decider();
+    ASSERT_LT(first, entry_vm_count);
+    control({{"unregistered", control()["starts"][0]["worker"]}});
+    // Either entry VM may win the election.
+    kill(first);
+    start(first);
+    ASSERT_TRUE(wait_until([] { return decider() < entry_vm_count; }, patience));
+    const auto second = decider();
+    kill(second);
+    ASSERT_TRUE(wait_until([second] { return decider() == 1 - second; }, patience));
+    EXPECT_TRUE(wait_until([this] { return control()["starts"].size() == 2; }, patience))
+        << "the task starts again after the lease of its worker";
+    EXPECT_EQ(control()["doubled_runs"], 0);
+}
+
+} // namespace
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -54,6 +54,8 @@
     std::string m_silent_watch;
     /** @brief Delay of the responses to calls of a path; the call itself is executed at once. */
     std::map<std::string, milliseconds> m_delays;
+    /** @brief Worker that the registry has lost, as one that is cut off from the store; empty for none. */
+    std::string m_unregistered;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
 };
@@ -129,7 +131,12 @@
             co_await exchange.respond(json_response(http::status::misdirected_request, json::object()));
         }
         else if (path == "/cicadalug/run-start") {
-            co_await exchange.respond(worker.start(body, m_faults.m_run_time, monotonic_now()));
+            const auto starts = worker.starts().size();
+            auto response = worker.start(body, m_faults.m_run_time, monotonic_now());
+            if (worker.starts().size() > starts && runs_elsewhere(worker)) {
+                ++m_doubled_runs;
+            }
+            co_await exchange.respond(std::move(response));
         }
         else if (path == "/cicadalug/run-stop") {
             co_await exchange.respond(worker.stop(body, monotonic_now()));
@@ -168,6 +175,9 @@
         for (std::int64_t sequence = 1;; ++sequence) {
             for (std::size_t index = 0; index < m_workers.size(); ++index) {
                 const auto& worker = m_workers[index];
+                if (worker.id() == m_faults.m_unregistered) {
+                    continue;
+                }
                 const json entry{{"service", "batch"},
                                  {"address", m_options.m_workers[index]},
                                  {"zone", "a"},
@@ -204,6 +214,15 @@
         }
     }
 
+    /** @brief Checks whether the task that a worker has just started runs on another worker, too. */
+    [[nodiscard]] auto runs_elsewhere(const scheduler_worker& worker) const -> bool
+    {
+        const auto& task = worker.starts().back().m_task;
+        return std::any_of(m_workers.begin(), m_workers.end(), [&worker, &task](const scheduler_worker& other) {
+            return &other != &worker && other.is_running(task);
+        });
+    }
+
     [[nodiscard]] auto execute(const http_target& target, const json& body) -> scheduler_store_response
     {
         const auto& path = target.m_path;
@@ -263,6 +282,12 @@
     {
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
+        m_faults.m_unregistered = body.value("unregistered", m_faults.m_unregistered);
+        if (!m_faults.m_unregistered.empty()) {
+            static_cast<void>(m_store.write({{"expected_rev", json::array()},
+                                             {"puts", json::array()},
+                                             {"remove", json::array({"servers/" + m_faults.m_unregistered})}}));
+        }
         const auto delays = body.value("delays_ms", json::object());
         for (const auto& [path, delay] : delays.items()) {
             m_faults.m_delays[path] = milliseconds{delay.get<std::int64_t>()};
@@ -273,7 +298,7 @@
     [[nodiscard]] auto observations() const -> json
     {
         const auto now = std::chrono::duration_cast<milliseconds>(monotonic_now().time_since_epoch());
-        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}};
+        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}, {"doubled_runs", m_doubled_runs}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
         for (const auto& worker : m_workers) {
@@ -295,6 +320,8 @@
     injected_faults m_faults;
     /** @brief Number of lists by prefix. */
     std::map<std::string, int> m_lists;
+    /** @brief Number of starts of a task that was running on another worker. */
+    int m_doubled_runs{0};
 };
 
 } // namespace
--- a/test/standin/scheduler_worker.hpp
+++ b/test/standin/scheduler_worker.hpp
@@ -48,6 +48,7 @@
     [[nodiscard]] auto starts() const noexcept -> const std::vector<worker_event>& { return m_starts; }
     [[nodiscard]] auto stops() const noexcept -> const std::vector<worker_event>& { return m_stops; }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return m_runs.size(); }
+    [[nodiscard]] auto is_running(const std::string& task) const -> bool { return m_runs.contains(task); }
 
     /** @brief Starts a run. @param run_time How long the run takes. */
     [[nodiscard]] auto start(const nlohmann::json& body, const milliseconds run_time, const time_point now)
