Start nothing on a worker by the entry of another incarnation

Callers see: a worker that starts again under its id as a smaller one, or with other labels, got starts by the capacity and the labels of its earlier life until the watch of the registry delivered the new entry.

Cause: the first report of the new incarnation drops the runs and the used capacity, but the entry is still that of the earlier one, and dispatch did not compare the two. The same start was sent when the entry was newer than the reports.

Now a worker gets no new work while its entry and its reports state different starts of their incarnations. Either side catches up by itself: the registry delivers the new entry, or the next renewal delivers the new report, which now requests a pass even if no run was dropped. An entry or a report without a start matches any.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -96,10 +96,21 @@
     return found;
 }
 
-/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. */
+/** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
+ */
+[[nodiscard]] auto is_entry_current(const worker_slot& worker) -> bool
+{
+    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+    const auto reported = worker.m_incarnation_start_unix_ms;
+    return registered == 0 || reported == 0 || registered == reported;
+}
+
+/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. The entry of
+ * another incarnation does not count, as the capacity and the labels may have changed. */
 [[nodiscard]] auto is_in_service(const worker_slot& worker) -> bool
 {
-    return worker.m_registered && worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned;
+    return worker.m_registered && is_entry_current(worker) && worker.m_entry.m_state == worker_state::ready &&
+           !worker.m_cordoned;
 }
 
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -254,6 +254,7 @@
         worker.m_lease_until_ms = 0;
         worker.m_cordoned = false;
         worker.m_failures_in_row = 0;
+        state.m_dispatch_requested = true;
     }
     worker.m_incarnation_start_unix_ms =
         std::max(worker.m_incarnation_start_unix_ms, report.m_incarnation_start_unix_ms);
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -5,9 +5,30 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
 
 namespace cicadalug::test {
 
+namespace {
+
+/** @brief Submits a job whose first step is already open in the store. */
+[[nodiscard]] auto submit_opened(scheduler_simulation& simulation, job_record record) -> job_id
+{
+    auto job = simulation.submit(std::move(record));
+    find_job(simulation.m_state, job)->m_open.front().m_steps.front().m_opened = true;
+    return job;
+}
+
+auto report_incarnation(scheduler_simulation& simulation, const std::int64_t start_unix_ms) -> void
+{
+    worker_report report;
+    report.m_incarnation_start_unix_ms = start_unix_ms;
+    apply_report(simulation.m_state, 0, report, simulation.now(), simulation.now());
+}
+
+} // namespace
+
 // Guards against starts that overcommit a worker.
 TEST(dispatch, never_exceeds_the_capacity_of_a_worker)
 {
@@ -319,4 +340,66 @@
     }
 }
 
+// Guards against starts beyond the capacity of a worker that started again as a smaller one, before its new entry is
+// read.
+TEST(dispatch, nothing_starts_by_the_entry_of_an_earlier_incarnation)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 4, 8'000, milliseconds{500})));
+    report_incarnation(simulation, 2);
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 0U);
+    entry.m_incarnation_start_unix_ms = 2;
+    entry.m_capacity.m_cpu = millicores{8'000};
+    register_worker(state, entry);
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 1U);
+}
+
+// Guards against sending a start to the next incarnation of its worker, whose entry is read before its first report.
+TEST(dispatch, nothing_starts_before_a_registered_incarnation_has_reported)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 8, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 4U);
+    EXPECT_TRUE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    entry.m_incarnation_start_unix_ms = 2;
+    entry.m_capacity.m_cpu = millicores{64'000};
+    register_worker(state, entry);
+    EXPECT_FALSE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 4U);
+    state.m_starts.clear();
+    report_incarnation(simulation, 2);
+    EXPECT_TRUE(state.m_dispatch_requested);
+    // The tasks of the lost runs wait as well: all eight fit into the new capacity.
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 8U);
+}
+
+// Guards against a worker that never gets work, as its entry or its reports do not state when it started.
+TEST(dispatch, a_worker_with_an_unknown_start_of_its_incarnation_is_used)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    ASSERT_EQ(state.m_workers[0].m_entry.m_incarnation_start_unix_ms, 0);
+    state.m_workers[1].m_entry.m_incarnation_start_unix_ms = 5;
+    state.m_workers[1].m_incarnation_start_unix_ms = 0;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 8, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 8U);
+}
+
 } // namespace cicadalug::test
