Withdraw a start whose worker is over its present capacity

Callers see: a worker whose capacity shrank between the decision and the sending of a start was brought over it, or rejected the start, as the sending checked the run, the worker's state and the age of the copies only.

Cause: is_start_valid() relied on the capacity that dispatch had seen.

Now a start is withdrawn if the runs of its worker need more than the worker's present capacity. The used capacity includes the starts that were decided but not sent, and each withdrawal frees its share, so that those that fit are sent. A resource of which the task reserves nothing does not count: best-effort tasks reserve no CPU.

Without the fix, starts_beyond_a_capacity_that_shrank_are_withdrawn printed 4 starts sent instead of 2, and 32000 used of 17000; a_start_is_not_withdrawn_for_a_resource_that_it_does_not_need printed a valid start on a worker that is over its memory.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -119,6 +119,15 @@
            !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
 }
 
+/** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
+[[nodiscard]] auto exceeds_capacity(const worker_slot& worker, const resources& demand) -> bool
+{
+    const auto& capacity = worker.m_entry.m_capacity;
+    return (demand.m_cpu > millicores{0} && worker.m_used.m_cpu > capacity.m_cpu) ||
+           (demand.m_memory > mebibytes{0} && worker.m_used.m_memory > capacity.m_memory) ||
+           (demand.m_accelerators > 0 && worker.m_used.m_accelerators > capacity.m_accelerators);
+}
+
 /** @brief State of a scheduling pass for one service. */
 struct service_pass {
     scheduler_state& m_state;
@@ -344,8 +353,9 @@
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
     return may_start(state, now) && is_in_service(worker) && find_job(state, command.m_task.m_job) != nullptr &&
-           std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&command](const placed_run& run) {
-               return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
+           std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const placed_run& run) {
+               return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested &&
+                      !exceeds_capacity(worker, run.m_demand);
            });
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -402,4 +403,49 @@
     EXPECT_EQ(state.m_starts.size(), 8U);
 }
 
+// Guards against starts that bring a worker over a capacity that shrank between their decision and their sending.
+TEST(dispatch, starts_beyond_a_capacity_that_shrank_are_withdrawn)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 4, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 4U);
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_capacity.m_cpu = millicores{17'000};
+    register_worker(state, entry);
+    std::size_t sent{0};
+    for (const auto& command : std::exchange(state.m_starts, {})) {
+        if (is_start_valid(state, command, simulation.now())) {
+            ++sent;
+        }
+        else {
+            apply_start_result(state, command, command_result::withdrawn, simulation.now());
+        }
+    }
+    EXPECT_EQ(sent, 2U) << "two of the four starts fit";
+    EXPECT_LE(state.m_workers.front().m_used.m_cpu, entry.m_capacity.m_cpu);
+}
+
+// Guards against best-effort tasks that stay away from a worker because other tasks need more than its CPU capacity.
+TEST(dispatch, a_start_is_not_withdrawn_for_a_resource_that_it_does_not_need)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 2, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    state.m_starts.clear();
+    auto best_effort = make_job("quotes", 1, 8'000, milliseconds{500});
+    best_effort.m_spec.m_steps.front().m_best_effort = true;
+    static_cast<void>(submit_opened(simulation, best_effort));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    state.m_workers.front().m_entry.m_capacity.m_cpu = millicores{15'000};
+    EXPECT_TRUE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    state.m_workers.front().m_entry.m_capacity.m_memory = mebibytes{2'500};
+    EXPECT_FALSE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+}
+
 } // namespace cicadalug::test
