Keep runs that are missing in an incomplete report of their worker

Callers see: while writes to the store stayed unanswered and ends piled up, tasks that were done started again.

Cause: a worker lists at most 500 ends at a time. A confirmed run whose end is number 501 is in neither list, so that drop_missing_runs() abandoned it and its task started again, although the end was listed later. The same happened to a run whose row could not be decoded.

The next complete report drops what is missing; the list shrinks as soon as a write succeeds and its ends are acknowledged.

A relay sends the mark as an additional last end with a number that workers do not use. The format version stays: a decider of the last release ignores that end like one that it has applied, and a relay of the last release sends no mark.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -341,7 +341,10 @@
         // of which only one is in flight. A run whose end has been applied is therefore not listed as running again.
         apply_running_report(state, worker, index, running, now);
     }
-    drop_missing_runs(state, worker, report, sent, now);
+    // The end of a run that is missing in an incomplete report may be listed later.
+    if (!report.m_incomplete) {
+        drop_missing_runs(state, worker, report, sent, now);
+    }
 }
 
 auto apply_start_result(scheduler_state& state, const start_command& command, const command_result result,
--- a/packages/scheduler/src/cicadalug/scheduler/worker.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker.hpp
@@ -52,6 +52,9 @@
     std::int64_t m_clock_ms{0};
     std::vector<running_report> m_running;
     std::vector<ended_report> m_ended;
+    /** @brief Runs may be missing in both lists, as the worker lists a limited number of ends, or a row could not be
+     * decoded. */
+    bool m_incomplete{false};
 };
 
 /** @brief State of a worker in the registry. */
--- a/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
@@ -12,6 +12,10 @@
 /** @brief First byte of all messages; changed with each incompatible change of the format. */
 constexpr char format_version{1};
 
+/** @brief Number of an additional last end that marks a report as incomplete. Deciders of the last release ignore it,
+ * as workers number their ends from 1, so that the version of the format stays the same. */
+constexpr auto incomplete_mark = std::numeric_limits<std::int64_t>::min();
+
 /** @brief Number of payload bits in a byte of a variable-length integer. */
 constexpr unsigned varint_bits{7};
 constexpr std::uint64_t varint_continues{0x80};
@@ -185,6 +189,15 @@
     return call;
 }
 
+auto write_end(byte_writer& bytes, const ended_report& ended) -> void
+{
+    bytes.integer(ended.m_number);
+    write_task(bytes, ended.m_task);
+    bytes.integer(ended.m_run.value());
+    bytes.number(static_cast<std::uint64_t>(ended.m_outcome));
+    bytes.text(ended.m_checkpoint);
+}
+
 auto write_result(byte_writer& bytes, const worker_call_result& result) -> void
 {
     bytes.number(result.m_number.value());
@@ -200,13 +213,14 @@
         bytes.integer(running.m_percent);
         bytes.integer(running.m_usage);
     }
-    bytes.number(report.m_ended.size());
+    bytes.number(report.m_ended.size() + (report.m_incomplete ? 1 : 0));
     for (const auto& ended : report.m_ended) {
-        bytes.integer(ended.m_number);
-        write_task(bytes, ended.m_task);
-        bytes.integer(ended.m_run.value());
-        bytes.number(static_cast<std::uint64_t>(ended.m_outcome));
-        bytes.text(ended.m_checkpoint);
+        write_end(bytes, ended);
+    }
+    if (report.m_incomplete) {
+        ended_report mark;
+        mark.m_number = incomplete_mark;
+        write_end(bytes, mark);
     }
 }
 
@@ -234,6 +248,10 @@
         ended.m_outcome = bytes.enumerator(run_end::gang_timeout);
         ended.m_checkpoint = bytes.text();
     }
+    report.m_incomplete = !report.m_ended.empty() && report.m_ended.back().m_number == incomplete_mark;
+    if (report.m_incomplete) {
+        report.m_ended.pop_back();
+    }
     return read;
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -238,4 +238,47 @@
     EXPECT_EQ(state.m_current_workers.size(), 1U);
 }
 
+// Guards against restarting a task whose end is missing in the list, as a worker lists a limited number of ends.
+TEST(reports, a_run_that_is_missing_in_an_incomplete_report_is_not_abandoned)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_job("quotes", 1, 1'000, milliseconds{5'000}));
+    simulation.run_for(milliseconds{200});
+    auto& state = simulation.m_state;
+    const task_ref task{job, 0, 0, 0};
+    const auto run = find_task(state, task)->m_run;
+    const auto now = simulation.now() + milliseconds{10};
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_incomplete = true;
+    apply_report(state, 0, report, now, now);
+    dispatch(state, now);
+    EXPECT_EQ(find_task(state, task)->m_phase, task_phase::running);
+    EXPECT_TRUE(state.m_starts.empty());
+    report.m_incomplete = false;
+    report.m_ended.push_back({1, task, run, run_end::done, {}});
+    apply_report(state, 0, report, now, now);
+    EXPECT_EQ(find_job(state, job)->m_state, job_state::completed);
+}
+
+// Guards against runs that occupy a worker for good after an incomplete report.
+TEST(reports, a_run_that_is_missing_in_a_complete_report_is_abandoned)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 1, 1'000, milliseconds{5'000})));
+    simulation.run_for(milliseconds{200});
+    auto& state = simulation.m_state;
+    const auto now = simulation.now() + milliseconds{10};
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_incomplete = true;
+    apply_report(state, 0, report, now, now);
+    EXPECT_EQ(state.m_workers.front().m_runs.size(), 1U);
+    report.m_incomplete = false;
+    apply_report(state, 0, report, now, now);
+    EXPECT_TRUE(state.m_workers.front().m_runs.empty());
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/worker_call.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/worker_call.cpp
@@ -41,6 +41,7 @@
     result.m_result = *rc::gen::element(command_result::accepted, command_result::fenced, command_result::withdrawn);
     result.m_report.m_clock_ms = *rc::gen::arbitrary<std::int64_t>();
     result.m_report.m_incarnation_start_unix_ms = *rc::gen::arbitrary<std::int64_t>();
+    result.m_report.m_incomplete = *rc::gen::arbitrary<bool>();
     for (auto count = *rc::gen::inRange(0, 4); count > 0; --count) {
         result.m_report.m_running.push_back(
             {any_task(), run_number{*rc::gen::arbitrary<std::int64_t>()}, *rc::gen::arbitrary<std::string>(), 41, -1});
@@ -92,6 +93,7 @@
         RC_ASSERT(actual.m_result == expected.m_result);
         RC_ASSERT(actual.m_report.m_clock_ms == expected.m_report.m_clock_ms);
         RC_ASSERT(actual.m_report.m_incarnation_start_unix_ms == expected.m_report.m_incarnation_start_unix_ms);
+        RC_ASSERT(actual.m_report.m_incomplete == expected.m_report.m_incomplete);
         RC_ASSERT(actual.m_report.m_running.size() == expected.m_report.m_running.size());
         for (std::size_t run = 0; run < expected.m_report.m_running.size(); ++run) {
             RC_ASSERT(actual.m_report.m_running[run].m_task == expected.m_report.m_running[run].m_task);
@@ -104,6 +106,22 @@
     }
 }
 
+// Guards against an end that is added to the list of a worker, as the mark of an incomplete report is sent as one.
+TEST(worker_call, an_incomplete_report_is_decoded_with_its_ends_only)
+{
+    std::vector<worker_call_result> results(2);
+    results.front().m_report.m_incomplete = true;
+    results.back().m_report.m_ended.resize(1);
+    const auto bytes = encode(results);
+    EXPECT_EQ(bytes.front(), 1) << "entry VMs of the last release read this version only";
+    const auto decoded = decode_worker_call_results(bytes);
+    ASSERT_TRUE(decoded);
+    EXPECT_TRUE(decoded.assume_value().front().m_report.m_incomplete);
+    EXPECT_TRUE(decoded.assume_value().front().m_report.m_ended.empty());
+    EXPECT_FALSE(decoded.assume_value().back().m_report.m_incomplete);
+    EXPECT_EQ(decoded.assume_value().back().m_report.m_ended.size(), 1U);
+}
+
 // Guards against a truncated or foreign message that is taken for calls.
 RC_GTEST_PROP(worker_call, damaged_messages_are_rejected, ())
 {
