Start no task that has no attempt left, and fail its job at the next lost run

Callers see: a task started again after max_attempts of its runs had failed.

Cause: the failure of a run that is not the current one is counted, but did not end the job. A speculative step starts before the recovery; a worker then reports an earlier run, which is adopted with a stop and fails as the last attempt. When the current run expired or was stopped, the task waited and started again. A takeover restored a full list of failures in the same way.

Now the current run may still complete the task; an end other than done fails the job. A start that was decided before the last failure is withdrawn, and dispatch starts no task without an attempt left: it fails the job as soon as no run of an earlier term can be found any more. Long-running tasks have no limit, as before.

Without the fix, a_job_fails_when_its_run_is_lost_after_the_last_failure_of_an_earlier_run printed another start and a queued job, a_decided_start_is_not_sent_after_the_last_failure a valid start, and a_job_without_an_attempt_left_fails_after_the_recovery 2 starts instead of 1 and a running job, with and without speculative runs.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -55,6 +55,8 @@
     std::size_t m_step{0};
     urgency m_urgency{urgency::in_time};
     bool m_needs_permit{false};
+    /** @brief Runs of an earlier term may still be found. */
+    bool m_recovering{false};
 };
 
 [[nodiscard]] auto task_of(const waiting_step& waiting, const std::size_t index) -> task_ref
@@ -82,8 +84,8 @@
                     job_urgency = classify_urgency(state, *job, now);
                     classified = true;
                 }
-                found.push_back(
-                    {job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency, needs_permit});
+                found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency,
+                                 needs_permit, occurrence.m_steps[step].m_recovered && !recovered});
             }
         }
     }
@@ -230,6 +232,16 @@
     return run_number{std::max(first, task.m_highest_run.value() + 1)};
 }
 
+/** @brief Fails the job of a waiting task that has no attempt left: the last failure was counted by an earlier decider,
+ * or while a run continued that has been lost since. While runs may still be found, one of them can complete the task.
+ */
+auto give_up(service_pass& pass, const waiting_step& waiting) -> void
+{
+    if (!waiting.m_recovering) {
+        fail_job(pass.m_state, *waiting.m_job, pass.m_now);
+    }
+}
+
 /** @brief Starts all members of a gang together, or none of them. */
 auto start_gang(service_pass& pass, const waiting_step& waiting) -> void
 {
@@ -242,8 +254,12 @@
         return;
     }
     auto run = run_number{0};
-    for (const auto& member : step.m_tasks) {
-        run = std::max(run, next_run(pass.m_state, member));
+    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
+        if (is_out_of_attempts(job, task_of(waiting, index))) {
+            give_up(pass, waiting);
+            return;
+        }
+        run = std::max(run, next_run(pass.m_state, step.m_tasks[index]));
     }
     const auto first = pass.m_reserved.size();
     // Demands that do not fit only beside these reservations fit again after their release.
@@ -281,6 +297,13 @@
             continue;
         }
         const auto task = task_of(waiting, index);
+        if (is_out_of_attempts(job, task)) {
+            give_up(pass, waiting);
+            if (is_final(job.m_state)) {
+                return;
+            }
+            continue;
+        }
         const auto worker = choose_worker(pass, waiting, index);
         if (worker == no_worker) {
             if (waiting.m_needs_permit) {
@@ -352,7 +375,9 @@
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
-    return may_start(state, now) && is_in_service(worker) && find_job(state, command.m_task.m_job) != nullptr &&
+    const auto* job = find_job(state, command.m_task.m_job);
+    return may_start(state, now) && is_in_service(worker) && job != nullptr &&
+           !is_out_of_attempts(*job, command.m_task) &&
            std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const placed_run& run) {
                return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested &&
                       !exceeds_capacity(worker, run.m_demand);
@@ -380,6 +405,9 @@
         }
         service_pass pass{state, make_placement_index(state, std::move(candidates)), {}, now};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
+            if (is_final(waiting.m_job->m_state)) {
+                continue;
+            }
             if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
                 start_gang(pass, waiting);
             }
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -72,8 +72,9 @@
 
 /**
  * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
- * meanwhile, its worker is still in service and not over its present capacity, the term cannot have ended, and the
- * copies are recent enough. Each start that is withdrawn makes room for the remaining ones on its worker.
+ * meanwhile, its task has an attempt left, its worker is still in service and not over its present capacity, the term
+ * cannot have ended, and the copies are recent enough. Each start that is withdrawn makes room for the remaining ones
+ * on its worker.
  * @param state The scheduler.
  * @param command The start.
  * @param now Current time.
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -268,6 +268,22 @@
     return true;
 }
 
+auto is_out_of_attempts(const job_entry& job, const task_ref& task) -> bool
+{
+    const auto* step = find_step(job, task);
+    if (step == nullptr || task.m_index < 0 || static_cast<std::size_t>(task.m_index) >= step->m_tasks.size() ||
+        step_of(job, task).m_long_running) {
+        return false;
+    }
+    const auto failures = step->m_tasks[static_cast<std::size_t>(task.m_index)].m_failed_runs.size();
+    return failures > 0 && static_cast<std::int64_t>(failures) >= job.m_record.m_policy.m_max_attempts;
+}
+
+auto fail_job(scheduler_state& state, job_entry& job, const time_point now) -> void
+{
+    finish_job(state, job, job_state::failed, now);
+}
+
 auto apply_task_end(scheduler_state& state, job_entry& job, const task_end& end, const time_point now) -> void
 {
     const auto& [task, run, outcome, checkpoint] = end;
@@ -314,13 +330,14 @@
         const auto failures = static_cast<std::int64_t>(found->m_failed_runs.size());
         found->m_not_before = now + state.m_settings.m_task_backoff * failures;
         mark_dirty(state, job);
-        if (failures >= job.m_record.m_policy.m_max_attempts) {
-            finish_job(state, job, job_state::failed, now);
-        }
     }
     else if (!checkpoint.empty()) {
         mark_dirty(state, job);
     }
+    // The last failure may be that of an earlier run, which was counted while this one continued.
+    if (is_out_of_attempts(job, task)) {
+        fail_job(state, job, now);
+    }
 }
 
 auto apply_stored_progress(scheduler_state& state, job_entry& job, const job_progress& stored) -> void
