Count the failures of all members of a gang together

Callers see: a gang whose members failed in turn ran up to max_attempts times for each member before its job failed.

Cause: failures were counted per member, while the protocol calls a job failed when "a task, or a gang, has failed max_attempts times".

Now the runs in which any member failed count. All members have the same run number, so members that fail in one run count once, also if their ends arrive late or are reported again after a takeover. The stored progress is unchanged.

Without the fix, the_failures_of_all_members_of_a_gang_count_together printed a job that had not failed after 3 failed runs of 3 attempts, and 12 starts instead of 9. members_of_a_gang_that_fail_in_one_run_count_once passed before, too.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -253,13 +253,13 @@
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
         return;
     }
+    if (is_out_of_attempts(job, task_of(waiting, 0))) {
+        give_up(pass, waiting);
+        return;
+    }
     auto run = run_number{0};
-    for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        if (is_out_of_attempts(job, task_of(waiting, index))) {
-            give_up(pass, waiting);
-            return;
-        }
-        run = std::max(run, next_run(pass.m_state, step.m_tasks[index]));
+    for (const auto& member : step.m_tasks) {
+        run = std::max(run, next_run(pass.m_state, member));
     }
     const auto first = pass.m_reserved.size();
     // Demands that do not fit only beside these reservations fit again after their release.
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/scheduler/jobs.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cicadalug {
@@ -116,6 +117,16 @@
     }
 }
 
+/** @brief Counts the runs of a gang in which a member failed; members that fail in the same run count once. */
+[[nodiscard]] auto failed_runs_of_gang(const step_state& step) -> std::size_t
+{
+    std::set<run_number> runs;
+    for (const auto& member : step.m_tasks) {
+        runs.insert(member.m_failed_runs.begin(), member.m_failed_runs.end());
+    }
+    return runs.size();
+}
+
 } // namespace
 
 auto find_job(const scheduler_state& state, const job_id& id) -> job_entry*
@@ -275,7 +286,9 @@
         step_of(job, task).m_long_running) {
         return false;
     }
-    const auto failures = step->m_tasks[static_cast<std::size_t>(task.m_index)].m_failed_runs.size();
+    const auto failures = step_of(job, task).m_gang
+                              ? failed_runs_of_gang(*step)
+                              : step->m_tasks[static_cast<std::size_t>(task.m_index)].m_failed_runs.size();
     return failures > 0 && static_cast<std::int64_t>(failures) >= job.m_record.m_policy.m_max_attempts;
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -63,7 +63,10 @@
 /** @brief Counts a failed run as an attempt. @return False if it has been counted before. */
 auto count_failure(task_state& task, run_number run) -> bool;
 
-/** @brief Checks whether a task has failed as often as its queue allows. A long-running or unknown task never has. */
+/**
+ * @brief Checks whether a task, or the gang that it belongs to, has failed as often as its queue allows. A long-running
+ * or unknown task never has.
+ */
 [[nodiscard]] auto is_out_of_attempts(const job_entry& job, const task_ref& task) -> bool;
 
 /** @brief Ends a job as failed and stops its runs. @pre The job is not in a final state. */
--- a/packages/scheduler/test/cicadalug/scheduler/attempts.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/attempts.cpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 
 namespace cicadalug::test {
 
@@ -61,6 +62,22 @@
     worker_report m_earlier;
 };
 
+/** @brief Ends all runs of a gang: the given members fail, and the others end with them. */
+auto fail_gang(scheduler_simulation& simulation, const std::set<std::int64_t>& failing) -> void
+{
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    auto& worker = simulation.m_state.m_workers.front();
+    auto number = worker.m_last_end;
+    for (const auto& run : worker.m_runs) {
+        const auto outcome = failing.contains(run.m_task.m_index) ? run_end::failed : run_end::peer_ended;
+        report.m_ended.push_back({++number, run.m_task, run.m_run, outcome, {}});
+    }
+    simulation.worker("w1").m_runs.clear();
+    simulation.worker("w1").m_end_count = number;
+    apply_report(simulation.m_state, 0, report, simulation.now(), simulation.now());
+}
+
 } // namespace
 
 // Guards against another start when the last failure was that of an earlier run, and the current run is lost.
@@ -137,4 +154,44 @@
     }
 }
 
+// Guards against more runs of a gang than it has attempts, as its members fail in turn.
+TEST(attempts, the_failures_of_all_members_of_a_gang_count_together)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    simulation.m_state.m_settings.m_failures_before_pause = 100;
+    auto record = make_job("quotes", 3, 8'000, milliseconds{60'000});
+    record.m_policy.m_max_attempts = 3;
+    record.m_spec.m_steps.front().m_gang = true;
+    const auto job = simulation.submit(record);
+    for (std::int64_t member = 0; member < 3; ++member) {
+        simulation.run_for(milliseconds{500});
+        ASSERT_EQ(simulation.total_starts(), 3 * (member + 1));
+        ASSERT_FALSE(is_final(find_job(simulation.m_state, job)->m_state));
+        fail_gang(simulation, {member});
+    }
+    EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::failed);
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.total_starts(), 9);
+}
+
+// Guards against a gang that loses several attempts to one run in which several members fail.
+TEST(attempts, members_of_a_gang_that_fail_in_one_run_count_once)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    simulation.m_state.m_settings.m_failures_before_pause = 100;
+    auto record = make_job("quotes", 3, 8'000, milliseconds{60'000});
+    record.m_policy.m_max_attempts = 2;
+    record.m_spec.m_steps.front().m_gang = true;
+    const auto job = simulation.submit(record);
+    simulation.run_for(milliseconds{500});
+    fail_gang(simulation, {0, 1, 2});
+    EXPECT_FALSE(is_final(find_job(simulation.m_state, job)->m_state));
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.total_starts(), 6);
+    fail_gang(simulation, {1});
+    EXPECT_EQ(find_job(simulation.m_state, job)->m_state, job_state::failed);
+}
+
 } // namespace cicadalug::test
