Stop runs on a worker that had left and reports a run again

Callers see: a start that was carried out late on a worker that had left the registry and held nothing ran on; its stop was requested but never sent, while the renewals went on.

Cause: such a worker is not in m_current_workers any more, the list by which expire_runs() sends stops and ends leases.

Now an adopted run makes its worker current again, until it is unregistered and holds nothing.

Without the fix, a_worker_that_left_is_current_again_when_it_reports_a_run printed 0 current workers and 0 stops.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+/** @brief Lists a worker as one that is registered or may hold runs. */
+auto make_current(scheduler_state& state, worker_slot& worker, const worker_index index) -> void
+{
+    if (!worker.m_current) {
+        worker.m_current = true;
+        state.m_current_workers.push_back(index);
+    }
+}
+
 /** @brief Adopts a reported run that this decider did not start, or of whose start it has no record. */
 auto adopt_run(scheduler_state& state, worker_slot& worker, const worker_index index, const running_report& report,
                const time_point now) -> void
@@ -89,6 +98,8 @@
     }
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(placed);
+    // The worker may have left the registry and had no runs before a late start.
+    make_current(state, worker, index);
 }
 
 auto apply_running_report(scheduler_state& state, worker_slot& worker, const worker_index index,
@@ -287,10 +298,7 @@
     auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
     worker.m_registered = true;
     worker.m_entry = entry;
-    if (!worker.m_current) {
-        worker.m_current = true;
-        state.m_current_workers.push_back(known->second);
-    }
+    make_current(state, worker, known->second);
     state.m_dispatch_requested = true;
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -281,4 +281,24 @@
     EXPECT_TRUE(state.m_workers.front().m_runs.empty());
 }
 
+// Guards against a run that is never stopped, as its worker left and held nothing before a start was carried out late.
+TEST(reports, a_worker_that_left_is_current_again_when_it_reports_a_run)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    unregister_worker(state, state.m_workers.front().m_entry.m_id);
+    expire_runs(state, simulation.now());
+    ASSERT_TRUE(state.m_current_workers.empty());
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_clock_ms = state.m_workers.front().m_clock_ms;
+    report.m_running.push_back({{job_id{"cancelled"}, 0, 0, 0}, run_number{1}, {}, 0, 0});
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    expire_runs(state, simulation.now());
+    EXPECT_EQ(state.m_current_workers.size(), 1U);
+    ASSERT_EQ(state.m_stops.size(), 1U);
+    EXPECT_EQ(state.m_stops.front().m_worker, 0);
+}
+
 } // namespace cicadalug::test
