--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -55,6 +55,8 @@
     std::size_t m_step{0};
     urgency m_urgency{urgency::in_time};
     bool m_needs_permit{false};
+    /** @brief Runs of an earlier term may still be found. */
+    bool m_recovering{false};
 };
 
 [[nodiscard]] auto task_of(const waiting_step& waiting, const std::size_t index) -> task_ref
@@ -82,8 +84,8 @@
                     job_urgency = classify_urgency(state, *job, now);
                     classified = true;
                 }
-                found.push_back(
-                    {job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency, needs_permit});
+                found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency,
+                                 needs_permit, occurrence.m_steps[step].m_recovered && !recovered});
             }
         }
     }
@@ -96,10 +98,21 @@
     return found;
 }
 
-/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. */
+/** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
+ */
+[[nodiscard]] auto is_entry_current(const worker_slot& worker) -> bool
+{
+    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+    const auto reported = worker.m_incarnation_start_unix_ms;
+    return registered == 0 || reported == 0 || registered == reported;
+}
+
+/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. The entry of
+ * another incarnation does not count, as the capacity and the labels may have changed. */
 [[nodiscard]] auto is_in_service(const worker_slot& worker) -> bool
 {
-    return worker.m_registered && worker.m_entry.m_state == worker_state::ready && !worker.m_cordoned;
+    return worker.m_registered && is_entry_current(worker) && worker.m_entry.m_state == worker_state::ready &&
+           !worker.m_cordoned;
 }
 
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
@@ -108,6 +121,15 @@
            !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
 }
 
+/** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
+[[nodiscard]] auto exceeds_capacity(const worker_slot& worker, const resources& demand) -> bool
+{
+    const auto& capacity = worker.m_entry.m_capacity;
+    return (demand.m_cpu > millicores{0} && worker.m_used.m_cpu > capacity.m_cpu) ||
+           (demand.m_memory > mebibytes{0} && worker.m_used.m_memory > capacity.m_memory) ||
+           (demand.m_accelerators > 0 && worker.m_used.m_accelerators > capacity.m_accelerators);
+}
+
 /** @brief State of a scheduling pass for one service. */
 struct service_pass {
     scheduler_state& m_state;
@@ -210,6 +232,16 @@
     return run_number{std::max(first, task.m_highest_run.value() + 1)};
 }
 
+/** @brief Fails the job of a waiting task that has no attempt left: the last failure was counted by an earlier decider,
+ * or while a run continued that has been lost since. While runs may still be found, one of them can complete the task.
+ */
+auto give_up(service_pass& pass, const waiting_step& waiting) -> void
+{
+    if (!waiting.m_recovering) {
+        fail_job(pass.m_state, *waiting.m_job, pass.m_now);
+    }
+}
+
 /** @brief Starts all members of a gang together, or none of them. */
 auto start_gang(service_pass& pass, const waiting_step& waiting) -> void
 {
@@ -221,6 +253,10 @@
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
         return;
     }
+    if (is_out_of_attempts(job, task_of(waiting, 0))) {
+        give_up(pass, waiting);
+        return;
+    }
     auto run = run_number{0};
     for (const auto& member : step.m_tasks) {
         run = std::max(run, next_run(pass.m_state, member));
@@ -261,6 +297,13 @@
             continue;
         }
         const auto task = task_of(waiting, index);
+        if (is_out_of_attempts(job, task)) {
+            give_up(pass, waiting);
+            if (is_final(job.m_state)) {
+                return;
+            }
+            continue;
+        }
         const auto worker = choose_worker(pass, waiting, index);
         if (worker == no_worker) {
             if (waiting.m_needs_permit) {
@@ -332,9 +375,12 @@
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
-    return may_start(state, now) && is_in_service(worker) && find_job(state, command.m_task.m_job) != nullptr &&
-           std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&command](const placed_run& run) {
-               return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
+    const auto* job = find_job(state, command.m_task.m_job);
+    return may_start(state, now) && is_in_service(worker) && job != nullptr &&
+           !is_out_of_attempts(*job, command.m_task) &&
+           std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const placed_run& run) {
+               return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested &&
+                      !exceeds_capacity(worker, run.m_demand);
            });
 }
 
@@ -359,6 +405,9 @@
         }
         service_pass pass{state, make_placement_index(state, std::move(candidates)), {}, now};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
+            if (is_final(waiting.m_job->m_state)) {
+                continue;
+            }
             if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
                 start_gang(pass, waiting);
             }
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -5,9 +5,31 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
 
 namespace cicadalug::test {
 
+namespace {
+
+/** @brief Submits a job whose first step is already open in the store. */
+[[nodiscard]] auto submit_opened(scheduler_simulation& simulation, job_record record) -> job_id
+{
+    auto job = simulation.submit(std::move(record));
+    find_job(simulation.m_state, job)->m_open.front().m_steps.front().m_opened = true;
+    return job;
+}
+
+auto report_incarnation(scheduler_simulation& simulation, const std::int64_t start_unix_ms) -> void
+{
+    worker_report report;
+    report.m_incarnation_start_unix_ms = start_unix_ms;
+    apply_report(simulation.m_state, 0, report, simulation.now(), simulation.now());
+}
+
+} // namespace
+
 // Guards against starts that overcommit a worker.
 TEST(dispatch, never_exceeds_the_capacity_of_a_worker)
 {
@@ -319,4 +341,111 @@
     }
 }
 
+// Guards against starts beyond the capacity of a worker that started again as a smaller one, before its new entry is
+// read.
+TEST(dispatch, nothing_starts_by_the_entry_of_an_earlier_incarnation)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 4, 8'000, milliseconds{500})));
+    report_incarnation(simulation, 2);
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 0U);
+    entry.m_incarnation_start_unix_ms = 2;
+    entry.m_capacity.m_cpu = millicores{8'000};
+    register_worker(state, entry);
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 1U);
+}
+
+// Guards against sending a start to the next incarnation of its worker, whose entry is read before its first report.
+TEST(dispatch, nothing_starts_before_a_registered_incarnation_has_reported)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 8, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 4U);
+    EXPECT_TRUE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    entry.m_incarnation_start_unix_ms = 2;
+    entry.m_capacity.m_cpu = millicores{64'000};
+    register_worker(state, entry);
+    EXPECT_FALSE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 4U);
+    state.m_starts.clear();
+    report_incarnation(simulation, 2);
+    EXPECT_TRUE(state.m_dispatch_requested);
+    // The tasks of the lost runs wait as well: all eight fit into the new capacity.
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 8U);
+}
+
+// Guards against a worker that never gets work, as its entry or its reports do not state when it started.
+TEST(dispatch, a_worker_with_an_unknown_start_of_its_incarnation_is_used)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    ASSERT_EQ(state.m_workers[0].m_entry.m_incarnation_start_unix_ms, 0);
+    state.m_workers[1].m_entry.m_incarnation_start_unix_ms = 5;
+    state.m_workers[1].m_incarnation_start_unix_ms = 0;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 8, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 8U);
+}
+
+// Guards against starts that bring a worker over a capacity that shrank between their decision and their sending.
+TEST(dispatch, starts_beyond_a_capacity_that_shrank_are_withdrawn)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 4, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 4U);
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_capacity.m_cpu = millicores{17'000};
+    register_worker(state, entry);
+    std::size_t sent{0};
+    for (const auto& command : std::exchange(state.m_starts, {})) {
+        if (is_start_valid(state, command, simulation.now())) {
+            ++sent;
+        }
+        else {
+            apply_start_result(state, command, command_result::withdrawn, simulation.now());
+        }
+    }
+    EXPECT_EQ(sent, 2U) << "two of the four starts fit";
+    EXPECT_LE(state.m_workers.front().m_used.m_cpu, entry.m_capacity.m_cpu);
+}
+
+// Guards against best-effort tasks that stay away from a worker because other tasks need more than its CPU capacity.
+TEST(dispatch, a_start_is_not_withdrawn_for_a_resource_that_it_does_not_need)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    static_cast<void>(submit_opened(simulation, make_job("quotes", 2, 8'000, milliseconds{500})));
+    dispatch(state, simulation.now());
+    state.m_starts.clear();
+    auto best_effort = make_job("quotes", 1, 8'000, milliseconds{500});
+    best_effort.m_spec.m_steps.front().m_best_effort = true;
+    static_cast<void>(submit_opened(simulation, best_effort));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    state.m_workers.front().m_entry.m_capacity.m_cpu = millicores{15'000};
+    EXPECT_TRUE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+    state.m_workers.front().m_entry.m_capacity.m_memory = mebibytes{2'500};
+    EXPECT_FALSE(is_start_valid(state, state.m_starts.front(), simulation.now()));
+}
+
 } // namespace cicadalug::test
