Log why a run counts as lost and what was known of its lease

run_lost did not tell a lease that was over from a run that was missing in a report, a new incarnation of the worker, a command for its VM or a start that was not accepted. It now has the cause, whether the decider adopted the run from a report, the time until the known end of the lease, the age of the worker's last report, and the token. takeover has the number of workers that the last decider listed with leases and the age of the term's lease.

Not run: process tests.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -22,6 +22,7 @@
 
 using internal::failure_pause;
 using internal::store_timeout;
+using internal::to_ms;
 
 /** @brief A watch is requested again after this time; bounds how long an unresponsive connection goes unnoticed, and,
  * while nothing changes, how old the copy of the store is known to be. */
@@ -258,7 +259,9 @@
                      .with("token", m_term.m_token)
                      .with("jobs", m_state.m_jobs.size())
                      .with("workers", m_state.m_workers.size())
-                     .with("took_ms", std::chrono::duration_cast<milliseconds>(monotonic_now() - begin).count());
+                     .with("expected", m_state.m_expected_workers.size())
+                     .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
+                     .with("took_ms", to_ms(monotonic_now() - begin));
     asio::co_spawn(m_executor, watch_jobs(self), asio::detached);
     asio::co_spawn(m_executor, watch_workers(self), asio::detached);
     asio::co_spawn(m_executor, store_progress(self), asio::detached);
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -19,6 +19,7 @@
 
 using internal::failure_pause;
 using internal::tick_interval;
+using internal::to_ms;
 
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
@@ -51,6 +52,20 @@
 /** @brief Timeout of a permit request; the service takes some time for each worker in it. */
 constexpr milliseconds permit_timeout{1'500};
 
+/** @brief Adds to a log line what tells why a run without a reported end counts as ended. */
+[[nodiscard]] auto add_loss(log_line line, const run_event& event, const fencing_token token, const time_point now)
+    -> log_line
+{
+    constexpr const char* causes[]{"lease_over", "missing_in_report", "new_incarnation", "vm_command",
+                                   "start_not_accepted"};
+    return std::move(line)
+        .with("cause", causes[static_cast<std::size_t>(event.m_cause)])
+        .with("adopted", event.m_adopted)
+        .with("lease_left_ms", to_ms(event.m_lease_end - now))
+        .with("report_age_ms", to_ms(now - event.m_last_report))
+        .with("token", token);
+}
+
 } // namespace
 
 auto decider::make_call(const worker_index index, const worker_call_kind kind, const milliseconds timeout) const
@@ -162,19 +177,22 @@
 
 auto decider::log_events() -> void
 {
-    log_dropped_lines(monotonic_now());
+    const auto now = monotonic_now();
+    log_dropped_lines(now);
     for (const auto& event : std::exchange(m_state.m_events, {})) {
         if (!admit_line(m_run_log_budget)) {
             continue;
         }
         constexpr const char* names[]{"run_failed", "run_lost", "worker_paused"};
-        LOG(INFO) << log_line{names[static_cast<std::size_t>(event.m_kind)]}
-                         .with("request", event.m_task.m_job)
-                         .with("step", event.m_task.m_step)
-                         .with("index", event.m_task.m_index)
-                         .with("run", event.m_run)
-                         .with("worker", m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id)
-                         .with("failures_in_row", event.m_failures);
+        auto line = log_line{names[static_cast<std::size_t>(event.m_kind)]}
+                        .with("request", event.m_task.m_job)
+                        .with("step", event.m_task.m_step)
+                        .with("index", event.m_task.m_index)
+                        .with("run", event.m_run)
+                        .with("worker", m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id)
+                        .with("failures_in_row", event.m_failures);
+        LOG(INFO) << (event.m_kind == run_event_kind::lost ? add_loss(std::move(line), event, m_term.m_token, now)
+                                                           : std::move(line));
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -35,12 +35,13 @@
 
 /** @brief Removes a run that never ran or has ended without a reported end. */
 auto abandon_run(scheduler_state& state, worker_slot& worker, const std::vector<placed_run>::iterator run,
-                 const time_point now) -> void
+                 const lost_cause cause, const time_point now) -> void
 {
     const auto task = run->m_task;
     const auto number = run->m_run;
+    state.m_events.push_back({run_event_kind::lost, state.m_worker_by_id.at(worker.m_entry.m_id), task, number, 0,
+                              cause, run->m_adopted, lease_end(state, worker), worker.m_last_report});
     remove_run(state, worker, run);
-    state.m_events.push_back({run_event_kind::lost, state.m_worker_by_id.at(worker.m_entry.m_id), task, number, 0});
     auto* job = find_job(state, task.m_job);
     const auto* known = find_task(state, task);
     if (job != nullptr && known != nullptr && known->m_run == number && known->m_phase != task_phase::waiting) {
@@ -48,10 +49,10 @@
     }
 }
 
-auto abandon_all_runs(scheduler_state& state, worker_slot& worker, const time_point now) -> void
+auto abandon_all_runs(scheduler_state& state, worker_slot& worker, const lost_cause cause, const time_point now) -> void
 {
     while (!worker.m_runs.empty()) {
-        abandon_run(state, worker, worker.m_runs.begin(), now);
+        abandon_run(state, worker, worker.m_runs.begin(), cause, now);
     }
 }
 
@@ -63,6 +64,7 @@
     placed.m_task = report.m_task;
     placed.m_run = report.m_run;
     placed.m_confirmed = true;
+    placed.m_adopted = true;
     auto* job = find_job(state, report.m_task.m_job);
     auto* task = find_task(state, report.m_task);
     if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done ||
@@ -232,7 +234,8 @@
         run.m_stop_requested =
             run.m_stop_requested || (!listed && run.m_no_response_since && *run.m_no_response_since <= sent);
         if (!listed && settled) {
-            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position), now);
+            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
+                        lost_cause::missing_in_report, now);
         }
         else {
             ++position;
@@ -246,7 +249,7 @@
 {
     if (worker.m_has_reported && report.m_incarnation_start_unix_ms > worker.m_incarnation_start_unix_ms &&
         worker.m_incarnation_start_unix_ms != 0) {
-        abandon_all_runs(state, worker, now);
+        abandon_all_runs(state, worker, lost_cause::new_incarnation, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
         // The clock of the new incarnation starts again.
@@ -382,7 +385,7 @@
     default:
         break;
     }
-    abandon_run(state, worker, run, now);
+    abandon_run(state, worker, run, lost_cause::start_not_accepted, now);
     const auto* job = find_job(state, command.m_task.m_job);
     if (job != nullptr && step_of(*job, command.m_task).m_gang) {
         stop_gang(state, command);
@@ -409,7 +412,7 @@
 auto end_runs_of_worker(scheduler_state& state, const worker_index index, const time_point now) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    abandon_all_runs(state, worker, now);
+    abandon_all_runs(state, worker, lost_cause::vm_command, now);
     worker.m_lease_until_ms = 0;
 }
 
@@ -465,7 +468,7 @@
         auto& worker = state.m_workers[static_cast<std::size_t>(position)];
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
-            abandon_all_runs(state, worker, now);
+            abandon_all_runs(state, worker, lost_cause::lease_over, now);
         }
         for (auto& run : worker.m_runs) {
             const bool repeat = run.m_stop_sent == time_point{} ||
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -162,6 +162,8 @@
     time_point m_sent{};
     /** @brief The worker has reported the run or accepted its start. */
     bool m_confirmed{false};
+    /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
+    bool m_adopted{false};
     /** @brief When the response to the start was found missing: the run may exist, or may still be started. */
     std::optional<time_point> m_no_response_since;
     bool m_stop_requested{false};
@@ -231,6 +233,15 @@
 /** @brief Kind of an event of a run, for the log. */
 enum class run_event_kind : std::uint8_t { failed, lost, worker_paused };
 
+/** @brief Why a run without a reported end counts as ended. */
+enum class lost_cause : std::uint8_t {
+    lease_over,
+    missing_in_report,
+    new_incarnation,
+    vm_command,
+    start_not_accepted,
+};
+
 /** @brief An event of a run. */
 struct run_event {
     run_event_kind m_kind{run_event_kind::failed};
@@ -238,6 +249,12 @@
     task_ref m_task;
     run_number m_run;
     std::int64_t m_failures{0};
+    /** @brief Set for lost runs only, as are the next members. */
+    lost_cause m_cause{lost_cause::lease_over};
+    bool m_adopted{false};
+    /** @brief Result of lease_end() and time of the worker's last report, before the run was abandoned. */
+    time_point m_lease_end{};
+    time_point m_last_report{};
 };
 
 /** @brief Command to stop a run. */
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -238,4 +238,25 @@
     EXPECT_EQ(state.m_current_workers.size(), 1U);
 }
 
+// Guards against lost runs of which the log does not tell why they count as ended, and by whose start they ran.
+TEST(reports, a_lost_run_has_its_cause_and_the_known_end_of_its_lease)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_long_running_job("quotes", 1, 1)));
+    simulation.run_for(milliseconds{200});
+    simulation.take_over();
+    simulation.run_for(milliseconds{20});
+    auto& state = simulation.m_state;
+    const auto end = lease_end(state, state.m_workers.front());
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_clock_ms = state.m_workers.front().m_clock_ms;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    ASSERT_EQ(state.m_events.size(), 1U);
+    EXPECT_EQ(state.m_events.front().m_cause, lost_cause::missing_in_report);
+    EXPECT_TRUE(state.m_events.front().m_adopted);
+    EXPECT_EQ(state.m_events.front().m_lease_end, end);
+}
+
 } // namespace cicadalug::test
