Count leases of earlier deciders until they have certainly ended

Seen from outside: a task gets a second run while its first one is still at work, if the worker is cut off right after a takeover.

A decider adopts a run from the worker's first report in its term. From then on, only leases that it granted itself counted, although the last decider can have granted a full lease just before. Between the first report and the first lease (while relays are awaited, up to 600 ms), or after a first lease that is shorter than the inherited one, the run counted as lost after 100 ms, and the worker was left out of the list of leased workers, so that the next decider would not have waited for it either.

At the first report of an incarnation, a full lease by its clock now counts as granted, bounded by the end of all leases of earlier terms. It is kept apart from the leases of this term and never sent, as this decider may not be allowed to grant as much. The wait grows by at most the 3.5 s of a lease after the last report, as for a run of this term.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -33,11 +33,6 @@
 constexpr milliseconds garbage_interval{2'000};
 constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
 
-[[nodiscard]] auto has_lease(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
-{
-    return worker.m_lease_until_ms > 0 && lease_end(state, worker) > now;
-}
-
 } // namespace
 
 auto decider::decision_log_value() const -> std::string
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -303,10 +303,7 @@
 
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
-    const auto longest = state.m_settings.m_grant_horizon +
-                         state.m_settings.m_grant_horizon * state.m_settings.m_clock_drift_permille / 1'000 +
-                         state.m_settings.m_lease_margin;
-    return (now > state.m_began + longest && now < state.m_term_guaranteed_until) ||
+    return (now > inherited_leases_end(state) && now < state.m_term_guaranteed_until) ||
            (state.m_expected_workers.empty() &&
             std::all_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
                 const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -255,6 +255,9 @@
         // The clock of the new incarnation starts again.
         worker.m_clock_ms = 0;
         worker.m_lease_until_ms = 0;
+        worker.m_inherited_until_ms = 0;
+        // The new incarnation has no fencing token, so that an earlier decider may have granted it a lease, too.
+        worker.m_has_reported = false;
         worker.m_cordoned = false;
         worker.m_failures_in_row = 0;
     }
@@ -262,6 +265,16 @@
         std::max(worker.m_incarnation_start_unix_ms, report.m_incarnation_start_unix_ms);
 }
 
+/** @brief Assumes that an earlier decider granted the longest lease that it could just before a worker's first report.
+ * The worker rejects calls of earlier deciders from the call on to which the report responds. */
+auto inherit_lease(const scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point now)
+    -> void
+{
+    const auto left = std::chrono::ceil<milliseconds>(inherited_leases_end(state) - now);
+    const auto longest = std::min(left, state.m_settings.m_worker_lease);
+    worker.m_inherited_until_ms = longest > milliseconds{0} ? report.m_clock_ms + longest.count() : 0;
+}
+
 } // namespace
 
 auto find_worker(const scheduler_state& state, const worker_id& id) -> worker_index
@@ -329,7 +342,10 @@
         worker.m_clock_ms = report.m_clock_ms;
         worker.m_clock_read = now;
     }
-    state.m_dispatch_requested = state.m_dispatch_requested || !worker.m_has_reported;
+    if (!worker.m_has_reported) {
+        inherit_lease(state, worker, report, now);
+        state.m_dispatch_requested = true;
+    }
     worker.m_has_reported = true;
     worker.m_unresponsive = false;
     worker.m_last_report = now;
@@ -414,11 +430,25 @@
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
     abandon_all_runs(state, worker, lost_cause::vm_command, now);
     worker.m_lease_until_ms = 0;
+    worker.m_inherited_until_ms = 0;
+}
+
+auto inherited_leases_end(const scheduler_state& state) -> time_point
+{
+    const auto& settings = state.m_settings;
+    return state.m_began + settings.m_grant_horizon +
+           settings.m_grant_horizon * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
+}
+
+auto has_lease(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
+{
+    return std::max(worker.m_lease_until_ms, worker.m_inherited_until_ms) > 0 && lease_end(state, worker) > now;
 }
 
 auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point
 {
-    const auto left_ms = std::max<std::int64_t>(0, worker.m_lease_until_ms - worker.m_clock_ms);
+    const auto until_ms = std::max(worker.m_lease_until_ms, worker.m_inherited_until_ms);
+    const auto left_ms = std::max<std::int64_t>(0, until_ms - worker.m_clock_ms);
     const auto slowest_ms = left_ms + left_ms * state.m_settings.m_clock_drift_permille / 1'000;
     return worker.m_clock_read + milliseconds{slowest_ms} + state.m_settings.m_lease_margin;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -84,7 +84,15 @@
  */
 auto update_lease_limits(scheduler_state& state, time_point last_renewal, milliseconds term_lease) -> void;
 
-/** @brief Returns the local time after which all runs of the worker have certainly ended. */
+/** @brief Returns the local time at which all leases of earlier deciders have ended, as measured from the beginning of
+ * the term. */
+[[nodiscard]] auto inherited_leases_end(const scheduler_state& state) -> time_point;
+
+/** @brief Checks whether a lease of this decider, or of an earlier one, may still run on a worker that has reported. */
+[[nodiscard]] auto has_lease(const scheduler_state& state, const worker_slot& worker, time_point now) -> bool;
+
+/** @brief Returns the local time after which all runs of the worker have certainly ended. @pre The worker has reported
+ * in this term. */
 [[nodiscard]] auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point;
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -196,6 +196,9 @@
     time_point m_clock_read{};
     /** @brief Latest end of a lease that was sent, on the worker's clock; 0 if there is none. */
     std::int64_t m_lease_until_ms{0};
+    /** @brief Latest end of a lease that an earlier decider can have granted, on the worker's clock; 0 if there is
+     * none. It is never sent: an earlier decider may have been allowed to grant a longer lease than this one. */
+    std::int64_t m_inherited_until_ms{0};
     /** @brief Highest number of an ended run that has been applied to the progress of its job. */
     std::int64_t m_last_end{0};
     /** @brief Highest number of an ended run whose effect is stored. */
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -259,4 +259,61 @@
     EXPECT_EQ(state.m_events.front().m_lease_end, end);
 }
 
+// Guards against a second run of a task beside an adopted one, whose worker is cut off before it gets a lease of this
+// term: an earlier decider may have granted it a full one just before.
+TEST(reports, an_adopted_run_is_not_restarted_while_an_inherited_lease_may_run)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    simulation.run_for(milliseconds{200});
+    const task_ref task{job, 0, 0, 0};
+    ASSERT_EQ(simulation.starts_of(task), 1);
+    const auto busy = simulation.worker("w1").m_runs.empty() ? "w2" : "w1";
+    simulation.take_over();
+    // As while relays are awaited, the first report comes without a lease.
+    simulation.m_job_watch_up = false;
+    simulation.run_for(milliseconds{10});
+    const auto reported = simulation.now();
+    const auto& settings = simulation.m_state.m_settings;
+    ASSERT_TRUE(find_task(simulation.m_state, task)->m_phase == task_phase::running);
+    simulation.m_job_watch_up = true;
+    simulation.worker(busy).m_reachable = false;
+    simulation.run_for(settings.m_worker_lease);
+    EXPECT_EQ(simulation.starts_of(task), 1) << "started again while the first run may have a lease";
+    simulation.run_for(settings.m_worker_lease / 10);
+    EXPECT_EQ(simulation.starts_of(task), 2)
+        << "not started again " << (simulation.now() - reported).count() / 1'000 << " ms after the last report";
+}
+
+// Guards against a list of leased workers without one that has reported in this term and has no lease of it yet: the
+// next decider would not wait for it.
+TEST(reports, a_worker_counts_as_leased_from_its_first_report_on)
+{
+    scheduler_simulation simulation;
+    simulation.add_vms("quotes", 1);
+    auto& state = simulation.m_state;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_clock_ms = 5;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    const auto& worker = state.m_workers.front();
+    EXPECT_TRUE(has_lease(state, worker, simulation.now() + state.m_settings.m_worker_lease));
+    EXPECT_EQ(worker.m_lease_until_ms, 0) << "an inherited lease must not be sent";
+}
+
+// Guards against waiting for leases that no earlier decider can have granted.
+TEST(reports, no_lease_is_inherited_after_all_leases_of_earlier_terms_have_ended)
+{
+    scheduler_simulation simulation;
+    simulation.add_vms("quotes", 1);
+    auto& state = simulation.m_state;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_clock_ms = 5;
+    const auto later = inherited_leases_end(state);
+    apply_report(state, 0, report, later, later);
+    EXPECT_FALSE(has_lease(state, state.m_workers.front(), later));
+}
+
 } // namespace cicadalug::test
