Start tasks only on workers that the store lists as leased

Seen from outside: after a takeover, a task gets a second run while its first one is still at work on a worker whose entry has expired.

The next decider waits for the workers in the registry and for those in the stored list of workers with leases. The list was looked at only when progress of a job was to be written, and a task of a step that was already open could start on a worker before the list with it was stored. If the worker's entry was gone at the takeover (three heartbeats without contact to the store), the next decider knew nothing of the worker and started the task elsewhere.

A worker now gets work only once a write of the list with it has succeeded; a write without it, which may be carried out without a response, takes the mark away. The list is written as soon as a worker without the mark has a lease, also if no job has progress to store. The first start on a new worker waits for one write.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -134,10 +134,8 @@
     auto start_fleet_controller() -> void;
     auto update_permit_queues() -> void;
     [[nodiscard]] auto decision_log_value() const -> std::string;
-    /** @brief Checks whether a worker got its first lease since the stored list of leased workers was written. */
-    [[nodiscard]] auto has_unlisted_lease() const -> bool;
-    /** @brief Returns the ids of the workers with leases, to be written, and records which ones they are. */
-    [[nodiscard]] auto list_leased_workers() -> std::string;
+    /** @brief Returns the ids to be written for workers with leases. */
+    [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
     /** @brief Applies an entry of the registry to the copy of it. */
@@ -177,8 +175,7 @@
     store_revision m_jobs_revision;
     store_revision m_workers_revision;
     std::uint64_t m_decision_log_sequence{0};
-    /** @brief Workers in the stored list of leased workers, and when it was written. */
-    std::vector<bool> m_listed_leases;
+    /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
     signal_event m_progress_event;
     std::unique_ptr<permit_client> m_permit_client;
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -40,28 +41,12 @@
     return std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
 }
 
-auto decider::has_unlisted_lease() const -> bool
-{
-    const auto now = monotonic_now();
-    return std::any_of(m_state.m_current_workers.begin(), m_state.m_current_workers.end(), [&](const auto index) {
-        const auto position = static_cast<std::size_t>(index);
-        const bool listed = position < m_listed_leases.size() && m_listed_leases[position];
-        return !listed && has_lease(m_state, m_state.m_workers[position], now);
-    });
-}
-
-auto decider::list_leased_workers() -> std::string
+auto decider::leased_workers_value(const std::vector<worker_index>& leased) const -> std::string
 {
     const auto now = monotonic_now();
     std::string text;
-    m_listed_leases.assign(m_state.m_workers.size(), false);
-    m_leases_listed_at = now;
-    for (const auto index : m_state.m_current_workers) {
-        const auto& worker = m_state.m_workers[static_cast<std::size_t>(index)];
-        if (has_lease(m_state, worker, now)) {
-            m_listed_leases[static_cast<std::size_t>(index)] = true;
-            text += worker.m_entry.m_id.str() + ' ';
-        }
+    for (const auto index : leased) {
+        text += m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id.str() + ' ';
     }
     // Leases of the last term that may still run; this term can end before their workers have reported.
     if (now < m_state.m_began + m_state.m_settings.m_grant_horizon + m_state.m_settings.m_lease_margin) {
@@ -79,7 +64,7 @@
         if (!m_active) {
             co_return;
         }
-        if (m_state.m_dirty.empty()) {
+        if (m_state.m_dirty.empty() && !has_unlisted_lease(m_state, monotonic_now())) {
             acknowledge_ends(m_state, capture_ends(m_state));
             continue;
         }
@@ -98,7 +83,8 @@
     for (auto* job : jobs) {
         job->m_dirty = false;
     }
-    for (std::size_t first = 0; first < jobs.size(); first += progress_jobs) {
+    // Without jobs, the list of leased workers is written alone.
+    for (std::size_t first = 0; first == 0 || first < jobs.size(); first += progress_jobs) {
         const auto last = std::min(jobs.size(), first + progress_jobs);
         const bool written = co_await write_progress(jobs, first, last);
         if (!written) {
@@ -121,9 +107,12 @@
     ++m_decision_log_sequence;
     write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
     // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
-    const bool lists_leases = has_unlisted_lease() || monotonic_now() - m_leases_listed_at > lease_list_interval;
-    if (lists_leases) {
-        write.m_puts.push_back({std::string{leased_workers_key}, list_leased_workers(), no_store_lease});
+    const auto now = monotonic_now();
+    std::vector<worker_index> leased;
+    if (has_unlisted_lease(m_state, now) || now - m_leases_listed_at > lease_list_interval) {
+        leased = begin_lease_list(m_state, now);
+        m_leases_listed_at = now;
+        write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
     }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
@@ -146,9 +135,6 @@
         m_state.m_deposed = m_state.m_deposed || !holder_there;
         check_deposed();
     }
-    if (written.m_status != store_status::ok && lists_leases) {
-        m_listed_leases.clear();
-    }
     if (written.m_status != store_status::ok) {
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
@@ -156,6 +142,7 @@
         co_return false;
     }
     m_decision_log_revision = written.m_revision;
+    complete_lease_list(m_state, leased);
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -104,8 +104,9 @@
 
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
-    return is_in_service(worker) && worker.m_has_reported && worker.m_entry.m_service == service &&
-           !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
+    return is_in_service(worker) && worker.m_has_reported && worker.m_lease_listed &&
+           worker.m_entry.m_service == service && !worker.m_unresponsive && worker.m_paused_until <= now &&
+           now - worker.m_last_report < report_age_limit;
 }
 
 /** @brief State of a scheduling pass for one service. */
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -0,0 +1,46 @@
+#include <cicadalug/scheduler/leased_workers.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace cicadalug {
+
+auto has_unlisted_lease(const scheduler_state& state, const time_point now) -> bool
+{
+    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        return !worker.m_lease_listed && has_lease(state, worker, now);
+    });
+}
+
+auto begin_lease_list(scheduler_state& state, const time_point now) -> std::vector<worker_index>
+{
+    std::vector<worker_index> leased;
+    for (const auto index : state.m_current_workers) {
+        if (has_lease(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
+            leased.push_back(index);
+        }
+    }
+    std::vector<bool> in_list(state.m_workers.size(), false);
+    for (const auto index : leased) {
+        in_list[static_cast<std::size_t>(index)] = true;
+    }
+    // Workers that have left the table of current workers may be registered again.
+    for (std::size_t index = 0; index < state.m_workers.size(); ++index) {
+        auto& worker = state.m_workers[index];
+        worker.m_lease_listed = worker.m_lease_listed && in_list[index];
+    }
+    return leased;
+}
+
+auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void
+{
+    for (const auto index : listed) {
+        auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        state.m_dispatch_requested = state.m_dispatch_requested || !worker.m_lease_listed;
+        worker.m_lease_listed = true;
+    }
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -0,0 +1,31 @@
+#ifndef CICADALUG_SCHEDULER_LEASED_WORKERS_HPP
+#define CICADALUG_SCHEDULER_LEASED_WORKERS_HPP
+
+#include <cicadalug/scheduler/scheduler_state.hpp>
+
+#include <vector>
+
+namespace cicadalug {
+
+/**
+ * @brief Checks whether a worker has a lease and is not in the stored list of workers with leases. It gets no new work
+ * until the list is written: the next decider would not wait for the end of its lease if its entry were gone.
+ */
+[[nodiscard]] auto has_unlisted_lease(const scheduler_state& state, time_point now) -> bool;
+
+/**
+ * @brief Returns the workers with leases, for a write of the list. Workers without one no longer count as listed, as
+ * the write may be carried out although it gets no response.
+ */
+[[nodiscard]] auto begin_lease_list(scheduler_state& state, time_point now) -> std::vector<worker_index>;
+
+/**
+ * @brief Marks workers as listed.
+ * @param state The scheduler.
+ * @param listed Result of begin_lease_list() before the write, which has succeeded.
+ */
+auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void;
+
+} // namespace cicadalug
+
+#endif
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -199,6 +199,8 @@
     /** @brief Latest end of a lease that an earlier decider can have granted, on the worker's clock; 0 if there is
      * none. It is never sent: an earlier decider may have been allowed to grant a longer lease than this one. */
     std::int64_t m_inherited_until_ms{0};
+    /** @brief The worker is in the stored list of workers with leases, for which the next decider waits. */
+    bool m_lease_listed{false};
     /** @brief Highest number of an ended run that has been applied to the progress of its job. */
     std::int64_t m_last_end{0};
     /** @brief Highest number of an ended run whose effect is stored. */
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -0,0 +1,44 @@
+#include "scheduler_simulation.hpp"
+
+#include <cicadalug/scheduler/leased_workers.hpp>
+
+#include <gtest/gtest.h>
+
+namespace cicadalug::test {
+
+// Guards against a second run of a task whose worker the next decider does not wait for: its entry has expired, and it
+// is not in the stored list of workers with leases.
+TEST(leased_workers, no_task_starts_on_a_worker_that_is_not_in_the_stored_list)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 2, 30'000, milliseconds{60'000})));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.total_starts(), 1) << "the second task does not fit";
+    simulation.m_store_up = false;
+    simulation.add_vms("quotes", 1);
+    simulation.run_for(milliseconds{200});
+    EXPECT_EQ(simulation.total_starts(), 1) << "started on a worker that is not in the stored list";
+    EXPECT_TRUE(has_unlisted_lease(simulation.m_state, simulation.now()));
+    simulation.m_store_up = true;
+    simulation.run_for(milliseconds{20});
+    EXPECT_EQ(simulation.total_starts(), 2);
+    EXPECT_FALSE(has_unlisted_lease(simulation.m_state, simulation.now()));
+}
+
+// Guards against counting a worker as listed after a write without it, which may be carried out without a response.
+TEST(leased_workers, a_worker_left_out_of_a_list_does_not_count_as_listed)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    ASSERT_TRUE(state.m_workers[0].m_lease_listed);
+    state.m_workers[0].m_lease_until_ms = 0;
+    state.m_workers[0].m_inherited_until_ms = 0;
+    const auto listed = begin_lease_list(state, simulation.now());
+    EXPECT_EQ(listed, std::vector<worker_index>{1});
+    EXPECT_FALSE(state.m_workers[0].m_lease_listed);
+    EXPECT_TRUE(state.m_workers[1].m_lease_listed);
+}
+
+} // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -219,6 +219,7 @@
         }
     }
     acknowledge_ends(m_state, capture_ends(m_state));
+    complete_lease_list(m_state, begin_lease_list(m_state, m_now));
 }
 
 auto scheduler_simulation::finish_moves() -> void
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/demand.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/maintenance.hpp>
 #include <cicadalug/scheduler/moves.hpp>
 #include <cicadalug/scheduler/permits.hpp>
