--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -117,8 +117,9 @@
 
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
-    return is_in_service(worker) && worker.m_has_reported && worker.m_entry.m_service == service &&
-           !worker.m_unresponsive && worker.m_paused_until <= now && now - worker.m_last_report < report_age_limit;
+    return is_in_service(worker) && worker.m_has_reported && worker.m_lease_listed &&
+           worker.m_entry.m_service == service && !worker.m_unresponsive && worker.m_paused_until <= now &&
+           now - worker.m_last_report < report_age_limit;
 }
 
 /** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
@@ -346,10 +347,7 @@
 
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
-    const auto longest = state.m_settings.m_grant_horizon +
-                         state.m_settings.m_grant_horizon * state.m_settings.m_clock_drift_permille / 1'000 +
-                         state.m_settings.m_lease_margin;
-    return (now > state.m_began + longest && now < state.m_term_guaranteed_until) ||
+    return (now > inherited_leases_end(state) && now < state.m_term_guaranteed_until) ||
            (state.m_expected_workers.empty() &&
             std::all_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
                 const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -162,6 +162,8 @@
     time_point m_sent{};
     /** @brief The worker has reported the run or accepted its start. */
     bool m_confirmed{false};
+    /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
+    bool m_adopted{false};
     /** @brief When the response to the start was found missing: the run may exist, or may still be started. */
     std::optional<time_point> m_no_response_since;
     bool m_stop_requested{false};
@@ -194,6 +196,11 @@
     time_point m_clock_read{};
     /** @brief Latest end of a lease that was sent, on the worker's clock; 0 if there is none. */
     std::int64_t m_lease_until_ms{0};
+    /** @brief Latest end of a lease that an earlier decider can have granted, on the worker's clock; 0 if there is
+     * none. It is never sent: an earlier decider may have been allowed to grant a longer lease than this one. */
+    std::int64_t m_inherited_until_ms{0};
+    /** @brief The worker is in the stored list of workers with leases, for which the next decider waits. */
+    bool m_lease_listed{false};
     /** @brief Highest number of an ended run that has been applied to the progress of its job. */
     std::int64_t m_last_end{0};
     /** @brief Highest number of an ended run whose effect is stored. */
@@ -231,6 +238,15 @@
 /** @brief Kind of an event of a run, for the log. */
 enum class run_event_kind : std::uint8_t { failed, lost, worker_paused };
 
+/** @brief Why a run without a reported end counts as ended. */
+enum class lost_cause : std::uint8_t {
+    lease_over,
+    missing_in_report,
+    new_incarnation,
+    vm_command,
+    start_not_accepted,
+};
+
 /** @brief An event of a run. */
 struct run_event {
     run_event_kind m_kind{run_event_kind::failed};
@@ -238,6 +254,12 @@
     task_ref m_task;
     run_number m_run;
     std::int64_t m_failures{0};
+    /** @brief Set for lost runs only, as are the next members. */
+    lost_cause m_cause{lost_cause::lease_over};
+    bool m_adopted{false};
+    /** @brief Result of lease_end() and time of the worker's last report, before the run was abandoned. */
+    time_point m_lease_end{};
+    time_point m_last_report{};
 };
 
 /** @brief Command to stop a run. */
