Record how old the decision of a start is when it is written and answered

Two histograms on the decider and on relays, two maxima in decider_load and the age in start_not_accepted tell a start that waited before its request was written from one that the worker answered late. A relay counts from the earliest time at which the decider can have answered its poll. The pool checks a condition of the caller right before it writes a request; so far the condition only records the time.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -151,7 +151,10 @@
     /** @brief Returns a call to a worker; its kind's own members are set by the caller. */
     [[nodiscard]] auto make_call(worker_index index, worker_call_kind kind, milliseconds timeout) const -> worker_call;
     /** @brief Carries out a call, through a relay if the deployment needs them and one is there. */
-    [[nodiscard]] auto call_worker(worker_index index, worker_call call) -> asio::awaitable<worker_call_result>;
+    /** @param may_send Called right before this process writes the request, which it prevents with false; may be null.
+     */
+    [[nodiscard]] auto call_worker(worker_index index, worker_call call, std::function<bool()> may_send)
+        -> asio::awaitable<worker_call_result>;
     /** @brief Checks whether calls wait for the first relay of this term. */
     [[nodiscard]] auto awaits_relays() const -> bool;
     auto update_relay_admission() -> void;
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -19,6 +19,7 @@
 
 using internal::failure_pause;
 using internal::tick_interval;
+using internal::to_ms;
 
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
@@ -66,7 +67,8 @@
     return call;
 }
 
-auto decider::call_worker(const worker_index index, worker_call call) -> asio::awaitable<worker_call_result>
+auto decider::call_worker(const worker_index index, worker_call call, std::function<bool()> may_send)
+    -> asio::awaitable<worker_call_result>
 {
     if (m_uses_relays && m_relays->is_available()) {
         const auto relays = m_relays;
@@ -74,7 +76,8 @@
         auto relayed = co_await relays->perform(std::move(call), std::move(zone));
         co_return relayed;
     }
-    auto result = co_await m_calls.perform(std::move(call));
+    send_condition condition{monotonic_now() + call.m_timeout, std::move(may_send)};
+    auto result = co_await m_calls.perform(std::move(call), std::move(condition));
     co_return result;
 }
 
@@ -101,7 +104,7 @@
             renewal.m_timeout += renewal_wait;
         }
         const auto sent = monotonic_now();
-        const auto response = co_await call_worker(index, std::move(renewal));
+        const auto response = co_await call_worker(index, std::move(renewal), nullptr);
         if (!m_active) {
             co_return;
         }
@@ -237,9 +240,18 @@
     ++m_load.m_starts;
     m_settings.m_metrics->start_sent(age_of(m_load.m_jobs, monotonic_now()));
     begin_command(m_load);
-    const auto response = co_await call_worker(command.m_worker, std::move(start));
+    const auto record_write = [this, decided = command.m_decided] {
+        const auto age = monotonic_now() - decided;
+        m_load.m_max_start_write_age = std::max(m_load.m_max_start_write_age, age);
+        m_settings.m_metrics->start_written(age);
+        return true;
+    };
+    const auto response = co_await call_worker(command.m_worker, std::move(start), record_write);
     const auto result = response.m_result;
     end_command(m_load);
+    const auto age = monotonic_now() - command.m_decided;
+    m_load.m_max_start_answer_age = std::max(m_load.m_max_start_answer_age, age);
+    m_settings.m_metrics->start_answered(age);
     if (!m_active) {
         co_return;
     }
@@ -251,7 +263,8 @@
                          .with("step", command.m_task.m_step)
                          .with("index", command.m_task.m_index)
                          .with("worker", m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id)
-                         .with("result", static_cast<int>(result));
+                         .with("result", static_cast<int>(result))
+                         .with("decided_ms", to_ms(age));
     }
     if (result != command_result::accepted) {
         schedule_pass();
@@ -317,7 +330,7 @@
     ++m_load.m_stops;
     m_settings.m_metrics->stop_sent();
     begin_command(m_load);
-    const auto response = co_await call_worker(command.m_worker, std::move(stop));
+    const auto response = co_await call_worker(command.m_worker, std::move(stop), nullptr);
     end_command(m_load);
     if (m_active) {
         apply_stop_result(m_state, command, response.m_result, monotonic_now());
@@ -335,7 +348,7 @@
     throttle.m_run = command.m_run;
     throttle.m_speed_percent = command.m_speed_percent;
     begin_command(m_load);
-    const auto response = co_await call_worker(command.m_worker, std::move(throttle));
+    const auto response = co_await call_worker(command.m_worker, std::move(throttle), nullptr);
     end_command(m_load);
     if (m_active) {
         apply_throttle_result(m_state, command, response.m_result);
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -95,6 +95,8 @@
                      .with("loop_delay_ms", to_ms(load.m_max_loop_delay))
                      .with("starts", load.m_starts)
                      .with("starts_withdrawn", load.m_starts_withdrawn)
+                     .with("start_write_age_ms", to_ms(load.m_max_start_write_age))
+                     .with("start_answer_age_ms", to_ms(load.m_max_start_answer_age))
                      .with("stops", load.m_stops)
                      .with("commands_in_flight", load.m_max_commands_in_flight)
                      .with("cancels", load.m_cancels)
--- a/packages/entry/src/cicadalug/entry/worker_calls.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_calls.cpp
@@ -53,7 +53,7 @@
     return known.m_client;
 }
 
-auto worker_calls::perform(worker_call call) -> asio::awaitable<worker_call_result>
+auto worker_calls::perform(worker_call call, send_condition condition) -> asio::awaitable<worker_call_result>
 {
     worker_call_result result;
     result.m_number = call.m_number;
@@ -68,7 +68,7 @@
         if (call.m_lease_until_ms >= 0) {
             renewal.m_until_ms = call.m_lease_until_ms;
         }
-        auto response = co_await client->renew(renewal, call.m_timeout);
+        auto response = co_await client->renew(renewal, std::move(condition));
         result.m_result = response.m_result;
         result.m_report = std::move(response.m_report);
         break;
@@ -76,15 +76,15 @@
     case worker_call_kind::start: {
         run_start start{call.m_task,   call.m_run,  std::move(call.m_text), call.m_lease_until_ms, call.m_checkpoint,
                         call.m_permit, call.m_token};
-        result.m_result = co_await client->start(std::move(start), call.m_timeout);
+        result.m_result = co_await client->start(std::move(start), std::move(condition));
         break;
     }
     case worker_call_kind::stop:
-        result.m_result = co_await client->stop(call.m_task, call.m_run, call.m_token, call.m_timeout);
+        result.m_result = co_await client->stop(call.m_task, call.m_run, call.m_token, std::move(condition));
         break;
     case worker_call_kind::set_speed:
-        result.m_result =
-            co_await client->set_speed(call.m_task, call.m_run, call.m_speed_percent, call.m_token, call.m_timeout);
+        result.m_result = co_await client->set_speed(call.m_task, call.m_run, call.m_speed_percent, call.m_token,
+                                                     std::move(condition));
         break;
     }
     co_return result;
--- a/packages/entry/src/cicadalug/entry/worker_calls.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_calls.hpp
@@ -29,10 +29,12 @@
     /**
      * @brief Carries out a call.
      * @pre The object outlives the call.
-     * @param call The call.
-     * @return Its result: invalid if the call states no address, unknown if no response arrived in its time.
+     * @param call The call; its timeout is ignored.
+     * @param condition Deadline of the call, and a check before its request is written.
+     * @return Its result: invalid if the call states no address, unknown if no response arrived in its time, withdrawn
+     * if the check did not allow the request.
      */
-    [[nodiscard]] auto perform(worker_call call) -> asio::awaitable<worker_call_result>;
+    [[nodiscard]] auto perform(worker_call call, send_condition condition) -> asio::awaitable<worker_call_result>;
 
     /** @brief Closes the connections of workers that have not been called for a while. */
     auto drop_idle_workers() -> void;
--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -155,18 +155,31 @@
         co_return;
     }
     const auto held = held_time(response.assume_value());
+    const auto handed_over = sent + std::min(held, round_trip);
     for (auto& call : std::move(calls).assume_value()) {
         call.m_timeout = call_time_left(call.m_timeout, round_trip, held);
-        asio::co_spawn(m_executor, carry_out(current, std::move(call)), asio::detached);
+        asio::co_spawn(m_executor, carry_out(current, std::move(call), handed_over), asio::detached);
     }
 }
 
-auto worker_relay::carry_out(const std::shared_ptr<link> current, worker_call call) -> asio::awaitable<void>
+auto worker_relay::carry_out(const std::shared_ptr<link> current, worker_call call, const time_point handed_over)
+    -> asio::awaitable<void>
 {
     worker_call_result result{call.m_number, command_result::withdrawn, {}};
     if (call.m_timeout > milliseconds{0}) {
         m_settings.m_metrics->call_relayed();
-        result = co_await m_calls.perform(std::move(call));
+        send_condition condition{monotonic_now() + call.m_timeout, nullptr};
+        const bool is_start = call.m_kind == worker_call_kind::start;
+        if (is_start) {
+            condition.m_may_send = [this, handed_over] {
+                m_settings.m_metrics->start_written(monotonic_now() - handed_over);
+                return true;
+            };
+        }
+        result = co_await m_calls.perform(std::move(call), std::move(condition));
+        if (is_start) {
+            m_settings.m_metrics->start_answered(monotonic_now() - handed_over);
+        }
     }
     current->m_results.push_back(std::move(result));
     current->m_results_event.notify();
--- a/packages/entry/src/cicadalug/entry/worker_relay.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.hpp
@@ -64,7 +64,9 @@
 
     [[nodiscard]] auto run() -> asio::awaitable<void>;
     [[nodiscard]] auto poll(std::shared_ptr<link> current) -> asio::awaitable<void>;
-    [[nodiscard]] auto carry_out(std::shared_ptr<link> current, worker_call call) -> asio::awaitable<void>;
+    /** @param handed_over Earliest time at which the decider can have answered the poll that fetched the call. */
+    [[nodiscard]] auto carry_out(std::shared_ptr<link> current, worker_call call, time_point handed_over)
+        -> asio::awaitable<void>;
     [[nodiscard]] auto return_results(std::shared_ptr<link> current) -> asio::awaitable<void>;
     [[nodiscard]] auto make_request(const link& current, std::string_view path) const -> http_request;
     [[nodiscard]] auto is_wanted() const -> bool;
--- a/packages/entry/test/cicadalug/entry/worker_calls.cpp
+++ b/packages/entry/test/cicadalug/entry/worker_calls.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/worker_calls.hpp>
 #include <cicadalug/http/http_server.hpp>
 
@@ -41,7 +42,8 @@
     {
         std::optional<worker_call_result> result;
         const auto run = [&]() -> asio::awaitable<void> {
-            result = co_await calls.perform(std::move(call));
+            send_condition condition{monotonic_now() + call.m_timeout, nullptr};
+            result = co_await calls.perform(std::move(call), std::move(condition));
         };
         asio::co_spawn(m_context, run(), asio::detached);
         while (!result) {
--- a/packages/runtime/src/cicadalug/http/http_connection.hpp
+++ b/packages/runtime/src/cicadalug/http/http_connection.hpp
@@ -31,6 +31,8 @@
     std::string m_message;
     /** @brief True if this process lacks file descriptors or memory for sockets; says nothing about the server. */
     bool m_lacks_resources{false};
+    /** @brief True if the sender withdrew the request before it was written; says nothing about the server. */
+    bool m_withdrawn{false};
 };
 
 /**
--- a/packages/runtime/src/cicadalug/http/http_pool.cpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.cpp
@@ -66,24 +66,30 @@
 auto http_pool::exchange(http_request request, const milliseconds timeout)
     -> asio::awaitable<result<http_response, http_failure>>
 {
-    const auto deadline = monotonic_now() + timeout;
-    const bool has_turn = co_await wait_for_turn(deadline);
+    send_condition condition{monotonic_now() + timeout, nullptr};
+    co_return co_await exchange(std::move(request), std::move(condition));
+}
+
+auto http_pool::exchange(http_request request, const send_condition condition)
+    -> asio::awaitable<result<http_response, http_failure>>
+{
+    const bool has_turn = co_await wait_for_turn(condition.m_deadline);
     if (!has_turn) {
         co_return http_failure{http_progress::not_sent, true, "no connection became free in time"};
     }
-    auto response = co_await exchange_now(std::move(request), deadline);
+    auto response = co_await exchange_now(std::move(request), condition);
     end_turn();
     co_return response;
 }
 
-auto http_pool::exchange_now(http_request request, const time_point deadline)
+auto http_pool::exchange_now(http_request request, const send_condition& condition)
     -> asio::awaitable<result<http_response, http_failure>>
 {
     for (int attempt = 0;; ++attempt) {
         auto connection = attempt == 0 ? take_idle() : nullptr;
         const bool is_new = connection == nullptr;
         if (is_new) {
-            const auto left = std::chrono::duration_cast<milliseconds>(deadline - monotonic_now());
+            const auto left = std::chrono::duration_cast<milliseconds>(condition.m_deadline - monotonic_now());
             auto connected = co_await http_connection::connect(
                 m_executor, m_endpoint, std::max(left, milliseconds{1}) / connect_timeout_divisor);
             if (!connected) {
@@ -93,10 +99,16 @@
         }
         const auto generation = m_generation;
         const auto now = monotonic_now();
-        if (now >= deadline) {
+        if (now >= condition.m_deadline) {
             co_return http_failure{http_progress::not_sent, true, "the deadline passed before the request was sent"};
         }
-        const auto remaining = std::chrono::duration_cast<milliseconds>(deadline - now);
+        if (condition.m_may_send && !condition.m_may_send()) {
+            if (generation == m_generation && m_idle.size() < m_max_idle) {
+                m_idle.push_back(std::move(connection));
+            }
+            co_return http_failure{http_progress::not_sent, false, "the request was withdrawn", false, true};
+        }
+        const auto remaining = std::chrono::duration_cast<milliseconds>(condition.m_deadline - now);
         auto response = co_await connection->exchange(request, std::max(remaining, milliseconds{1}));
         if (!response) {
             const auto& failure = response.assume_error();
--- a/packages/runtime/src/cicadalug/http/http_pool.hpp
+++ b/packages/runtime/src/cicadalug/http/http_pool.hpp
@@ -9,12 +9,22 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <vector>
 
 namespace cicadalug {
 
+/** @brief Condition under which a request is written. */
+struct send_condition {
+    /** @brief Nothing is sent after this time, and the exchange ends. */
+    time_point m_deadline{};
+    /** @brief Called right before the request is written, which can be long after the exchange began; nothing is sent
+     * if it returns false. Null sends the request. */
+    std::function<bool()> m_may_send;
+};
+
 /**
  * @brief Connection pool of one endpoint: keeps connections open between exchanges.
  * @note Thread safety: all functions are called on the executor given to the constructor, which runs on one thread at a
@@ -49,6 +59,16 @@
     [[nodiscard]] auto exchange(http_request request, milliseconds timeout)
         -> asio::awaitable<result<http_response, http_failure>>;
 
+    /**
+     * @brief Performs one exchange, if its condition still holds when the request is written.
+     * @pre The pool outlives the exchange.
+     * @param request Request to send.
+     * @param condition Deadline of the whole exchange, and a check before the write.
+     * @return As above; a request that its condition does not allow any more is withdrawn (not_sent).
+     */
+    [[nodiscard]] auto exchange(http_request request, send_condition condition)
+        -> asio::awaitable<result<http_response, http_failure>>;
+
     /** @brief Closes all idle connections. Connections in use are closed after their exchange. */
     auto drop_connections() -> void;
 
@@ -62,7 +82,7 @@
         bool m_has_turn{false};
     };
 
-    [[nodiscard]] auto exchange_now(http_request request, time_point deadline)
+    [[nodiscard]] auto exchange_now(http_request request, const send_condition& condition)
         -> asio::awaitable<result<http_response, http_failure>>;
     [[nodiscard]] auto wait_for_turn(time_point deadline) -> asio::awaitable<bool>;
     auto end_turn() -> void;
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -49,6 +49,14 @@
     Histogram& m_jobs_age{histogram(m_registry, "cicadalug_scheduler_start_jobs_age_seconds",
                                     "Age of the decider's copy of the jobs when it sent a start.")
                               .Add({}, delay_buckets)};
+    Histogram& m_start_write_age{histogram(m_registry, "cicadalug_scheduler_start_write_age_seconds",
+                                           "Time from the decision of a start, or on a relay from its handover, to the "
+                                           "write of its request to the worker.")
+                                     .Add({}, delay_buckets)};
+    Histogram& m_start_answer_age{histogram(m_registry, "cicadalug_scheduler_start_answer_age_seconds",
+                                            "Time from the decision of a start, or on a relay from its handover, to "
+                                            "the worker's response or the timeout.")
+                                      .Add({}, delay_buckets)};
 };
 
 scheduler_metrics::scheduler_metrics() : m_series{std::make_unique<series>()} {}
@@ -68,6 +76,16 @@
     }
 }
 
+auto scheduler_metrics::start_written(const microseconds age) -> void
+{
+    m_series->m_start_write_age.Observe(fractional_seconds{age}.count());
+}
+
+auto scheduler_metrics::start_answered(const microseconds age) -> void
+{
+    m_series->m_start_answer_age.Observe(fractional_seconds{age}.count());
+}
+
 auto scheduler_metrics::stop_sent() -> void
 {
     m_series->m_stops.Increment();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -30,6 +30,13 @@
     /** @brief Counts a start that is sent. @param jobs_age Age of the decider's copy of the jobs, if one was read. */
     auto start_sent(std::optional<microseconds> jobs_age) -> void;
 
+    /** @brief Records that the request of a start is written. @param age Time since its decision; on a relay, since the
+     * decider can have handed it over at the earliest. */
+    auto start_written(microseconds age) -> void;
+
+    /** @brief Records the end of a start's request, with or without a response. @param age As for start_written(). */
+    auto start_answered(microseconds age) -> void;
+
     /** @brief Counts a stop that is sent. */
     auto stop_sent() -> void;
 
--- a/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
@@ -13,6 +13,8 @@
     all.set_decider(true);
     all.start_sent(milliseconds{40});
     all.start_sent(std::nullopt);
+    all.start_written(milliseconds{20});
+    all.start_answered(milliseconds{250});
     all.stop_sent();
     all.cancel_applied(milliseconds{1'500});
     all.cancel_applied(std::nullopt);
@@ -26,7 +28,10 @@
           "cicadalug_scheduler_cancel_delay_seconds_sum 1.5\n",
           "cicadalug_scheduler_event_loop_delay_seconds_bucket{le=\"0.003\"} 1\n",
           "cicadalug_scheduler_start_jobs_age_seconds_bucket{le=\"0.03\"} 0\n",
-          "cicadalug_scheduler_start_jobs_age_seconds_bucket{le=\"0.1\"} 1\n"}) {
+          "cicadalug_scheduler_start_jobs_age_seconds_bucket{le=\"0.1\"} 1\n",
+          "cicadalug_scheduler_start_write_age_seconds_bucket{le=\"0.03\"} 1\n",
+          "cicadalug_scheduler_start_answer_age_seconds_bucket{le=\"0.2\"} 0\n",
+          "cicadalug_scheduler_start_answer_age_seconds_bucket{le=\"0.5\"} 1\n"}) {
         EXPECT_NE(text.find(line), std::string::npos) << line << '\n' << text;
     }
     all.set_decider(false);
--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -32,6 +32,10 @@
     std::int64_t m_starts{0};
     /** @brief Starts that were decided, but not sent. */
     std::int64_t m_starts_withdrawn{0};
+    /** @brief Longest time from the decision of a start to the write of its request, relayed ones excepted. */
+    microseconds m_max_start_write_age{0};
+    /** @brief Longest time from the decision of a start to its response or timeout. */
+    microseconds m_max_start_answer_age{0};
     std::int64_t m_stops{0};
     /** @brief Starts, stops and changes of speed that have no response yet. Lease renewals are not counted. */
     std::int64_t m_commands_in_flight{0};
