Let a start lapse on the worker's clock when it may not arrive any more

Workers carried out a start up to 3.5 s after it was sent, although its job had been cancelled and nothing was allowed to start any more: whatever had held it up, a relay, a connection or the worker itself.

Cause: a start requested the whole lease of 3.5 s, and the age of the copies is checked only where the decider sends. A worker refuses a start whose lease has ended, so the lease bounds how late it is carried out. A start now requests a lease until its time limit of 0.8 s and the margin of 0.2 s have passed, or earlier by the age of the copies of the jobs and of the workers, reckoned on a worker's clock that is 2 % slow. It is computed when the start is sent. Renewals still grant 3.5 s.

Evidence: the stand-in's workers can now answer no command and carry out each after a delay.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -149,7 +149,7 @@
     worker.m_runs.push_back(placed);
     add_used(pass, index, demand);
     const auto permit = step.m_permits.find(index);
-    state.m_starts.push_back({index, task, run, grant_lease(state, index, pass.m_now), found.m_checkpoint,
+    state.m_starts.push_back({index, task, run, found.m_checkpoint,
                               permit == step.m_permits.end() ? std::string{} : permit->second.m_text, pass.m_now});
 }
 
@@ -338,6 +338,27 @@
            });
 }
 
+auto grant_start_lease(scheduler_state& state, const worker_index index, const time_point now) -> std::int64_t
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    const auto& settings = state.m_settings;
+    const auto last_arrival = [&settings](const time_point copied, const milliseconds limit) {
+        return copied + max_copy_age(settings, limit) + settings.m_command_timeout;
+    };
+    const auto end = std::min({now + settings.m_command_timeout + settings.m_start_margin, state.m_grant_limit,
+                               last_arrival(state.m_jobs_current_at, settings.m_cancel_time),
+                               last_arrival(state.m_workers_current_at, settings.m_drain_time)});
+    // A clock that is not slow reaches this time earlier, by less than 100 ms.
+    const auto left = end - worker.m_clock_read;
+    const auto slowest = left - left * settings.m_clock_drift_permille / 1'000;
+    auto until_ms = worker.m_clock_ms + std::chrono::duration_cast<milliseconds>(slowest).count();
+    if (worker.m_unresponsive) {
+        until_ms = std::min(until_ms, worker.m_lease_until_ms);
+    }
+    worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, until_ms);
+    return until_ms;
+}
+
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -79,6 +79,19 @@
  */
 [[nodiscard]] auto is_start_valid(const scheduler_state& state, const start_command& command, time_point now) -> bool;
 
+/**
+ * @brief Returns the end of the lease that a start requests, on the worker's clock, and records it as granted.
+ *
+ * A worker refuses a start whose lease has ended. The lease is therefore not longer than the start may take to arrive:
+ * held up by a relay, a connection or the worker, it is not carried out when its job may have been cancelled or its
+ * worker may drain. The next renewal extends the lease of the run.
+ * @pre is_start_valid(), and the worker's clock has been read.
+ * @param state The scheduler.
+ * @param index The worker.
+ * @param now Current time.
+ */
+[[nodiscard]] auto grant_start_lease(scheduler_state& state, worker_index index, time_point now) -> std::int64_t;
+
 /**
  * @brief Starts waiting tasks on workers with free capacity, in order of urgency, priority and deadline. Starts none
  * if the copy of the stored jobs or of the worker registry is too old, or if the term may have ended.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -213,7 +213,6 @@
     worker_index m_worker{no_worker};
     task_ref m_task;
     run_number m_run;
-    std::int64_t m_lease_until_ms{0};
     std::string m_checkpoint;
     std::string m_permit;
     /** @brief When the start was decided. */
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_simulation.hpp"
 
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/reports.hpp>
 
 #include <gtest/gtest.h>
 
@@ -197,6 +198,50 @@
     EXPECT_EQ(runs, 0) << "a start that was not sent occupies no worker";
 }
 
+// Guards against a start that its worker carries out when its job has been cancelled for longer than the cancel time.
+TEST(dispatch, a_start_lapses_when_it_may_not_arrive_any_more)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    const auto& settings = state.m_settings;
+    const auto& worker = state.m_workers.front();
+    const auto now = simulation.now();
+    const auto left_ms = [&] {
+        const auto read_ms = std::chrono::duration_cast<milliseconds>(now - worker.m_clock_read).count();
+        return grant_start_lease(state, 0, now) - worker.m_clock_ms - read_ms;
+    };
+    const auto arrival = settings.m_command_timeout + settings.m_start_margin;
+    EXPECT_LE(left_ms(), arrival.count());
+    EXPECT_GE(left_ms(), (arrival - milliseconds{100}).count()) << "a slow clock may cost 2 %";
+    // These copies are as old as a start allows, and their limits end before the longest time of a start.
+    const auto oldest = settings.m_cancel_time - settings.m_command_timeout - settings.m_start_margin;
+    state.m_jobs_current_at = now - oldest;
+    ASSERT_TRUE(are_jobs_current(state, now));
+    EXPECT_LE(left_ms(), settings.m_command_timeout.count());
+    EXPECT_GE(left_ms(), (settings.m_command_timeout - milliseconds{100}).count());
+    state.m_jobs_current_at = now;
+    state.m_workers_current_at = now - settings.m_min_copy_age;
+    ASSERT_TRUE(are_workers_current(state, now));
+    EXPECT_LE(left_ms(), settings.m_command_timeout.count());
+}
+
+// Guards against a start that a worker without responses carries out after the decider counts its lease as over.
+TEST(dispatch, the_lease_of_a_start_is_recorded_and_not_granted_to_an_unresponsive_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto& worker = state.m_workers.front();
+    worker.m_lease_until_ms = 0;
+    const auto granted = grant_start_lease(state, 0, simulation.now());
+    EXPECT_EQ(worker.m_lease_until_ms, granted);
+    EXPECT_GE(lease_end(state, worker), simulation.now() + state.m_settings.m_command_timeout);
+    worker.m_unresponsive = true;
+    EXPECT_LE(grant_start_lease(state, 0, simulation.now() + milliseconds{500}), granted);
+    EXPECT_EQ(worker.m_lease_until_ms, granted);
+}
+
 // Guards against two tasks of a step on one worker when maintenance may make only one of them unavailable.
 TEST(dispatch, tasks_of_a_step_with_a_disruption_budget_are_spread)
 {
--- a/test/process/scheduler_cancel.cpp
+++ b/test/process/scheduler_cancel.cpp
@@ -84,4 +84,19 @@
     EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
 }
 
+// Guards against workers that carry out a start seconds after it was sent, although its job was cancelled meanwhile.
+TEST_F(scheduler_cancel, no_task_starts_on_workers_that_carry_out_a_start_two_seconds_late)
+{
+    constexpr milliseconds command_delay{2'000};
+    control({{"command_delay_ms", command_delay.count()}});
+    submit(first_job, concurrent_tasks);
+    ASSERT_TRUE(wait_until([this] { return control()["held"].get<std::size_t>() >= concurrent_tasks; }, patience));
+    static_cast<void>(cancel(first_job, 1));
+    std::this_thread::sleep_for(command_delay + stop_grace);
+    control({{"command_delay_ms", 0}});
+    EXPECT_EQ(control()["starts"].size(), 0U);
+    submit(second_job, concurrent_tasks);
+    EXPECT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience));
+}
+
 } // namespace
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -56,6 +56,8 @@
     std::map<std::string, milliseconds> m_delays;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
+    /** @brief If positive, workers respond to no start and no stop, and carry each out after this time. */
+    milliseconds m_command_delay{0};
 };
 
 [[nodiscard]] auto encode_base64(const std::string& bytes) -> std::string
@@ -128,6 +130,11 @@
         if (request["X-Expect-Instance"] != worker.id()) {
             co_await exchange.respond(json_response(http::status::misdirected_request, json::object()));
         }
+        else if (m_faults.m_command_delay.count() > 0 && path.starts_with("/cicadalug/run-")) {
+            ++m_held_commands;
+            asio::co_spawn(m_context, execute_later(worker, path, body, m_faults.m_command_delay), asio::detached);
+            co_await drop_after_peer(exchange);
+        }
         else if (path == "/cicadalug/run-start") {
             co_await exchange.respond(worker.start(body, m_faults.m_run_time, monotonic_now()));
         }
@@ -194,6 +201,29 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
 
+    /** @brief Holds a call without a response, also after the end of the fault, until its sender closes. */
+    [[nodiscard]] auto drop_after_peer(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        bool closed{false};
+        exchange.on_peer_closed([&closed] { closed = true; });
+        while (!closed) {
+            co_await sleep(poll_interval);
+        }
+        exchange.drop();
+    }
+
+    [[nodiscard]] auto execute_later(scheduler_worker& worker, const std::string path, const json body,
+                                     const milliseconds delay) -> asio::awaitable<void>
+    {
+        co_await sleep(delay);
+        if (path == "/cicadalug/run-start") {
+            static_cast<void>(worker.start(body, m_faults.m_run_time, monotonic_now()));
+        }
+        else {
+            static_cast<void>(worker.stop(body, monotonic_now()));
+        }
+    }
+
     auto put(const std::string& key, const std::string& value, const std::uint64_t lease) -> void
     {
         const auto written =
@@ -244,13 +274,7 @@
             silenced = prefix == m_faults.m_silent_watch;
         }
         if (silenced) {
-            // A call that got no response gets none after the end of the fault, either.
-            bool closed{false};
-            exchange.on_peer_closed([&closed] { closed = true; });
-            while (!closed) {
-                co_await sleep(poll_interval);
-            }
-            exchange.drop();
+            co_await drop_after_peer(exchange);
             co_return;
         }
         json changes;
@@ -261,6 +285,7 @@
 
     auto set_faults(const json& body) -> void
     {
+        m_faults.m_command_delay = milliseconds{body.value("command_delay_ms", m_faults.m_command_delay.count())};
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
         const auto delays = body.value("delays_ms", json::object());
@@ -273,7 +298,7 @@
     [[nodiscard]] auto observations() const -> json
     {
         const auto now = std::chrono::duration_cast<milliseconds>(monotonic_now().time_since_epoch());
-        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}};
+        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}, {"held", m_held_commands}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
         for (const auto& worker : m_workers) {
@@ -295,6 +320,8 @@
     injected_faults m_faults;
     /** @brief Number of lists by prefix. */
     std::map<std::string, int> m_lists;
+    /** @brief Number of commands that were not answered, and are carried out later. */
+    int m_held_commands{0};
 };
 
 } // namespace
