--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -58,6 +58,8 @@
     std::string m_unregistered;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
+    /** @brief If positive, workers respond to no start and no stop, and carry each out after this time. */
+    milliseconds m_command_delay{0};
 };
 
 [[nodiscard]] auto encode_base64(const std::string& bytes) -> std::string
@@ -130,13 +132,13 @@
         if (request["X-Expect-Instance"] != worker.id()) {
             co_await exchange.respond(json_response(http::status::misdirected_request, json::object()));
         }
+        else if (m_faults.m_command_delay.count() > 0 && path.starts_with("/cicadalug/run-")) {
+            ++m_held_commands;
+            asio::co_spawn(m_context, execute_later(worker, path, body, m_faults.m_command_delay), asio::detached);
+            co_await drop_after_peer(exchange);
+        }
         else if (path == "/cicadalug/run-start") {
-            const auto starts = worker.starts().size();
-            auto response = worker.start(body, m_faults.m_run_time, monotonic_now());
-            if (worker.starts().size() > starts && runs_elsewhere(worker)) {
-                ++m_doubled_runs;
-            }
-            co_await exchange.respond(std::move(response));
+            co_await exchange.respond(start_run(worker, body));
         }
         else if (path == "/cicadalug/run-stop") {
             co_await exchange.respond(worker.stop(body, monotonic_now()));
@@ -204,6 +206,29 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
 
+    /** @brief Holds a call without a response, also after the end of the fault, until its sender closes. */
+    [[nodiscard]] auto drop_after_peer(http_exchange& exchange) -> asio::awaitable<void>
+    {
+        bool closed{false};
+        exchange.on_peer_closed([&closed] { closed = true; });
+        while (!closed) {
+            co_await sleep(poll_interval);
+        }
+        exchange.drop();
+    }
+
+    [[nodiscard]] auto execute_later(scheduler_worker& worker, const std::string path, const json body,
+                                     const milliseconds delay) -> asio::awaitable<void>
+    {
+        co_await sleep(delay);
+        if (path == "/cicadalug/run-start") {
+            static_cast<void>(start_run(worker, body));
+        }
+        else {
+            static_cast<void>(worker.stop(body, monotonic_now()));
+        }
+    }
+
     auto put(const std::string& key, const std::string& value, const std::uint64_t lease) -> void
     {
         const auto written =
@@ -214,13 +239,19 @@
         }
     }
 
-    /** @brief Checks whether the task that a worker has just started runs on another worker, too. */
-    [[nodiscard]] auto runs_elsewhere(const scheduler_worker& worker) const -> bool
+    /** @brief Lets a worker start a run, and counts it if the task runs on another worker, too. */
+    [[nodiscard]] auto start_run(scheduler_worker& worker, const json& body) -> http_response
     {
-        const auto& task = worker.starts().back().m_task;
-        return std::any_of(m_workers.begin(), m_workers.end(), [&worker, &task](const scheduler_worker& other) {
-            return &other != &worker && other.is_running(task);
-        });
+        const auto starts = worker.starts().size();
+        auto response = worker.start(body, m_faults.m_run_time, monotonic_now());
+        const bool started = worker.starts().size() > starts;
+        const auto runs_elsewhere = [&](const scheduler_worker& other) {
+            return &other != &worker && other.is_running(worker.starts().back().m_task);
+        };
+        if (started && std::any_of(m_workers.begin(), m_workers.end(), runs_elsewhere)) {
+            ++m_doubled_runs;
+        }
+        return response;
     }
 
     [[nodiscard]] auto execute(const http_target& target, const json& body) -> scheduler_store_response
@@ -263,13 +294,7 @@
             silenced = prefix == m_faults.m_silent_watch;
         }
         if (silenced) {
-            // A call that got no response gets none after the end of the fault, either.
-            bool closed{false};
-            exchange.on_peer_closed([&closed] { closed = true; });
-            while (!closed) {
-                co_await sleep(poll_interval);
-            }
-            exchange.drop();
+            co_await drop_after_peer(exchange);
             co_return;
         }
         json changes;
@@ -280,6 +305,7 @@
 
     auto set_faults(const json& body) -> void
     {
+        m_faults.m_command_delay = milliseconds{body.value("command_delay_ms", m_faults.m_command_delay.count())};
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
         m_faults.m_unregistered = body.value("unregistered", m_faults.m_unregistered);
@@ -298,7 +324,11 @@
     [[nodiscard]] auto observations() const -> json
     {
         const auto now = std::chrono::duration_cast<milliseconds>(monotonic_now().time_since_epoch());
-        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}, {"doubled_runs", m_doubled_runs}};
+        json seen{{"clock_ms", now.count()},
+                  {"running", 0},
+                  {"lists", m_lists},
+                  {"held", m_held_commands},
+                  {"doubled_runs", m_doubled_runs}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
         for (const auto& worker : m_workers) {
@@ -322,6 +352,8 @@
     std::map<std::string, int> m_lists;
     /** @brief Number of starts of a task that was running on another worker. */
     int m_doubled_runs{0};
+    /** @brief Number of commands that were not answered, and are carried out later. */
+    int m_held_commands{0};
 };
 
 } // namespace
