Log how far a watch is behind the store, and count cancels of unknown jobs

The log line decider_load has the number of watches, the highest number of changes in one response, how many responses ended before a revision of the store that was known when the watch was sent, by how many revisions at most, and the cancels read before their jobs. The metric cicadalug_scheduler_unknown_cancels_total counts the cancels that are answered 410. These tell whether a late start comes from a response with a part of the changes, from a cancel without its job, or from neither.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -230,6 +230,7 @@
         const auto read = co_await m_dependencies.m_store->read(job_key(job), time_left(deadline, store_timeout));
         if (read.m_status == store_status::missing) {
             LOG(INFO) << log_line{"cancel_of_unknown_job"}.with("request", id);
+            m_dependencies.m_metrics->unknown_job_cancelled();
             co_return make_response(http::status::gone);
         }
         if (read.m_status == store_status::ok) {
--- a/packages/entry/src/cicadalug/entry/client_api.hpp
+++ b/packages/entry/src/cicadalug/entry/client_api.hpp
@@ -8,6 +8,7 @@
 #include <cicadalug/http/http_pool.hpp>
 #include <cicadalug/http/http_server.hpp>
 #include <cicadalug/scheduler/queue_config.hpp>
+#include <cicadalug/telemetry/scheduler_metrics.hpp>
 
 #include <memory>
 #include <optional>
@@ -24,6 +25,8 @@
     const std::shared_ptr<decider>* m_decider{nullptr};
     /** @brief Configuration in force; null until one has been read. */
     const std::shared_ptr<const fleet_config>* m_config{nullptr};
+    /** @brief Metrics of this entry VM. */
+    scheduler_metrics* m_metrics{nullptr};
 };
 
 /**
--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -291,12 +291,14 @@
     milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
+        const auto known = m_store.highest_revision();
         const auto changes = co_await m_store.watch(std::string{job_prefix}, m_jobs_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
         }
         slack = changes.m_status == store_status::ok ? watch_slack : retried_watch_slack;
         if (changes.m_status == store_status::ok) {
+            count_watch(m_load, changes, known);
             m_jobs_revision = std::max(m_jobs_revision, changes.m_revision);
             for (const auto& change : changes.m_changes) {
                 apply_job_change(change.m_key, change.m_value, false);
@@ -400,12 +402,14 @@
     milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
+        const auto known = m_store.highest_revision();
         const auto changes = co_await m_store.watch(std::string{worker_prefix}, m_workers_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
         }
         slack = changes.m_status == store_status::ok ? watch_slack : retried_watch_slack;
         if (changes.m_status == store_status::ok) {
+            count_watch(m_load, changes, known);
             m_workers_revision = std::max(m_workers_revision, changes.m_revision);
             for (const auto& change : changes.m_changes) {
                 apply_worker_change(change.m_key, change.m_value);
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -92,12 +92,17 @@
                      .with("jobs_age_ms", format_ms(max_age(load.m_jobs)))
                      .with("workers_age_ms", format_ms(max_age(load.m_workers)))
                      .with("failed_watches", load.m_failed_watches)
+                     .with("watches", load.m_watches)
+                     .with("watches_behind", load.m_watches_behind)
+                     .with("revisions_behind", load.m_max_revisions_behind)
+                     .with("watch_changes", load.m_max_changes)
                      .with("loop_delay_ms", to_ms(load.m_max_loop_delay))
                      .with("starts", load.m_starts)
                      .with("starts_withdrawn", load.m_starts_withdrawn)
                      .with("stops", load.m_stops)
                      .with("commands_in_flight", load.m_max_commands_in_flight)
                      .with("cancels", load.m_cancels)
+                     .with("unknown_cancels", load.m_unknown_cancels)
                      .with("cancel_delay_ms", load.m_max_cancel_delay.count())
                      .with("relays", m_relays->live_relays())
                      .with("passes", load.m_passes)
@@ -135,6 +140,7 @@
     }
     const auto delay = cancel_delay(value, clock.m_unix_ms);
     count_cancel(m_load, delay);
+    m_load.m_unknown_cancels += job == nullptr ? 1 : 0;
     m_settings.m_metrics->cancel_applied(delay);
     log_dropped_lines(clock.m_now);
     if (admit_line(m_run_log_budget)) {
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -74,7 +74,9 @@
                                                     settings.m_cores},
           m_calls{m_executor, worker_connection_limit(settings.m_max_descriptors)},
           m_relay{m_executor, {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics}, m_election, m_calls},
-          m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config}}, m_signals{m_context, SIGTERM}
+          m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config, m_metrics.get()}}, m_signals{
+                                                                                                             m_context,
+                                                                                                             SIGTERM}
     {
     }
 
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -34,6 +34,9 @@
     Counter& m_stops{counter(m_registry, "cicadalug_scheduler_stops_total", "Stops of runs sent to workers.").Add({})};
     Counter& m_cancels{
         counter(m_registry, "cicadalug_scheduler_cancels_total", "Cancellations of jobs that were applied.").Add({})};
+    Counter& m_unknown_cancels{counter(m_registry, "cicadalug_scheduler_unknown_cancels_total",
+                                       "Requests of clients to cancel a job that is not stored.")
+                                   .Add({})};
     Counter& m_relayed_calls{counter(m_registry, "cicadalug_scheduler_relayed_calls_total",
                                      "Calls to workers carried out for the decider on another entry VM.")
                                  .Add({})};
@@ -81,6 +84,11 @@
     }
 }
 
+auto scheduler_metrics::unknown_job_cancelled() -> void
+{
+    m_series->m_unknown_cancels.Increment();
+}
+
 auto scheduler_metrics::call_relayed() -> void
 {
     m_series->m_relayed_calls.Increment();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -36,6 +36,9 @@
     /** @brief Counts an applied cancellation. @param delay Time since its write, or nothing if that is not known. */
     auto cancel_applied(std::optional<microseconds> delay) -> void;
 
+    /** @brief Counts a cancellation by a client of a job that is not stored. */
+    auto unknown_job_cancelled() -> void;
+
     /** @brief Counts a call to a worker that this entry VM has carried out as a relay. */
     auto call_relayed() -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -2,8 +2,10 @@
 #define CICADALUG_SCHEDULER_DECIDER_LOAD_HPP
 
 #include <cicadalug/base/time.hpp>
+#include <cicadalug/scheduler/store_types.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -27,6 +29,14 @@
     copy_age m_workers;
     /** @brief Watches of jobs and workers that failed or got no response in time. */
     std::int64_t m_failed_watches{0};
+    /** @brief Responses to watches of jobs and workers. */
+    std::int64_t m_watches{0};
+    /** @brief Responses that ended before a revision that was known when the watch was sent. */
+    std::int64_t m_watches_behind{0};
+    /** @brief How many revisions such a response ended before the known one at most. */
+    std::uint64_t m_max_revisions_behind{0};
+    /** @brief Highest number of changes in one response. */
+    std::size_t m_max_changes{0};
     /** @brief How late a timer ran at most. */
     microseconds m_max_loop_delay{0};
     std::int64_t m_starts{0};
@@ -37,6 +47,8 @@
     std::int64_t m_commands_in_flight{0};
     std::int64_t m_max_commands_in_flight{0};
     std::int64_t m_cancels{0};
+    /** @brief Cancellations that were read before their jobs. */
+    std::int64_t m_unknown_cancels{0};
     /** @brief Longest time from the write of a cancellation to its application. */
     milliseconds m_max_cancel_delay{0};
     std::int64_t m_passes{0};
@@ -62,6 +74,22 @@
     copy.m_sent = std::max(copy.m_sent, std::optional{sent});
 }
 
+/**
+ * @brief Counts a response to a watch.
+ * @param load Load.
+ * @param changes The response.
+ * @param known Highest revision of the store that was known when the watch was sent.
+ */
+inline auto count_watch(decider_load& load, const store_changes& changes, const store_revision known) -> void
+{
+    ++load.m_watches;
+    load.m_max_changes = std::max(load.m_max_changes, changes.m_changes.size());
+    if (changes.m_revision < known) {
+        ++load.m_watches_behind;
+        load.m_max_revisions_behind = std::max(load.m_max_revisions_behind, known.value() - changes.m_revision.value());
+    }
+}
+
 /** @brief Counts a command that is sent to a worker. */
 inline auto begin_command(decider_load& load) -> void
 {
--- a/packages/scheduler/test/cicadalug/scheduler/decider_load.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/decider_load.cpp
@@ -34,6 +34,26 @@
     EXPECT_EQ(age_of(copy, start + milliseconds{120}), milliseconds{20});
 }
 
+// Guards against a response with only a part of the changes that cannot be told from a complete one.
+TEST(decider_load, a_response_that_ends_before_a_known_revision_is_counted)
+{
+    decider_load load;
+    store_changes changes;
+    changes.m_changes.resize(3);
+    changes.m_revision = store_revision{90};
+    count_watch(load, changes, store_revision{90});
+    EXPECT_EQ(load.m_watches_behind, 0);
+    count_watch(load, changes, store_revision{95});
+    count_watch(load, changes, store_revision{92});
+    changes.m_changes.clear();
+    changes.m_revision = store_revision{95};
+    count_watch(load, changes, store_revision{92});
+    EXPECT_EQ(load.m_watches, 4);
+    EXPECT_EQ(load.m_watches_behind, 2);
+    EXPECT_EQ(load.m_max_revisions_behind, 5U);
+    EXPECT_EQ(load.m_max_changes, 3U);
+}
+
 // Guards against counts that are carried into the next window, and against commands that vanish from it.
 TEST(decider_load, a_new_window_keeps_only_the_commands_in_flight)
 {
