Prove how recent the copies of jobs and workers are by the revision they have reached

Tasks of a job could start 5 s after the response to its cancel: the decider took each response to a watch for all changes stored before the request. A response may have only the first of them, or none, and the copy then counted as recent although it was not.

The client of the store now keeps the revisions in its responses with the times of their requests.

Two process tests with a stand-in store that returns one change per response, or none, failed before: 18 late starts each, the last one 5094 and 5119 ms after the response to the cancel, where 3000 ms are allowed. Whether the users' store returned such responses is not known.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -291,7 +291,7 @@
     milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
-        const auto known = m_store.highest_revision();
+        const auto known = m_store.revisions().m_highest;
         const auto changes = co_await m_store.watch(std::string{job_prefix}, m_jobs_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
@@ -303,7 +303,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_job_change(change.m_key, change.m_value, false);
             }
-            record_jobs_read(sent);
+            record_jobs_read(copy_time(m_store.revisions(), changes, sent, known));
             if (!changes.m_changes.empty()) {
                 schedule_pass();
                 co_await sleep_for(m_executor, watch_gap);
@@ -402,7 +402,7 @@
     milliseconds slack{watch_slack};
     while (self->m_active) {
         const auto sent = monotonic_now();
-        const auto known = m_store.highest_revision();
+        const auto known = m_store.revisions().m_highest;
         const auto changes = co_await m_store.watch(std::string{worker_prefix}, m_workers_revision, watch_wait, slack);
         if (!m_active) {
             co_return;
@@ -414,7 +414,7 @@
             for (const auto& change : changes.m_changes) {
                 apply_worker_change(change.m_key, change.m_value);
             }
-            record_workers_read(sent);
+            record_workers_read(copy_time(m_store.revisions(), changes, sent, known));
             if (!changes.m_changes.empty()) {
                 update_relay_admission();
                 start_renewals();
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -123,10 +123,10 @@
 
     auto apply_job_change(const std::string& key, const std::optional<std::string>& value, bool recovered) -> void;
     auto apply_cancel(const job_id& id, std::string_view value, const clock_reading& clock) -> void;
-    /** @brief Records that all changes of jobs stored before a time have been applied. */
-    auto record_jobs_read(time_point sent) -> void;
-    /** @brief Records that all changes of workers stored before a time have been applied. */
-    auto record_workers_read(time_point sent) -> void;
+    /** @brief Records that all changes of jobs stored before a time, if one is proven, have been applied. */
+    auto record_jobs_read(std::optional<time_point> proven) -> void;
+    /** @brief Records that all changes of workers stored before a time, if one is proven, have been applied. */
+    auto record_workers_read(std::optional<time_point> proven) -> void;
     auto log_load() -> void;
     auto log_suspension(time_point now) -> void;
     auto log_start(const start_command& command, const job_entry& job) -> void;
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -55,17 +55,20 @@
     }
 }
 
-auto decider::record_jobs_read(const time_point sent) -> void
+auto decider::record_jobs_read(const std::optional<time_point> proven) -> void
 {
-    // The store has answered at some time after the request was sent; that is all that is known.
-    m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, sent);
-    refresh(m_load.m_jobs, sent, monotonic_now());
+    if (proven) {
+        m_state.m_jobs_current_at = std::max(m_state.m_jobs_current_at, *proven);
+        refresh(m_load.m_jobs, *proven, monotonic_now());
+    }
 }
 
-auto decider::record_workers_read(const time_point sent) -> void
+auto decider::record_workers_read(const std::optional<time_point> proven) -> void
 {
-    m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, sent);
-    refresh(m_load.m_workers, sent, monotonic_now());
+    if (proven) {
+        m_state.m_workers_current_at = std::max(m_state.m_workers_current_at, *proven);
+        refresh(m_load.m_workers, *proven, monotonic_now());
+    }
 }
 
 auto decider::log_suspension(const time_point now) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -12,11 +12,11 @@
 namespace cicadalug {
 
 /**
- * @brief Age of a copy of stored data. The copy contains at least all changes up to the time at which the last
- * successful read or watch was sent; when the store answered it is not known.
+ * @brief Age of a copy of stored data. The copy contains at least all changes up to the last time for which that is
+ * proven: in general, when the last successful read or watch was sent; when the store answered it is not known.
  */
 struct copy_age {
-    /** @brief When the last successful read or watch was sent; nothing before the first one. */
+    /** @brief Last time of which all changes are contained; nothing before the first read. */
     std::optional<time_point> m_sent;
     /** @brief Highest age of the window. */
     microseconds m_max{0};
@@ -63,9 +63,9 @@
 }
 
 /**
- * @brief Records a successful read or watch.
+ * @brief Records that a copy contains all changes before a time.
  * @param copy Age of the copy.
- * @param sent When the request was sent.
+ * @param sent The time.
  * @param now Current time.
  */
 inline auto refresh(copy_age& copy, const time_point sent, const time_point now) -> void
--- a/test/process/scheduler_cancel.cpp
+++ b/test/process/scheduler_cancel.cpp
@@ -84,4 +84,56 @@
     EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
 }
 
+// Guards against tasks that a decider starts by an old copy of the jobs, which it takes for a recent one, because each
+// response to its watch has only a part of the changes that were stored before.
+TEST_F(scheduler_cancel, no_task_starts_long_after_the_cancel_when_a_watch_returns_a_part_of_the_changes)
+{
+    constexpr std::size_t tasks{10 * concurrent_tasks};
+    constexpr int other_jobs{20};
+    constexpr int delay_ms{300};
+    submit(first_job, tasks);
+    wait_until_workers_are_full();
+    control({{"partial_watch", {{"prefix", "job/"}, {"changes", 1}, {"delay_ms", delay_ms}}}});
+    for (int number = 0; number < other_jobs; ++number) {
+        submit("00000000000000" + std::to_string(10 + number), 1);
+    }
+    const auto acknowledged = cancel(first_job, 1);
+    std::this_thread::sleep_for(observed_time);
+    const auto seen = control();
+    expect_no_late_start(seen, acknowledged, first_job);
+    control({{"partial_watch", {{"prefix", ""}}}});
+    EXPECT_TRUE(wait_until([] { return state_of("0000000000000029") == "completed"; }, patience))
+        << "tasks do not start again after the copy has caught up";
+    EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
+}
+
+// Guards against tasks that a decider starts by an old copy of the jobs, because its watch ends without the changes
+// that were stored before.
+TEST_F(scheduler_cancel, no_task_starts_long_after_the_cancel_when_a_watch_returns_no_changes)
+{
+    constexpr std::size_t tasks{10 * concurrent_tasks};
+    submit(first_job, tasks);
+    wait_until_workers_are_full();
+    control({{"blind_watch", "job/"}});
+    const auto acknowledged = cancel(first_job, 1);
+    std::this_thread::sleep_for(observed_time);
+    const auto seen = control();
+    expect_no_late_start(seen, acknowledged, first_job);
+    EXPECT_LT(started_tasks(seen), tasks) << "no task was left to start at the end";
+    control({{"blind_watch", ""}});
+    submit(second_job, concurrent_tasks);
+    EXPECT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience));
+}
+
+// Guards against a decider that takes complete responses for partial ones, and starts nothing, while each response has
+// few changes and nothing else is written to the store.
+TEST_F(scheduler_cancel, tasks_start_when_each_response_of_a_watch_has_one_change)
+{
+    control({{"partial_watch", {{"prefix", "job/"}, {"changes", 1}, {"delay_ms", 0}}}, {"run_ms", 50}});
+    for (int number = 0; number < 20; ++number) {
+        submit("00000000000000" + std::to_string(10 + number), 1);
+    }
+    EXPECT_TRUE(wait_until([] { return state_of("0000000000000029") == "completed"; }, milliseconds{3'000}));
+}
+
 } // namespace
--- a/test/process/scheduler_deployment.hpp
+++ b/test/process/scheduler_deployment.hpp
@@ -199,11 +199,16 @@
         return tasks.size();
     }
 
-    static auto expect_no_late_start(const json& seen, const std::int64_t acknowledged) -> void
+    /** @brief Checks the starts of one job, or of all jobs if `job` is empty, after the response to a cancellation. */
+    static auto expect_no_late_start(const json& seen, const std::int64_t acknowledged, const std::string& job = {})
+        -> void
     {
         std::size_t late{0};
         std::int64_t latest{0};
         for (const auto& start : seen["starts"]) {
+            if (!start["task"].get_ref<const std::string&>().starts_with(job)) {
+                continue;
+            }
             const auto delay = start["clock_ms"].get<std::int64_t>() - acknowledged;
             late += delay > cancel_bound.count() ? 1U : 0U;
             latest = std::max(latest, delay);
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -18,6 +18,8 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
+#include <cstdint>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -52,6 +54,12 @@
 struct injected_faults {
     /** @brief Watches of exactly this prefix get no response; empty for none. */
     std::string m_silent_watch;
+    /** @brief Watches of exactly this prefix end without changes, at the revision from which they started. */
+    std::string m_blind_watch;
+    /** @brief Watches of exactly this prefix return only the first changes, after a delay. */
+    std::string m_partial_watch;
+    std::size_t m_partial_changes{1};
+    milliseconds m_partial_delay{};
     /** @brief Delay of the responses to calls of a path; the call itself is executed at once. */
     std::map<std::string, milliseconds> m_delays;
     /** @brief How long a run takes that starts from now on. */
@@ -239,7 +247,10 @@
         const auto wait = milliseconds{query_number(target, "wait_ms", 0)};
         const auto end = monotonic_now() + std::min(wait, longest_watch);
         bool silenced = prefix == m_faults.m_silent_watch;
-        while (!silenced && m_store.changes_after(prefix, after).empty() && monotonic_now() < end) {
+        const auto has_changes = [&] {
+            return prefix != m_faults.m_blind_watch && !m_store.changes_after(prefix, after).empty();
+        };
+        while (!silenced && !has_changes() && monotonic_now() < end) {
             co_await sleep(poll_interval);
             silenced = prefix == m_faults.m_silent_watch;
         }
@@ -253,14 +264,41 @@
             exchange.drop();
             co_return;
         }
-        json changes;
-        changes["events"] = m_store.changes_after(prefix, after);
-        changes["store_revision"] = m_store.revision();
+        auto changes = watch_response(prefix, after);
+        if (prefix == m_faults.m_partial_watch) {
+            co_await sleep(m_faults.m_partial_delay);
+        }
         co_await exchange.respond(json_response(http::status::ok, changes));
     }
 
+    /** @brief Returns the response to a watch, with only a part of the changes if that fault is set. */
+    [[nodiscard]] auto watch_response(const std::string& prefix, const std::uint64_t after) const -> json
+    {
+        if (prefix == m_faults.m_blind_watch) {
+            return {{"events", json::array()}, {"store_revision", after}};
+        }
+        auto events = m_store.changes_after(prefix, after);
+        auto reached = m_store.revision();
+        if (prefix == m_faults.m_partial_watch && events.size() > m_faults.m_partial_changes) {
+            // The changes of one write stay together, as the next watch continues after their revision.
+            auto size = m_faults.m_partial_changes;
+            while (size < events.size() && events[size]["revision"] == events[size - 1]["revision"]) {
+                ++size;
+            }
+            events.erase(events.begin() + static_cast<std::ptrdiff_t>(size), events.end());
+            reached = events.back()["revision"].get<std::uint64_t>();
+        }
+        return {{"events", std::move(events)}, {"store_revision", reached}};
+    }
+
     auto set_faults(const json& body) -> void
     {
+        m_faults.m_blind_watch = body.value("blind_watch", m_faults.m_blind_watch);
+        if (const auto partial = body.find("partial_watch"); partial != body.end()) {
+            m_faults.m_partial_watch = partial->value("prefix", "");
+            m_faults.m_partial_changes = partial->value("changes", std::size_t{1});
+            m_faults.m_partial_delay = milliseconds{partial->value("delay_ms", 0)};
+        }
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
         const auto delays = body.value("delays_ms", json::object());
