--- a/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/decider_load.hpp
@@ -2,19 +2,21 @@
 #define CICADALUG_SCHEDULER_DECIDER_LOAD_HPP
 
 #include <cicadalug/base/time.hpp>
+#include <cicadalug/scheduler/store_types.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
 namespace cicadalug {
 
 /**
- * @brief Age of a copy of stored data. The copy contains at least all changes up to the time at which the last
- * successful read or watch was sent; when the store answered it is not known.
+ * @brief Age of a copy of stored data. The copy contains at least all changes up to the last time for which that is
+ * proven: in general, when the last successful read or watch was sent; when the store answered it is not known.
  */
 struct copy_age {
-    /** @brief When the last successful read or watch was sent; nothing before the first one. */
+    /** @brief Last time of which all changes are contained; nothing before the first read. */
     std::optional<time_point> m_sent;
     /** @brief Highest age of the window. */
     microseconds m_max{0};
@@ -27,6 +29,14 @@
     copy_age m_workers;
     /** @brief Watches of jobs and workers that failed or got no response in time. */
     std::int64_t m_failed_watches{0};
+    /** @brief Responses to watches of jobs and workers. */
+    std::int64_t m_watches{0};
+    /** @brief Responses that ended before a revision that was known when the watch was sent. */
+    std::int64_t m_watches_behind{0};
+    /** @brief How many revisions such a response ended before the known one at most. */
+    std::uint64_t m_max_revisions_behind{0};
+    /** @brief Highest number of changes in one response. */
+    std::size_t m_max_changes{0};
     /** @brief How late a timer ran at most. */
     microseconds m_max_loop_delay{0};
     std::int64_t m_starts{0};
@@ -41,6 +51,8 @@
     std::int64_t m_commands_in_flight{0};
     std::int64_t m_max_commands_in_flight{0};
     std::int64_t m_cancels{0};
+    /** @brief Cancellations that were read before their jobs. */
+    std::int64_t m_unknown_cancels{0};
     /** @brief Longest time from the write of a cancellation to its application. */
     milliseconds m_max_cancel_delay{0};
     std::int64_t m_passes{0};
@@ -55,9 +67,9 @@
 }
 
 /**
- * @brief Records a successful read or watch.
+ * @brief Records that a copy contains all changes before a time.
  * @param copy Age of the copy.
- * @param sent When the request was sent.
+ * @param sent The time.
  * @param now Current time.
  */
 inline auto refresh(copy_age& copy, const time_point sent, const time_point now) -> void
@@ -66,6 +78,22 @@
     copy.m_sent = std::max(copy.m_sent, std::optional{sent});
 }
 
+/**
+ * @brief Counts a response to a watch.
+ * @param load Load.
+ * @param changes The response.
+ * @param known Highest revision of the store that was known when the watch was sent.
+ */
+inline auto count_watch(decider_load& load, const store_changes& changes, const store_revision known) -> void
+{
+    ++load.m_watches;
+    load.m_max_changes = std::max(load.m_max_changes, changes.m_changes.size());
+    if (changes.m_revision < known) {
+        ++load.m_watches_behind;
+        load.m_max_revisions_behind = std::max(load.m_max_revisions_behind, known.value() - changes.m_revision.value());
+    }
+}
+
 /** @brief Counts a command that is sent to a worker. */
 inline auto begin_command(decider_load& load) -> void
 {
