Stop unanswered starts at a new incarnation before their tasks restart

Seen from outside: a task runs twice at a time, if its worker starts again under the same id and a start without a response is carried out seconds later.

A report of a new incarnation ended all runs of the worker, also those whose start had no response yet. Such a start names the worker's id only, its lease ends in the far future by the new clock, and the new incarnation has no fencing token: it carries the start out while the task runs elsewhere. These runs now stay in the table and are stopped first; once the new incarnation has accepted the stop, it rejects the start, and the task restarts. A start that the new incarnation lists as running is kept. If the worker is lost again, the end of its lease still ends the run.

Tested: before, the new test saw no stop and the task started again.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -229,16 +229,20 @@
     }
 }
 
+[[nodiscard]] auto is_listed(const worker_report& report, const placed_run& run) -> bool
+{
+    return std::any_of(report.m_running.begin(), report.m_running.end(), [&run](const running_report& running) {
+        return running.m_run == run.m_run && running.m_task == run.m_task;
+    });
+}
+
 /** @brief Abandons runs missing in the report of a poll that was sent after their start or stop had been settled. */
 auto drop_missing_runs(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
                        const time_point now) -> void
 {
     for (std::size_t position = 0; position < worker.m_runs.size();) {
         auto& run = worker.m_runs[position];
-        const bool listed =
-            std::any_of(report.m_running.begin(), report.m_running.end(), [&run](const running_report& running) {
-                return running.m_run == run.m_run && running.m_task == run.m_task;
-            });
+        const bool listed = is_listed(report, run);
         const bool settled =
             (run.m_confirmed && run.m_sent < sent) || (run.m_stop_accepted && *run.m_stop_accepted <= sent);
         // A start without a response may still be carried out; after a stop, the worker permanently rejects it.
@@ -254,13 +258,39 @@
     }
 }
 
-/** @brief Abandons the runs of a worker if the report comes from a newer incarnation of it. */
+/** @brief Abandons the runs of an earlier incarnation. A start without a response may still be carried out by the new
+ * one, which knows nothing of the runs before it: such a run is stopped first, so that the worker rejects its start. */
+auto end_runs_of_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report,
+                             const time_point now) -> void
+{
+    for (std::size_t position = 0; position < worker.m_runs.size();) {
+        auto& run = worker.m_runs[position];
+        if (is_listed(report, run)) {
+            // The new incarnation has carried out the start.
+            ++position;
+            continue;
+        }
+        run.m_stop_requested = true;
+        // The earlier incarnation may have accepted a stop; the new one has not.
+        run.m_stop_accepted.reset();
+        run.m_stop_sent = {};
+        if (run.m_confirmed) {
+            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
+                        lost_cause::new_incarnation, now);
+        }
+        else {
+            ++position;
+        }
+    }
+}
+
+/** @brief Ends the runs of a worker if the report comes from a newer incarnation of it. */
 auto apply_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point now)
     -> void
 {
     if (worker.m_has_reported && report.m_incarnation_start_unix_ms > worker.m_incarnation_start_unix_ms &&
         worker.m_incarnation_start_unix_ms != 0) {
-        abandon_all_runs(state, worker, lost_cause::new_incarnation, now);
+        end_runs_of_incarnation(state, worker, report, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
         // The clock of the new incarnation starts again.
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -379,4 +379,38 @@
     EXPECT_FALSE(has_lease(state, state.m_workers.front(), later));
 }
 
+// Guards against a second run of a task beside a start that had no response and is carried out late, by the next
+// incarnation of its worker.
+TEST(reports, a_start_without_a_response_is_stopped_at_a_new_incarnation_before_the_task_restarts)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_job("orders", 1, 1'000, milliseconds{300}));
+    auto& state = simulation.m_state;
+    dispatch(state, simulation.now());
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    auto now = simulation.now() + milliseconds{100};
+    apply_start_result(state, start, command_result::unknown, now);
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_clock_ms = 5;
+    now += milliseconds{100};
+    state.m_term_guaranteed_until = now + milliseconds{500};
+    apply_report(state, 0, report, now, now);
+    expire_runs(state, now);
+    EXPECT_EQ(state.m_stops.size(), 1U) << "the new incarnation was not told to reject the start";
+    dispatch(state, now);
+    EXPECT_TRUE(state.m_starts.empty()) << "the task was started again while its start may be carried out";
+    apply_stop_result(state, {0, start.m_task, start.m_run}, command_result::accepted, now);
+    report.m_clock_ms += 10;
+    now += milliseconds{10};
+    apply_report(state, 0, report, now, now);
+    dispatch(state, now);
+    EXPECT_EQ(state.m_starts.size(), 1U);
+}
+
 } // namespace cicadalug::test
