Count the time that a call waits in its relay against its time limit

A relay could send a start up to the whole time limit of the call, 0.8 s, after it had read it, and later still if it was suspended or busy with a batch in between: the worker then got a start that the decider had long counted as unanswered.

Cause: the time left was computed once, when the poll was answered, and began again when each call was carried out. The relay now computes the earliest time at which the decider can have handed the call over; the time limit begins then and is checked right before the request is written. The message format is unchanged.

--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -60,6 +60,28 @@
 
 } // namespace
 
+auto carry_out_relayed(worker_calls& calls, worker_call call, const time_point handed_over,
+                       std::shared_ptr<scheduler_metrics> metrics) -> asio::awaitable<worker_call_result>
+{
+    send_condition condition{handed_over + call.m_timeout, nullptr};
+    if (monotonic_now() >= condition.m_deadline) {
+        co_return worker_call_result{call.m_number, command_result::withdrawn, {}};
+    }
+    const bool is_start = call.m_kind == worker_call_kind::start;
+    metrics->call_relayed();
+    condition.m_may_send = [metrics, is_start, handed_over] {
+        if (is_start) {
+            metrics->start_written(monotonic_now() - handed_over);
+        }
+        return true;
+    };
+    auto result = co_await calls.perform(std::move(call), std::move(condition));
+    if (is_start) {
+        metrics->start_answered(monotonic_now() - handed_over);
+    }
+    co_return result;
+}
+
 worker_relay::worker_relay(asio::any_io_executor executor, worker_relay_settings settings,
                            const decider_election& election, worker_calls& calls)
     : m_executor{std::move(executor)}, m_settings{std::move(settings)}, m_election{election}, m_calls{calls}
@@ -155,9 +177,8 @@
         co_return;
     }
     const auto held = held_time(response.assume_value());
-    const auto handed_over = sent + std::min(held, round_trip);
+    const auto handed_over = earliest_handover(sent, round_trip, held);
     for (auto& call : std::move(calls).assume_value()) {
-        call.m_timeout = call_time_left(call.m_timeout, round_trip, held);
         asio::co_spawn(m_executor, carry_out(current, std::move(call), handed_over), asio::detached);
     }
 }
@@ -165,22 +186,7 @@
 auto worker_relay::carry_out(const std::shared_ptr<link> current, worker_call call, const time_point handed_over)
     -> asio::awaitable<void>
 {
-    worker_call_result result{call.m_number, command_result::withdrawn, {}};
-    if (call.m_timeout > milliseconds{0}) {
-        m_settings.m_metrics->call_relayed();
-        send_condition condition{monotonic_now() + call.m_timeout, nullptr};
-        const bool is_start = call.m_kind == worker_call_kind::start;
-        if (is_start) {
-            condition.m_may_send = [this, handed_over] {
-                m_settings.m_metrics->start_written(monotonic_now() - handed_over);
-                return true;
-            };
-        }
-        result = co_await m_calls.perform(std::move(call), std::move(condition));
-        if (is_start) {
-            m_settings.m_metrics->start_answered(monotonic_now() - handed_over);
-        }
-    }
+    auto result = co_await carry_out_relayed(m_calls, std::move(call), handed_over, m_settings.m_metrics);
     current->m_results.push_back(std::move(result));
     current->m_results_event.notify();
 }
--- a/packages/entry/src/cicadalug/entry/worker_relay.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.hpp
@@ -24,6 +24,19 @@
     std::shared_ptr<scheduler_metrics> m_metrics;
 };
 
+/**
+ * @brief Carries out a call that a decider has handed over.
+ * @pre The calls outlive the result.
+ * @param calls Sends the call.
+ * @param call The call.
+ * @param handed_over Earliest time at which the decider can have handed it over. The time of the call begins then,
+ * however long the relay is suspended or busy before it writes the request.
+ * @param metrics Metrics of the relay; not null.
+ * @return The result: withdrawn if the time of the call was over before anything was done.
+ */
+[[nodiscard]] auto carry_out_relayed(worker_calls& calls, worker_call call, time_point handed_over,
+                                     std::shared_ptr<scheduler_metrics> metrics) -> asio::awaitable<worker_call_result>;
+
 /**
  * @brief Relay's side: offers this entry VM to the decider, carries out the calls that the decider hands over, and
  * returns their results. It decides nothing and keeps nothing but connections.
--- a/packages/scheduler/src/cicadalug/scheduler/relays.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/relays.hpp
@@ -120,21 +120,20 @@
 }
 
 /**
- * @brief Returns the time that is left for calls when their relay has received them.
+ * @brief Returns the earliest time at which a decider can have handed over the calls in the answer of a poll.
  *
  * A message can be held up for seconds, by a partition or because either entry VM is suspended. The calls in it were
  * sent no earlier than the poll that fetched them, apart from the time for which the decider held that poll. Clocks of
  * two entry VMs are not compared.
- * @param timeout Time left when the decider answered the poll.
+ * @param polled When the relay sent the poll.
  * @param round_trip Time from the poll to its answer, measured by the relay.
  * @param held Time from the arrival of the poll to its answer, measured by the decider.
- * @return The time left; not positive if nothing may be sent any more.
+ * @return The time; the time limits of the calls begin then.
  */
-[[nodiscard]] inline auto call_time_left(const milliseconds timeout, const microseconds round_trip,
-                                         const microseconds held) -> milliseconds
+[[nodiscard]] inline auto earliest_handover(const time_point polled, const microseconds round_trip,
+                                            const microseconds held) -> time_point
 {
-    const auto transit = std::max(microseconds{0}, round_trip - held);
-    return timeout - std::chrono::ceil<milliseconds>(transit);
+    return polled + std::min(held, round_trip);
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/test/cicadalug/scheduler/relays.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/relays.cpp
@@ -80,9 +80,13 @@
 TEST(relays, time_in_transit_counts_against_the_time_of_a_call)
 {
     constexpr milliseconds timeout{800};
-    EXPECT_EQ(call_time_left(timeout, milliseconds{153}, milliseconds{150}), milliseconds{797});
-    EXPECT_LE(call_time_left(timeout, milliseconds{5'000}, milliseconds{150}), milliseconds{0});
-    EXPECT_EQ(call_time_left(timeout, milliseconds{100}, milliseconds{150}), timeout) << "clocks may differ in rate";
+    const auto time_left = [timeout](const milliseconds round_trip, const milliseconds held) {
+        const auto answered = now + round_trip;
+        return earliest_handover(now, round_trip, held) + timeout - answered;
+    };
+    EXPECT_EQ(time_left(milliseconds{153}, milliseconds{150}), milliseconds{797});
+    EXPECT_LE(time_left(milliseconds{5'000}, milliseconds{150}), milliseconds{0});
+    EXPECT_EQ(time_left(milliseconds{100}, milliseconds{150}), timeout) << "clocks may differ in rate";
 }
 
 } // namespace cicadalug::test
