Send no start from a relay after the decider's term

A relay sent starts of a decider whose term had ended, up to 0.8 s later: those that waited for one of the four command connections to their worker. The successor may have read a cancel by then that the former decider had not.

Cause: whether a relay's link is current was checked only between polls, never for calls under way. A start is now checked right before its request is written: the link is open, and the holder of the term is the one that handed it over. It ends as withdrawn. Renewals and stops are still sent; a later token fences them off.

--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -61,7 +61,8 @@
 } // namespace
 
 auto carry_out_relayed(worker_calls& calls, worker_call call, const time_point handed_over,
-                       std::shared_ptr<scheduler_metrics> metrics) -> asio::awaitable<worker_call_result>
+                       std::function<bool()> is_link_open, std::shared_ptr<scheduler_metrics> metrics)
+    -> asio::awaitable<worker_call_result>
 {
     send_condition condition{handed_over + call.m_timeout, nullptr};
     if (monotonic_now() >= condition.m_deadline) {
@@ -69,12 +70,15 @@
     }
     const bool is_start = call.m_kind == worker_call_kind::start;
     metrics->call_relayed();
-    condition.m_may_send = [metrics, is_start, handed_over] {
-        if (is_start) {
-            metrics->start_written(monotonic_now() - handed_over);
-        }
-        return true;
-    };
+    if (is_start) {
+        condition.m_may_send = [metrics, is_link_open = std::move(is_link_open), handed_over] {
+            const bool allowed = is_link_open();
+            if (allowed) {
+                metrics->start_written(monotonic_now() - handed_over);
+            }
+            return allowed;
+        };
+    }
     auto result = co_await calls.perform(std::move(call), std::move(condition));
     if (is_start) {
         metrics->start_answered(monotonic_now() - handed_over);
@@ -186,7 +190,11 @@
 auto worker_relay::carry_out(const std::shared_ptr<link> current, worker_call call, const time_point handed_over)
     -> asio::awaitable<void>
 {
-    auto result = co_await carry_out_relayed(m_calls, std::move(call), handed_over, m_settings.m_metrics);
+    const auto is_open = [this, current] {
+        const auto& holder = m_election.holder();
+        return !current->m_closed && holder && holder->m_revision == current->m_term;
+    };
+    auto result = co_await carry_out_relayed(m_calls, std::move(call), handed_over, is_open, m_settings.m_metrics);
     current->m_results.push_back(std::move(result));
     current->m_results_event.notify();
 }
--- a/packages/entry/src/cicadalug/entry/worker_relay.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -31,11 +32,14 @@
  * @param call The call.
  * @param handed_over Earliest time at which the decider can have handed it over. The time of the call begins then,
  * however long the relay is suspended or busy before it writes the request.
+ * @param is_link_open Called right before the request of a start is written, which is not sent if it returns false: the
+ * decider's term has ended, and a successor may know that the job was cancelled. Not null.
  * @param metrics Metrics of the relay; not null.
- * @return The result: withdrawn if the time of the call was over before anything was done.
+ * @return The result: withdrawn if the time of the call was over before anything was done, or if a start was not sent.
  */
 [[nodiscard]] auto carry_out_relayed(worker_calls& calls, worker_call call, time_point handed_over,
-                                     std::shared_ptr<scheduler_metrics> metrics) -> asio::awaitable<worker_call_result>;
+                                     std::function<bool()> is_link_open, std::shared_ptr<scheduler_metrics> metrics)
+    -> asio::awaitable<worker_call_result>;
 
 /**
  * @brief Relay's side: offers this entry VM to the decider, carries out the calls that the decider hands over, and
