Never run a job whose cancel was answered 410 while the job was being written

A DELETE of a job whose POST was still being written was answered 410, and the job was then stored, accepted with 200 and run. The same held for a write without a response that the store carried out seconds later.

Such a DELETE now stores the cancellation, on the condition that the job does not exist, before it is answered 410, and the write of a job requires that no cancellation of it exists. The POST, and each later one with the same ID, is answered 503: the job is not accepted and never runs. If its writes got no response, it is answered 504 as before. GET is answered 410. A write takes 10 jobs instead of 16, because each needs one more condition. A DELETE of a stored job makes the same calls as before; one of an unknown job makes one write more.

A decider keeps cancellations of jobs that it does not know, cancels a job that comes afterwards, and removes them from the store after the retention of final states, counted from its own reading.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -69,6 +69,21 @@
     return std::clamp(left, milliseconds{1}, limit);
 }
 
+[[nodiscard]] auto outcome_name(const intake_result result) -> std::string_view
+{
+    switch (result) {
+    case intake_result::stored:
+        return "stored";
+    case intake_result::not_stored:
+        return "not stored";
+    case intake_result::cancelled:
+        return "cancelled before";
+    case intake_result::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 [[nodiscard]] auto without_port(const std::string_view host) -> std::string_view
 {
     return host.substr(0, host.find(':'));
@@ -150,9 +165,7 @@
                          .with("took_ms", took.count());
         co_return make_response(http::status::ok);
     }
-    LOG(INFO) << log_line{"job_not_accepted"}
-                     .with("request", id)
-                     .with("outcome", result == intake_result::unknown ? "unknown" : "not stored");
+    LOG(INFO) << log_line{"job_not_accepted"}.with("request", id).with("outcome", outcome_name(result));
     co_return make_response(result == intake_result::unknown ? http::status::gateway_timeout
                                                              : http::status::service_unavailable);
 }
@@ -200,7 +213,8 @@
         const auto stored =
             co_await m_dependencies.m_store->list(job_key(id), std::string{}, time_left(deadline, store_timeout));
         if (stored.m_status == store_status::ok) {
-            if (stored.m_items.empty()) {
+            // A cancellation without its job was stored before the job came, which then never runs.
+            if (!has_item(stored.m_items, job_key(id))) {
                 co_return make_response(http::status::gone);
             }
             const auto read =
@@ -213,7 +227,7 @@
                 }
             }
             if (read.m_status == store_status::ok || read.m_status == store_status::missing) {
-                const bool cancelled = stored.m_items.size() > 1;
+                const bool cancelled = has_item(stored.m_items, cancel_key(id));
                 co_return make_response(http::status::ok,
                                         encode_job_state(cancelled && !is_final(state) ? job_state::cancelled : state));
             }
@@ -228,27 +242,36 @@
     const job_id job{id};
     while (monotonic_now() < deadline) {
         const auto read = co_await m_dependencies.m_store->read(job_key(job), time_left(deadline, store_timeout));
-        if (read.m_status == store_status::missing) {
+        const bool missing = read.m_status == store_status::missing;
+        bool written{false};
+        if (missing || read.m_status == store_status::ok) {
+            // The job may still be written. Its write fails once the cancellation is stored.
+            written = co_await write_cancel(job, missing ? store_revision{0} : read.m_item.m_revision, deadline);
+        }
+        if (written && missing) {
             LOG(INFO) << log_line{"cancel_of_unknown_job"}.with("request", id);
             m_dependencies.m_metrics->unknown_job_cancelled();
             co_return make_response(http::status::gone);
         }
-        if (read.m_status == store_status::ok) {
-            store_write write;
-            write.m_conditions.push_back({job_key(job), read.m_item.m_revision});
-            write.m_puts.push_back({cancel_key(job), encode_cancel_time(read_clocks().m_unix_ms), no_store_lease});
-            const auto written =
-                co_await m_dependencies.m_store->write(std::move(write), time_left(deadline, store_timeout));
-            if (written.m_status == store_status::ok) {
-                LOG(INFO) << log_line{"cancel_stored"}.with("request", id);
-                co_return make_response(http::status::ok);
-            }
+        if (written) {
+            LOG(INFO) << log_line{"cancel_stored"}.with("request", id);
+            co_return make_response(http::status::ok);
         }
         co_await sleep_for(m_dependencies.m_executor, milliseconds{50});
     }
     co_return make_response(http::status::gateway_timeout);
 }
 
+auto client_api::write_cancel(const job_id& job, const store_revision revision, const time_point deadline)
+    -> asio::awaitable<bool>
+{
+    store_write write;
+    write.m_conditions.push_back({job_key(job), revision});
+    write.m_puts.push_back({cancel_key(job), encode_cancel_time(read_clocks().m_unix_ms), no_store_lease});
+    const auto written = co_await m_dependencies.m_store->write(std::move(write), time_left(deadline, store_timeout));
+    co_return written.m_status == store_status::ok;
+}
+
 auto client_api::count_pending(const queue_config& queue, const time_point deadline) -> asio::awaitable<http_response>
 {
     while (monotonic_now() < deadline) {
--- a/packages/entry/src/cicadalug/entry/client_api.hpp
+++ b/packages/entry/src/cicadalug/entry/client_api.hpp
@@ -52,6 +52,9 @@
     [[nodiscard]] auto get_state(const std::string& id, time_point deadline) -> asio::awaitable<http_response>;
     [[nodiscard]] auto get_stored_state(const job_id& id, time_point deadline) -> asio::awaitable<http_response>;
     [[nodiscard]] auto cancel(const std::string& id, time_point deadline) -> asio::awaitable<http_response>;
+    /** @brief Writes a cancellation if a condition on the job holds; a job of revision 0 does not exist. */
+    [[nodiscard]] auto write_cancel(const job_id& job, store_revision revision, time_point deadline)
+        -> asio::awaitable<bool>;
     [[nodiscard]] auto count_pending(const queue_config& queue, time_point deadline) -> asio::awaitable<http_response>;
     [[nodiscard]] auto query_decider(std::string target, time_point deadline)
         -> asio::awaitable<std::optional<http_response>>;
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -106,6 +106,7 @@
                      .with("commands_in_flight", load.m_max_commands_in_flight)
                      .with("cancels", load.m_cancels)
                      .with("unknown_cancels", load.m_unknown_cancels)
+                     .with("early_cancels", m_state.m_early_cancels.size())
                      .with("cancel_delay_ms", load.m_max_cancel_delay.count())
                      .with("relays", m_relays->live_relays())
                      .with("passes", load.m_passes)
@@ -138,7 +139,7 @@
     const auto* job = find_job(m_state, id);
     // A cancellation that is repeated or comes after the end of the job changes nothing. A takeover reads all of them
     // again.
-    if (job != nullptr && is_final(job->m_state)) {
+    if (job == nullptr ? m_state.m_early_cancels.contains(id) : is_final(job->m_state)) {
         return;
     }
     const auto delay = cancel_delay(value, clock.m_unix_ms);
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -206,7 +207,12 @@
                 write.m_removals.push_back(progress_key(id));
             }
         }
-        if (removed.empty() || !self->m_active) {
+        const auto early = old_early_cancels(m_state, now - m_settings.m_status_retention - garbage_interval,
+                                             store_write_entries - write.m_conditions.size() - write.m_removals.size());
+        for (const auto& id : early) {
+            write.m_removals.push_back(cancel_key(id));
+        }
+        if (write.m_removals.empty() || !self->m_active) {
             continue;
         }
         const auto written = co_await m_store.write(std::move(write), store_timeout);
@@ -214,6 +220,9 @@
             for (const auto& id : removed) {
                 m_state.m_jobs.erase(id);
             }
+            for (const auto& id : early) {
+                m_state.m_early_cancels.erase(id);
+            }
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/job_intake.cpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/** @brief Maximum number of jobs in one write: each takes a condition and a put of the allowed entries. */
-constexpr std::size_t batch_jobs{store_write_entries / 2};
+/** @brief Maximum number of jobs in one write: each takes two conditions and a put of the allowed entries. */
+constexpr std::size_t batch_jobs{store_write_entries / 3};
 
 /** @brief Maximum number of concurrent writes; more than one, so that a slow response does not delay all jobs. */
 constexpr int writer_limit{3};
@@ -111,6 +111,9 @@
     for (const auto& job : batch) {
         const auto key = job_key(job->m_record.m_id);
         write.m_conditions.push_back({key, store_revision{0}});
+        // The cancellation of a job that was not stored yet; without this, a write that is executed late would store
+        // it.
+        write.m_conditions.push_back({cancel_key(job->m_record.m_id), store_revision{0}});
         write.m_puts.push_back({key, encode(job->m_record), no_store_lease});
         ++job->m_open_writes;
     }
@@ -120,14 +123,12 @@
         if (written.m_status != store_status::unknown) {
             --job.m_open_writes;
         }
-        const auto key = job_key(job.m_record.m_id);
-        const bool exists =
-            std::any_of(written.m_current.begin(), written.m_current.end(), [&key](const store_item& item) {
-                return item.m_key == key && item.m_revision != store_revision{0};
-            });
-        if (written.m_status == store_status::ok || exists) {
+        if (written.m_status == store_status::ok || has_item(written.m_current, job_key(job.m_record.m_id))) {
             settle(job, intake_result::stored);
         }
+        else if (has_item(written.m_current, cancel_key(job.m_record.m_id))) {
+            settle(job, intake_result::cancelled);
+        }
         else if (!job.m_result) {
             m_waiting.push_back(batch[position]);
         }
--- a/packages/entry/src/cicadalug/entry/job_intake.hpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.hpp
@@ -19,6 +19,8 @@
     stored,
     /** @brief The job is not stored and will not be by this call. */
     not_stored,
+    /** @brief The job was cancelled before it was stored, and is never stored. */
+    cancelled,
     /** @brief The response of the store is missing; the job may be stored now or later. */
     unknown,
 };
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -206,6 +206,7 @@
     }
     auto& entry = *job;
     state.m_jobs.emplace(entry.m_record.m_id, std::move(job));
+    const bool cancelled = state.m_early_cancels.erase(entry.m_record.m_id) > 0;
     if (is_final(entry.m_state)) {
         entry.m_open.clear();
         entry.m_finished = clock.m_now;
@@ -218,17 +219,36 @@
         std::chrono::duration_cast<microseconds>(estimate_critical_path(state, entry, true) * terms.m_stretch);
     state.m_active[terms.m_service].push_back(&entry);
     state.m_dispatch_requested = true;
+    if (cancelled) {
+        cancel_job(state, entry.m_record.m_id, clock.m_now);
+    }
 }
 
 auto cancel_job(scheduler_state& state, const job_id& id, const time_point now) -> void
 {
     auto* job = find_job(state, id);
-    if (job != nullptr && !is_final(job->m_state)) {
+    if (job == nullptr) {
+        state.m_early_cancels.try_emplace(id, now);
+        return;
+    }
+    if (!is_final(job->m_state)) {
         finish_job(state, *job, job_state::cancelled, now);
         state.m_dispatch_requested = true;
     }
 }
 
+auto old_early_cancels(const scheduler_state& state, const time_point read_before, const std::size_t limit)
+    -> std::vector<job_id>
+{
+    std::vector<job_id> found;
+    for (const auto& [id, read] : state.m_early_cancels) {
+        if (read < read_before && found.size() < limit) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 auto occupying_runs_of(const scheduler_state& state, const job_id& id) -> occupying_runs
 {
     occupying_runs found;
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace cicadalug {
 
@@ -16,7 +17,8 @@
 };
 
 /**
- * @brief Adds a stored job to the table. A job that is in the table already is not changed.
+ * @brief Adds a stored job to the table. A job that is in the table already is not changed. A job whose cancellation
+ * was read before is cancelled.
  * @param state The scheduler.
  * @param record The job.
  * @param progress Its stored progress, if any.
@@ -29,11 +31,20 @@
 /**
  * @brief Cancels a job: its waiting tasks never start and its runs are stopped. A final state is kept.
  * @param state The scheduler.
- * @param id The job; an unknown id is ignored.
+ * @param id The job; if it is not known, it is cancelled when it is added.
  * @param now Current time.
  */
 auto cancel_job(scheduler_state& state, const job_id& id, time_point now) -> void;
 
+/**
+ * @brief Returns jobs whose cancellation was read a long time ago, and which have not come.
+ * @param state The scheduler.
+ * @param read_before Only cancellations read before this time.
+ * @param limit Maximum number of jobs.
+ */
+[[nodiscard]] auto old_early_cancels(const scheduler_state& state, time_point read_before, std::size_t limit)
+    -> std::vector<job_id>;
+
 /** @brief Runs of a job that occupy workers. */
 struct occupying_runs {
     std::size_t m_count{0};
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -275,6 +275,8 @@
     /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
+    /** @brief Cancellations of jobs that are not known, and when each was read. */
+    std::map<job_id, time_point> m_early_cancels;
     /** @brief Jobs that are not in a final state, by service. */
     std::map<service_id, std::vector<job_entry*>> m_active;
     std::vector<worker_slot> m_workers;
--- a/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
@@ -3,10 +3,12 @@
 
 #include <cicadalug/base/strong_number.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cicadalug {
@@ -94,6 +96,14 @@
     std::vector<store_item> m_current;
 };
 
+/** @brief Checks whether a key exists according to items of the store. A missing key has revision 0 or no item. */
+[[nodiscard]] inline auto has_item(const std::vector<store_item>& items, const std::string_view key) -> bool
+{
+    return std::any_of(items.begin(), items.end(), [key](const store_item& item) {
+        return item.m_key == key && item.m_revision != store_revision{0};
+    });
+}
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
@@ -40,4 +40,40 @@
     EXPECT_FALSE(runs.m_last_start);
 }
 
+// Guards against a cancellation that is dropped because it was read before its job, which would then run.
+TEST(jobs, a_job_whose_cancellation_came_first_never_starts)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto record = make_job("quotes", 1, 1'000, milliseconds{500});
+    record.m_id = job_id{"00000000000000aa"};
+    cancel_job(simulation.m_state, record.m_id, simulation.now());
+    EXPECT_EQ(find_job(simulation.m_state, record.m_id), nullptr);
+    EXPECT_EQ(pending_jobs(simulation.m_state, record.m_policy.m_queue), 0);
+    const auto id = record.m_id;
+    add_job(simulation.m_state, std::move(record), std::nullopt, false, {simulation.now(), 0});
+    ASSERT_NE(find_job(simulation.m_state, id), nullptr);
+    EXPECT_EQ(find_job(simulation.m_state, id)->m_state, job_state::cancelled);
+    EXPECT_TRUE(find_job(simulation.m_state, id)->m_dirty) << "the state is stored";
+    simulation.run_for(milliseconds{1'000});
+    EXPECT_EQ(occupying_runs_of(simulation.m_state, id).m_count, 0U);
+    EXPECT_TRUE(simulation.m_state.m_early_cancels.empty());
+}
+
+// Guards against cancellations of jobs that never come, which would stay in the store for good, and against those that
+// are removed while the job may still come.
+TEST(jobs, only_old_cancellations_of_unknown_jobs_are_removed)
+{
+    scheduler_state state;
+    const time_point start{milliseconds{5'000}};
+    cancel_job(state, job_id{"00000000000000aa"}, start);
+    cancel_job(state, job_id{"00000000000000bb"}, start + milliseconds{10});
+    cancel_job(state, job_id{"00000000000000cc"}, start + milliseconds{100});
+    cancel_job(state, job_id{"00000000000000aa"}, start + milliseconds{200});
+    EXPECT_TRUE(old_early_cancels(state, start, 10).empty());
+    EXPECT_EQ(old_early_cancels(state, start + milliseconds{100}, 10).size(), 2U) << "a repetition changes nothing";
+    EXPECT_EQ(old_early_cancels(state, start + milliseconds{100}, 1).size(), 1U);
+    EXPECT_TRUE(old_early_cancels(state, start + milliseconds{300}, 0).empty());
+}
+
 } // namespace cicadalug::test
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -62,6 +62,8 @@
     milliseconds m_partial_delay{};
     /** @brief Delay of the responses to calls of a path; the call itself is executed at once. */
     std::map<std::string, milliseconds> m_delays;
+    /** @brief Time before writes that put a key are executed. */
+    std::map<std::string, milliseconds> m_held_writes;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
 };
@@ -121,6 +123,9 @@
             co_await watch(exchange, target);
             co_return;
         }
+        if (const auto held = hold_time(target, body); held > milliseconds{0}) {
+            co_await sleep(held);
+        }
         const auto result = execute(target, body);
         if (const auto delay = m_faults.m_delays.find(target.m_path); delay != m_faults.m_delays.end()) {
             co_await sleep(delay->second);
@@ -291,8 +296,24 @@
         return {{"events", std::move(events)}, {"store_revision", reached}};
     }
 
+    [[nodiscard]] auto hold_time(const http_target& target, const json& body) const -> milliseconds
+    {
+        milliseconds held{0};
+        if (target.m_path == "/cicadalug/kv-txn") {
+            for (const auto& put : body.at("puts")) {
+                const auto found = m_faults.m_held_writes.find(put.at("key").get<std::string>());
+                held = std::max(held, found == m_faults.m_held_writes.end() ? milliseconds{0} : found->second);
+            }
+        }
+        return held;
+    }
+
     auto set_faults(const json& body) -> void
     {
+        const auto held_writes = body.value("held_writes_ms", json::object());
+        for (const auto& [key, time] : held_writes.items()) {
+            m_faults.m_held_writes[key] = milliseconds{time.get<std::int64_t>()};
+        }
         m_faults.m_blind_watch = body.value("blind_watch", m_faults.m_blind_watch);
         if (const auto partial = body.find("partial_watch"); partial != body.end()) {
             m_faults.m_partial_watch = partial->value("prefix", "");
