--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -64,6 +64,8 @@
     std::map<std::string, milliseconds> m_delays;
     /** @brief Worker that the registry has lost, as one that is cut off from the store; empty for none. */
     std::string m_unregistered;
+    /** @brief Time before writes that put a key are executed. */
+    std::map<std::string, milliseconds> m_held_writes;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
     /** @brief If positive, workers respond to no start and no stop, and carry each out after this time. */
@@ -125,6 +127,9 @@
             co_await watch(exchange, target);
             co_return;
         }
+        if (const auto held = hold_time(target, body); held > milliseconds{0}) {
+            co_await sleep(held);
+        }
         const auto result = execute(target, body);
         if (const auto delay = m_faults.m_delays.find(target.m_path); delay != m_faults.m_delays.end()) {
             co_await sleep(delay->second);
@@ -335,9 +340,25 @@
         return {{"events", std::move(events)}, {"store_revision", reached}};
     }
 
+    [[nodiscard]] auto hold_time(const http_target& target, const json& body) const -> milliseconds
+    {
+        milliseconds held{0};
+        if (target.m_path == "/cicadalug/kv-txn") {
+            for (const auto& put : body.at("puts")) {
+                const auto found = m_faults.m_held_writes.find(put.at("key").get<std::string>());
+                held = std::max(held, found == m_faults.m_held_writes.end() ? milliseconds{0} : found->second);
+            }
+        }
+        return held;
+    }
+
     auto set_faults(const json& body) -> void
     {
         m_faults.m_command_delay = milliseconds{body.value("command_delay_ms", m_faults.m_command_delay.count())};
+        const auto held_writes = body.value("held_writes_ms", json::object());
+        for (const auto& [key, time] : held_writes.items()) {
+            m_faults.m_held_writes[key] = milliseconds{time.get<std::int64_t>()};
+        }
         m_faults.m_blind_watch = body.value("blind_watch", m_faults.m_blind_watch);
         if (const auto partial = body.find("partial_watch"); partial != body.end()) {
             m_faults.m_partial_watch = partial->value("prefix", "");
