Give up tasks that crash the workers that start them

Tasks that crashed their workers were started again each time the lease of the lost worker had expired. Runs that were not proven sound when their worker went down now make their tasks suspects. A suspect starts only in a trial: with the trial stored, on a worker that has no other unproven run and gets no other new work. A job fails when one of its tasks has crashed two workers, the last one in a trial. Evidence of a crash is a new incarnation of the worker or another worker on its VM; a worker that comes back with the same incarnation clears its tasks. Crashes and trials are stored after the present fields of the progress, which earlier entry VMs ignore.

Callers see such jobs as failed after two crashes. Log lines: worker_crashed, task_suspected, task_cleared, task_given_up.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
+#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
@@ -23,6 +24,9 @@
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
 
+/** @brief The same for a worker in a trial, which is closed to other tasks until it has reported the run again. */
+constexpr milliseconds trial_renewal_wait{100};
+
 /** @brief A renewal counts as lost this long after the requested wait. */
 constexpr milliseconds renewal_slack{500};
 
@@ -97,8 +101,8 @@
         if (worker.m_has_reported) {
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
-            renewal.m_wait = renewal_wait;
-            renewal.m_timeout += renewal_wait;
+            renewal.m_wait = is_in_trial(m_state, index) ? trial_renewal_wait : renewal_wait;
+            renewal.m_timeout += renewal.m_wait;
         }
         const auto sent = monotonic_now();
         const auto response = co_await call_worker(index, std::move(renewal));
@@ -167,13 +171,17 @@
         if (!admit_line(m_run_log_budget)) {
             continue;
         }
-        constexpr const char* names[]{"run_failed", "run_lost", "worker_paused"};
+        constexpr const char* names[]{"run_failed",     "run_lost",     "worker_paused", "worker_crashed",
+                                      "task_suspected", "task_cleared", "task_given_up"};
         LOG(INFO) << log_line{names[static_cast<std::size_t>(event.m_kind)]}
                          .with("request", event.m_task.m_job)
                          .with("step", event.m_task.m_step)
                          .with("index", event.m_task.m_index)
                          .with("run", event.m_run)
-                         .with("worker", m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id)
+                         .with("worker",
+                               event.m_worker == no_worker
+                                   ? std::string{"unknown"}
+                                   : m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id.str())
                          .with("failures_in_row", event.m_failures);
     }
 }
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -0,0 +1,303 @@
+#include <cicadalug/scheduler/crash_suspicion.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief A run that its worker still reports this long after the start is proven sound: tasks that crash workers did
+ * so 10 ms after their start. */
+constexpr milliseconds proof_time{300};
+
+/** @brief A task is given up after it has crashed this many workers, the last of them alone; the platform's rules state
+ * the number. */
+constexpr std::size_t crashes_to_give_up{2};
+
+/** @brief A gang spans workers and has no trials. It is given up after this many crashes; the platform's rules allow
+ * three more starts after the third. */
+constexpr std::size_t gang_crashes_to_give_up{3};
+
+/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. */
+constexpr std::size_t workers_per_trial{4};
+
+[[nodiscard]] auto slot_of(const scheduler_state& state, const worker_index index) -> const worker_slot&
+{
+    return state.m_workers[static_cast<std::size_t>(index)];
+}
+
+[[nodiscard]] auto is_proven(const worker_slot& worker, const placed_run& run) -> bool
+{
+    return run.m_confirmed && worker.m_last_report >= run.m_sent + proof_time;
+}
+
+/** @brief Returns the task on which crashes are counted: the first one of a gang. */
+[[nodiscard]] auto counted_task(const job_entry& job, task_ref task) -> task_ref
+{
+    if (step_of(job, task).m_gang) {
+        task.m_index = 0;
+    }
+    return task;
+}
+
+[[nodiscard]] auto find_placed(const worker_slot& worker, const task_trial& trial) -> const placed_run*
+{
+    const auto found = std::find_if(worker.m_runs.begin(), worker.m_runs.end(), [&trial](const placed_run& run) {
+        return run.m_task == trial.m_task && run.m_run == trial.m_stored.m_run;
+    });
+    return found == worker.m_runs.end() ? nullptr : &*found;
+}
+
+auto log_event(scheduler_state& state, const run_event_kind kind, const worker_index worker, const task_ref& task,
+               const run_number run, const std::size_t crashes) -> void
+{
+    state.m_events.push_back({kind, worker, task, run, static_cast<std::int64_t>(crashes)});
+}
+
+auto clear_suspicion(scheduler_state& state, const worker_index worker, const task_ref& task, const run_number run)
+    -> void
+{
+    auto* job = find_job(state, task.m_job);
+    auto* found = find_task(state, task);
+    if (job == nullptr || found == nullptr || is_final(job->m_state)) {
+        return;
+    }
+    found->m_suspect = false;
+    found->m_crashed_runs.clear();
+    found->m_trial.reset();
+    log_event(state, run_event_kind::cleared, worker, task, run, 0);
+    mark_dirty(state, *job);
+}
+
+/** @brief Ends a trial if its outcome is known. @return True if it has ended. */
+[[nodiscard]] auto end_trial(scheduler_state& state, const task_trial& trial) -> bool
+{
+    const auto* job = find_job(state, trial.m_task.m_job);
+    const auto* task = find_task(state, trial.m_task);
+    if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
+        return true;
+    }
+    if (!trial.m_started) {
+        return task->m_phase != task_phase::waiting;
+    }
+    const auto* run = find_placed(slot_of(state, trial.m_worker), trial);
+    if (run == nullptr) {
+        return true;
+    }
+    if (!is_proven(slot_of(state, trial.m_worker), *run)) {
+        return false;
+    }
+    clear_suspicion(state, trial.m_worker, trial.m_task, trial.m_stored.m_run);
+    return true;
+}
+
+/** @brief Result of a look at a trial that the last decider began. */
+enum class trial_evidence : std::uint8_t { none, crashed, continues, settled };
+
+[[nodiscard]] auto judge_recovered(const scheduler_state& state, const task_state& task, const recovered_trial& trial,
+                                   const worker_index index) -> trial_evidence
+{
+    if (task.m_phase != task_phase::waiting) {
+        return task.m_run == trial.m_stored.m_run ? trial_evidence::continues : trial_evidence::settled;
+    }
+    if (index != no_worker) {
+        const auto& worker = slot_of(state, index);
+        if (worker.m_has_reported) {
+            return worker.m_incarnation_start_unix_ms > trial.m_stored.m_incarnation_start_unix_ms
+                       ? trial_evidence::crashed
+                       : trial_evidence::settled;
+        }
+        return is_replaced(state, worker) ? trial_evidence::crashed : trial_evidence::none;
+    }
+    const bool replaced =
+        !trial.m_stored.m_vm.empty() &&
+        std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index other) {
+            const auto& worker = slot_of(state, other);
+            return worker.m_registered && worker.m_entry.m_vm == trial.m_stored.m_vm;
+        });
+    return replaced ? trial_evidence::crashed : trial_evidence::none;
+}
+
+auto resolve_recovered_trials(scheduler_state& state, const time_point now) -> void
+{
+    for (auto& trial : std::exchange(state.m_recovered_trials, {})) {
+        const auto* job = find_job(state, trial.m_task.m_job);
+        const auto* task = find_task(state, trial.m_task);
+        if (job == nullptr || task == nullptr || is_final(job->m_state)) {
+            continue;
+        }
+        const auto index = find_worker(state, trial.m_stored.m_worker);
+        const auto evidence = judge_recovered(state, *task, trial, index);
+        if (evidence == trial_evidence::crashed) {
+            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true}}, now);
+        }
+        else if (evidence == trial_evidence::continues) {
+            state.m_trials.push_back({trial.m_task, task->m_worker, trial.m_stored, true, true});
+        }
+        else if (evidence == trial_evidence::none) {
+            state.m_recovered_trials.push_back(std::move(trial));
+        }
+    }
+}
+
+} // namespace
+
+auto find_crash_suspects(const scheduler_state& state, const worker_index index) -> std::vector<lost_run>
+{
+    const auto& worker = slot_of(state, index);
+    std::vector<lost_run> found;
+    if (worker.m_entry.m_state == worker_state::draining || worker.m_cordoned) {
+        return found;
+    }
+    for (const auto& trial : state.m_trials) {
+        if (trial.m_worker == index && trial.m_started && find_placed(worker, trial) != nullptr) {
+            return {{trial.m_task, trial.m_stored.m_run, true}};
+        }
+    }
+    for (const auto& run : worker.m_runs) {
+        if (!is_proven(worker, run) && !run.m_ending) {
+            found.push_back({run.m_task, run.m_run, false});
+        }
+    }
+    return found;
+}
+
+auto count_crashes(scheduler_state& state, const worker_index index, const std::vector<lost_run>& runs,
+                   const time_point now) -> void
+{
+    for (const auto& lost : runs) {
+        auto* job = find_job(state, lost.m_task.m_job);
+        if (job == nullptr || is_final(job->m_state) || find_task(state, lost.m_task) == nullptr) {
+            continue;
+        }
+        const auto ref = counted_task(*job, lost.m_task);
+        auto* task = find_task(state, ref);
+        auto& counted = task->m_crashed_runs;
+        if (task->m_phase == task_phase::done ||
+            std::find(counted.begin(), counted.end(), lost.m_run) != counted.end()) {
+            continue;
+        }
+        counted.push_back(lost.m_run);
+        task->m_suspect = true;
+        log_event(state, run_event_kind::crashed, index, ref, lost.m_run, counted.size());
+        mark_dirty(state, *job);
+        const bool gang = step_of(*job, ref).m_gang;
+        if (gang ? counted.size() >= gang_crashes_to_give_up
+                 : lost.m_in_trial && counted.size() >= crashes_to_give_up) {
+            log_event(state, run_event_kind::given_up, index, ref, lost.m_run, counted.size());
+            fail_job(state, *job, now);
+        }
+    }
+}
+
+auto record_lost_runs(scheduler_state& state, const worker_index index, std::vector<lost_run> runs) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    for (auto& lost : runs) {
+        auto* job = find_job(state, lost.m_task.m_job);
+        auto* task = find_task(state, lost.m_task);
+        if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
+            continue;
+        }
+        task->m_suspect = true;
+        log_event(state, run_event_kind::suspected, index, lost.m_task, lost.m_run, task->m_crashed_runs.size());
+        mark_dirty(state, *job);
+        worker.m_lost_runs.push_back(std::move(lost));
+    }
+}
+
+auto clear_lost_runs(scheduler_state& state, const worker_index index) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    for (const auto& lost : std::exchange(worker.m_lost_runs, {})) {
+        const auto* task = find_task(state, lost.m_task);
+        if (task != nullptr && task->m_suspect && task->m_crashed_runs.empty()) {
+            clear_suspicion(state, index, lost.m_task, lost.m_run);
+        }
+    }
+}
+
+auto record_survived_run(scheduler_state& state, const worker_index index, const task_ref& task, const run_number run)
+    -> void
+{
+    const auto* found = find_task(state, task);
+    if (found != nullptr && found->m_suspect) {
+        clear_suspicion(state, index, task, run);
+    }
+}
+
+auto is_replaced(const scheduler_state& state, const worker_slot& worker) -> bool
+{
+    return !worker.m_registered && !worker.m_entry.m_vm.empty() &&
+           std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+               const auto& other = slot_of(state, index);
+               return other.m_registered && other.m_entry.m_vm == worker.m_entry.m_vm;
+           });
+}
+
+auto update_trials(scheduler_state& state, const time_point now) -> void
+{
+    for (std::size_t position = 0; position < state.m_workers.size(); ++position) {
+        auto& worker = state.m_workers[position];
+        if (!worker.m_lost_runs.empty() && is_replaced(state, worker)) {
+            const auto lost = std::exchange(worker.m_lost_runs, {});
+            count_crashes(state, static_cast<worker_index>(position), lost, now);
+        }
+    }
+    resolve_recovered_trials(state, now);
+    std::erase_if(state.m_trials, [&state](const task_trial& trial) { return end_trial(state, trial); });
+}
+
+auto is_suspect(const task_state& task) noexcept -> bool
+{
+    return task.m_suspect;
+}
+
+auto is_in_trial(const scheduler_state& state, const worker_index worker) -> bool
+{
+    return std::any_of(state.m_trials.begin(), state.m_trials.end(),
+                       [worker](const task_trial& trial) { return trial.m_worker == worker; });
+}
+
+auto is_quiet(const worker_slot& worker) -> bool
+{
+    return std::all_of(worker.m_runs.begin(), worker.m_runs.end(),
+                       [&worker](const placed_run& run) { return is_proven(worker, run); });
+}
+
+auto trial_limit(const std::size_t workers) noexcept -> std::size_t
+{
+    return std::max<std::size_t>(1, workers / workers_per_trial);
+}
+
+auto find_trial(scheduler_state& state, const task_ref& task) -> task_trial*
+{
+    const auto found = std::find_if(state.m_trials.begin(), state.m_trials.end(),
+                                    [&task](const task_trial& trial) { return trial.m_task == task; });
+    return found == state.m_trials.end() ? nullptr : &*found;
+}
+
+auto plan_trial(scheduler_state& state, const task_ref& task, const worker_index worker, const run_number run) -> void
+{
+    const auto& slot = slot_of(state, worker);
+    const stored_trial stored{run, slot.m_entry.m_id, slot.m_entry.m_vm, slot.m_incarnation_start_unix_ms};
+    state.m_trials.push_back({task, worker, stored, false, false});
+    auto* found = find_task(state, task);
+    found->m_highest_run = run;
+    found->m_trial = stored;
+    mark_dirty(state, *find_job(state, task.m_job));
+}
+
+auto drop_trial(scheduler_state& state, const task_ref& task) -> void
+{
+    std::erase_if(state.m_trials,
+                  [&task](const task_trial& trial) { return trial.m_task == task && !trial.m_started; });
+    if (auto* found = find_task(state, task); found != nullptr && found->m_trial) {
+        found->m_trial.reset();
+        mark_dirty(state, *find_job(state, task.m_job));
+    }
+}
+
+} // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
@@ -115,6 +116,10 @@
     /** @brief Capacity reserved for steps that are being opened, until the end of the pass. */
     std::vector<std::pair<worker_index, resources>> m_reserved;
     time_point m_now{};
+    /** @brief Workers that accept new work, and those of them that are not in a trial and may begin one. */
+    std::vector<worker_index> m_accepting;
+    /** @brief Workers in m_accepting that are in a trial. */
+    std::size_t m_in_trial{0};
 };
 
 /** @brief Changes the used capacity of a worker, and its place in the index. */
@@ -123,7 +128,9 @@
     auto& worker = pass.m_state.m_workers[static_cast<std::size_t>(index)];
     const auto free_before = (worker.m_entry.m_capacity - worker.m_used).m_cpu;
     worker.m_used = worker.m_used + demand;
-    update_placement(pass.m_index, pass.m_state, index, free_before);
+    if (!is_in_trial(pass.m_state, index)) {
+        update_placement(pass.m_index, pass.m_state, index, free_before);
+    }
 }
 
 auto start_task(service_pass& pass, job_entry& job, step_state& step, const task_ref& task, const worker_index index,
@@ -251,22 +258,91 @@
     }
 }
 
+/** @brief Selects the worker with the fewest runs, all of which would be lost in a crash. */
+[[nodiscard]] auto choose_trial_worker(const service_pass& pass, const waiting_step& waiting, const std::size_t index)
+    -> worker_index
+{
+    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const placement_request request{&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
+                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    auto best = no_worker;
+    std::size_t fewest{0};
+    for (const auto candidate : pass.m_accepting) {
+        const auto runs = pass.m_state.m_workers[static_cast<std::size_t>(candidate)].m_runs.size();
+        if (can_place(pass.m_state, candidate, request, pass.m_now) && !is_in_trial(pass.m_state, candidate) &&
+            (best == no_worker || runs < fewest)) {
+            best = candidate;
+            fewest = runs;
+        }
+    }
+    return best;
+}
+
+/** @brief Plans the trial of a task, or starts it if it is stored and nothing else can crash its worker. */
+auto advance_trial(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
+{
+    auto& state = pass.m_state;
+    auto& job = *waiting.m_job;
+    auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto task = task_of(waiting, index);
+    const placement_request request{&job.m_record.m_spec.m_steps[waiting.m_step], task,
+                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    auto* trial = find_trial(state, task);
+    if (trial != nullptr) {
+        const auto worker = trial->m_worker;
+        const auto& accepting = pass.m_accepting;
+        if (trial->m_started) {
+            return;
+        }
+        if (std::find(accepting.begin(), accepting.end(), worker) == accepting.end() ||
+            !can_place(state, worker, request, pass.m_now)) {
+            drop_trial(state, task);
+            return;
+        }
+        if (trial->m_is_stored && is_quiet(state.m_workers[static_cast<std::size_t>(worker)])) {
+            trial->m_started = true;
+            start_task(pass, job, step, task, worker, trial->m_stored.m_run);
+        }
+        return;
+    }
+    if (pass.m_in_trial >= trial_limit(pass.m_accepting.size())) {
+        return;
+    }
+    const auto worker = choose_trial_worker(pass, waiting, index);
+    if (worker == no_worker) {
+        if (waiting.m_needs_permit) {
+            request_permits(state, task, step, pass.m_accepting, pass.m_now);
+        }
+        return;
+    }
+    plan_trial(state, task, worker, next_run(state, step.m_tasks[index]));
+    ++pass.m_in_trial;
+    remove_candidate(pass.m_index, state, worker);
+}
+
 auto start_tasks(service_pass& pass, const waiting_step& waiting) -> void
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    bool full{false};
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
         const auto& member = step.m_tasks[index];
         if (member.m_phase != task_phase::waiting || member.m_not_before > pass.m_now) {
             continue;
         }
+        if (is_suspect(member)) {
+            advance_trial(pass, waiting, index);
+            continue;
+        }
         const auto task = task_of(waiting, index);
-        const auto worker = choose_worker(pass, waiting, index);
+        const auto worker = full ? no_worker : choose_worker(pass, waiting, index);
         if (worker == no_worker) {
-            if (waiting.m_needs_permit) {
+            if (waiting.m_needs_permit && !full) {
                 request_permits(pass.m_state, task, step, pass.m_index.m_candidates, pass.m_now);
             }
-            return;
+            // Suspects have workers of their own.
+            full = true;
+            continue;
         }
         if (!step.m_opened) {
             // Less urgent steps that are already open would take the capacity while the write is in progress.
@@ -357,7 +433,11 @@
         if (candidates.empty()) {
             continue;
         }
-        service_pass pass{state, make_placement_index(state, std::move(candidates)), {}, now};
+        auto accepting = candidates;
+        const auto in_trial = static_cast<std::size_t>(
+            std::erase_if(candidates, [&state](const worker_index index) { return is_in_trial(state, index); }));
+        service_pass pass{state,   make_placement_index(state, std::move(candidates)), {}, now, std::move(accepting),
+                          in_trial};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
             if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
                 start_gang(pass, waiting);
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -79,6 +79,64 @@
     return opened;
 }
 
+auto restore_crashes(scheduler_state& state, const job_entry& job, const std::vector<crash_progress>& crashes) -> void
+{
+    for (const auto& stored : crashes) {
+        const task_ref ref{job.m_record.m_id, stored.m_occurrence, stored.m_step, stored.m_index};
+        auto* task = find_task(state, ref);
+        if (task == nullptr || task->m_phase == task_phase::done) {
+            continue;
+        }
+        task->m_crashed_runs = stored.m_crashed_runs;
+        task->m_suspect = stored.m_suspect;
+        if (!stored.m_trial.empty()) {
+            task->m_trial = stored.m_trial.front();
+            task->m_highest_run = task->m_trial->m_run;
+            state.m_recovered_trials.push_back({ref, *task->m_trial});
+        }
+    }
+}
+
+auto append_crashes(job_progress& progress, const occurrence_state& occurrence) -> void
+{
+    for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
+        const auto& tasks = occurrence.m_steps[step].m_tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index) {
+            const auto& task = tasks[index];
+            if (task.m_phase == task_phase::done || !task.m_suspect) {
+                continue;
+            }
+            crash_progress stored{occurrence.m_number,
+                                  static_cast<std::int64_t>(step),
+                                  static_cast<std::int64_t>(index),
+                                  task.m_crashed_runs,
+                                  true,
+                                  {}};
+            if (task.m_trial) {
+                stored.m_trial.push_back(*task.m_trial);
+            }
+            progress.m_crashes.push_back(std::move(stored));
+        }
+    }
+}
+
+/** @brief Allows the starts of trials that are stored. */
+auto confirm_trials(scheduler_state& state, const job_entry& job, const job_progress& stored) -> void
+{
+    for (auto& trial : state.m_trials) {
+        const bool found = trial.m_task.m_job == job.m_record.m_id &&
+                           std::any_of(stored.m_crashes.begin(), stored.m_crashes.end(), [&](const auto& crash) {
+                               return !crash.m_trial.empty() && crash.m_trial.front().m_run == trial.m_stored.m_run &&
+                                      crash.m_occurrence == trial.m_task.m_occurrence &&
+                                      crash.m_step == trial.m_task.m_step && crash.m_index == trial.m_task.m_index;
+                           });
+        if (found) {
+            trial.m_is_stored = true;
+            state.m_dispatch_requested = true;
+        }
+    }
+}
+
 auto stop_runs(scheduler_state& state, const job_entry& job) -> void
 {
     for (auto& worker : state.m_workers) {
@@ -205,12 +263,14 @@
         }
     }
     auto& entry = *job;
+    const auto crashes = progress ? progress->m_crashes : std::vector<crash_progress>{};
     state.m_jobs.emplace(entry.m_record.m_id, std::move(job));
     if (is_final(entry.m_state)) {
         entry.m_open.clear();
         entry.m_finished = clock.m_now;
         return;
     }
+    restore_crashes(state, entry, crashes);
     open_occurrences(entry, clock.m_unix_ms);
     const auto& terms = entry.m_record.m_policy;
     entry.m_deadline =
@@ -268,6 +328,11 @@
     return true;
 }
 
+auto fail_job(scheduler_state& state, job_entry& job, const time_point now) -> void
+{
+    finish_job(state, job, job_state::failed, now);
+}
+
 auto apply_task_end(scheduler_state& state, job_entry& job, const task_end& end, const time_point now) -> void
 {
     const auto& [task, run, outcome, checkpoint] = end;
@@ -326,6 +391,7 @@
 auto apply_stored_progress(scheduler_state& state, job_entry& job, const job_progress& stored) -> void
 {
     job.m_stored_state = stored.m_state;
+    confirm_trials(state, job, stored);
     for (auto& occurrence : job.m_open) {
         const auto found =
             std::find_if(stored.m_open.begin(), stored.m_open.end(), [&occurrence](const occurrence_progress& open) {
@@ -369,6 +435,7 @@
             stored.m_opened.push_back(step.m_opened || step.m_opening);
         }
         progress.m_open.push_back(std::move(stored));
+        append_crashes(progress, occurrence);
     }
     return progress;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -63,6 +63,9 @@
 /** @brief Counts a failed run as an attempt. @return False if it has been counted before. */
 auto count_failure(task_state& task, run_number run) -> bool;
 
+/** @brief Fails a job and stops its runs. @pre The job is not in a final state. */
+auto fail_job(scheduler_state& state, job_entry& job, time_point now) -> void;
+
 /** @brief Applies the end of a run to its job. Has no effect if the task is done or the job is finished. */
 auto apply_task_end(scheduler_state& state, job_entry& job, const task_end& end, time_point now) -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -181,4 +181,19 @@
     return worker;
 }
 
+auto remove_candidate(placement_index& index, const scheduler_state& state, const worker_index worker) -> void
+{
+    std::erase(index.m_candidates, worker);
+    const placement_entry removed{free_of(slot_of(state, worker)).m_cpu.value(), worker};
+    for (auto& group : index.m_by_free_cpu) {
+        std::erase(group, removed);
+    }
+}
+
+auto can_place(const scheduler_state& state, const worker_index worker, const placement_request& request,
+               const time_point now) -> bool
+{
+    return can_hold(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
+}
+
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -75,6 +75,13 @@
 [[nodiscard]] auto choose_worker(placement_index& index, const scheduler_state& state, const placement_request& request,
                                  time_point now) -> worker_index;
 
+/** @brief Removes a worker from the index; does nothing if it is not a candidate. */
+auto remove_candidate(placement_index& index, const scheduler_state& state, worker_index worker) -> void;
+
+/** @brief Checks whether a worker has the capacity, the label and the permit for a task. */
+[[nodiscard]] auto can_place(const scheduler_state& state, worker_index worker, const placement_request& request,
+                             time_point now) -> bool;
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/src/cicadalug/scheduler/progress.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.cpp
@@ -1,6 +1,11 @@
 #include <cicadalug/scheduler/binary_codec.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 
+#include <exception>
+#include <sstream>
+#include <string>
+#include <utility>
+
 namespace cicadalug {
 
 auto encode(const job_record& record) -> std::string
@@ -10,7 +15,17 @@
 
 auto encode(const job_progress& progress) -> std::string
 {
-    return encode_binary(progress);
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive{stream};
+        // One serialize() serves both reading and writing and therefore takes a mutable object.
+        auto& written = const_cast<job_progress&>(progress);
+        archive(written);
+        if (!written.m_crashes.empty()) {
+            archive(written.m_crashes);
+        }
+    }
+    return std::move(stream).str();
 }
 
 auto decode_job_record(const std::string_view bytes) -> result<job_record>
@@ -20,7 +35,19 @@
 
 auto decode_job_progress(const std::string_view bytes) -> result<job_progress>
 {
-    return decode_binary<job_progress>(bytes, "job progress");
+    std::istringstream stream{std::string{bytes}};
+    try {
+        job_progress progress;
+        cereal::PortableBinaryInputArchive archive{stream};
+        archive(progress);
+        if (stream.peek() != std::istringstream::traits_type::eof()) {
+            archive(progress.m_crashes);
+        }
+        return progress;
+    }
+    catch (const std::exception& exception) {
+        return findings{"job progress", std::string{"cannot be decoded: "} + exception.what()};
+    }
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -39,12 +39,46 @@
     }
 };
 
+/** @brief A start of a task that may crash its worker, stored before the start. */
+struct stored_trial {
+    run_number m_run;
+    worker_id m_worker;
+    vm_id m_vm;
+    std::int64_t m_incarnation_start_unix_ms{0};
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_run, m_worker, m_vm, m_incarnation_start_unix_ms);
+    }
+};
+
+/** @brief What is known about crashes of workers under a task. */
+struct crash_progress {
+    std::int64_t m_occurrence{0};
+    std::int64_t m_step{0};
+    std::int64_t m_index{0};
+    std::vector<run_number> m_crashed_runs;
+    bool m_suspect{false};
+    /** @brief At most one. */
+    std::vector<stored_trial> m_trial;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_occurrence, m_step, m_index, m_crashed_runs, m_suspect, m_trial);
+    }
+};
+
 /** @brief Progress of a job as it is stored. */
 struct job_progress {
     job_state m_state{job_state::queued};
     /** @brief Occurrences below this number are done. */
     std::int64_t m_first_open{0};
     std::vector<occurrence_progress> m_open;
+    /** @brief Tasks that may crash their workers. Stored after the other fields: earlier versions neither write nor
+     * read it. */
+    std::vector<crash_progress> m_crashes;
 
     template<typename Archive>
     auto serialize(Archive& archive) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
@@ -200,6 +201,9 @@
     if (job == nullptr || task == nullptr) {
         return;
     }
+    if (report.m_outcome == run_end::failed) {
+        record_survived_run(state, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task, report.m_run);
+    }
     const bool current = task->m_phase != task_phase::waiting && task->m_run == report.m_run;
     if (report.m_outcome == run_end::done && current) {
         learn_run_time(state, *job, *task, now);
@@ -246,7 +250,12 @@
 {
     if (worker.m_has_reported && report.m_incarnation_start_unix_ms > worker.m_incarnation_start_unix_ms &&
         worker.m_incarnation_start_unix_ms != 0) {
+        const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
+        auto suspects = find_crash_suspects(state, index);
         abandon_all_runs(state, worker, now);
+        suspects.insert(suspects.end(), worker.m_lost_runs.begin(), worker.m_lost_runs.end());
+        worker.m_lost_runs.clear();
+        count_crashes(state, index, suspects, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
         // The clock of the new incarnation starts again.
@@ -327,6 +336,7 @@
         worker.m_clock_read = now;
     }
     state.m_dispatch_requested = state.m_dispatch_requested || !worker.m_has_reported;
+    clear_lost_runs(state, index);
     worker.m_has_reported = true;
     worker.m_unresponsive = false;
     worker.m_last_report = now;
@@ -465,7 +475,9 @@
         auto& worker = state.m_workers[static_cast<std::size_t>(position)];
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
+            auto suspects = find_crash_suspects(state, position);
             abandon_all_runs(state, worker, now);
+            record_lost_runs(state, position, std::move(suspects));
         }
         for (auto& run : worker.m_runs) {
             const bool repeat = run.m_stop_sent == time_point{} ||
@@ -476,6 +488,7 @@
             }
         }
     }
+    update_trials(state, now);
     std::erase_if(state.m_current_workers, [&state](const worker_index index) {
         auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         worker.m_current = worker.m_registered || !worker.m_runs.empty() || !worker.m_has_reported;
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -88,6 +88,12 @@
     std::vector<run_number> m_failed_runs;
     /** @brief Workers on which runs of the task failed in this term; others are tried first. */
     std::vector<worker_index> m_failed_workers;
+    /** @brief Runs under which their worker has crashed. */
+    std::vector<run_number> m_crashed_runs;
+    /** @brief The task may have crashed a worker, and may only be started in a trial. */
+    bool m_suspect{false};
+    /** @brief The trial to be stored before its start. */
+    std::optional<stored_trial> m_trial;
     std::string m_checkpoint;
     /** @brief Start of the current phase. */
     time_point m_since{};
@@ -173,6 +179,31 @@
     std::optional<time_point> m_stop_accepted;
 };
 
+/** @brief A run that may have crashed its worker. */
+struct lost_run {
+    task_ref m_task;
+    run_number m_run;
+    /** @brief No other unproven run was on the worker. */
+    bool m_in_trial{false};
+};
+
+/** @brief A start of a task that may crash its worker. Until the task is proven sound or has ended, the worker gets no
+ * other new work. */
+struct task_trial {
+    task_ref m_task;
+    worker_index m_worker{no_worker};
+    stored_trial m_stored;
+    /** @brief The trial is in the store, so that a successor can see its outcome. */
+    bool m_is_stored{false};
+    bool m_started{false};
+};
+
+/** @brief A trial that the last decider may have started. */
+struct recovered_trial {
+    task_ref m_task;
+    stored_trial m_stored;
+};
+
 /** @brief A worker in the scheduler's table. Its index is never reused. */
 struct worker_slot {
     worker_entry m_entry;
@@ -200,6 +231,8 @@
     std::int64_t m_acknowledged_end{0};
     resources m_used;
     std::vector<placed_run> m_runs;
+    /** @brief Runs that may have crashed the worker, which has been lost for a cause not known yet. */
+    std::vector<lost_run> m_lost_runs;
     /** @brief Requested speed of best-effort tasks on this worker, in percent. */
     std::int64_t m_best_effort_speed_percent{100};
     time_point m_speed_changed{};
@@ -229,7 +262,19 @@
 };
 
 /** @brief Kind of an event of a run, for the log. */
-enum class run_event_kind : std::uint8_t { failed, lost, worker_paused };
+enum class run_event_kind : std::uint8_t {
+    failed,
+    lost,
+    worker_paused,
+    /** @brief The worker crashed under the run. */
+    crashed,
+    /** @brief The worker was lost for an unknown cause, which may be the run. */
+    suspected,
+    /** @brief The task is no longer a suspect. */
+    cleared,
+    /** @brief The job failed, as the task crashes its workers. */
+    given_up,
+};
 
 /** @brief An event of a run. */
 struct run_event {
@@ -285,6 +330,8 @@
     /** @brief Jobs whose progress differs from the store. */
     std::vector<job_entry*> m_dirty;
     std::map<queue_id, run_time_estimate> m_run_times;
+    std::vector<task_trial> m_trials;
+    std::vector<recovered_trial> m_recovered_trials;
     std::vector<start_command> m_starts;
     std::vector<stop_command> m_stops;
     /** @brief Queues whose steps need permits. */
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -0,0 +1,182 @@
+#include "scheduler_simulation.hpp"
+
+#include <cicadalug/scheduler/crash_suspicion.hpp>
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace cicadalug::test {
+
+namespace {
+
+/** @brief Submits jobs of four tasks of 700 ms. @return Their ids. */
+auto submit_jobs(scheduler_simulation& simulation, const int count) -> std::vector<job_id>
+{
+    std::vector<job_id> ids;
+    for (int number = 0; number < count; ++number) {
+        ids.push_back(simulation.submit(make_job("quotes", 4, 2'000, milliseconds{700})));
+    }
+    return ids;
+}
+
+} // namespace
+
+class crash_suspicion : public testing::TestWithParam<bool> {};
+
+INSTANTIATE_TEST_SUITE_P(restart, crash_suspicion, testing::Bool());
+
+// Guards against a task that crashes its workers and is started again each time their leases have expired.
+TEST_P(crash_suspicion, a_task_that_crashes_its_workers_is_given_up)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    simulation.run_for(milliseconds{60'000});
+    EXPECT_EQ(simulation.starts_of({deadly, 0, 0, 0}), 2);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
+// Guards against sound tasks that are condemned with the deadly task beside them.
+TEST_P(crash_suspicion, sound_tasks_beside_a_deadly_one_are_completed)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 6);
+    const auto before = submit_jobs(simulation, 8);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    const auto after = submit_jobs(simulation, 8);
+    simulation.run_for(milliseconds{30'000});
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+    EXPECT_LE(simulation.m_crash_count, 3);
+    for (const auto* ids : {&before, &after}) {
+        for (const auto& id : *ids) {
+            EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+        }
+    }
+}
+
+// Guards against crashes that a successor of the decider does not know of.
+TEST_P(crash_suspicion, crashes_count_through_takeovers)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    for (int tick = 0; tick < 3'000 && simulation.starts_of({deadly, 0, 0, 0}) < 2; ++tick) {
+        simulation.run_for(milliseconds{10});
+    }
+    // Right after the second start, which was a trial.
+    simulation.take_over();
+    simulation.run_for(milliseconds{60'000});
+    EXPECT_EQ(simulation.starts_of({deadly, 0, 0, 0}), 2);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
+// Guards against giving up sound tasks whose workers crash again and again for another cause.
+TEST_P(crash_suspicion, proven_tasks_are_not_blamed_for_crashes)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 3);
+    const auto serving = simulation.submit(make_long_running_job("quotes", 3, 0));
+    for (int round = 0; round < 6; ++round) {
+        simulation.run_for(milliseconds{5'000});
+        for (const auto& id : simulation.worker_ids()) {
+            if (simulation.worker(id.str()).m_alive && !simulation.worker(id.str()).m_runs.empty()) {
+                simulation.crash(id);
+                break;
+            }
+        }
+    }
+    simulation.run_for(milliseconds{5'000});
+    EXPECT_EQ(simulation.m_crash_count, 6);
+    EXPECT_EQ(simulation.stored_state(serving), job_state::running);
+    for (std::int64_t index = 0; index < 3; ++index) {
+        EXPECT_EQ(find_task(simulation.m_state, {serving, 0, 0, index})->m_phase, task_phase::running);
+        EXPECT_FALSE(is_suspect(*find_task(simulation.m_state, {serving, 0, 0, index})));
+    }
+}
+
+// Guards against long-running tasks that crash all workers of a pool without end.
+TEST_P(crash_suspicion, a_long_running_task_that_crashes_its_workers_is_given_up)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_long_running_job("quotes", 2, 0));
+    simulation.m_deadly.insert({deadly, 0, 0, 1});
+    simulation.run_for(milliseconds{60'000});
+    EXPECT_EQ(simulation.starts_of({deadly, 0, 0, 1}), 2);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
+// Guards against counting a worker that was only cut off as crashed.
+TEST(crash_suspicion_evidence, a_worker_that_was_only_cut_off_clears_its_tasks)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{20'000}));
+    simulation.run_for(milliseconds{40});
+    ASSERT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+    auto& worker = simulation.worker("w1");
+    worker.m_reachable = false;
+    simulation.run_for(milliseconds{5'000});
+    EXPECT_TRUE(is_suspect(*find_task(simulation.m_state, {job, 0, 0, 0})));
+    // The lease of the run has expired on the worker.
+    worker.m_runs.clear();
+    worker.m_reachable = true;
+    simulation.run_for(milliseconds{100});
+    EXPECT_FALSE(is_suspect(*find_task(simulation.m_state, {job, 0, 0, 0})));
+    EXPECT_TRUE(find_task(simulation.m_state, {job, 0, 0, 0})->m_crashed_runs.empty());
+    simulation.run_for(milliseconds{1'000});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
+}
+
+// Guards against a trial without a response that leaves its worker reserved, or that starts in place of a trial that
+// is not stored.
+TEST(crash_suspicion_evidence, no_trial_starts_before_it_is_stored)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    simulation.run_for(milliseconds{100});
+    ASSERT_EQ(simulation.m_crash_count, 1);
+    simulation.m_store_up = false;
+    simulation.run_for(milliseconds{10'000});
+    EXPECT_EQ(simulation.m_crash_count, 1);
+    simulation.m_store_up = true;
+    simulation.run_for(milliseconds{10'000});
+    EXPECT_EQ(simulation.m_crash_count, 2);
+    EXPECT_TRUE(simulation.m_state.m_trials.empty());
+}
+
+// Guards against progress that entry VMs of the earlier version cannot read, or that this one cannot read of them.
+TEST(crash_suspicion_evidence, progress_is_compatible_with_the_earlier_format)
+{
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_first_open = 4;
+    const auto earlier = encode(progress);
+    progress.m_crashes.push_back(
+        {0, 1, 2, {run_number{2'001}}, true, {{run_number{2'002}, worker_id{"w1"}, vm_id{"vm1"}, 77}}});
+    const auto current = encode(progress);
+    // An earlier decoder reads its own fields and ignores what follows.
+    ASSERT_EQ(current.substr(0, earlier.size()), earlier);
+    const auto read = decode_job_progress(current);
+    ASSERT_TRUE(read.has_value());
+    ASSERT_EQ(read.assume_value().m_crashes.size(), 1U);
+    EXPECT_EQ(read.assume_value().m_crashes.front().m_crashed_runs.front(), run_number{2'001});
+    EXPECT_EQ(read.assume_value().m_crashes.front().m_trial.front().m_vm, vm_id{"vm1"});
+    const auto old = decode_job_progress(earlier);
+    ASSERT_TRUE(old.has_value());
+    EXPECT_EQ(old.assume_value().m_first_open, 4);
+    EXPECT_TRUE(old.assume_value().m_crashes.empty());
+}
+
+} // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -143,7 +143,7 @@
     auto& slot = m_state.m_workers[static_cast<std::size_t>(index->second)];
     std::erase_if(worker.m_ended, [&slot](const ended_report& end) { return end.m_number <= slot.m_acknowledged_end; });
     worker_report sent_report;
-    sent_report.m_incarnation_start_unix_ms = 1;
+    sent_report.m_incarnation_start_unix_ms = worker.m_incarnation;
     sent_report.m_clock_ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
     for (const auto& run : worker.m_runs) {
         sent_report.m_running.push_back({run.m_task, run.m_run, {}, run.m_long_running ? 100 : 0, 0});
@@ -172,6 +172,9 @@
         const auto& spec = step_of(*find_job(m_state, command.m_task.m_job), command.m_task);
         worker.m_runs.push_back({command.m_task, command.m_run, m_now, m_now + spec.m_estimate, spec.m_long_running});
         apply_start_result(m_state, command, command_result::accepted, m_now);
+        if (m_deadly.contains(command.m_task)) {
+            crash(worker_id{id});
+        }
     }
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
         auto& worker = m_workers[m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id];
@@ -248,9 +251,44 @@
     }
 }
 
+auto scheduler_simulation::crash(const worker_id& id) -> void
+{
+    auto& worker = m_workers[id];
+    worker.m_alive = false;
+    worker.m_runs.clear();
+    worker.m_ended.clear();
+    worker.m_end_count = 0;
+    m_restarts[id] = m_now + m_restart_time;
+    ++m_crash_count;
+}
+
+auto scheduler_simulation::restart_workers() -> void
+{
+    for (auto restart = m_restarts.begin(); restart != m_restarts.end();) {
+        if (restart->second > m_now) {
+            ++restart;
+            continue;
+        }
+        auto entry = m_registry.at(restart->first);
+        if (m_restart_keeps_id) {
+            m_workers[entry.m_id].m_alive = true;
+            ++m_workers[entry.m_id].m_incarnation;
+        }
+        else {
+            m_registry.erase(entry.m_id);
+            entry.m_id = worker_id{"w" + std::to_string(++m_next_worker)};
+            m_workers[entry.m_id];
+            m_registry[entry.m_id] = entry;
+            apply_registry_now();
+        }
+        restart = m_restarts.erase(restart);
+    }
+}
+
 auto scheduler_simulation::step() -> void
 {
     m_now += simulation_step;
+    restart_workers();
     if (m_job_watch_up) {
         m_state.m_jobs_current_at = m_now;
     }
@@ -326,6 +364,12 @@
     return found == m_starts.end() ? 0 : found->second;
 }
 
+auto scheduler_simulation::stored_state(const job_id& id) const -> job_state
+{
+    const auto found = m_store.find(id);
+    return found == m_store.end() || !found->second.m_progress ? job_state::queued : found->second.m_progress->m_state;
+}
+
 auto scheduler_simulation::total_starts() const -> std::int64_t
 {
     std::int64_t total{0};
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -34,6 +34,7 @@
     bool m_reachable{true};
     bool m_fails_all{false};
     bool m_alive{true};
+    std::int64_t m_incarnation{1};
 };
 
 /**
@@ -54,6 +55,8 @@
     auto submit(job_record record) -> job_id;
     /** @brief Advances the time in steps of 10 ms. */
     auto run_for(milliseconds time) -> void;
+    /** @brief Crashes a worker. It restarts after m_restart_time. */
+    auto crash(const worker_id& id) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
     auto take_over() -> void;
 
@@ -67,6 +70,8 @@
     /** @brief Returns the number of starts of a task on all workers so far. */
     [[nodiscard]] auto starts_of(const task_ref& task) const -> std::int64_t;
     [[nodiscard]] auto total_starts() const -> std::int64_t;
+    /** @brief Returns the state of a job as it is stored. */
+    [[nodiscard]] auto stored_state(const job_id& id) const -> job_state;
 
     scheduler_state m_state;
     demand_state m_demand;
@@ -92,6 +97,12 @@
     bool m_permit_service_up{true};
     std::int64_t m_permit_request_count{0};
     std::int64_t m_rejected_starts{0};
+    /** @brief Tasks that crash each worker that starts them. */
+    std::set<task_ref> m_deadly;
+    std::int64_t m_crash_count{0};
+    milliseconds m_restart_time{3'000};
+    /** @brief A restarted worker keeps its id, else it gets another one on the same VM. */
+    bool m_restart_keeps_id{false};
 
 private:
     auto step() -> void;
@@ -101,6 +112,7 @@
     auto store() -> void;
     auto finish_moves() -> void;
     auto apply_registry_now() -> void;
+    auto restart_workers() -> void;
 
     struct stored_job {
         job_record m_record;
@@ -112,6 +124,7 @@
     std::map<worker_id, simulated_worker> m_workers;
     std::map<worker_id, worker_entry> m_registry;
     std::map<vm_id, std::pair<service_id, time_point>> m_moving_vms;
+    std::map<worker_id, time_point> m_restarts;
     std::map<job_id, stored_job> m_store;
     std::map<job_id, time_point> m_deadlines;
     std::map<job_id, time_point> m_completed;
