Start nothing beside runs of unknown size or on a worker that has shrunk since

A run of a job that is no longer known counted as using nothing, so that tasks were started beside it on a worker that may have been full. It now takes the worker's whole capacity until it has been stopped. A start that was decided before the capacity of its worker shrank was still sent; it is withdrawn now. The tests failed before: the start was valid with 32 cores in use on a worker of 20, and one start was made beside the unknown run. The tests on waiting tasks, gangs, best-effort and long-running tasks after a change of the capacity passed before. Callers see no difference.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -408,7 +408,8 @@
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
-    return may_start(state, now) && is_in_service(worker) && find_job(state, command.m_task.m_job) != nullptr &&
+    return may_start(state, now) && is_in_service(worker) && fits(worker.m_used, worker.m_entry.m_capacity) &&
+           find_job(state, command.m_task.m_job) != nullptr &&
            std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&command](const placed_run& run) {
                return run.m_run == command.m_run && run.m_task == command.m_task && !run.m_stop_requested;
            });
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -72,7 +72,8 @@
 
 /**
  * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
- * meanwhile, its worker is still in service, the term cannot have ended, and the copies are recent enough.
+ * meanwhile, its worker is still in service and has not shrunk below what it runs, the term cannot have ended, and the
+ * copies are recent enough.
  * @param state The scheduler.
  * @param command The start.
  * @param now Current time.
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -88,6 +88,10 @@
         placed.m_best_effort = step_of(*job, report.m_task).m_best_effort;
         placed.m_speed_percent = -1;
     }
+    else {
+        // The size of the run is unknown. Nothing may start beside it until it has been stopped.
+        placed.m_demand = worker.m_entry.m_capacity;
+    }
     worker.m_used = worker.m_used + placed.m_demand;
     worker.m_runs.push_back(placed);
 }
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -251,6 +251,12 @@
     }
 }
 
+auto scheduler_simulation::set_capacity(const worker_id& id, const std::int64_t cpu) -> void
+{
+    m_registry.at(id).m_capacity.m_cpu = millicores{cpu};
+    apply_registry_now();
+}
+
 auto scheduler_simulation::crash(const worker_id& id) -> void
 {
     auto& worker = m_workers[id];
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -55,6 +55,8 @@
     auto submit(job_record record) -> job_id;
     /** @brief Advances the time in steps of 10 ms. */
     auto run_for(milliseconds time) -> void;
+    /** @brief Changes the CPU capacity that a worker states in the registry. */
+    auto set_capacity(const worker_id& id, std::int64_t cpu) -> void;
     /** @brief Crashes a worker. It restarts after m_restart_time. */
     auto crash(const worker_id& id) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
