Clear suspects faster in small pools

Half of the workers may now be in trials, and renewals wait 150 ms while there are trials. A planned trial ends when its task has been cleared. many_suspects_in_a_small_pool_are_completed_in_time failed before (5 of 15 jobs not completed in 13 s).

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -2,7 +2,6 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
-#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
@@ -24,8 +23,9 @@
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
 
-/** @brief The same for a worker in a trial, which is closed to other tasks until it has reported the run again. */
-constexpr milliseconds trial_renewal_wait{100};
+/** @brief The same while there are trials: a worker is closed to other tasks until it has reported the run again, and
+ * the renewal in flight when the trial begins delays that report. */
+constexpr milliseconds trial_renewal_wait{150};
 
 /** @brief A renewal counts as lost this long after the requested wait. */
 constexpr milliseconds renewal_slack{500};
@@ -101,7 +101,7 @@
         if (worker.m_has_reported) {
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
-            renewal.m_wait = is_in_trial(m_state, index) ? trial_renewal_wait : renewal_wait;
+            renewal.m_wait = !m_state.m_trials.empty() ? trial_renewal_wait : renewal_wait;
             renewal.m_timeout += renewal.m_wait;
         }
         const auto sent = monotonic_now();
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -20,8 +20,9 @@
  * three more starts after the third. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
-/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. */
-constexpr std::size_t workers_per_trial{4};
+/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With four,
+ * 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
+constexpr std::size_t workers_per_trial{2};
 
 [[nodiscard]] auto slot_of(const scheduler_state& state, const worker_index index) -> const worker_slot&
 {
@@ -80,7 +81,7 @@
         return true;
     }
     if (!trial.m_started) {
-        return task->m_phase != task_phase::waiting;
+        return task->m_phase != task_phase::waiting || !task->m_suspect;
     }
     const auto* run = find_placed(slot_of(state, trial.m_worker), trial);
     if (run == nullptr) {
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -59,6 +59,41 @@
     }
 }
 
+// Guards against suspects that are never started again after many crashes at once.
+TEST_P(crash_suspicion, sound_jobs_are_completed_after_a_surge_with_deadly_ones)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 20);
+    std::vector<job_id> sound;
+    std::vector<job_id> deadly;
+    for (int number = 0; number < 200; ++number) {
+        const bool kills = number % 10 == 3;
+        auto record = make_job("quotes", 6, 2'000, milliseconds{700});
+        record.m_spec.m_steps.push_back(record.m_spec.m_steps.front());
+        record.m_spec.m_steps.back().m_after = {0};
+        const auto id = simulation.submit(record);
+        if (kills) {
+            simulation.m_deadly.insert({id, 0, number % 2, 2});
+        }
+        (kills ? deadly : sound).push_back(id);
+        simulation.run_for(milliseconds{50});
+    }
+    simulation.run_for(milliseconds{40'000});
+    for (const auto& id : sound) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+    }
+    for (const auto& id : deadly) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::failed);
+    }
+    for (const auto& trial : simulation.m_state.m_trials) {
+        const auto& worker = simulation.m_state.m_workers[static_cast<std::size_t>(trial.m_worker)];
+        ADD_FAILURE() << trial.m_task.m_job.str() << '.' << trial.m_task.m_step << '.' << trial.m_task.m_index << " on "
+                      << worker.m_entry.m_id.str() << " stored " << trial.m_is_stored << " started " << trial.m_started
+                      << " runs " << worker.m_runs.size();
+    }
+}
+
 // Guards against crashes that a successor of the decider does not know of.
 TEST_P(crash_suspicion, crashes_count_through_takeovers)
 {
@@ -137,6 +172,25 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
 }
 
+// Guards against suspects that wait for one trial at a time after their pool has shrunk.
+TEST(crash_suspicion_evidence, many_suspects_in_a_small_pool_are_completed_in_time)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 5);
+    const auto ids = submit_jobs(simulation, 15);
+    for (const auto& id : ids) {
+        auto& step = find_job(simulation.m_state, id)->m_open.front().m_steps.front();
+        step.m_opened = true;
+        for (auto& task : step.m_tasks) {
+            task.m_suspect = true;
+        }
+    }
+    simulation.run_for(milliseconds{13'000});
+    for (const auto& id : ids) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+    }
+}
+
 // Guards against a trial without a response that leaves its worker reserved, or that starts in place of a trial that
 // is not stored.
 TEST(crash_suspicion_evidence, no_trial_starts_before_it_is_stored)
