--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -24,6 +24,10 @@
 /** @brief A worker delays the response to a lease renewal for up to this time, until a run ends. */
 constexpr milliseconds renewal_wait{900};
 
+/** @brief The same while there are trials: a worker is closed to other tasks until it has reported the run again, and
+ * the renewal in flight when the trial begins delays that report. */
+constexpr milliseconds trial_renewal_wait{150};
+
 /** @brief A renewal counts as lost this long after the requested wait. */
 constexpr milliseconds renewal_slack{500};
 
@@ -114,8 +118,8 @@
         if (worker.m_has_reported) {
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
-            renewal.m_wait = renewal_wait;
-            renewal.m_timeout += renewal_wait;
+            renewal.m_wait = !m_state.m_trials.empty() ? trial_renewal_wait : renewal_wait;
+            renewal.m_timeout += renewal.m_wait;
         }
         const auto sent = monotonic_now();
         const auto response = co_await call_worker(index, std::move(renewal), nullptr);
@@ -185,14 +189,18 @@
         if (!admit_line(m_run_log_budget)) {
             continue;
         }
-        constexpr const char* names[]{"run_failed", "run_lost", "worker_paused"};
-        auto line = log_line{names[static_cast<std::size_t>(event.m_kind)]}
-                        .with("request", event.m_task.m_job)
-                        .with("step", event.m_task.m_step)
-                        .with("index", event.m_task.m_index)
-                        .with("run", event.m_run)
-                        .with("worker", m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id)
-                        .with("failures_in_row", event.m_failures);
+        constexpr const char* names[]{"run_failed",     "run_lost",     "worker_paused", "worker_crashed",
+                                      "task_suspected", "task_cleared", "task_given_up"};
+        auto line =
+            log_line{names[static_cast<std::size_t>(event.m_kind)]}
+                .with("request", event.m_task.m_job)
+                .with("step", event.m_task.m_step)
+                .with("index", event.m_task.m_index)
+                .with("run", event.m_run)
+                .with("worker", event.m_worker == no_worker
+                                    ? std::string{"unknown"}
+                                    : m_state.m_workers[static_cast<std::size_t>(event.m_worker)].m_entry.m_id.str())
+                .with("failures_in_row", event.m_failures);
         LOG(INFO) << (event.m_kind == run_event_kind::lost ? add_loss(std::move(line), event, m_term.m_token, now)
                                                            : std::move(line));
     }
