Check a start again when a connection to its worker becomes free

A decider sent starts of a job whose cancel it had already applied, and starts, stops and renewals after the end of its term, up to 0.8 s later (1.4 s for a renewal): those that waited for one of the connections to their worker.

Cause: the validity of a start and the end of the term were checked before the wait only. Both are now checked right before the request is written, and the call ends as withdrawn.

The check of the term has no test of its own.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -76,6 +76,11 @@
         auto relayed = co_await relays->perform(std::move(call), std::move(zone));
         co_return relayed;
     }
+    if (!may_send) {
+        may_send = [this] {
+            return m_active;
+        };
+    }
     send_condition condition{monotonic_now() + call.m_timeout, std::move(may_send)};
     auto result = co_await m_calls.perform(std::move(call), std::move(condition));
     co_return result;
@@ -240,13 +245,17 @@
     ++m_load.m_starts;
     m_settings.m_metrics->start_sent(age_of(m_load.m_jobs, monotonic_now()));
     begin_command(m_load);
-    const auto record_write = [this, decided = command.m_decided] {
-        const auto age = monotonic_now() - decided;
+    const auto may_send = [this, command] {
+        const auto written = monotonic_now();
+        if (!m_active || !is_start_valid(m_state, command, written)) {
+            return false;
+        }
+        const auto age = written - command.m_decided;
         m_load.m_max_start_write_age = std::max(m_load.m_max_start_write_age, age);
         m_settings.m_metrics->start_written(age);
         return true;
     };
-    const auto response = co_await call_worker(command.m_worker, std::move(start), record_write);
+    const auto response = co_await call_worker(command.m_worker, std::move(start), may_send);
     const auto result = response.m_result;
     end_command(m_load);
     const auto age = monotonic_now() - command.m_decided;
--- a/test/process/scheduler_cancel.cpp
+++ b/test/process/scheduler_cancel.cpp
@@ -99,4 +99,32 @@
     EXPECT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience));
 }
 
+// Guards against starts that wait for a connection to their worker and are sent although their job was cancelled.
+TEST_F(scheduler_cancel, no_start_that_waits_for_a_connection_is_sent_after_the_cancel)
+{
+    constexpr std::size_t connections{4};
+    constexpr int small_task_cpu{100};
+    control({{"command_delay_ms", 3'000}});
+    submit(first_job, connections, small_task_cpu);
+    ASSERT_TRUE(wait_until([this] { return control()["held"].get<std::size_t>() >= connections; }, patience));
+    const auto current = decider();
+    ASSERT_LT(current, entry_vm_count);
+    const auto sent = [current] {
+        return metric(current, "cicadalug_scheduler_starts_total");
+    };
+    const auto before = sent();
+    // All tasks fit on the first worker, whose connections are in use until the first starts time out.
+    std::this_thread::sleep_for(milliseconds{300});
+    submit(second_job, connections, small_task_cpu);
+    ASSERT_TRUE(wait_until([&] { return sent() > before; }, patience));
+    static_cast<void>(cancel(second_job, current));
+    std::this_thread::sleep_for(observed_time / 3);
+    std::size_t sent_starts{0};
+    const auto seen = control();
+    for (const auto& task : seen["held_starts"]) {
+        sent_starts += task.get<std::string>().starts_with(second_job) ? 1U : 0U;
+    }
+    EXPECT_EQ(sent_starts, 0U) << "starts of the cancelled job were sent to a worker";
+}
+
 } // namespace
--- a/test/process/scheduler_deployment.hpp
+++ b/test/process/scheduler_deployment.hpp
@@ -159,9 +159,9 @@
 
     [[nodiscard]] static auto path_of(const std::string& job) -> std::string { return "/night/" + job; }
 
-    auto submit(const std::string& job, const std::size_t tasks) const -> void
+    auto submit(const std::string& job, const std::size_t tasks, const int cpu = task_cpu) const -> void
     {
-        const json step{{"count", tasks}, {"cpu", task_cpu}, {"mem_mb", 64}, {"est_runtime_ms", 1'000}};
+        const json step{{"count", tasks}, {"cpu", cpu}, {"mem_mb", 64}, {"est_runtime_ms", 1'000}};
         const json body{{"spec", "sort waggons"}, {"steps", json::array({step})}};
         const auto accepted = wait_until(
             [&] { return call(http::verb::post, client_address(0), path_of(job), body).m_status == 200; }, patience);
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -132,6 +132,9 @@
         }
         else if (m_faults.m_command_delay.count() > 0 && path.starts_with("/cicadalug/run-")) {
             ++m_held_commands;
+            if (path == "/cicadalug/run-start") {
+                m_held_starts.push_back(body.value("task", ""));
+            }
             asio::co_spawn(m_context, execute_later(worker, path, body, m_faults.m_command_delay), asio::detached);
             co_await drop_after_peer(exchange);
         }
@@ -298,7 +301,11 @@
     [[nodiscard]] auto observations() const -> json
     {
         const auto now = std::chrono::duration_cast<milliseconds>(monotonic_now().time_since_epoch());
-        json seen{{"clock_ms", now.count()}, {"running", 0}, {"lists", m_lists}, {"held", m_held_commands}};
+        json seen{{"clock_ms", now.count()},
+                  {"running", 0},
+                  {"lists", m_lists},
+                  {"held", m_held_commands},
+                  {"held_starts", m_held_starts}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
         for (const auto& worker : m_workers) {
@@ -322,6 +329,8 @@
     std::map<std::string, int> m_lists;
     /** @brief Number of commands that were not answered, and are carried out later. */
     int m_held_commands{0};
+    /** @brief Tasks of the starts among them. */
+    std::vector<std::string> m_held_starts;
 };
 
 } // namespace
