--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -147,6 +147,9 @@
         }
         else if (m_faults.m_command_delay.count() > 0 && path.starts_with("/cicadalug/run-")) {
             ++m_held_commands;
+            if (path == "/cicadalug/run-start") {
+                m_held_starts.push_back(body.value("task", ""));
+            }
             asio::co_spawn(m_context, execute_later(worker, path, body, m_faults.m_command_delay), asio::detached);
             co_await drop_after_peer(exchange);
         }
@@ -387,6 +390,7 @@
                   {"running", 0},
                   {"lists", m_lists},
                   {"held", m_held_commands},
+                  {"held_starts", m_held_starts},
                   {"doubled_runs", m_doubled_runs}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
@@ -413,6 +417,8 @@
     int m_doubled_runs{0};
     /** @brief Number of commands that were not answered, and are carried out later. */
     int m_held_commands{0};
+    /** @brief Tasks of the starts among them. */
+    std::vector<std::string> m_held_starts;
 };
 
 } // namespace
