Give up tasks that crash their workers late, beside younger runs

A task that crashes its worker 0.6 s after its start was started 15 to 17 times in 60 s, and a sound job was not completed (a_task_that_crashes_its_workers_late_is_given_up, both ways of a restart): a run that its worker had reported 100 ms after the start counted as sound, so that only the younger runs beside it became suspects, and a trial of that length cleared the task.

A crash is now counted for all runs that have been there for less than 5 s; those that had survived the start become suspects with the second one. From two crashes on, a trial lasts until the run ends, and crashes are not forgotten before the task is done. Long-running tasks that have survived their start are not blamed, as before.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -8,20 +8,24 @@
 
 namespace {
 
-/** @brief A run that its worker still reports this long after the start is proven sound: tasks that crash workers did
- * so 10 ms after their start. With 300 ms, suspects were left 27 s after the last deadly job. */
+/** @brief A run that its worker still reports this long after the start does not crash workers at once: those seen did
+ * so 10 ms after the start. With 300 ms, suspects were left 27 s after the last deadly job. */
 constexpr milliseconds proof_time{100};
 
-/** @brief A task is given up after it has crashed this many workers, the last of them alone; the platform's rules state
- * the number. */
+/** @brief A run that its worker still reports this long after the start is not blamed for a crash, and a task that has
+ * survived it in a trial is no suspect any more. Longer than the run time of most tasks. */
+constexpr milliseconds soundness_time{5'000};
+
+/** @brief A task is given up after it has crashed this many workers, the last of them in a trial; the platform's rules
+ * state the number. From this number on, a trial lasts until the run ends or its soundness_time is over. */
 constexpr std::size_t crashes_to_give_up{2};
 
 /** @brief A gang spans workers and has no trials. It is given up after this many crashes; the platform's rules allow
  * three more starts after the third. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
-/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With four,
- * 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
+/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
+ * four, 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
 constexpr std::size_t workers_per_trial{2};
 
 [[nodiscard]] auto slot_of(const scheduler_state& state, const worker_index index) -> const worker_slot&
@@ -29,9 +33,10 @@
     return state.m_workers[static_cast<std::size_t>(index)];
 }
 
-[[nodiscard]] auto is_proven(const worker_slot& worker, const placed_run& run) -> bool
+/** @brief Checks whether a run was reported by its worker some time after its start. */
+[[nodiscard]] auto has_survived(const worker_slot& worker, const placed_run& run, const milliseconds time) -> bool
 {
-    return run.m_confirmed && worker.m_last_report >= run.m_sent + proof_time;
+    return run.m_confirmed && worker.m_last_report >= run.m_sent + time;
 }
 
 /** @brief Returns the task on which crashes are counted: the first one of a gang. */
@@ -66,9 +71,8 @@
         return;
     }
     found->m_suspect = false;
-    found->m_crashed_runs.clear();
     found->m_trial.reset();
-    log_event(state, run_event_kind::cleared, worker, task, run, 0);
+    log_event(state, run_event_kind::cleared, worker, task, run, found->m_crashed_runs.size());
     mark_dirty(state, *job);
 }
 
@@ -87,7 +91,8 @@
     if (run == nullptr) {
         return true;
     }
-    if (!is_proven(slot_of(state, trial.m_worker), *run)) {
+    const bool repeated = task->m_crashed_runs.size() >= crashes_to_give_up;
+    if (!has_survived(slot_of(state, trial.m_worker), *run, repeated ? soundness_time : proof_time)) {
         return false;
     }
     clear_suspicion(state, trial.m_worker, trial.m_task, trial.m_stored.m_run);
@@ -132,7 +137,7 @@
         const auto index = find_worker(state, trial.m_stored.m_worker);
         const auto evidence = judge_recovered(state, *task, trial, index);
         if (evidence == trial_evidence::crashed) {
-            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true}}, now);
+            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true, false}}, now);
         }
         else if (evidence == trial_evidence::continues) {
             state.m_trials.push_back({trial.m_task, task->m_worker, trial.m_stored, true, true});
@@ -154,12 +159,15 @@
     }
     for (const auto& trial : state.m_trials) {
         if (trial.m_worker == index && trial.m_started && find_placed(worker, trial) != nullptr) {
-            return {{trial.m_task, trial.m_stored.m_run, true}};
+            return {{trial.m_task, trial.m_stored.m_run, true, false}};
         }
     }
     for (const auto& run : worker.m_runs) {
-        if (!is_proven(worker, run) && !run.m_ending) {
-            found.push_back({run.m_task, run.m_run, false});
+        const bool survived = has_survived(worker, run, proof_time);
+        // Long-running tasks are there for most crashes, whatever the cause.
+        const bool sound = survived && (run.m_long_running || has_survived(worker, run, soundness_time));
+        if (!run.m_ending && !sound) {
+            found.push_back({run.m_task, run.m_run, false, survived});
         }
     }
     return found;
@@ -181,7 +189,9 @@
             continue;
         }
         counted.push_back(lost.m_run);
-        task->m_suspect = true;
+        // Most of the runs beside a deadly one have survived for a while. One that is there again and again has not
+        // been so by chance.
+        task->m_suspect = task->m_suspect || !lost.m_survived || counted.size() >= crashes_to_give_up;
         log_event(state, run_event_kind::crashed, index, ref, lost.m_run, counted.size());
         mark_dirty(state, *job);
         const bool gang = step_of(*job, ref).m_gang;
@@ -202,9 +212,11 @@
         if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
             continue;
         }
-        task->m_suspect = true;
-        log_event(state, run_event_kind::suspected, index, lost.m_task, lost.m_run, task->m_crashed_runs.size());
-        mark_dirty(state, *job);
+        if (!lost.m_survived) {
+            task->m_suspect = true;
+            log_event(state, run_event_kind::suspected, index, lost.m_task, lost.m_run, task->m_crashed_runs.size());
+            mark_dirty(state, *job);
+        }
         worker.m_lost_runs.push_back(std::move(lost));
     }
 }
@@ -265,7 +277,7 @@
 auto is_quiet(const worker_slot& worker) -> bool
 {
     return std::all_of(worker.m_runs.begin(), worker.m_runs.end(),
-                       [&worker](const placed_run& run) { return is_proven(worker, run); });
+                       [&worker](const placed_run& run) { return has_survived(worker, run, proof_time); });
 }
 
 auto trial_limit(const std::size_t workers) noexcept -> std::size_t
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -9,15 +9,16 @@
 namespace cicadalug {
 
 /**
- * @brief Returns the runs that may have crashed a worker that went down: a task in trial alone, else all runs that are
- * not proven sound. Empty if the worker was draining or about to be moved or maintained.
+ * @brief Returns the runs that may have crashed a worker that went down: a task in trial alone, else all runs but those
+ * that had been there for long. Empty if the worker was draining or about to be moved or maintained.
  * @param state The scheduler.
  * @param index The worker, with the runs that it had.
  */
 [[nodiscard]] auto find_crash_suspects(const scheduler_state& state, worker_index index) -> std::vector<lost_run>;
 
-/** @brief Records runs that ended with a crash of their worker. A task that crashed a second worker in a trial fails
- * its job. Each run is counted once. */
+/** @brief Records runs that ended with a crash of their worker. Their tasks become suspects, those that had survived
+ * the start with the second crash. A task that crashed a second worker in a trial fails its job. Each run is counted
+ * once. */
 auto count_crashes(scheduler_state& state, worker_index index, const std::vector<lost_run>& runs, time_point now)
     -> void;
 
@@ -44,7 +45,8 @@
 /** @brief Checks whether a worker is reserved for a trial. */
 [[nodiscard]] auto is_in_trial(const scheduler_state& state, worker_index worker) -> bool;
 
-/** @brief Checks whether all runs on a worker are proven sound, other than those of a trial. */
+/** @brief Checks whether all runs on a worker have survived their start, so that they cannot be taken for the cause of
+ * a crash in a trial that begins now. */
 [[nodiscard]] auto is_quiet(const worker_slot& worker) -> bool;
 
 /** @brief Returns the maximum number of concurrent trials on a number of workers. */
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -104,14 +104,14 @@
         const auto& tasks = occurrence.m_steps[step].m_tasks;
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             const auto& task = tasks[index];
-            if (task.m_phase == task_phase::done || !task.m_suspect) {
+            if (task.m_phase == task_phase::done || (!task.m_suspect && task.m_crashed_runs.empty())) {
                 continue;
             }
             crash_progress stored{occurrence.m_number,
                                   static_cast<std::int64_t>(step),
                                   static_cast<std::int64_t>(index),
                                   task.m_crashed_runs,
-                                  true,
+                                  task.m_suspect,
                                   {}};
             if (task.m_trial) {
                 stored.m_trial.push_back(*task.m_trial);
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -185,8 +185,10 @@
 struct lost_run {
     task_ref m_task;
     run_number m_run;
-    /** @brief No other unproven run was on the worker. */
+    /** @brief The run was in a trial. */
     bool m_in_trial{false};
+    /** @brief The run did not crash its worker at once. */
+    bool m_survived{false};
 };
 
 /** @brief A start of a task that may crash its worker. Until the task is proven sound or has ended, the worker gets no
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -150,6 +150,29 @@
     EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
 }
 
+// Guards against tasks that crash their workers some time after their start, when younger runs are on the worker.
+TEST_P(crash_suspicion, a_task_that_crashes_its_workers_late_is_given_up)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.m_crash_delay = milliseconds{600};
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{900}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    std::vector<job_id> sound;
+    for (int number = 0; number < 600; ++number) {
+        sound.push_back(simulation.submit(make_job("quotes", 2, 2'000, milliseconds{700})));
+        simulation.run_for(milliseconds{50});
+    }
+    simulation.run_for(milliseconds{30'000});
+    // Three starts more after the third crash would break the platform's rules.
+    EXPECT_LE(simulation.starts_of({deadly, 0, 0, 0}), 4);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+    for (const auto& id : sound) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+    }
+}
+
 // Guards against counting a worker that was only cut off as crashed.
 TEST(crash_suspicion_evidence, a_worker_that_was_only_cut_off_clears_its_tasks)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -173,7 +173,7 @@
         worker.m_runs.push_back({command.m_task, command.m_run, m_now, m_now + spec.m_estimate, spec.m_long_running});
         apply_start_result(m_state, command, command_result::accepted, m_now);
         if (m_deadly.contains(command.m_task)) {
-            crash(worker_id{id});
+            m_crashes.emplace(m_now + m_crash_delay, id);
         }
     }
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
@@ -269,6 +269,17 @@
     ++m_crash_count;
 }
 
+auto scheduler_simulation::crash_workers() -> void
+{
+    while (!m_crashes.empty() && m_crashes.begin()->first <= m_now) {
+        const auto id = m_crashes.begin()->second;
+        m_crashes.erase(m_crashes.begin());
+        if (m_workers[id].m_alive) {
+            crash(id);
+        }
+    }
+}
+
 auto scheduler_simulation::restart_workers() -> void
 {
     for (auto restart = m_restarts.begin(); restart != m_restarts.end();) {
@@ -295,6 +306,7 @@
 auto scheduler_simulation::step() -> void
 {
     m_now += simulation_step;
+    crash_workers();
     restart_workers();
     if (m_job_watch_up) {
         m_state.m_jobs_current_at = m_now;
@@ -313,6 +325,7 @@
     expire_runs(m_state, m_now);
     dispatch(m_state, m_now);
     execute_commands();
+    crash_workers();
     handle_permit_requests();
     store();
     const bool plan = m_now.time_since_epoch() % milliseconds{100} == microseconds{0};
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -102,6 +102,8 @@
     std::int64_t m_rejected_starts{0};
     /** @brief Tasks that crash each worker that starts them. */
     std::set<task_ref> m_deadly;
+    /** @brief Time from the start of a deadly task to the crash of its worker. */
+    milliseconds m_crash_delay{0};
     std::int64_t m_crash_count{0};
     milliseconds m_restart_time{3'000};
     /** @brief A restarted worker keeps its id, else it gets another one on the same VM. */
@@ -115,6 +117,7 @@
     auto store() -> void;
     auto finish_moves() -> void;
     auto apply_registry_now() -> void;
+    auto crash_workers() -> void;
     auto restart_workers() -> void;
 
     struct stored_job {
@@ -127,6 +130,7 @@
     std::map<worker_id, simulated_worker> m_workers;
     std::map<worker_id, worker_entry> m_registry;
     std::map<vm_id, std::pair<service_id, time_point>> m_moving_vms;
+    std::multimap<time_point, worker_id> m_crashes;
     std::map<worker_id, time_point> m_restarts;
     std::map<job_id, stored_job> m_store;
     std::map<job_id, time_point> m_deadlines;
