--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -20,8 +20,8 @@
  * three more starts after the third. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
-/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With four,
- * 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
+/** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
+ * four, 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
 constexpr std::size_t workers_per_trial{2};
 
 [[nodiscard]] auto slot_of(const scheduler_state& state, const worker_index index) -> const worker_slot&
@@ -68,6 +68,7 @@
     found->m_suspect = false;
     found->m_crashed_runs.clear();
     found->m_trial.reset();
+    found->m_proven_run = std::max(found->m_proven_run, run);
     log_event(state, run_event_kind::cleared, worker, task, run, 0);
     mark_dirty(state, *job);
 }
@@ -176,7 +177,7 @@
         const auto ref = counted_task(*job, lost.m_task);
         auto* task = find_task(state, ref);
         auto& counted = task->m_crashed_runs;
-        if (task->m_phase == task_phase::done ||
+        if (task->m_phase == task_phase::done || lost.m_run <= task->m_proven_run ||
             std::find(counted.begin(), counted.end(), lost.m_run) != counted.end()) {
             continue;
         }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -90,6 +90,8 @@
     std::vector<worker_index> m_failed_workers;
     /** @brief Runs under which their worker has crashed. */
     std::vector<run_number> m_crashed_runs;
+    /** @brief Latest run that a worker survived in this term: crashes under earlier runs had another cause. */
+    run_number m_proven_run;
     /** @brief The task may have crashed a worker, and may only be started in a trial. */
     bool m_suspect{false};
     /** @brief The trial to be stored before its start. */
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -172,6 +172,28 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
 }
 
+// Guards against counting the crash of a run against a task that a later run has proven sound.
+TEST(crash_suspicion_evidence, late_evidence_does_not_count_against_a_proven_task)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_time = milliseconds{8'000};
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 0));
+    const task_ref task{job, 0, 0, 0};
+    simulation.run_for(milliseconds{40});
+    ASSERT_EQ(simulation.starts_of(task), 1);
+    // For another cause, right after the start.
+    simulation.crash(
+        simulation.m_state.m_workers[static_cast<std::size_t>(find_task(simulation.m_state, task)->m_worker)]
+            .m_entry.m_id);
+    simulation.run_for(milliseconds{6'000});
+    ASSERT_EQ(simulation.starts_of(task), 2);
+    ASSERT_FALSE(is_suspect(*find_task(simulation.m_state, task))) << "proven by its trial";
+    simulation.run_for(milliseconds{4'000});
+    EXPECT_FALSE(is_suspect(*find_task(simulation.m_state, task)));
+    EXPECT_TRUE(find_task(simulation.m_state, task)->m_crashed_runs.empty());
+}
+
 // Guards against suspects that wait for one trial at a time after their pool has shrunk.
 TEST(crash_suspicion_evidence, many_suspects_in_a_small_pool_are_completed_in_time)
 {
