--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -72,6 +72,9 @@
     }
     found->m_suspect = false;
     found->m_trial.reset();
+    if (step_of(*job, task).m_long_running) {
+        found->m_proven_run = std::max(found->m_proven_run, run);
+    }
     log_event(state, run_event_kind::cleared, worker, task, run, found->m_crashed_runs.size());
     mark_dirty(state, *job);
 }
@@ -184,7 +187,7 @@
         const auto ref = counted_task(*job, lost.m_task);
         auto* task = find_task(state, ref);
         auto& counted = task->m_crashed_runs;
-        if (task->m_phase == task_phase::done ||
+        if (task->m_phase == task_phase::done || lost.m_run <= task->m_proven_run ||
             std::find(counted.begin(), counted.end(), lost.m_run) != counted.end()) {
             continue;
         }
