Keep a start that a new incarnation accepts after its first poll

A task could run twice: a worker that starts again answers a poll and then accepts a start, and the response to the start overtakes that to the poll. The run counted as one of the earlier incarnation and was abandoned, and its task started elsewhere; it also counted as a crash.

A later poll settles such a run, as for any other.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -266,15 +266,21 @@
     }
 }
 
+/** @brief Checks whether a run may be one of a new incarnation: it is in its report, or its start was accepted after
+ * the poll that the report answers. */
+[[nodiscard]] auto may_have_started(const worker_report& report, const placed_run& run, const time_point sent) -> bool
+{
+    return is_listed(report, run) || (run.m_confirmed && run.m_sent >= sent);
+}
+
 /** @brief Abandons the runs of an earlier incarnation. A start without a response may still be carried out by the new
  * one, which knows nothing of the runs before it: such a run is stopped first, so that the worker rejects its start. */
 auto end_runs_of_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report,
-                             const time_point now) -> void
+                             const time_point sent, const time_point now) -> void
 {
     for (std::size_t position = 0; position < worker.m_runs.size();) {
         auto& run = worker.m_runs[position];
-        if (is_listed(report, run)) {
-            // The new incarnation has carried out the start.
+        if (may_have_started(report, run, sent)) {
             ++position;
             continue;
         }
@@ -293,14 +299,18 @@
 }
 
 /** @brief Ends the runs of a worker if the report comes from a newer incarnation of it. */
-auto apply_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point now)
-    -> void
+auto apply_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
+                       const time_point now) -> void
 {
     if (worker.m_has_reported && report.m_incarnation_start_unix_ms > worker.m_incarnation_start_unix_ms &&
         worker.m_incarnation_start_unix_ms != 0) {
         const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
         auto suspects = find_crash_suspects(state, index);
-        end_runs_of_incarnation(state, worker, report, now);
+        std::erase_if(suspects, [&](const lost_run& suspect) {
+            const auto run = find_run(worker, suspect.m_task, suspect.m_run);
+            return run != worker.m_runs.end() && may_have_started(report, *run, sent);
+        });
+        end_runs_of_incarnation(state, worker, report, sent, now);
         suspects.insert(suspects.end(), worker.m_lost_runs.begin(), worker.m_lost_runs.end());
         worker.m_lost_runs.clear();
         count_crashes(state, index, suspects, now);
@@ -389,7 +399,7 @@
         report.m_incarnation_start_unix_ms < worker.m_incarnation_start_unix_ms) {
         return;
     }
-    apply_incarnation(state, worker, report, now);
+    apply_incarnation(state, worker, report, sent, now);
     if (report.m_clock_ms >= worker.m_clock_ms || !worker.m_has_reported) {
         worker.m_clock_ms = report.m_clock_ms;
         worker.m_clock_read = now;
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -417,4 +417,27 @@
     EXPECT_EQ(state.m_starts.size(), 1U);
 }
 
+// Guards against a second run of a task whose start the new incarnation of its worker has accepted after it was polled.
+TEST(reports, a_start_that_a_new_incarnation_accepts_after_its_first_poll_is_kept)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_job("orders", 1, 1'000, milliseconds{60'000}));
+    simulation.run_for(milliseconds{100});
+    auto& state = simulation.m_state;
+    const task_ref task{job, 0, 0, 0};
+    ASSERT_EQ(find_task(state, task)->m_phase, task_phase::running);
+    const auto accepted = state.m_workers.front().m_runs.front().m_sent;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_clock_ms = 5;
+    apply_report(state, 0, report, accepted - milliseconds{1}, simulation.now());
+    EXPECT_EQ(find_task(state, task)->m_phase, task_phase::running);
+    EXPECT_TRUE(find_task(state, task)->m_crashed_runs.empty());
+    // A later poll settles it.
+    const auto later = simulation.now() + milliseconds{10};
+    apply_report(state, 0, report, later, later);
+    EXPECT_EQ(find_task(state, task)->m_phase, task_phase::waiting);
+}
+
 } // namespace cicadalug::test
