Pause a worker that refuses a start as too late

Since a start has a lease of one second at most, a worker that is reached slowly refuses it, and could be chosen for the next one at once, again and again.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -456,6 +456,7 @@
         return;
     case command_result::unavailable:
     case command_result::insufficient_capacity:
+    case command_result::lease_expired:
         worker.m_paused_until = std::max(worker.m_paused_until, now + rejection_pause);
         break;
     case command_result::other_worker:
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -440,4 +440,21 @@
     EXPECT_EQ(find_task(state, task)->m_phase, task_phase::waiting);
 }
 
+// Guards against one start after the other on a worker that refuses them, as they take too long to reach it.
+TEST(reports, a_worker_that_refuses_a_late_start_is_paused)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_job("orders", 1, 1'000, milliseconds{300}));
+    auto& state = simulation.m_state;
+    dispatch(state, simulation.now());
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    apply_start_result(state, start, command_result::lease_expired, simulation.now());
+    EXPECT_GT(state.m_workers.front().m_paused_until, simulation.now());
+}
+
 } // namespace cicadalug::test
