Remove a trial from the store when it has ended without a crash

A job could fail though its task was sound: a trial whose start was refused, withdrawn or stopped stayed in the stored progress. If the decider was replaced before the next trial, and the worker meanwhile, the successor counted a crash under the task.

Found by the review. a_trial_that_was_not_accepted_is_not_stored_any_more failed before: the task still had its trial. A trial that is stored and not yet sent when its decider dies can still be counted so.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -79,6 +79,25 @@
     mark_dirty(state, *job);
 }
 
+/** @brief Removes the stored trial of a task, so that a successor does not take it for one that goes on. */
+auto remove_stored_trial(scheduler_state& state, const task_ref& task) -> void
+{
+    auto* job = find_job(state, task.m_job);
+    auto* found = find_task(state, task);
+    if (job != nullptr && found != nullptr && found->m_trial && !is_final(job->m_state)) {
+        found->m_trial.reset();
+        mark_dirty(state, *job);
+    }
+}
+
+/** @brief Checks whether the cause of the loss of a trial is still unknown. */
+[[nodiscard]] auto awaits_evidence(const worker_slot& worker, const task_trial& trial) -> bool
+{
+    return std::any_of(worker.m_lost_runs.begin(), worker.m_lost_runs.end(), [&trial](const lost_run& lost) {
+        return lost.m_task == trial.m_task && lost.m_run == trial.m_stored.m_run;
+    });
+}
+
 /** @brief Ends a trial if its outcome is known. @return True if it has ended. */
 [[nodiscard]] auto end_trial(scheduler_state& state, const task_trial& trial) -> bool
 {
@@ -92,6 +111,9 @@
     }
     const auto* run = find_placed(slot_of(state, trial.m_worker), trial);
     if (run == nullptr) {
+        if (!awaits_evidence(slot_of(state, trial.m_worker), trial)) {
+            remove_stored_trial(state, trial.m_task);
+        }
         return true;
     }
     const bool repeated = task->m_crashed_runs.size() >= crashes_to_give_up;
@@ -148,6 +170,9 @@
         else if (evidence == trial_evidence::none) {
             state.m_recovered_trials.push_back(std::move(trial));
         }
+        else {
+            remove_stored_trial(state, trial.m_task);
+        }
     }
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -278,4 +278,29 @@
     EXPECT_TRUE(old.assume_value().m_crashes.empty());
 }
 
+// Guards against a trial that ended without a crash and is counted as one by a successor, after its worker was
+// replaced.
+TEST(crash_suspicion_evidence, a_trial_that_was_not_accepted_is_not_stored_any_more)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    const task_ref ref{job, 0, 0, 0};
+    auto* task = find_task(state, ref);
+    find_step(*find_job(state, job), ref)->m_opened = true;
+    task->m_suspect = true;
+    dispatch(state, simulation.now());
+    ASSERT_TRUE(task->m_trial);
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    apply_start_result(state, start, command_result::unavailable, simulation.now());
+    update_trials(state, simulation.now());
+    EXPECT_FALSE(task->m_trial);
+    EXPECT_TRUE(state.m_trials.empty());
+}
+
 } // namespace cicadalug::test
