Count trials that are lost in a row as crashes

A task that crashes workers which never return was started for as long as there were workers: evidence of a crash is the return of the worker or of its VM, and without it each lost trial was followed by the next one.

The number of lost trials is not stored: a takeover begins it again.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -24,6 +24,10 @@
  * three more starts after the third. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
+/** @brief From this many lost trials in a row on, each counts as a crash without evidence: a worker that crashed for
+ * good leaves none. Two in a row are no chance. */
+constexpr std::int64_t lost_trials_to_count{2};
+
 /** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
  * four, 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
 constexpr std::size_t workers_per_trial{2};
@@ -71,6 +75,7 @@
         return;
     }
     found->m_suspect = false;
+    found->m_lost_trials = 0;
     found->m_trial.reset();
     if (step_of(*job, task).m_long_running) {
         found->m_proven_run = std::max(found->m_proven_run, run);
@@ -231,7 +236,8 @@
     }
 }
 
-auto record_lost_runs(scheduler_state& state, const worker_index index, std::vector<lost_run> runs) -> void
+auto record_lost_runs(scheduler_state& state, const worker_index index, std::vector<lost_run> runs,
+                      const time_point now) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
     for (auto& lost : runs) {
@@ -240,6 +246,10 @@
         if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
             continue;
         }
+        if (lost.m_in_trial && ++task->m_lost_trials >= lost_trials_to_count) {
+            count_crashes(state, index, {lost}, now);
+            continue;
+        }
         if (!lost.m_survived) {
             task->m_suspect = true;
             log_event(state, run_event_kind::suspected, index, lost.m_task, lost.m_run, task->m_crashed_runs.size());
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -567,7 +567,7 @@
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
             auto suspects = find_crash_suspects(state, position);
             abandon_all_runs(state, worker, lost_cause::lease_over, now);
-            record_lost_runs(state, position, std::move(suspects));
+            record_lost_runs(state, position, std::move(suspects), now);
         }
         for (auto& run : worker.m_runs) {
             const bool repeat = run.m_stop_sent == time_point{} ||
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -95,6 +95,8 @@
     run_number m_proven_run;
     /** @brief The task may have crashed a worker, and may only be started in a trial. */
     bool m_suspect{false};
+    /** @brief Trials in a row whose worker was lost for a cause that is not known. */
+    std::int64_t m_lost_trials{0};
     /** @brief The trial to be stored before its start. */
     std::optional<stored_trial> m_trial;
     std::string m_checkpoint;
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -303,4 +303,17 @@
     EXPECT_TRUE(state.m_trials.empty());
 }
 
+// Guards against a task that crashes workers which never return: without evidence, its trials would never end.
+TEST(crash_suspicion_evidence, a_task_whose_trials_are_lost_again_and_again_is_given_up)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_time = milliseconds{600'000};
+    simulation.begin_with("quotes", 12);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    simulation.run_for(milliseconds{60'000});
+    EXPECT_LE(simulation.starts_of({deadly, 0, 0, 0}), 4);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
 } // namespace cicadalug::test
