List workers of earlier terms until their leases have certainly ended

The list of workers with leases left out the drift of their clocks, so that a worker of an earlier term was dropped from it 0.1 s before a successor may take its lease for ended. Found by the review, by reading.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -50,7 +50,7 @@
         text += m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id.str() + ' ';
     }
     // Leases of the last term that may still run; this term can end before their workers have reported.
-    if (now < m_state.m_began + m_state.m_settings.m_grant_horizon + m_state.m_settings.m_lease_margin) {
+    if (now < inherited_leases_end(m_state)) {
         for (const auto& worker : m_state.m_expected_workers) {
             text += worker.str() + ' ';
         }
