--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -194,10 +194,10 @@
     }
 }
 
-auto record_lost_runs(scheduler_state& state, const worker_index index, std::vector<lost_run> runs) -> void
+auto record_lost_runs(scheduler_state& state, const worker_index index, const std::vector<lost_run>& runs) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    for (auto& lost : runs) {
+    for (const auto& lost : runs) {
         auto* job = find_job(state, lost.m_task.m_job);
         auto* task = find_task(state, lost.m_task);
         if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
@@ -206,7 +206,7 @@
         task->m_suspect = true;
         log_event(state, run_event_kind::suspected, index, lost.m_task, lost.m_run, task->m_crashed_runs.size());
         mark_dirty(state, *job);
-        worker.m_lost_runs.push_back(std::move(lost));
+        worker.m_lost_runs.push_back(lost);
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -23,7 +23,7 @@
 
 /** @brief Records runs whose worker is lost without evidence of a crash. They are counted or cleared when evidence
  * follows. */
-auto record_lost_runs(scheduler_state& state, worker_index index, std::vector<lost_run> runs) -> void;
+auto record_lost_runs(scheduler_state& state, worker_index index, const std::vector<lost_run>& runs) -> void;
 
 /** @brief Clears the suspicion of the runs of a worker that was only unreachable and is back. */
 auto clear_lost_runs(scheduler_state& state, worker_index index) -> void;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -479,9 +479,9 @@
         auto& worker = state.m_workers[static_cast<std::size_t>(position)];
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
-            auto suspects = find_crash_suspects(state, position);
+            const auto suspects = find_crash_suspects(state, position);
             abandon_all_runs(state, worker, now);
-            record_lost_runs(state, position, std::move(suspects));
+            record_lost_runs(state, position, suspects);
         }
         for (auto& run : worker.m_runs) {
             const bool repeat = run.m_stop_sent == time_point{} ||
