--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <vector>
 
 namespace cicadalug::test {
@@ -14,6 +15,7 @@
 auto submit_jobs(scheduler_simulation& simulation, const int count) -> std::vector<job_id>
 {
     std::vector<job_id> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         ids.push_back(simulation.submit(make_job("quotes", 4, 2'000, milliseconds{700})));
     }
