--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -473,12 +473,12 @@
     // A clock that is not slow reaches this time earlier, by less than 100 ms.
     const auto left = end - worker.m_clock_read;
     const auto slowest = left - left * settings.m_clock_drift_permille / 1'000;
-    auto until_ms = worker.m_clock_ms + std::chrono::duration_cast<milliseconds>(slowest).count();
+    auto lease_until_ms = worker.m_clock_ms + std::chrono::duration_cast<milliseconds>(slowest).count();
     if (worker.m_unresponsive) {
-        until_ms = std::min(until_ms, worker.m_lease_until_ms);
+        lease_until_ms = std::min(lease_until_ms, worker.m_lease_until_ms);
     }
-    worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, until_ms);
-    return until_ms;
+    worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, lease_until_ms);
+    return lease_until_ms;
 }
 
 auto dispatch(scheduler_state& state, const time_point now) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -514,8 +514,8 @@
 
 auto lease_end(const scheduler_state& state, const worker_slot& worker) -> time_point
 {
-    const auto until_ms = std::max(worker.m_lease_until_ms, worker.m_inherited_until_ms);
-    const auto left_ms = std::max<std::int64_t>(0, until_ms - worker.m_clock_ms);
+    const auto lease_until_ms = std::max(worker.m_lease_until_ms, worker.m_inherited_until_ms);
+    const auto left_ms = std::max<std::int64_t>(0, lease_until_ms - worker.m_clock_ms);
     const auto slowest_ms = left_ms + left_ms * state.m_settings.m_clock_drift_permille / 1'000;
     return worker.m_clock_read + milliseconds{slowest_ms} + state.m_settings.m_lease_margin;
 }
