--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -24,8 +24,8 @@
  * three more starts after the third. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
-/** @brief From this many lost trials in a row on, each counts as a crash without evidence: a worker that crashed for
- * good leaves none. Two in a row are no chance. */
+/** @brief From this many trials in a row on that were lost without evidence of a crash, or without an answer to their
+ * start, each counts as a crash: a worker that crashed for good leaves no evidence. Two in a row are no chance. */
 constexpr std::int64_t lost_trials_to_count{2};
 
 /** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
@@ -43,6 +43,16 @@
     return run.m_confirmed && worker.m_last_report >= run.m_sent + time;
 }
 
+/** @brief Counts a trial of which it is not known whether it crashed a worker. @return True if it counts as a crash. */
+[[nodiscard]] auto is_lost_again(task_state& task, const run_number run) -> bool
+{
+    if (task.m_last_lost_trial != run) {
+        task.m_last_lost_trial = run;
+        ++task.m_lost_trials;
+    }
+    return task.m_lost_trials >= lost_trials_to_count;
+}
+
 /** @brief Returns the task on which crashes are counted: the first one of a gang. */
 [[nodiscard]] auto counted_task(const job_entry& job, task_ref task) -> task_ref
 {
@@ -167,7 +177,7 @@
         const auto index = find_worker(state, trial.m_stored.m_worker);
         const auto evidence = judge_recovered(state, *task, trial, index);
         if (evidence == trial_evidence::crashed) {
-            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true, false}}, now);
+            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true, true, false}}, now);
         }
         else if (evidence == trial_evidence::continues) {
             state.m_trials.push_back({trial.m_task, task->m_worker, trial.m_stored, true, true});
@@ -191,8 +201,9 @@
         return found;
     }
     for (const auto& trial : state.m_trials) {
-        if (trial.m_worker == index && trial.m_started && find_placed(worker, trial) != nullptr) {
-            return {{trial.m_task, trial.m_stored.m_run, true, false}};
+        const auto* run = trial.m_worker == index && trial.m_started ? find_placed(worker, trial) : nullptr;
+        if (run != nullptr) {
+            return {{trial.m_task, trial.m_stored.m_run, run->m_confirmed, true, false}};
         }
     }
     for (const auto& run : worker.m_runs) {
@@ -200,7 +211,7 @@
         // Long-running tasks are there for most crashes, whatever the cause.
         const bool sound = survived && (run.m_long_running || has_survived(worker, run, soundness_time));
         if (!run.m_ending && !sound) {
-            found.push_back({run.m_task, run.m_run, false, survived});
+            found.push_back({run.m_task, run.m_run, run.m_confirmed, false, survived});
         }
     }
     return found;
@@ -221,6 +232,12 @@
             std::find(counted.begin(), counted.end(), lost.m_run) != counted.end()) {
             continue;
         }
+        if (!lost.m_confirmed && !(lost.m_in_trial && is_lost_again(*task, lost.m_run))) {
+            // The worker may have gone down before the start arrived.
+            task->m_suspect = true;
+            mark_dirty(state, *job);
+            continue;
+        }
         counted.push_back(lost.m_run);
         // Most of the runs beside a deadly one have survived for a while. One that is there again and again has not
         // been so by chance.
@@ -246,7 +263,7 @@
         if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
             continue;
         }
-        if (lost.m_in_trial && ++task->m_lost_trials >= lost_trials_to_count) {
+        if (lost.m_in_trial && is_lost_again(*task, lost.m_run)) {
             count_crashes(state, index, {lost}, now);
             continue;
         }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -95,8 +95,9 @@
     run_number m_proven_run;
     /** @brief The task may have crashed a worker, and may only be started in a trial. */
     bool m_suspect{false};
-    /** @brief Trials in a row whose worker was lost for a cause that is not known. */
+    /** @brief Trials in a row of which it is not known whether they crashed their worker, and the last of them. */
     std::int64_t m_lost_trials{0};
+    run_number m_last_lost_trial;
     /** @brief The trial to be stored before its start. */
     std::optional<stored_trial> m_trial;
     std::string m_checkpoint;
@@ -190,6 +191,8 @@
 struct lost_run {
     task_ref m_task;
     run_number m_run;
+    /** @brief The worker has reported the run or accepted its start. */
+    bool m_confirmed{false};
     /** @brief The run was in a trial. */
     bool m_in_trial{false};
     /** @brief The run did not crash its worker at once. */
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -305,6 +305,31 @@
     EXPECT_TRUE(state.m_trials.empty());
 }
 
+// Guards against giving up a task for crashes of workers that have not started it: a start without an answer may not
+// have arrived.
+TEST(crash_suspicion_evidence, an_unanswered_start_makes_a_suspect_and_is_no_crash)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    const task_ref ref{job, 0, 0, 0};
+    auto* task = find_task(state, ref);
+    find_step(*find_job(state, job), ref)->m_opened = true;
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    apply_start_result(state, start, command_result::unknown, simulation.now());
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_clock_ms = 5;
+    const auto later = simulation.now() + milliseconds{100};
+    apply_report(state, 0, report, later, later);
+    EXPECT_TRUE(is_suspect(*task));
+    EXPECT_TRUE(task->m_crashed_runs.empty());
+}
+
 // Guards against a task that crashes workers which never return: without evidence, its trials would never end.
 TEST(crash_suspicion_evidence, a_task_whose_trials_are_lost_again_and_again_is_given_up)
 {
