--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -110,6 +110,9 @@
                      .with("unknown_cancels", load.m_unknown_cancels)
                      .with("early_cancels", m_state.m_early_cancels.size())
                      .with("cancel_delay_ms", load.m_max_cancel_delay.count())
+                     .with("trials", m_state.m_trials.size())
+                     .with("trials_started", std::count_if(m_state.m_trials.begin(), m_state.m_trials.end(),
+                                                           [](const task_trial& trial) { return trial.m_started; }))
                      .with("relays", m_relays->live_relays())
                      .with("passes", load.m_passes)
                      .with("pass_ms", to_ms(load.m_pass_time));
