Make survivors of a start suspects from the third crash on

Crashes are counted for all runs of the last 5 s, so that many sound tasks had two of them, became suspects and went through trials that last as long as their runs. With three, a task that crashes its workers late is still given up after four starts at most (a_task_that_crashes_its_workers_late_is_given_up), where the platform's rules allow five.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -17,11 +17,15 @@
 constexpr milliseconds soundness_time{5'000};
 
 /** @brief A task is given up after it has crashed this many workers, the last of them in a trial; the platform's rules
- * state the number. From this number on, a trial lasts until the run ends or its soundness_time is over. */
+ * state the number. */
 constexpr std::size_t crashes_to_give_up{2};
 
+/** @brief A task that had survived the start of its runs for a while becomes a suspect with this many crashes, and its
+ * trial lasts until the run ends or its soundness_time is over; the platform's rules allow two more starts. */
+constexpr std::size_t crashes_of_survivors{3};
+
 /** @brief A gang spans workers and has no trials. It is given up after this many crashes; the platform's rules allow
- * three more starts after the third. */
+ * two more starts. */
 constexpr std::size_t gang_crashes_to_give_up{3};
 
 /** @brief From this many trials in a row on that were lost without evidence of a crash, or without an answer to their
@@ -131,7 +135,7 @@
         }
         return true;
     }
-    const bool repeated = task->m_crashed_runs.size() >= crashes_to_give_up;
+    const bool repeated = task->m_crashed_runs.size() >= crashes_of_survivors;
     if (!has_survived(slot_of(state, trial.m_worker), *run, repeated ? soundness_time : proof_time)) {
         return false;
     }
@@ -241,7 +245,7 @@
         counted.push_back(lost.m_run);
         // Most of the runs beside a deadly one have survived for a while. One that is there again and again has not
         // been so by chance.
-        task->m_suspect = task->m_suspect || !lost.m_survived || counted.size() >= crashes_to_give_up;
+        task->m_suspect = task->m_suspect || !lost.m_survived || counted.size() >= crashes_of_survivors;
         log_event(state, run_event_kind::crashed, index, ref, lost.m_run, counted.size());
         mark_dirty(state, *job);
         const bool gang = step_of(*job, ref).m_gang;
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -17,7 +17,7 @@
 [[nodiscard]] auto find_crash_suspects(const scheduler_state& state, worker_index index) -> std::vector<lost_run>;
 
 /** @brief Records runs that ended with a crash of their worker. Their tasks become suspects, those that had survived
- * the start with the second crash. A task that crashed a second worker in a trial fails its job. Each run is counted
+ * the start with the third crash. A task that crashed a second worker in a trial fails its job. Each run is counted
  * once. */
 auto count_crashes(scheduler_state& state, worker_index index, const std::vector<lost_run>& runs, time_point now)
     -> void;
