--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -139,7 +139,7 @@
     /** @brief Capacity reserved for steps that are being opened, until the end of the pass. */
     std::vector<std::pair<worker_index, resources>> m_reserved;
     time_point m_now{};
-    /** @brief Workers that accept new work, and those of them that are not in a trial and may begin one. */
+    /** @brief Workers that accept new work, those in a trial included; the index lacks these. */
     std::vector<worker_index> m_accepting;
     /** @brief Workers in m_accepting that are in a trial. */
     std::size_t m_in_trial{0};
