Name the count of lost trials as what it does

is_lost_again() changed the task that it asked about. It is count_lost_trial() now, and two comments are plainer.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -29,7 +29,8 @@
 constexpr std::size_t gang_crashes_to_give_up{3};
 
 /** @brief From this many trials in a row on that were lost without evidence of a crash, or without an answer to their
- * start, each counts as a crash: a worker that crashed for good leaves no evidence. Two in a row are no chance. */
+ * start, each counts as a crash: a worker that crashed for good leaves no evidence, and two such losses in a row are
+ * unlikely to have another cause. */
 constexpr std::int64_t lost_trials_to_count{2};
 
 /** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
@@ -48,7 +49,7 @@
 }
 
 /** @brief Counts a trial of which it is not known whether it crashed a worker. @return True if it counts as a crash. */
-[[nodiscard]] auto is_lost_again(task_state& task, const run_number run) -> bool
+[[nodiscard]] auto count_lost_trial(task_state& task, const run_number run) -> bool
 {
     if (task.m_last_lost_trial != run) {
         task.m_last_lost_trial = run;
@@ -236,15 +237,14 @@
             std::find(counted.begin(), counted.end(), lost.m_run) != counted.end()) {
             continue;
         }
-        if (!lost.m_confirmed && !(lost.m_in_trial && is_lost_again(*task, lost.m_run))) {
+        if (!lost.m_confirmed && !(lost.m_in_trial && count_lost_trial(*task, lost.m_run))) {
             // The worker may have gone down before the start arrived.
             task->m_suspect = true;
             mark_dirty(state, *job);
             continue;
         }
         counted.push_back(lost.m_run);
-        // Most of the runs beside a deadly one have survived for a while. One that is there again and again has not
-        // been so by chance.
+        // Most of the runs beside a deadly one have survived for a while and are not the cause.
         task->m_suspect = task->m_suspect || !lost.m_survived || counted.size() >= crashes_of_survivors;
         log_event(state, run_event_kind::crashed, index, ref, lost.m_run, counted.size());
         mark_dirty(state, *job);
@@ -267,7 +267,7 @@
         if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done) {
             continue;
         }
-        if (lost.m_in_trial && is_lost_again(*task, lost.m_run)) {
+        if (lost.m_in_trial && count_lost_trial(*task, lost.m_run)) {
             count_crashes(state, index, {lost}, now);
             continue;
         }
