Log why a long-running task waits

The decider logs task_waiting once a second for tasks that have been waiting for over 1 s, ten at most and the number of all, and has a gauge of them. No decision has changed.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -64,6 +64,7 @@
 {
     if (m_active) {
         log_load();
+        m_settings.m_metrics->set_long_waits(0);
     }
     m_active = false;
     m_relays->stop();
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -128,6 +128,8 @@
     /** @brief Records that all changes of workers stored before a time, if one is proven, have been applied. */
     auto record_workers_read(std::optional<time_point> proven) -> void;
     auto log_load() -> void;
+    /** @brief Logs the long-running tasks that have been waiting for long, with the causes. */
+    auto log_long_waits(time_point now) -> void;
     auto log_suspension(time_point now) -> void;
     auto log_start(const start_command& command, const job_entry& job) -> void;
     auto log_dropped_lines(time_point now) -> void;
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -3,6 +3,7 @@
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/scheduler/cancel_time.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/wait_cause.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -23,6 +24,40 @@
 /** @brief Interval of the log lines about the load. */
 constexpr milliseconds load_log_interval{1'000};
 
+/** @brief A long-running task that has been waiting for this long is logged with the cause; the platform's rules allow
+ * 3 s while a worker has room. */
+constexpr milliseconds logged_wait{1'000};
+
+/** @brief Maximum number of waiting tasks that are logged in each load_log_interval; the others are counted. */
+constexpr std::size_t logged_waits{10};
+
+/** @brief Describes a waiting task, without the counts that are zero. */
+[[nodiscard]] auto describe(const task_wait& wait, const fencing_token token) -> log_line
+{
+    auto line = log_line{"task_waiting"}
+                    .with("request", wait.m_task.m_job)
+                    .with("step", wait.m_task.m_step)
+                    .with("index", wait.m_task.m_index)
+                    .with("waited_ms", to_ms(wait.m_waited))
+                    .with("cause", name_of(wait.m_cause))
+                    .with("token", token);
+    const auto add = [&line](const std::string_view name, const std::int64_t value) {
+        if (value != 0) {
+            line = std::move(line).with(name, value);
+        }
+    };
+    add("able", wait.m_workers.front());
+    for (std::size_t obstacle = 1; obstacle < wait.m_workers.size(); ++obstacle) {
+        add(name_of(static_cast<worker_obstacle>(obstacle)), wait.m_workers[obstacle]);
+    }
+    add("overcommitted", wait.m_overcommitted);
+    add("unreported", wait.m_unreported);
+    add("expected", wait.m_expected);
+    add("pause_left_ms", to_ms(wait.m_pause_left.value_or(microseconds{0})));
+    add("opening_ms", to_ms(wait.m_opening.value_or(microseconds{0})));
+    return line;
+}
+
 /** @brief Formats a duration in milliseconds for a log line; "unknown" if there is none. */
 template<typename Duration>
 [[nodiscard]] auto format_ms(const std::optional<Duration> time) -> std::string
@@ -51,6 +86,7 @@
         m_settings.m_metrics->timer_run(delay);
         if (now - m_load.m_began >= load_log_interval) {
             log_load();
+            log_long_waits(now);
         }
     }
 }
@@ -118,6 +154,21 @@
                      .with("pass_ms", to_ms(load.m_pass_time));
 }
 
+auto decider::log_long_waits(const time_point now) -> void
+{
+    if (!m_loaded) {
+        return;
+    }
+    const auto waits = find_long_waits(m_state, logged_wait, logged_waits, now);
+    m_settings.m_metrics->set_long_waits(waits.m_count);
+    for (const auto& wait : waits.m_explained) {
+        LOG(INFO) << describe(wait, m_term.m_token);
+    }
+    if (waits.m_count > waits.m_explained.size()) {
+        LOG(INFO) << log_line{"tasks_waiting"}.with("count", waits.m_count).with("token", m_term.m_token);
+    }
+}
+
 auto decider::log_dropped_lines(const time_point now) -> void
 {
     if (const auto dropped = begin_window(m_run_log_budget, now); dropped > 0) {
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -42,6 +42,9 @@
                                  .Add({})};
     Gauge& m_relays{
         gauge(m_registry, "cicadalug_scheduler_relays", "Entry VMs that carry out calls of this decider.").Add({})};
+    Gauge& m_long_waits{gauge(m_registry, "cicadalug_scheduler_long_running_tasks_waiting",
+                              "Long-running tasks that have been waiting for their start for over 1 s.")
+                            .Add({})};
     Counter& m_passes{counter(m_registry, "cicadalug_scheduler_passes_total", "Scheduling passes.").Add({})};
     Histogram& m_cancel_delay{histogram(m_registry, "cicadalug_scheduler_cancel_delay_seconds",
                                         "Time from the write of a cancellation to its application.")
@@ -117,6 +120,11 @@
     m_series->m_relays.Set(static_cast<double>(relays));
 }
 
+auto scheduler_metrics::set_long_waits(const std::size_t tasks) -> void
+{
+    m_series->m_long_waits.Set(static_cast<double>(tasks));
+}
+
 auto scheduler_metrics::pass_run() -> void
 {
     m_series->m_passes.Increment();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -52,6 +52,9 @@
     /** @brief Sets the number of relays that carry out calls of this decider. */
     auto set_relays(std::size_t relays) -> void;
 
+    /** @brief Sets the number of long-running tasks that have been waiting for their start for over 1 s. */
+    auto set_long_waits(std::size_t tasks) -> void;
+
     /** @brief Counts a scheduling pass. */
     auto pass_run() -> void;
 
--- a/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
@@ -19,6 +19,7 @@
     all.cancel_applied(milliseconds{1'500});
     all.cancel_applied(std::nullopt);
     all.unknown_job_cancelled();
+    all.set_long_waits(2);
     all.pass_run();
     all.timer_run(milliseconds{2});
     const auto text = all.text();
@@ -26,7 +27,8 @@
          {"cicadalug_scheduler_decider 1\n", "cicadalug_scheduler_starts_total 2\n",
           "cicadalug_scheduler_stops_total 1\n", "cicadalug_scheduler_cancels_total 2\n",
           "cicadalug_scheduler_unknown_cancels_total 1\n", "cicadalug_scheduler_passes_total 1\n",
-          "cicadalug_scheduler_cancel_delay_seconds_count 1\n", "cicadalug_scheduler_cancel_delay_seconds_sum 1.5\n",
+          "cicadalug_scheduler_long_running_tasks_waiting 2\n", "cicadalug_scheduler_cancel_delay_seconds_count 1\n",
+          "cicadalug_scheduler_cancel_delay_seconds_sum 1.5\n",
           "cicadalug_scheduler_event_loop_delay_seconds_bucket{le=\"0.003\"} 1\n",
           "cicadalug_scheduler_start_jobs_age_seconds_bucket{le=\"0.03\"} 0\n",
           "cicadalug_scheduler_start_jobs_age_seconds_bucket{le=\"0.1\"} 1\n",
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -144,6 +144,15 @@
     return true;
 }
 
+/** @brief Implements both overloads of find_trial(), for a const and a mutable state. */
+template<typename State>
+[[nodiscard]] auto find_trial_in(State& state, const task_ref& task)
+{
+    const auto found = std::find_if(state.m_trials.begin(), state.m_trials.end(),
+                                    [&task](const task_trial& trial) { return trial.m_task == task; });
+    return found == state.m_trials.end() ? nullptr : &*found;
+}
+
 /** @brief Result of a look at a trial that the last decider began. */
 enum class trial_evidence : std::uint8_t { none, crashed, continues, settled };
 
@@ -344,11 +353,14 @@
     return std::max<std::size_t>(1, workers / workers_per_trial);
 }
 
+auto find_trial(const scheduler_state& state, const task_ref& task) -> const task_trial*
+{
+    return find_trial_in(state, task);
+}
+
 auto find_trial(scheduler_state& state, const task_ref& task) -> task_trial*
 {
-    const auto found = std::find_if(state.m_trials.begin(), state.m_trials.end(),
-                                    [&task](const task_trial& trial) { return trial.m_task == task; });
-    return found == state.m_trials.end() ? nullptr : &*found;
+    return find_trial_in(state, task);
 }
 
 auto plan_trial(scheduler_state& state, const task_ref& task, const worker_index worker, const run_number run) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -55,6 +55,7 @@
 
 /** @brief Finds the trial of a task. @return The trial, or null. */
 [[nodiscard]] auto find_trial(scheduler_state& state, const task_ref& task) -> task_trial*;
+[[nodiscard]] auto find_trial(const scheduler_state& state, const task_ref& task) -> const task_trial*;
 
 /**
  * @brief Plans a trial of a task on a worker and requests that it be stored. The worker gets no other new work.
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -14,9 +15,6 @@
 
 namespace {
 
-/** @brief A worker without a report for this long gets no new work; leases are renewed at least every second. */
-constexpr milliseconds report_age_limit{2'000};
-
 /** @brief A result is still of use until this many times the objective has passed, as the platform's rules state. */
 constexpr std::int64_t late_factor{3};
 
@@ -99,28 +97,15 @@
     return found;
 }
 
-/** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
- */
-[[nodiscard]] auto is_entry_current(const worker_slot& worker) -> bool
-{
-    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
-    const auto reported = worker.m_incarnation_start_unix_ms;
-    return registered == 0 || reported == 0 || registered == reported;
-}
-
-/** @brief Checks whether a worker is neither draining nor gone nor about to be moved or maintained. The entry of
- * another incarnation does not count, as the capacity and the labels may have changed. */
+/** @brief Checks whether a worker may still be sent a start that was decided earlier. */
 [[nodiscard]] auto is_in_service(const worker_slot& worker) -> bool
 {
-    return worker.m_registered && is_entry_current(worker) && worker.m_entry.m_state == worker_state::ready &&
-           !worker.m_cordoned;
+    return find_service_obstacle(worker) == worker_obstacle::none;
 }
 
 [[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
 {
-    return is_in_service(worker) && worker.m_has_reported && worker.m_lease_listed &&
-           worker.m_entry.m_service == service && !worker.m_unresponsive && worker.m_paused_until <= now &&
-           now - worker.m_last_report < report_age_limit;
+    return worker.m_entry.m_service == service && find_obstacle(worker, now) == worker_obstacle::none;
 }
 
 /** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
@@ -448,6 +433,11 @@
     return now < state.m_term_guaranteed_until && are_jobs_current(state, now) && are_workers_current(state, now);
 }
 
+auto are_leases_long_enough(const scheduler_state& state, const time_point now) -> bool
+{
+    return state.m_grant_limit >= now + state.m_settings.m_min_lease;
+}
+
 auto is_start_valid(const scheduler_state& state, const start_command& command, const time_point now) -> bool
 {
     const auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
@@ -484,7 +474,7 @@
 auto dispatch(scheduler_state& state, const time_point now) -> void
 {
     state.m_dispatch_requested = false;
-    if (state.m_grant_limit < now + state.m_settings.m_min_lease || !may_start(state, now)) {
+    if (!are_leases_long_enough(state, now) || !may_start(state, now)) {
         return;
     }
     for (const auto& [service, jobs] : state.m_active) {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -70,6 +70,9 @@
  */
 [[nodiscard]] auto may_start(const scheduler_state& state, time_point now) -> bool;
 
+/** @brief Checks whether a lease granted now would be long enough to start a task. */
+[[nodiscard]] auto are_leases_long_enough(const scheduler_state& state, time_point now) -> bool;
+
 /**
  * @brief Checks whether a start that was decided earlier may still be sent: its run has not been abandoned or stopped
  * meanwhile, its task has an attempt left, its worker is still in service and not over its present capacity, the term
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -58,13 +58,29 @@
     });
 }
 
+/** @brief Returns what rules out a worker that accepts new work for a task, or none. */
+[[nodiscard]] auto find_obstacle(const worker_slot& worker, const worker_index index, const resources& demand,
+                                 const placement_request& request, const time_point now) -> worker_obstacle
+{
+    const auto& spec = *request.m_spec;
+    if (!fits(demand, free_of(worker))) {
+        return worker_obstacle::no_capacity;
+    }
+    if (!has_required_label(spec, worker)) {
+        return worker_obstacle::no_label;
+    }
+    if (request.m_permits != nullptr && !has_permit(*request.m_permits, worker, index, now)) {
+        return worker_obstacle::no_permit;
+    }
+    const bool below_limit =
+        spec.m_max_per_worker <= 0 || tasks_of_step(worker, request.m_task) < spec.m_max_per_worker;
+    return below_limit ? worker_obstacle::none : worker_obstacle::step_limit;
+}
+
 [[nodiscard]] auto can_hold(const worker_slot& worker, const worker_index index, const resources& demand,
                             const placement_request& request, const time_point now) -> bool
 {
-    const auto& spec = *request.m_spec;
-    return fits(demand, free_of(worker)) && has_required_label(spec, worker) &&
-           (request.m_permits == nullptr || has_permit(*request.m_permits, worker, index, now)) &&
-           (spec.m_max_per_worker <= 0 || tasks_of_step(worker, request.m_task) < spec.m_max_per_worker);
+    return find_obstacle(worker, index, demand, request, now) == worker_obstacle::none;
 }
 
 [[nodiscard]] auto is_unplaceable(const placement_index& index, const resources& demand) -> bool
@@ -190,10 +206,16 @@
     }
 }
 
+auto find_placement_obstacle(const scheduler_state& state, const worker_index worker, const placement_request& request,
+                             const time_point now) -> worker_obstacle
+{
+    return find_obstacle(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
+}
+
 auto can_place(const scheduler_state& state, const worker_index worker, const placement_request& request,
                const time_point now) -> bool
 {
-    return can_hold(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
+    return find_placement_obstacle(state, worker, request, now) == worker_obstacle::none;
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_PLACEMENT_HPP
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <array>
 #include <compare>
@@ -78,6 +79,11 @@
 /** @brief Removes a worker from the index; does nothing if it is not a candidate. */
 auto remove_candidate(placement_index& index, const scheduler_state& state, worker_index worker) -> void;
 
+/** @brief Returns what rules out a worker that accepts new work for a task: capacity, label, permit or the limit of its
+ * step; none if it can hold the task. */
+[[nodiscard]] auto find_placement_obstacle(const scheduler_state& state, worker_index worker,
+                                           const placement_request& request, time_point now) -> worker_obstacle;
+
 /** @brief Checks whether a worker has the capacity, the label and the permit for a task. */
 [[nodiscard]] auto can_place(const scheduler_state& state, worker_index worker, const placement_request& request,
                              time_point now) -> bool;
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
@@ -0,0 +1,68 @@
+#include <cicadalug/scheduler/worker_obstacle.hpp>
+
+#include <array>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief A worker without a report for this long gets no new work; leases are renewed at least every second. */
+constexpr milliseconds report_age_limit{2'000};
+
+constexpr std::array<std::string_view, worker_obstacles> names{
+    "none",         "not_registered",   "other_incarnation", "draining",   "cordoned",
+    "not_reported", "lease_not_stored", "unresponsive",      "paused",     "report_too_old",
+    "in_trial",     "no_capacity",      "no_label",          "step_limit", "no_permit",
+};
+
+/** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
+ */
+[[nodiscard]] auto is_entry_current(const worker_slot& worker) -> bool
+{
+    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+    const auto reported = worker.m_incarnation_start_unix_ms;
+    return registered == 0 || reported == 0 || registered == reported;
+}
+
+} // namespace
+
+auto name_of(const worker_obstacle obstacle) noexcept -> std::string_view
+{
+    return names[static_cast<std::size_t>(obstacle)];
+}
+
+auto find_service_obstacle(const worker_slot& worker) -> worker_obstacle
+{
+    if (!worker.m_registered) {
+        return worker_obstacle::not_registered;
+    }
+    if (!is_entry_current(worker)) {
+        return worker_obstacle::other_incarnation;
+    }
+    if (worker.m_entry.m_state != worker_state::ready) {
+        return worker_obstacle::draining;
+    }
+    return worker.m_cordoned ? worker_obstacle::cordoned : worker_obstacle::none;
+}
+
+auto find_obstacle(const worker_slot& worker, const time_point now) -> worker_obstacle
+{
+    if (const auto found = find_service_obstacle(worker); found != worker_obstacle::none) {
+        return found;
+    }
+    if (!worker.m_has_reported) {
+        return worker_obstacle::not_reported;
+    }
+    if (!worker.m_lease_listed) {
+        return worker_obstacle::lease_not_stored;
+    }
+    if (worker.m_unresponsive) {
+        return worker_obstacle::unresponsive;
+    }
+    if (worker.m_paused_until > now) {
+        return worker_obstacle::paused;
+    }
+    return now - worker.m_last_report < report_age_limit ? worker_obstacle::none : worker_obstacle::report_too_old;
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
@@ -0,0 +1,51 @@
+#ifndef CICADALUG_SCHEDULER_WORKER_OBSTACLE_HPP
+#define CICADALUG_SCHEDULER_WORKER_OBSTACLE_HPP
+
+#include <cicadalug/scheduler/scheduler_state.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace cicadalug {
+
+/** @brief Why a worker gets no new work, or not a certain task. */
+enum class worker_obstacle : std::uint8_t {
+    none,
+    not_registered,
+    /** @brief The entry and the reports are of different incarnations, whose capacity and labels may differ. */
+    other_incarnation,
+    draining,
+    /** @brief The worker's VM is about to be moved or maintained. */
+    cordoned,
+    /** @brief The worker has not reported in this term. */
+    not_reported,
+    /** @brief The stored list of workers with leases does not name the worker yet. */
+    lease_not_stored,
+    unresponsive,
+    /** @brief Runs failed, or a start was rejected. */
+    paused,
+    report_too_old,
+    in_trial,
+    no_capacity,
+    no_label,
+    /** @brief The worker has as many tasks of the step as it may have. */
+    step_limit,
+    no_permit,
+};
+
+inline constexpr std::size_t worker_obstacles{static_cast<std::size_t>(worker_obstacle::no_permit) + 1};
+
+/** @brief Returns the name of an obstacle in log lines. */
+[[nodiscard]] auto name_of(worker_obstacle obstacle) noexcept -> std::string_view;
+
+/** @brief Returns why a worker may not even be sent a start that was decided earlier: it is draining or gone, about to
+ * be moved or maintained, or its entry is that of another incarnation. */
+[[nodiscard]] auto find_service_obstacle(const worker_slot& worker) -> worker_obstacle;
+
+/** @brief Returns the first reason for which a worker gets no new work of its service, whatever the task. */
+[[nodiscard]] auto find_obstacle(const worker_slot& worker, time_point now) -> worker_obstacle;
+
+} // namespace cicadalug
+
+#endif
