--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/wait_line.hpp>
 #include <cicadalug/scheduler/cancel_time.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/wait_cause.hpp>
@@ -31,33 +32,6 @@
 /** @brief Maximum number of waiting tasks that are logged in each load_log_interval; the others are counted. */
 constexpr std::size_t logged_waits{10};
 
-/** @brief Describes a waiting task, without the counts that are zero. */
-[[nodiscard]] auto describe(const task_wait& wait, const fencing_token token) -> log_line
-{
-    auto line = log_line{"task_waiting"}
-                    .with("request", wait.m_task.m_job)
-                    .with("step", wait.m_task.m_step)
-                    .with("index", wait.m_task.m_index)
-                    .with("waited_ms", to_ms(wait.m_waited))
-                    .with("cause", name_of(wait.m_cause))
-                    .with("token", token);
-    const auto add = [&line](const std::string_view name, const std::int64_t value) {
-        if (value != 0) {
-            line = std::move(line).with(name, value);
-        }
-    };
-    add("able", wait.m_workers.front());
-    for (std::size_t obstacle = 1; obstacle < wait.m_workers.size(); ++obstacle) {
-        add(name_of(static_cast<worker_obstacle>(obstacle)), wait.m_workers[obstacle]);
-    }
-    add("overcommitted", wait.m_overcommitted);
-    add("unreported", wait.m_unreported);
-    add("expected", wait.m_expected);
-    add("pause_left_ms", to_ms(wait.m_pause_left.value_or(microseconds{0})));
-    add("opening_ms", to_ms(wait.m_opening.value_or(microseconds{0})));
-    return line;
-}
-
 /** @brief Formats a duration in milliseconds for a log line; "unknown" if there is none. */
 template<typename Duration>
 [[nodiscard]] auto format_ms(const std::optional<Duration> time) -> std::string
@@ -162,7 +136,7 @@
     const auto waits = find_long_waits(m_state, logged_wait, logged_waits, now);
     m_settings.m_metrics->set_long_waits(waits.m_count);
     for (const auto& wait : waits.m_explained) {
-        LOG(INFO) << describe(wait, m_term.m_token);
+        LOG(INFO) << make_wait_line(wait, m_term.m_token);
     }
     if (waits.m_count > waits.m_explained.size()) {
         LOG(INFO) << log_line{"tasks_waiting"}.with("count", waits.m_count).with("token", m_term.m_token);
