Keep a worker free for a long-running task that finds no room

Callers saw a task that is to last without a run while its pool was busy with small tasks: LOST, which holds for such tasks however full the service is.

Cause: dispatch offers free capacity to long-running tasks first, but nothing lets it grow to what they need. Small tasks end one by one, and the next one takes each core that becomes free. The class is starvation by smaller requests.

A long-running task that no worker can hold now picks the worker with the most free capacity that can hold it beside its long-running runs, and nothing else starts there in the pass. long_running_room.a_long_running_task_is_not_starved_by_ smaller_tasks failed before: no start of two tasks of 12 cores in 3 s on two workers with a backlog of tasks of 4 cores. Now both start.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -344,6 +344,23 @@
     remove_candidate(pass.m_index, state, worker);
 }
 
+/** @brief Keeps less urgent tasks of this pass from a worker on which a long-running task will start. */
+auto keep_worker_free(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
+{
+    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
+    if (!spec.m_long_running) {
+        return;
+    }
+    const auto worker = choose_worker_to_free(pass.m_index, pass.m_state,
+                                              {&spec, task_of(waiting, index), &step.m_tasks[index].m_failed_workers,
+                                               waiting.m_needs_permit ? &step : nullptr},
+                                              pass.m_now);
+    if (worker != no_worker) {
+        remove_candidate(pass.m_index, pass.m_state, worker);
+    }
+}
+
 auto start_tasks(service_pass& pass, const waiting_step& waiting) -> void
 {
     auto& job = *waiting.m_job;
@@ -371,6 +388,7 @@
             if (waiting.m_needs_permit && !full) {
                 request_permits(pass.m_state, task, step, pass.m_index.m_candidates, pass.m_now);
             }
+            keep_worker_free(pass, waiting, index);
             // Suspects have workers of their own.
             full = true;
             continue;
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -77,6 +77,18 @@
     return below_limit ? worker_obstacle::none : worker_obstacle::step_limit;
 }
 
+/** @brief Returns the capacity that is free when all runs have ended but those of long-running tasks. */
+[[nodiscard]] auto capacity_beside_long_running(const worker_slot& worker) -> resources
+{
+    auto left = worker.m_entry.m_capacity;
+    for (const auto& run : worker.m_runs) {
+        if (run.m_long_running) {
+            left = left - run.m_demand;
+        }
+    }
+    return left;
+}
+
 [[nodiscard]] auto can_hold(const worker_slot& worker, const worker_index index, const resources& demand,
                             const placement_request& request, const time_point now) -> bool
 {
@@ -197,6 +209,24 @@
     return worker;
 }
 
+auto choose_worker_to_free(const placement_index& index, const scheduler_state& state, const placement_request& request,
+                           const time_point now) -> worker_index
+{
+    const auto demand = reserved_demand(*request.m_spec);
+    auto best = no_worker;
+    auto most_free = millicores{0};
+    for (const auto candidate : index.m_candidates) {
+        const auto& worker = slot_of(state, candidate);
+        const auto free_cpu = free_of(worker).m_cpu;
+        if ((best == no_worker || free_cpu > most_free) && fits(demand, capacity_beside_long_running(worker)) &&
+            find_obstacle(worker, candidate, {}, request, now) == worker_obstacle::none) {
+            best = candidate;
+            most_free = free_cpu;
+        }
+    }
+    return best;
+}
+
 auto remove_candidate(placement_index& index, const scheduler_state& state, const worker_index worker) -> void
 {
     std::erase(index.m_candidates, worker);
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -76,6 +76,21 @@
 [[nodiscard]] auto choose_worker(placement_index& index, const scheduler_state& state, const placement_request& request,
                                  time_point now) -> worker_index;
 
+/**
+ * @brief Selects the worker to be kept free for a long-running task that no worker can hold now.
+ *
+ * Load pattern: in a surge, the run of a small task ends every few milliseconds on each worker, and another small task
+ * takes its capacity. A larger task would never find enough of it.
+ * @param index The index.
+ * @param state The scheduler.
+ * @param request The task.
+ * @param now Current time.
+ * @return The worker with the most free CPU capacity among those that can hold the task as soon as their other runs
+ * have ended, long-running ones excepted; or no_worker.
+ */
+[[nodiscard]] auto choose_worker_to_free(const placement_index& index, const scheduler_state& state,
+                                         const placement_request& request, time_point now) -> worker_index;
+
 /** @brief Removes a worker from the index; does nothing if it is not a candidate. */
 auto remove_candidate(placement_index& index, const scheduler_state& state, worker_index worker) -> void;
 
