Leave and bring a worker for each long-running task with a limit per worker

Callers saw tasks that are to last without a run: LOST.

Cause: the demand of a pool was reckoned in cores only, so that moves took the workers that a restart needs. When workers were lost, the pool could not get others: capacity goes to the pool with the smallest share of what it requests, and while that one cannot be served, no other is.

The demand now has the number of workers that the widest limited step needs. No pool gives below that, and what pools lack of it is moved before any other demand. long_running_room.moves_leave_a_worker_for_each_task_of_a_step_with_a_limit failed before: 5 of 8 tasks run 7 s after the loss of three workers, beside a pool that takes all it can get; now 8 of 8.

--- a/packages/scheduler/src/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -54,6 +54,19 @@
     return cores;
 }
 
+/** @brief Returns the number of workers that the widest step of long-running tasks needs. Tasks of different steps can
+ * share a worker. */
+[[nodiscard]] auto long_running_workers(const job_entry& job) -> std::int64_t
+{
+    std::int64_t most{0};
+    for (const auto& step : job.m_record.m_spec.m_steps) {
+        if (step.m_long_running && step.m_max_per_worker > 0) {
+            most = std::max(most, (step.m_count + step.m_max_per_worker - 1) / step.m_max_per_worker);
+        }
+    }
+    return most;
+}
+
 /** @brief Checks whether the service's next expected surge is so close that moves for it have to begin now. */
 [[nodiscard]] auto is_surge_imminent(const demand_state& demand, const service_demand& entry, const time_point now)
     -> bool
@@ -146,6 +159,7 @@
         entry.m_ready_core_ms = 0.0;
         entry.m_late_ready_core_ms = 0.0;
         entry.m_long_running_cores = 0.0;
+        entry.m_long_running_workers = 0;
     }
     for (const auto& [service, jobs] : state.m_active) {
         auto& entry = demand.m_services[service];
@@ -156,6 +170,7 @@
                                                                     : entry.m_late_ready_core_ms) +=
                 work.m_ready_core_ms;
             entry.m_long_running_cores += long_running_cores(*job);
+            entry.m_long_running_workers = std::max(entry.m_long_running_workers, long_running_workers(*job));
             // Recovered jobs arrived some time ago and do not count towards the current rate.
             if (!first && !job->m_recovered && job->m_arrived > demand.m_updated) {
                 entry.m_rate_cores +=
--- a/packages/scheduler/src/cicadalug/scheduler/demand.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.hpp
@@ -63,6 +63,8 @@
     double m_late_ready_core_ms{0.0};
     /** @brief Cores reserved by long-running tasks. */
     double m_long_running_cores{0.0};
+    /** @brief Workers that a step of long-running tasks needs, as each of them may hold only some of its tasks. */
+    std::int64_t m_long_running_workers{0};
     /** @brief Cores of the pool when the VMs were first listed; surges are measured relative to them. */
     double m_own_cores{0.0};
     bool m_surging{false};
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <utility>
 
 namespace cicadalug {
@@ -126,6 +127,16 @@
     }
 }
 
+/** @brief Which capacity a pool gives to another one. */
+enum class lending : std::uint8_t {
+    /** @brief What it does not need. */
+    surplus,
+    /** @brief Also what it needs less than the other one. */
+    less_needed,
+    /** @brief All but what its long-running tasks need. */
+    all_but_least,
+};
+
 /** @brief Available and required capacity of the pools while moves are planned, in cores. */
 struct pool_balance {
     std::map<service_id, double> m_needed_cores;
@@ -133,6 +144,8 @@
     std::map<service_id, double> m_available_cores;
     /** @brief A pool keeps at least this much as long as no other pool has a greater shortage. */
     std::map<service_id, double> m_retained_cores;
+    /** @brief A pool keeps this much even if others need it more: each of its long-running tasks has a worker. */
+    std::map<service_id, double> m_least_cores;
     double m_cores_per_vm{0.0};
 };
 
@@ -150,8 +163,10 @@
         if (standby.contains(service)) {
             continue;
         }
-        balance.m_needed_cores[service] = needed_cores(demand, service, now) * headroom;
-        balance.m_target_cores[service] = target_cores(demand, service, now) * headroom;
+        const auto least = static_cast<double>(entry.m_long_running_workers) * balance.m_cores_per_vm;
+        balance.m_least_cores[service] = least;
+        balance.m_needed_cores[service] = std::max(least, needed_cores(demand, service, now) * headroom);
+        balance.m_target_cores[service] = std::max(least, target_cores(demand, service, now) * headroom);
         balance.m_available_cores[service] = pool_cores(state, moves, service, balance.m_cores_per_vm);
         balance.m_retained_cores[service] = balance.m_target_cores[service];
         if (!can_lend(demand, service)) {
@@ -165,25 +180,30 @@
 
 /** @brief Checks whether a pool can give a VM to one that then has the given share of its requested capacity. */
 [[nodiscard]] auto can_give(const pool_balance& balance, const move_settings& settings, const service_id& source,
-                            const double share_of_target, const bool from_busy) -> bool
+                            const double share_of_target, const lending from) -> bool
 {
     const auto available = balance.m_available_cores.find(source);
     if (available == balance.m_available_cores.end()) {
         return false;
     }
     const auto remaining = available->second - balance.m_cores_per_vm;
-    return remaining >= balance.m_retained_cores.at(source) ||
-           (from_busy &&
-            remaining / std::max(1.0, balance.m_needed_cores.at(source)) > share_of_target + settings.m_advantage);
+    if (remaining >= balance.m_retained_cores.at(source)) {
+        return true;
+    }
+    if (from == lending::surplus || remaining < balance.m_least_cores.at(source)) {
+        return false;
+    }
+    return from == lending::all_but_least ||
+           remaining / std::max(1.0, balance.m_needed_cores.at(source)) > share_of_target + settings.m_advantage;
 }
 
 /**
  * @brief Moves VMs to the pools that lack capacity.
  * @param requested Cores requested by the pools; the pool with the smallest share of them is served first.
- * @param from_busy Whether VMs may be taken from a pool that needs them too, but less.
+ * @param from Which VMs may be taken from other pools.
  */
 auto fill_pools(scheduler_state& state, const move_settings& settings, move_state& moves, pool_balance& balance,
-                const std::map<service_id, double>& requested, const bool from_busy, std::vector<candidate>& candidates,
+                const std::map<service_id, double>& requested, const lending from, std::vector<candidate>& candidates,
                 const std::set<service_id>& standby, const time_point now) -> void
 {
     auto& available = balance.m_available_cores;
@@ -206,9 +226,9 @@
                 continue;
             }
             const auto& source = chosen.m_vm->m_pool;
-            const bool spare = standby.contains(source) ||
-                               (can_give(balance, settings, source, ratio(target, cores_per_vm), from_busy) &&
-                                pool_size(state, source) > settings.m_min_pool_size);
+            const bool spare =
+                standby.contains(source) || (can_give(balance, settings, source, ratio(target, cores_per_vm), from) &&
+                                             pool_size(state, source) > settings.m_min_pool_size);
             if (spare) {
                 begin_move(state, moves, chosen, target, now);
                 available[target] += cores_per_vm;
@@ -272,9 +292,11 @@
     remove_ended_moves(state, settings, moves, vms, now);
     auto candidates = collect_candidates(state, moves, vms, standby, reserved, now);
     auto balance = balance_pools(state, demand, settings, moves, vms, standby, now);
-    // Present work takes precedence over expected work.
-    fill_pools(state, settings, moves, balance, balance.m_needed_cores, true, candidates, standby, now);
-    fill_pools(state, settings, moves, balance, balance.m_target_cores, false, candidates, standby, now);
+    // Long-running tasks go before other work, and present work before expected work.
+    fill_pools(state, settings, moves, balance, balance.m_least_cores, lending::all_but_least, candidates, standby,
+               now);
+    fill_pools(state, settings, moves, balance, balance.m_needed_cores, lending::less_needed, candidates, standby, now);
+    fill_pools(state, settings, moves, balance, balance.m_target_cores, lending::surplus, candidates, standby, now);
     return_idle_vms(state, demand, settings, moves, balance, candidates, standby, now);
     std::vector<move_command> commands;
     for (const auto& vm : vms) {
--- a/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
@@ -41,4 +41,45 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 1}), 1);
 }
 
+// Guards against long-running tasks without a worker, since moves have left fewer workers than a step needs with its
+// limit for each of them.
+TEST(long_running_room, moves_leave_a_worker_for_each_task_of_a_step_with_a_limit)
+{
+    scheduler_simulation simulation;
+    simulation.add_vms("quotes", 9);
+    simulation.add_vms("orders", 9);
+    simulation.add_standby("spare", 1);
+    simulation.run_for(milliseconds{210});
+    const auto job = simulation.submit(make_wide_job(8, 2'000));
+    simulation.run_for(milliseconds{500});
+    for (int tick = 0; tick < 100; ++tick) {
+        for (int number = 0; number < 5; ++number) {
+            static_cast<void>(simulation.submit(make_job("orders", 6, 3'000, milliseconds{900})));
+        }
+        simulation.run_for(milliseconds{100});
+    }
+    ASSERT_GT(simulation.m_move_count, 0);
+    // Workers that are lost for good, each with a task: others have to come from the pools that took them.
+    const auto running = [&] {
+        std::int64_t count{0};
+        for (std::int64_t index = 0; index < 8; ++index) {
+            count += find_task(simulation.m_state, {job, 0, 0, index})->m_phase == task_phase::running ? 1 : 0;
+        }
+        return count;
+    };
+    ASSERT_EQ(running(), 8);
+    for (int lost = 0; lost < 3; ++lost) {
+        const auto task = find_task(simulation.m_state, {job, 0, 0, lost});
+        simulation.lose(simulation.m_state.m_workers.at(static_cast<std::size_t>(task->m_worker)).m_entry.m_id);
+    }
+    // The leases of the lost workers, a move, and the rule's 3 s.
+    for (int tick = 0; tick < 70; ++tick) {
+        for (int number = 0; number < 5; ++number) {
+            static_cast<void>(simulation.submit(make_job("orders", 6, 3'000, milliseconds{900})));
+        }
+        simulation.run_for(milliseconds{100});
+    }
+    EXPECT_EQ(running(), 8);
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -269,6 +269,14 @@
     ++m_crash_count;
 }
 
+auto scheduler_simulation::lose(const worker_id& id) -> void
+{
+    std::erase_if(m_vms, [&id](const vm_status& vm) { return vm.m_worker == id; });
+    m_registry.erase(id);
+    m_workers.erase(id);
+    apply_registry_now();
+}
+
 auto scheduler_simulation::crash_workers() -> void
 {
     while (!m_crashes.empty() && m_crashes.begin()->first <= m_now) {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -60,6 +60,8 @@
     auto set_capacity(const worker_id& id, std::int64_t cpu) -> void;
     /** @brief Crashes a worker. It restarts after m_restart_time. */
     auto crash(const worker_id& id) -> void;
+    /** @brief Removes a worker and its VM for good. */
+    auto lose(const worker_id& id) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
     auto take_over() -> void;
 
