Give a worker work again after its maintenance was rejected

A worker whose VM the platform did not accept for a wave (not part of the wave, or no such VM) got no new work for the rest of the term, and its tasks counted as unavailable, so that no other VM with a task of the same step could be maintained.

Cause: the result was recorded as begun maintenance, which the next plan took to mean that the worker had terminated; neither the cordon nor the mark that its runs are about to end was removed.

Evidence: the results of maintenance commands are now applied in the scheduler, beside those of moves, with the old decisions first. The new test failed on them for both results: the task's availability stayed at 0 instead of 100, and a second long-running task had 0 starts instead of 1 on the only worker.

A rejection now withdraws the command, removes the cordon and releases the worker; the wave still does not wait for the VM.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -165,32 +165,20 @@
     }
     LOG(INFO)
         << log_line{"upkeep_ordered"}.with("wave", number).with("vm", vm).with("result", static_cast<int>(result));
-    auto& progress = m_waves[number].m_progress;
     if (result == vm_command_result::unknown) {
         m_unanswered_maintenance.insert(vm);
         co_return;
     }
     m_unanswered_maintenance.erase(vm);
-    if (result == vm_command_result::fenced) {
-        m_dependencies.m_state->m_deposed = true;
-        m_dependencies.m_on_change();
-    }
-    else if (result == vm_command_result::not_in_wave || result == vm_command_result::no_such_vm) {
-        progress.m_begun.insert(vm);
-        progress.m_down.erase(vm);
-        m_waves[number].m_dirty = true;
-    }
-    else if (result == vm_command_result::not_done) {
-        withdraw_maintenance(*m_dependencies.m_state, progress, vm, command.m_worker);
-    }
-    else if (result == vm_command_result::accepted) {
-        const auto accepted = monotonic_now();
-        progress.m_begun.insert(vm);
-        progress.m_down[vm] = accepted;
-        m_waves[number].m_dirty = true;
+    const auto answered = monotonic_now();
+    auto& wave = m_waves[number];
+    apply_maintenance_result(*m_dependencies.m_state, wave.m_progress, vm, command.m_worker, result, answered);
+    wave.m_dirty = wave.m_dirty || wave.m_progress.m_begun.contains(vm);
+    m_dependencies.m_on_change();
+    if (result == vm_command_result::accepted) {
         // The command is also accepted if the maintenance was done before; the list shows whether this worker has
         // ended.
-        m_unconfirmed_ends[vm] = {command.m_worker, accepted};
+        m_unconfirmed_ends[vm] = {command.m_worker, answered};
         // In a wave, commands are accepted in quick succession; they share a list, which has several pages.
         m_list_requested = true;
     }
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -37,7 +37,7 @@
     scheduler_state* m_state{nullptr};
     /** @brief Checks that the term continues and that its lease is certain to be held. */
     std::function<bool()> m_can_send_commands;
-    /** @brief Called when runs have ended or another decider has been detected. */
+    /** @brief Called when runs have ended, a worker accepts work again, or another decider has been detected. */
     std::function<void()> m_on_change;
 };
 
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -279,6 +279,32 @@
     set_runs_ending(state, worker, false);
 }
 
+auto apply_maintenance_result(scheduler_state& state, wave_progress_state& wave, const vm_id& vm,
+                              const worker_id& worker, const vm_command_result result, const time_point now) -> void
+{
+    switch (result) {
+    case vm_command_result::accepted:
+        wave.m_begun.insert(vm);
+        wave.m_down[vm] = now;
+        return;
+    case vm_command_result::fenced:
+        state.m_deposed = true;
+        return;
+    case vm_command_result::not_done:
+        withdraw_maintenance(state, wave, vm, worker);
+        return;
+    case vm_command_result::not_in_wave:
+    case vm_command_result::no_such_vm:
+        withdraw_maintenance(state, wave, vm, worker);
+        wave.m_cordoned.erase(vm);
+        wave.m_begun.insert(vm);
+        release_worker(state, worker);
+        return;
+    case vm_command_result::unknown:
+        return;
+    }
+}
+
 auto worker_presence_after(const vm_list& list, const vm_id& vm, const worker_id& worker, const time_point accepted)
     -> worker_presence
 {
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -96,6 +96,22 @@
 auto withdraw_maintenance(scheduler_state& state, wave_progress_state& wave, const vm_id& vm, const worker_id& worker)
     -> void;
 
+/**
+ * @brief Applies the result of a maintenance command.
+ *
+ * A rejected command has no effect. If it may be accepted later, the VM stays cordoned; if the VM is not part of the
+ * wave or does not exist, its worker accepts work again and the wave does not wait for it. Without a response the VM
+ * counts as down, since the command may still be carried out.
+ * @param state The scheduler.
+ * @param wave The wave.
+ * @param vm The VM.
+ * @param worker The worker that ran on it when the command was planned.
+ * @param result The result.
+ * @param now When the response arrived.
+ */
+auto apply_maintenance_result(scheduler_state& state, wave_progress_state& wave, const vm_id& vm,
+                              const worker_id& worker, vm_command_result result, time_point now) -> void;
+
 /** @brief What a list of VMs shows about a worker after a command for its VM was accepted. */
 enum class worker_presence : std::uint8_t {
     /** @brief The list may be older than the command. */
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -133,6 +133,33 @@
     }
 }
 
+// Guards against a worker that gets no work for good, and whose tasks count as unavailable, after the platform has
+// rejected the maintenance of its VM.
+TEST(maintenance, a_vm_that_is_not_part_of_the_wave_gets_work_again)
+{
+    for (const auto result : {vm_command_result::not_in_wave, vm_command_result::no_such_vm}) {
+        scheduler_simulation simulation;
+        simulation.begin_with("ledger", 1);
+        const auto job = simulation.submit(make_long_running_job("ledger", 1, 1));
+        simulation.run_for(milliseconds{200});
+        auto wave = make_wave(simulation, 1);
+        const auto plan = [&] {
+            return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                    simulation.listed_vms(), {}, simulation.now());
+        };
+        const auto begun = plan();
+        ASSERT_EQ(begun.size(), 1U);
+        apply_maintenance_result(simulation.m_state, wave, begun.front(), worker_id{"w1"}, result, simulation.now());
+        EXPECT_TRUE(plan().empty());
+        EXPECT_TRUE(is_wave_completed(wave)) << "the wave does not wait for the VM";
+        simulation.run_for(milliseconds{100});
+        EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, 0})->m_percent, 100);
+        const auto next = simulation.submit(make_long_running_job("ledger", 1, 1));
+        simulation.run_for(milliseconds{100});
+        EXPECT_EQ(simulation.starts_of({next, 0, 0, 0}), 1);
+    }
+}
+
 // Guards against a command for a VM for which another decider has just sent one.
 TEST(maintenance, skips_vms_with_a_recent_command_of_another_decider)
 {
