Stop a task for maintenance only if another worker can take it

Long-running tasks of a step with several tasks on one VM of a wave were stopped and started again every half second, as long as no other worker had room for them, and worked hardly at all.

Cause: a step with more tasks on a VM than its disruption budget is spread by stopping tasks, without a check that they can be placed on another worker. A worker that is not cordoned yet gets the task again; if it is cordoned, the task waits.

Evidence: in the new test a wave is due for two VMs, of which only one has room for the two tasks of a step.

A task is now stopped only if another worker accepts it. If its own worker still accepts work, the other one must have fewer tasks of the step, so that placement prefers it and the numbers converge. The wave goes on as soon as another worker has room, which the test checks, too.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -1,5 +1,8 @@
+#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/maintenance.hpp>
+#include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -79,14 +82,37 @@
     return std::clamp<std::int64_t>(needed, 1, std::max<std::int64_t>(1, wave.m_request.m_concurrency));
 }
 
-/** @brief Stops a task whose step has too many tasks on one worker, if its disruption budget currently allows that. The
- * worker is cordoned, so the task is restarted elsewhere. */
-auto evacuate(scheduler_state& state, const task_ref& task, const worker_index index) -> void
+/** @brief Checks whether a task would be restarted on another worker if it was stopped. A worker that is not cordoned
+ * could get the task again; the other one must then have fewer tasks of the step even with it. */
+[[nodiscard]] auto has_place_elsewhere(const scheduler_state& state, const job_entry& job, const task_ref& task,
+                                       const task_state& known, const worker_index index, const time_point now) -> bool
+{
+    const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    const auto& policy = job.m_record.m_policy;
+    const bool needs_permit = state.m_permit_queues.contains(policy.m_queue);
+    const placement_request request{&step_of(job, task), task, &known.m_failed_workers,
+                                    needs_permit ? find_step(job, task) : nullptr};
+    const auto members = tasks_of_step(worker, task);
+    const auto& failed = known.m_failed_workers;
+    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index other) {
+        const auto& slot = state.m_workers[static_cast<std::size_t>(other)];
+        const bool preferred = worker.m_cordoned || (tasks_of_step(slot, task) + 1 < members &&
+                                                     std::find(failed.begin(), failed.end(), other) == failed.end());
+        return other != index && slot.m_entry.m_service == policy.m_service && preferred &&
+               find_obstacle(slot, now) == worker_obstacle::none && !is_in_trial(state, other) &&
+               can_place(state, other, request, now);
+    });
+}
+
+/** @brief Stops a task whose step has too many tasks on one worker, if its disruption budget currently allows that and
+ * another worker has room for it. */
+auto evacuate(scheduler_state& state, const task_ref& task, const worker_index index, const time_point now) -> void
 {
     const auto* job = find_job(state, task.m_job);
     auto* known = find_task(state, task);
     if (job == nullptr || known == nullptr || known->m_percent < ready_percent ||
-        unavailable_tasks(*job, task, no_worker) >= step_of(*job, task).m_disruption_budget) {
+        unavailable_tasks(*job, task, no_worker) >= step_of(*job, task).m_disruption_budget ||
+        !has_place_elsewhere(state, *job, task, *known, index, now)) {
         return;
     }
     for (auto& run : state.m_workers[static_cast<std::size_t>(index)].m_runs) {
@@ -99,7 +125,7 @@
 
 /** @brief Spreads steps with more tasks on a VM of the wave than their disruption budget, before that VM is due. */
 auto evacuate_overcrowded_vms(scheduler_state& state, const wave_progress_state& wave,
-                              const std::vector<vm_status>& vms) -> void
+                              const std::vector<vm_status>& vms, const time_point now) -> void
 {
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
@@ -118,7 +144,7 @@
                 return other.m_task.m_job == run.m_task.m_job && other.m_task.m_step == run.m_task.m_step;
             });
             if (budget > 0 && members > budget) {
-                evacuate(state, run.m_task, index);
+                evacuate(state, run.m_task, index, now);
             }
         }
     }
@@ -241,7 +267,7 @@
     const auto unconfirmed =
         std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
                       [&](const vm_id& id) { return reserved.contains(id) && !wave.m_down.contains(id); });
-    evacuate_overcrowded_vms(state, wave, vms);
+    evacuate_overcrowded_vms(state, wave, vms, now);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
     for (const auto& [id, since] : wave.m_cordoned) {
@@ -262,7 +288,7 @@
             continue;
         }
         if (const auto blocking = blocking_task(state, vm->m_worker)) {
-            evacuate(state, *blocking, index);
+            evacuate(state, *blocking, index, now);
             continue;
         }
         wave.m_down.emplace(id, now);
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -50,14 +50,6 @@
     return has_long_running_task(worker) ? 0 : 1;
 }
 
-[[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t
-{
-    return std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&task](const placed_run& run) {
-        return run.m_task.m_job == task.m_job && run.m_task.m_occurrence == task.m_occurrence &&
-               run.m_task.m_step == task.m_step;
-    });
-}
-
 /** @brief Returns what rules out a worker that accepts new work for a task, or none. */
 [[nodiscard]] auto find_obstacle(const worker_slot& worker, const worker_index index, const resources& demand,
                                  const placement_request& request, const time_point now) -> worker_obstacle
@@ -212,6 +204,14 @@
     return find_obstacle(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
 }
 
+auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t
+{
+    return std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&task](const placed_run& run) {
+        return run.m_task.m_job == task.m_job && run.m_task.m_occurrence == task.m_occurrence &&
+               run.m_task.m_step == task.m_step;
+    });
+}
+
 auto can_place(const scheduler_state& state, const worker_index worker, const placement_request& request,
                const time_point now) -> bool
 {
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -84,6 +84,9 @@
 [[nodiscard]] auto find_placement_obstacle(const scheduler_state& state, worker_index worker,
                                            const placement_request& request, time_point now) -> worker_obstacle;
 
+/** @brief Returns the number of tasks of a step on a worker. */
+[[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t;
+
 /** @brief Checks whether a worker has the capacity, the label and the permit for a task. */
 [[nodiscard]] auto can_place(const scheduler_state& state, worker_index worker, const placement_request& request,
                              time_point now) -> bool;
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace cicadalug::test {
@@ -22,6 +23,56 @@
     return wave;
 }
 
+/** @brief Carries out a wave: the workers of VMs that are taken down crash, and start again under another id. */
+class wave_simulation {
+public:
+    wave_simulation(scheduler_simulation& simulation, wave_progress_state& wave)
+        : m_simulation{simulation}, m_wave{wave}
+    {
+    }
+
+    auto run_for(const milliseconds time) -> void
+    {
+        for (const auto end = m_simulation.now() + time; m_simulation.now() < end;) {
+            update_vms();
+            for (const auto& id : plan_maintenance(m_simulation.m_state, m_simulation.m_maintenance_settings, m_wave,
+                                                   m_simulation.listed_vms(), {}, m_simulation.now())) {
+                begin(id);
+            }
+            m_simulation.run_for(milliseconds{100});
+        }
+    }
+
+private:
+    auto begin(const vm_id& id) -> void
+    {
+        const auto vm = std::find_if(m_simulation.m_vms.begin(), m_simulation.m_vms.end(),
+                                     [&id](const vm_status& listed) { return listed.m_vm == id; });
+        vm->m_phase = vm_phase::in_maintenance;
+        m_simulation.m_restart_time = m_simulation.m_maintenance_settings.m_maintenance_time;
+        m_simulation.crash(vm->m_worker);
+        apply_maintenance_result(m_simulation.m_state, m_wave, id, vm->m_worker, vm_command_result::accepted,
+                                 m_simulation.now());
+        end_runs_of_worker(m_simulation.m_state, find_worker(m_simulation.m_state, vm->m_worker), m_simulation.now());
+    }
+
+    /** @brief Lists the VMs as up whose new worker is registered. */
+    auto update_vms() -> void
+    {
+        for (const auto& worker : m_simulation.m_state.m_workers) {
+            for (auto& vm : m_simulation.m_vms) {
+                if (worker.m_registered && worker.m_entry.m_vm == vm.m_vm && worker.m_entry.m_id != vm.m_worker) {
+                    vm.m_worker = worker.m_entry.m_id;
+                    vm.m_phase = vm_phase::up;
+                }
+            }
+        }
+    }
+
+    scheduler_simulation& m_simulation;
+    wave_progress_state& m_wave;
+};
+
 } // namespace
 
 // Guards against maintenance that makes two tasks of a step unavailable when its budget allows only one.
@@ -194,6 +245,25 @@
     EXPECT_EQ(begun, 1U);
 }
 
+// Guards against tasks that are stopped again and again, as the only worker with room for them is the one that they
+// were stopped on.
+TEST(maintenance, no_task_is_stopped_without_a_place_on_another_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    simulation.set_capacity(worker_id{"w2"}, 1'000);
+    static_cast<void>(simulation.submit(make_long_running_job("ledger", 2, 1)));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.m_state.m_workers[0].m_runs.size(), 2U);
+    auto wave = make_wave(simulation, 1);
+    wave_simulation maintained{simulation, wave};
+    maintained.run_for(milliseconds{10'000});
+    EXPECT_EQ(simulation.total_starts(), 2);
+    simulation.set_capacity(simulation.m_vms[1].m_worker, 32'000);
+    maintained.run_for(milliseconds{20'000});
+    EXPECT_TRUE(is_wave_completed(wave)) << "the other worker has room now";
+}
+
 // Guards against more VMs down at once than the operator allows, because another decider took some of them down.
 TEST(maintenance, vms_with_commands_of_the_last_decider_count_as_down)
 {
