Keep a newer trial when an inherited one ends

After a takeover, a suspect was never started again and a worker accepted no other work for the rest of the term, when the worker of the last decider's trial reported between the plan of another trial and the end of its write.

The look at the inherited trial removed whatever trial the task's progress recorded. The newer one was then never stored, so that its start was never allowed, and nothing ended it. If the newer one had been started already, a successor would not have seen its crash.

A trial is now removed by its run number, and a planned trial that the progress records no more ends.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -99,12 +99,19 @@
     mark_dirty(state, *job);
 }
 
-/** @brief Removes the stored trial of a task, so that a successor does not take it for one that goes on. */
-auto remove_stored_trial(scheduler_state& state, const task_ref& task) -> void
+/** @brief Checks whether the progress of a task records a trial. */
+[[nodiscard]] auto is_recorded(const task_state& task, const stored_trial& trial) -> bool
+{
+    return task.m_trial && task.m_trial->m_run == trial.m_run;
+}
+
+/** @brief Removes a trial from the store, so that a successor does not take it for one that goes on. A newer trial of
+ * the task stays. */
+auto remove_stored_trial(scheduler_state& state, const task_ref& task, const stored_trial& trial) -> void
 {
     auto* job = find_job(state, task.m_job);
     auto* found = find_task(state, task);
-    if (job != nullptr && found != nullptr && found->m_trial && !is_final(job->m_state)) {
+    if (job != nullptr && found != nullptr && is_recorded(*found, trial) && !is_final(job->m_state)) {
         found->m_trial.reset();
         mark_dirty(state, *job);
     }
@@ -127,12 +134,12 @@
         return true;
     }
     if (!trial.m_started) {
-        return task->m_phase != task_phase::waiting || !task->m_suspect;
+        return task->m_phase != task_phase::waiting || !task->m_suspect || !is_recorded(*task, trial.m_stored);
     }
     const auto* run = find_placed(slot_of(state, trial.m_worker), trial);
     if (run == nullptr) {
         if (!awaits_evidence(slot_of(state, trial.m_worker), trial)) {
-            remove_stored_trial(state, trial.m_task);
+            remove_stored_trial(state, trial.m_task, trial.m_stored);
         }
         return true;
     }
@@ -200,7 +207,7 @@
             state.m_recovered_trials.push_back(std::move(trial));
         }
         else {
-            remove_stored_trial(state, trial.m_task);
+            remove_stored_trial(state, trial.m_task, trial.m_stored);
         }
     }
 }
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -330,6 +330,41 @@
     EXPECT_TRUE(task->m_crashed_runs.empty());
 }
 
+// Guards against a task that is never started again, and a worker that stays reserved for it: the worker of the last
+// decider's trial reports after this decider has planned another trial, and before that is stored.
+TEST(crash_suspicion_evidence, the_end_of_an_inherited_trial_leaves_a_newer_one_planned)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 3);
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{20'000}));
+    const task_ref task{job, 0, 0, 0};
+    find_task(simulation.m_state, task)->m_suspect = true;
+    find_step(*find_job(simulation.m_state, job), task)->m_opened = true;
+    for (int tick = 0; tick < 100 && simulation.starts_of(task) == 0; ++tick) {
+        simulation.run_for(milliseconds{10});
+    }
+    ASSERT_EQ(simulation.m_state.m_trials.size(), 1U);
+    auto& last = simulation.worker(simulation.m_state.m_trials.front().m_stored.m_worker.str());
+    last.m_reachable = false;
+    last.m_runs.clear();
+    simulation.take_over();
+    // The leases of the other workers are listed in this time.
+    simulation.run_for(milliseconds{100});
+    simulation.m_store_up = false;
+    for (int tick = 0; tick < 1'000 && simulation.m_state.m_trials.empty(); ++tick) {
+        simulation.run_for(milliseconds{10});
+    }
+    ASSERT_EQ(simulation.m_state.m_trials.size(), 1U);
+    ASSERT_EQ(simulation.m_state.m_recovered_trials.size(), 1U);
+    last.m_reachable = true;
+    simulation.run_for(milliseconds{50});
+    simulation.m_store_up = true;
+    simulation.run_for(milliseconds{1'000});
+    EXPECT_EQ(simulation.starts_of(task), 2);
+    EXPECT_TRUE(simulation.m_state.m_trials.empty());
+    EXPECT_FALSE(is_suspect(*find_task(simulation.m_state, task)));
+}
+
 // Guards against a task that crashes workers which never return: without evidence, its trials would never end.
 TEST(crash_suspicion_evidence, a_task_whose_trials_are_lost_again_and_again_is_given_up)
 {
