--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -64,6 +64,8 @@
     std::map<std::string, milliseconds> m_delays;
     /** @brief Worker that the registry has lost, as one that is cut off from the store; empty for none. */
     std::string m_unregistered;
+    /** @brief Worker whose own entry is not written, as another writer overwrites it; empty for none. */
+    std::string m_overwritten;
     /** @brief Time before writes that put a key are executed. */
     std::map<std::string, milliseconds> m_held_writes;
     /** @brief How long a run takes that starts from now on. */
@@ -193,7 +195,7 @@
         for (std::int64_t sequence = 1;; ++sequence) {
             for (std::size_t index = 0; index < m_workers.size(); ++index) {
                 const auto& worker = m_workers[index];
-                if (worker.id() == m_faults.m_unregistered) {
+                if (worker.id() == m_faults.m_unregistered || worker.id() == m_faults.m_overwritten) {
                     continue;
                 }
                 const json entry{{"service", "batch"},
@@ -370,12 +372,18 @@
         }
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
+        m_faults.m_overwritten = body.value("overwritten", m_faults.m_overwritten);
         m_faults.m_unregistered = body.value("unregistered", m_faults.m_unregistered);
         if (!m_faults.m_unregistered.empty()) {
             static_cast<void>(m_store.write({{"expected_rev", json::array()},
                                              {"puts", json::array()},
                                              {"remove", json::array({"servers/" + m_faults.m_unregistered})}}));
         }
+        // Entries of another writer among those of the workers, without a lease: any text by id.
+        const auto entries = body.value("entries", json::object());
+        for (const auto& [id, value] : entries.items()) {
+            put("servers/" + id, value.get<std::string>(), 0);
+        }
         const auto delays = body.value("delays_ms", json::object());
         for (const auto& [path, delay] : delays.items()) {
             m_faults.m_delays[path] = milliseconds{delay.get<std::int64_t>()};
