Log an unusable registry entry once for each change

What operators saw: a line worker_entry_unusable for each write of the entry. Its writer may repeat it with each heartbeat, in which only a sequence number differs, and each reading of the list repeats all of them.

Cause: the line was logged wherever an entry was decoded, whether or not it had been reported before.

Now the findings of each unusable entry are kept by key, and logged if they differ from those that were logged last. There is no test of its own, as the process tests do not read the logs.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -215,6 +215,10 @@
     for (const auto& item : page.m_items) {
         apply_worker_entry(item.m_key, item.m_value);
     }
+    std::erase_if(m_unusable_entries, [&page](const auto& logged) {
+        return std::none_of(page.m_items.begin(), page.m_items.end(),
+                            [&logged](const store_item& item) { return item.m_key == logged.first; });
+    });
     record_workers_read(sent);
     apply_workers();
     co_return true;
@@ -327,14 +331,21 @@
 {
     if (!value) {
         m_registry.erase(key);
+        m_unusable_entries.erase(key);
         return;
     }
     auto entry = decode_worker(key, *value);
     if (!entry) {
-        LOG(WARNING) << log_line{"worker_entry_unusable"}.with("findings", entry.assume_error().to_string());
         m_registry.erase(key);
+        // Its writer may repeat the entry with each heartbeat.
+        auto& logged = m_unusable_entries[key];
+        if (auto text = entry.assume_error().to_string(); text != logged) {
+            LOG(WARNING) << log_line{"worker_entry_unusable"}.with("findings", text);
+            logged = std::move(text);
+        }
         return;
     }
+    m_unusable_entries.erase(key);
     m_registry.insert_or_assign(key, std::move(entry).assume_value());
 }
 
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -170,6 +170,8 @@
     std::shared_ptr<fleet_controller> m_fleet_controller;
     scheduler_state m_state;
     std::map<std::string, worker_entry> m_registry;
+    /** @brief Findings of the registry's unusable entries that have been logged, by key. */
+    std::map<std::string, std::string> m_unusable_entries;
     std::shared_ptr<relay_sessions> m_relays;
     bool m_uses_relays{false};
     /** @brief When the first relays are waited for at most. */
