Start long-running tasks on paused workers when no other can hold them

Callers saw a long-running task without a run for up to 12 s although a worker had room.

A worker is paused after three failed runs in a row, and each further failure doubles the pause up to 12 s. Long-running tasks never end as done, which is what ends the row, and may fail at any time for reasons of their own. Once the only workers that can hold a task were paused, nothing started it until the pause was over.

A long-running task that has waited for 1 s is now started on a paused worker if no other worker can hold it. The wait counts from its last run, so that a worker that fails the task at once gets one start a second. Other tasks still avoid paused workers. A pause is now the last obstacle that is looked at, so that a paused worker has no other one.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -32,6 +32,10 @@
 /** @brief Upper bound of the tolerance, as a share of the run time. */
 constexpr double tolerance_limit{0.15};
 
+/** @brief A long-running task that has waited this long uses paused workers, too. It bounds the time without a run, and
+ * the rate at which the task is started on a worker that fails it at once. */
+constexpr milliseconds paused_worker_delay{1'000};
+
 /** @brief Returns the maximum age of a copy from which a task may be started within a time limit of the platform. */
 [[nodiscard]] auto max_copy_age(const scheduler_settings& settings, const milliseconds limit) -> milliseconds
 {
@@ -108,6 +112,12 @@
     return worker.m_entry.m_service == service && find_obstacle(worker, now) == worker_obstacle::none;
 }
 
+/** @brief Checks whether a pause is all that keeps a worker from new work of a service. */
+[[nodiscard]] auto is_paused(const worker_slot& worker, const service_id& service, const time_point now) -> bool
+{
+    return worker.m_entry.m_service == service && find_obstacle(worker, now) == worker_obstacle::paused;
+}
+
 /** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
 [[nodiscard]] auto exceeds_capacity(const worker_slot& worker, const resources& demand) -> bool
 {
@@ -121,6 +131,8 @@
 struct service_pass {
     scheduler_state& m_state;
     placement_index m_index;
+    /** @brief Workers that would accept new work without their pause. */
+    placement_index m_paused;
     /** @brief Capacity reserved for steps that are being opened, until the end of the pass. */
     std::vector<std::pair<worker_index, resources>> m_reserved;
     time_point m_now{};
@@ -137,7 +149,8 @@
     const auto free_before = (worker.m_entry.m_capacity - worker.m_used).m_cpu;
     worker.m_used = worker.m_used + demand;
     if (!is_in_trial(pass.m_state, index)) {
-        update_placement(pass.m_index, pass.m_state, index, free_before);
+        auto& containing = worker.m_paused_until > pass.m_now ? pass.m_paused : pass.m_index;
+        update_placement(containing, pass.m_state, index, free_before);
     }
 }
 
@@ -195,14 +208,34 @@
     return pass.m_now - step.m_opening_since < opening_reservation_time;
 }
 
+[[nodiscard]] auto uses_paused_workers(const service_pass& pass, const waiting_step& waiting, const std::size_t index)
+    -> bool
+{
+    return may_use_paused_workers(pass.m_state, *waiting.m_job, task_of(waiting, index), pass.m_now);
+}
+
+/** @brief Selects the worker for a task: a paused one only if no other can hold it. */
 [[nodiscard]] auto choose_worker(service_pass& pass, const waiting_step& waiting, const std::size_t index)
     -> worker_index
 {
     const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    return choose_worker(pass.m_index, pass.m_state,
-                         {&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
-                          &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr},
-                         pass.m_now);
+    const placement_request request{&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
+                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    const auto worker = choose_worker(pass.m_index, pass.m_state, request, pass.m_now);
+    return worker == no_worker && uses_paused_workers(pass, waiting, index)
+               ? choose_worker(pass.m_paused, pass.m_state, request, pass.m_now)
+               : worker;
+}
+
+/** @brief Requests the permits that a task lacks for the workers that it may use. */
+auto request_permits(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
+{
+    auto candidates = pass.m_index.m_candidates;
+    if (uses_paused_workers(pass, waiting, index)) {
+        candidates.insert(candidates.end(), pass.m_paused.m_candidates.begin(), pass.m_paused.m_candidates.end());
+    }
+    request_permits(pass.m_state, task_of(waiting, index), waiting.m_occurrence->m_steps[waiting.m_step], candidates,
+                    pass.m_now);
 }
 
 /** @brief Reserves capacity for the tasks of a step that is being opened. */
@@ -257,14 +290,16 @@
     const auto first = pass.m_reserved.size();
     // Demands that do not fit only beside these reservations fit again after their release.
     const auto unplaceable = pass.m_index.m_unplaceable;
+    const auto unplaceable_on_paused = pass.m_paused.m_unplaceable;
     reserve_for_step(pass, waiting);
     const std::vector<std::pair<worker_index, resources>> members{
         pass.m_reserved.begin() + static_cast<std::ptrdiff_t>(first), pass.m_reserved.end()};
     release_capacity(pass, first);
     pass.m_index.m_unplaceable = unplaceable;
+    pass.m_paused.m_unplaceable = unplaceable_on_paused;
     if (members.size() != step.m_tasks.size()) {
         if (waiting.m_needs_permit) {
-            request_permits(pass.m_state, task_of(waiting, 0), step, pass.m_index.m_candidates, now);
+            request_permits(pass, waiting, 0);
         }
         return;
     }
@@ -366,12 +401,13 @@
             advance_trial(pass, waiting, index);
             continue;
         }
-        const auto worker = full ? no_worker : choose_worker(pass, waiting, index);
+        const auto paused_usable = uses_paused_workers(pass, waiting, index);
+        const auto worker = full && !paused_usable ? no_worker : choose_worker(pass, waiting, index);
         if (worker == no_worker) {
-            if (waiting.m_needs_permit && !full) {
-                request_permits(pass.m_state, task, step, pass.m_index.m_candidates, pass.m_now);
+            if (waiting.m_needs_permit && (!full || paused_usable)) {
+                request_permits(pass, waiting, index);
             }
-            // Suspects have workers of their own.
+            // Suspects have workers of their own, and tasks that have waited longer use paused workers.
             full = true;
             continue;
         }
@@ -397,6 +433,18 @@
     });
 }
 
+auto waiting_since(const scheduler_state& state, const job_entry& job, const task_state& task) -> time_point
+{
+    return std::max({task.m_since, job.m_arrived, job.m_recovered ? state.m_began : time_point{}});
+}
+
+auto may_use_paused_workers(const scheduler_state& state, const job_entry& job, const task_ref& task,
+                            const time_point now) -> bool
+{
+    const auto& found = find_step(job, task)->m_tasks[static_cast<std::size_t>(task.m_index)];
+    return step_of(job, task).m_long_running && now - waiting_since(state, job, found) >= paused_worker_delay;
+}
+
 auto classify_urgency(const scheduler_state& state, const job_entry& job, const time_point now) -> urgency
 {
     const auto objective = job.m_deadline - job.m_arrived;
@@ -482,18 +530,28 @@
             continue;
         }
         std::vector<worker_index> candidates;
+        std::vector<worker_index> paused;
         for (const auto index : state.m_current_workers) {
-            if (accepts_new_work(state.m_workers[static_cast<std::size_t>(index)], service, now)) {
+            const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+            if (accepts_new_work(worker, service, now)) {
                 candidates.push_back(index);
             }
+            else if (is_paused(worker, service, now) && !is_in_trial(state, index)) {
+                paused.push_back(index);
+            }
         }
-        if (candidates.empty()) {
+        if (candidates.empty() && paused.empty()) {
             continue;
         }
         auto accepting = candidates;
         const auto in_trial = static_cast<std::size_t>(
             std::erase_if(candidates, [&state](const worker_index index) { return is_in_trial(state, index); }));
-        service_pass pass{state,   make_placement_index(state, std::move(candidates)), {}, now, std::move(accepting),
+        service_pass pass{state,
+                          make_placement_index(state, std::move(candidates)),
+                          make_placement_index(state, std::move(paused)),
+                          {},
+                          now,
+                          std::move(accepting),
                           in_trial};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
             if (is_final(waiting.m_job->m_state)) {
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -23,6 +23,19 @@
 /** @brief Checks whether all steps that a step depends on are done. */
 [[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, std::size_t step) -> bool;
 
+/** @brief Returns since when a task has been waiting at least: its last run ended, its job arrived, or this term began.
+ */
+[[nodiscard]] auto waiting_since(const scheduler_state& state, const job_entry& job, const task_state& task)
+    -> time_point;
+
+/**
+ * @brief Checks whether a waiting task may be started on paused workers if no other can hold it. A long-running task
+ * has to run again soon after its last run, and may fail several times in a row for reasons of its own.
+ * @pre The task exists.
+ */
+[[nodiscard]] auto may_use_paused_workers(const scheduler_state& state, const job_entry& job, const task_ref& task,
+                                          time_point now) -> bool;
+
 /**
  * @brief Classifies how much a job is still worth to its client.
  *
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
@@ -20,17 +20,9 @@
     "step_not_opened",      "none",
 };
 
-/** @brief Returns since when a task has been waiting at least: its last run ended, its job arrived, or this term began.
- */
-[[nodiscard]] auto waiting_since(const scheduler_state& state, const job_entry& job, const task_state& task)
-    -> time_point
-{
-    return std::max({task.m_since, job.m_arrived, job.m_recovered ? state.m_began : time_point{}});
-}
-
 /** @brief Counts the workers of the task's service by what rules them out. */
 auto count_workers(const scheduler_state& state, const service_id& service, const placement_request& request,
-                   const time_point now, task_wait& wait) -> void
+                   const bool use_paused, const time_point now, task_wait& wait) -> void
 {
     for (const auto index : state.m_current_workers) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
@@ -43,6 +35,7 @@
         if (obstacle == worker_obstacle::paused) {
             const auto left = worker.m_paused_until - now;
             wait.m_pause_left = std::min(wait.m_pause_left.value_or(left), left);
+            obstacle = use_paused ? worker_obstacle::none : obstacle;
         }
         if (obstacle == worker_obstacle::none && is_in_trial(state, index)) {
             obstacle = worker_obstacle::in_trial;
@@ -158,8 +151,9 @@
         wait.m_opening = now - step.m_opening_since;
     }
     const bool needs_permit = state.m_permit_queues.contains(policy.m_queue);
-    count_workers(state, policy.m_service,
-                  {&step_of(job, task), task, &found.m_failed_workers, needs_permit ? &step : nullptr}, now, wait);
+    const auto& spec = step_of(job, task);
+    count_workers(state, policy.m_service, {&spec, task, &found.m_failed_workers, needs_permit ? &step : nullptr},
+                  may_use_paused_workers(state, job, task, now), now, wait);
     wait.m_cause = find_cause(state, job, task, wait, now);
     return wait;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
@@ -10,9 +10,9 @@
 constexpr milliseconds report_age_limit{2'000};
 
 constexpr std::array<std::string_view, worker_obstacles> names{
-    "none",         "not_registered",   "other_incarnation", "draining",   "cordoned",
-    "not_reported", "lease_not_stored", "unresponsive",      "paused",     "report_too_old",
-    "in_trial",     "no_capacity",      "no_label",          "step_limit", "no_permit",
+    "none",         "not_registered",   "other_incarnation", "draining",       "cordoned",
+    "not_reported", "lease_not_stored", "unresponsive",      "report_too_old", "paused",
+    "in_trial",     "no_capacity",      "no_label",          "step_limit",     "no_permit",
 };
 
 /** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
@@ -59,10 +59,10 @@
     if (worker.m_unresponsive) {
         return worker_obstacle::unresponsive;
     }
-    if (worker.m_paused_until > now) {
-        return worker_obstacle::paused;
+    if (now - worker.m_last_report >= report_age_limit) {
+        return worker_obstacle::report_too_old;
     }
-    return now - worker.m_last_report < report_age_limit ? worker_obstacle::none : worker_obstacle::report_too_old;
+    return worker.m_paused_until > now ? worker_obstacle::paused : worker_obstacle::none;
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
@@ -23,9 +23,10 @@
     /** @brief The stored list of workers with leases does not name the worker yet. */
     lease_not_stored,
     unresponsive,
-    /** @brief Runs failed, or a start was rejected. */
-    paused,
     report_too_old,
+    /** @brief Runs failed, or a start was rejected. Long-running tasks that have waited for some time use the worker
+     * all the same, see may_use_paused_workers(). */
+    paused,
     in_trial,
     no_capacity,
     no_label,
@@ -43,7 +44,8 @@
  * be moved or maintained, or its entry is that of another incarnation. */
 [[nodiscard]] auto find_service_obstacle(const worker_slot& worker) -> worker_obstacle;
 
-/** @brief Returns the first reason for which a worker gets no new work of its service, whatever the task. */
+/** @brief Returns the first reason for which a worker gets no new work of its service, whatever the task. A paused
+ * worker has no other one. */
 [[nodiscard]] auto find_obstacle(const worker_slot& worker, time_point now) -> worker_obstacle;
 
 } // namespace cicadalug
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -306,6 +306,61 @@
     EXPECT_LE(simulation.starts_of({job, 0, 0, 0}), 2);
 }
 
+// Guards against a long-running task without a run for the whole pause of the only worker with room for it.
+TEST(dispatch, a_long_running_task_does_not_wait_for_the_pause_of_the_only_worker_that_can_hold_it)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    simulation.run_for(milliseconds{100});
+    for (std::int64_t failures = 1; failures <= 8; ++failures) {
+        ASSERT_EQ(simulation.worker("w1").m_runs.size(), 1U) << "no run after " << failures - 1 << " failures";
+        simulation.fail_runs(worker_id{"w1"});
+        simulation.run_for(milliseconds{1'500});
+    }
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 9);
+}
+
+// Guards against a task that is not started on a paused worker because another task of its step has not waited as long.
+TEST(dispatch, each_long_running_task_uses_paused_workers_by_its_own_wait)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_long_running_job("quotes", 2, 1));
+    simulation.run_for(milliseconds{100});
+    auto& workers = simulation.m_state.m_workers;
+    ASSERT_EQ(simulation.worker("w1").m_runs.size(), 1U);
+    workers[0].m_paused_until = simulation.now() + milliseconds{10'000};
+    workers[1].m_paused_until = simulation.now() + milliseconds{10'000};
+    const auto last = simulation.worker("w1").m_runs.front().m_task.m_index == 1 ? worker_id{"w1"} : worker_id{"w2"};
+    const auto first = last == worker_id{"w1"} ? worker_id{"w2"} : worker_id{"w1"};
+    simulation.fail_runs(last);
+    simulation.run_for(milliseconds{500});
+    simulation.fail_runs(first);
+    simulation.run_for(milliseconds{600});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 1}), 2);
+}
+
+// Guards against a storm of starts on a paused worker that fails all runs at once, and against other work on it.
+TEST(dispatch, a_paused_worker_gets_a_long_running_task_at_most_once_a_second_and_no_other_work)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    simulation.run_for(milliseconds{100});
+    simulation.m_state.m_workers[0].m_paused_until = simulation.now() + milliseconds{60'000};
+    const auto other = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{100}));
+    const auto before = simulation.starts_of({job, 0, 0, 0});
+    for (int pass = 0; pass < 1'000; ++pass) {
+        simulation.fail_runs(worker_id{"w1"});
+        simulation.run_for(milliseconds{10});
+    }
+    EXPECT_GE(simulation.starts_of({job, 0, 0, 0}) - before, 9);
+    EXPECT_LE(simulation.starts_of({job, 0, 0, 0}) - before, 10);
+    EXPECT_EQ(simulation.starts_of({other, 0, 0, 0}), 0);
+}
+
 // Guards against a second run of a task that still runs on a worker which a new decider cannot reach.
 TEST(dispatch, tasks_of_an_open_step_wait_for_workers_that_have_not_reported)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -258,6 +258,15 @@
     apply_registry_now();
 }
 
+auto scheduler_simulation::fail_runs(const worker_id& id) -> void
+{
+    auto& worker = m_workers[id];
+    for (const auto& run : worker.m_runs) {
+        worker.m_ended.push_back({++worker.m_end_count, run.m_task, run.m_run, run_end::failed, {}});
+    }
+    worker.m_runs.clear();
+}
+
 auto scheduler_simulation::crash(const worker_id& id) -> void
 {
     auto& worker = m_workers[id];
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -58,6 +58,8 @@
     auto run_for(milliseconds time) -> void;
     /** @brief Changes the CPU capacity that a worker states in the registry. */
     auto set_capacity(const worker_id& id, std::int64_t cpu) -> void;
+    /** @brief Ends all runs of a worker as failed. */
+    auto fail_runs(const worker_id& id) -> void;
     /** @brief Crashes a worker. It restarts after m_restart_time. */
     auto crash(const worker_id& id) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
--- a/packages/scheduler/test/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/wait_cause.cpp
@@ -143,6 +143,19 @@
     expect_on_first(worker_obstacle::report_too_old, "report too old");
 }
 
+// Guards against a pause that is named although the task is started on paused workers.
+TEST_F(wait_cause_test, a_paused_worker_is_able_once_the_task_has_waited)
+{
+    submit();
+    worker(0).m_cordoned = true;
+    worker(1).m_paused_until = m_simulation.now() + milliseconds{10'000};
+    EXPECT_EQ(explain().m_cause, wait_cause::none_accepting);
+    task().m_since = m_simulation.now() - milliseconds{1'000};
+    find_job(state(), m_task.m_job)->m_arrived = task().m_since;
+    EXPECT_EQ(explain().m_cause, wait_cause::step_not_opened);
+    EXPECT_EQ(count(worker_obstacle::none), 1);
+}
+
 TEST_F(wait_cause_test, a_pool_without_a_worker_that_accepts_work_is_named)
 {
     submit();
--- a/packages/scheduler/test/cicadalug/scheduler/worker_obstacle.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/worker_obstacle.cpp
@@ -47,6 +47,15 @@
     EXPECT_EQ(find_service_obstacle(worker), worker_obstacle::none);
 }
 
+// Guards against a start on a worker that is not only paused, but has not reported for long.
+TEST(worker_obstacle, a_paused_worker_has_no_other_obstacle)
+{
+    auto worker = make_worker();
+    worker.m_paused_until = now + milliseconds{1};
+    worker.m_last_report = now - milliseconds{3'000};
+    EXPECT_EQ(find_obstacle(worker, now), worker_obstacle::report_too_old);
+}
+
 TEST(worker_obstacle, each_obstacle_has_a_name)
 {
     EXPECT_EQ(name_of(worker_obstacle::none), "none");
