Do not pause a worker for long-running tasks that fail after a while

Callers saw workers without new work for 1.5 s to 12 s, though they were sound: other jobs queued, and long-running tasks waited.

Only an end as done clears the row of failures by which a worker that fails all its runs is detected. Long-running tasks never end so.

A failure of a long-running task that had been running for 5 s now counts as a sign that the worker is sound, as a completed run does; a worker that fails its runs soon is paused as before. The detection moves to a header of its own.

On the code before, the new test found the worker paused after the third, the fourth and the fifth failure of a task that had run for 6 s each time.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -135,31 +136,6 @@
     }
 }
 
-/** @brief Detects workers that fail all runs by the ends of these runs; their health checks may pass. */
-auto update_worker_health(scheduler_state& state, worker_slot& worker, const run_end outcome, const time_point now)
-    -> void
-{
-    if (outcome == run_end::done) {
-        worker.m_failures_in_row = 0;
-        worker.m_pause = milliseconds{0};
-        return;
-    }
-    if (outcome != run_end::failed || ++worker.m_failures_in_row < state.m_settings.m_failures_before_pause) {
-        return;
-    }
-    worker.m_pause = worker.m_pause == milliseconds{0}
-                         ? state.m_settings.m_worker_pause
-                         : std::min(worker.m_pause * 2, state.m_settings.m_worker_pause_limit);
-    worker.m_paused_until = now + worker.m_pause;
-    state.m_events.push_back({run_event_kind::worker_paused,
-                              state.m_worker_by_id.at(worker.m_entry.m_id),
-                              {},
-                              {},
-                              worker.m_failures_in_row});
-    // A single further failure after the pause pauses the worker again.
-    worker.m_failures_in_row = state.m_settings.m_failures_before_pause - 1;
-}
-
 auto learn_run_time(scheduler_state& state, const job_entry& job, const task_state& task, const time_point now) -> void
 {
     if (task.m_phase != task_phase::running || !task.m_checkpoint.empty()) {
@@ -204,7 +180,7 @@
         return;
     }
     worker.m_last_end = report.m_number;
-    update_worker_health(state, worker, report.m_outcome, now);
+    update_worker_health(state, worker, report, now);
     if (report.m_outcome == run_end::failed) {
         state.m_events.push_back({run_event_kind::failed, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task,
                                   report.m_run, worker.m_failures_in_row});
