Write the list of leases again when a listed lease has ended

Callers saw a long-running task without a run for over 3 s after a change of the decider in which nothing was disturbed.

A new decider waits for all workers in the stored list of leases before it starts a task again that has been started before, up to 5.7 s. The list was written without ended leases only beside progress of a job or a new worker. With long-running tasks alone nothing is written, and a worker that had left long before, for example by a move of its VM, stayed in the list. Workers of an earlier term that never reported stayed in it, too.

The list is now written when a listed lease has ended or expected workers need not be named any more, at most once a second for this reason.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -139,6 +139,7 @@
             m_state.m_expected_workers.emplace(word);
         }
     }
+    m_state.m_expected_listed = !m_state.m_expected_workers.empty();
     co_return is_read(read) && is_read(leases);
 }
 
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -138,6 +138,8 @@
     [[nodiscard]] auto decision_log_value() const -> std::string;
     /** @brief Returns the ids to be written for workers with leases. */
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Checks whether the list of leased workers has to be written again. */
+    [[nodiscard]] auto is_lease_list_due(time_point now) const -> bool;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
     /** @brief Applies an entry of the registry to the copy of it. */
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -28,8 +28,8 @@
  * log, and the puts of the decision log and of the list of leased workers. */
 constexpr std::size_t progress_jobs{store_write_entries - 4};
 
-/** @brief Interval at which the list of leased workers is written again without those whose leases have ended. */
-constexpr milliseconds lease_list_interval{5'000};
+/** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
+constexpr milliseconds lease_list_interval{1'000};
 
 /** @brief Jobs whose final state has been kept long enough are removed at this interval, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
@@ -49,8 +49,7 @@
     for (const auto index : leased) {
         text += m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id.str() + ' ';
     }
-    // Leases of the last term that may still run; this term can end before their workers have reported.
-    if (now < inherited_leases_end(m_state)) {
+    if (are_expected_workers_listed(m_state, now)) {
         for (const auto& worker : m_state.m_expected_workers) {
             text += worker.str() + ' ';
         }
@@ -58,6 +57,12 @@
     return text;
 }
 
+auto decider::is_lease_list_due(const time_point now) const -> bool
+{
+    return has_unlisted_lease(m_state, now) ||
+           (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now));
+}
+
 auto decider::store_progress(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
     while (self->m_active) {
@@ -65,7 +70,7 @@
         if (!m_active) {
             co_return;
         }
-        if (m_state.m_dirty.empty() && !has_unlisted_lease(m_state, monotonic_now())) {
+        if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now())) {
             acknowledge_ends(m_state, capture_ends(m_state));
             continue;
         }
@@ -110,7 +115,9 @@
     // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
     const auto now = monotonic_now();
     std::vector<worker_index> leased;
-    if (has_unlisted_lease(m_state, now) || now - m_leases_listed_at > lease_list_interval) {
+    const bool lists_leases = is_lease_list_due(now);
+    const bool lists_expected = are_expected_workers_listed(m_state, now);
+    if (lists_leases) {
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
@@ -144,6 +151,7 @@
     }
     m_decision_log_revision = written.m_revision;
     complete_lease_list(m_state, leased);
+    m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -14,6 +14,19 @@
     });
 }
 
+auto are_expected_workers_listed(const scheduler_state& state, const time_point now) -> bool
+{
+    return !state.m_expected_workers.empty() && now < inherited_leases_end(state);
+}
+
+auto has_ended_lease_in_list(const scheduler_state& state, const time_point now) -> bool
+{
+    return (state.m_expected_listed && !are_expected_workers_listed(state, now)) ||
+           std::any_of(state.m_workers.begin(), state.m_workers.end(), [&](const worker_slot& worker) {
+               return worker.m_lease_listed && !has_lease(state, worker, now);
+           });
+}
+
 auto begin_lease_list(scheduler_state& state, const time_point now) -> std::vector<worker_index>
 {
     std::vector<worker_index> leased;
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -13,6 +13,14 @@
  */
 [[nodiscard]] auto has_unlisted_lease(const scheduler_state& state, time_point now) -> bool;
 
+/** @brief Checks whether the stored list has to name the workers that are expected: their leases of earlier terms may
+ * still run, and this term can end before they have reported. */
+[[nodiscard]] auto are_expected_workers_listed(const scheduler_state& state, time_point now) -> bool;
+
+/** @brief Checks whether the stored list names workers whose leases have ended. The next decider would wait for them,
+ * which may be gone for good, before it starts a task again that has been started before. */
+[[nodiscard]] auto has_ended_lease_in_list(const scheduler_state& state, time_point now) -> bool;
+
 /**
  * @brief Returns the workers with leases, for a write of the list. Workers without one no longer count as listed, as
  * the write may be carried out although it gets no response.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -350,6 +350,8 @@
     time_point m_workers_current_at{};
     /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
+    /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
+    bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
     /** @brief Cancellations of jobs that are not known, and when each was read. */
     std::map<job_id, time_point> m_early_cancels;
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -41,4 +41,39 @@
     EXPECT_TRUE(state.m_workers[1].m_lease_listed);
 }
 
+// Guards against a decider that waits for workers which left long before its term: a list that is only written beside
+// progress of jobs keeps naming them.
+TEST(leased_workers, a_list_with_ended_leases_is_out_of_date)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
+    simulation.m_store_up = false;
+    simulation.worker("w2").m_reachable = false;
+    simulation.run_for(milliseconds{3'000});
+    EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
+    simulation.run_for(milliseconds{1'000});
+    EXPECT_TRUE(has_ended_lease_in_list(state, simulation.now()));
+    complete_lease_list(state, begin_lease_list(state, simulation.now()));
+    EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
+}
+
+// Guards against a list that keeps naming workers which a decider found in it and which never reported.
+TEST(leased_workers, a_list_with_expected_workers_is_out_of_date_when_all_inherited_leases_have_ended)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    state.m_expected_workers.insert(worker_id{"gone"});
+    state.m_expected_listed = true;
+    EXPECT_TRUE(are_expected_workers_listed(state, simulation.now()));
+    EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
+    simulation.run_for(milliseconds{6'000});
+    EXPECT_FALSE(are_expected_workers_listed(state, simulation.now()));
+    EXPECT_TRUE(has_ended_lease_in_list(state, simulation.now()));
+    state.m_expected_listed = false;
+    EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
+}
+
 } // namespace cicadalug::test
--- a/test/process/scheduler_takeover.cpp
+++ b/test/process/scheduler_takeover.cpp
@@ -10,7 +10,17 @@
 using namespace cicadalug;
 using namespace cicadalug::process_test;
 
-class scheduler_takeover : public scheduler_deployment {};
+class scheduler_takeover : public scheduler_deployment {
+protected:
+    /** @brief An id of eight characters in the stored list of leased workers, followed by a blank, in base64. */
+    static constexpr std::size_t id_bytes{9 / 3 * 4};
+
+    [[nodiscard]] static auto listed_bytes() -> std::size_t
+    {
+        const auto list = call(http::verb::get, at_port(store_port, 0), "/cicadalug/kv-key?key=leased-workers").m_body;
+        return list.is_object() ? list.value("value", "").size() : std::size_t{0};
+    }
+};
 
 // Guards against a second run of a task on a worker that the registry has lost, after two takeovers in quick
 // succession: a decider whose term was short has to pass on which workers its predecessor had granted leases.
@@ -38,13 +48,16 @@
 // since their first lease.
 TEST_F(scheduler_takeover, workers_with_leases_are_listed_in_the_store_without_a_job)
 {
-    const auto listed_bytes = [] {
-        const auto list = call(http::verb::get, at_port(store_port, 0), "/cicadalug/kv-key?key=leased-workers").m_body;
-        return list.is_object() ? list.value("value", "").size() : std::size_t{0};
-    };
-    // Three ids of eight characters, each followed by a blank, in base64.
-    constexpr std::size_t expected_bytes{worker_count * 9 / 3 * 4};
-    EXPECT_TRUE(wait_until([&] { return listed_bytes() == expected_bytes; }, patience)) << listed_bytes();
+    EXPECT_TRUE(wait_until([] { return listed_bytes() == worker_count * id_bytes; }, patience)) << listed_bytes();
+}
+
+// Guards against a decider that waits for a worker which left long before its term, because no job's progress has been
+// written since.
+TEST_F(scheduler_takeover, a_worker_that_left_is_removed_from_the_stored_list_without_a_job)
+{
+    ASSERT_TRUE(wait_until([] { return listed_bytes() == worker_count * id_bytes; }, patience)) << listed_bytes();
+    control({{"unregistered", "worker-2"}});
+    EXPECT_TRUE(wait_until([] { return listed_bytes() == (worker_count - 1) * id_bytes; }, patience)) << listed_bytes();
 }
 
 } // namespace
