End the term if a coroutine of the decider fails

What callers would see: a decider that keeps its term, renews its key and no longer follows jobs or workers, stores no progress, renews no lease of a worker or runs no pass. Accepted jobs then do not run, and no other entry VM takes over. This was found by reading; no run has shown an exception in one of these coroutines.

Cause: all coroutines of the package were started with asio::detached, which discards an exception.

spawn() logs the exception as coroutine_failed and passes it to the owner of the coroutine. The decider and its fleet controller end the term, so that the next one begins from the store. For the election, the relays, the intake of jobs and the configuration, the exception leaves the event loop and ends the process: its supervisor restarts it, and until then the load balancer and the other entry VMs do without it. A call that a relay carries out has no owner to end: the decider ends a call without a result as unknown.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
@@ -8,8 +9,6 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -56,8 +55,19 @@
 {
     m_load.m_began = monotonic_now();
     m_relays->start();
-    asio::co_spawn(m_executor, load(shared_from_this()), asio::detached);
-    asio::co_spawn(m_executor, observe_load(shared_from_this()), asio::detached);
+    run_in_term(load(shared_from_this()), "load");
+    run_in_term(observe_load(shared_from_this()), "observe_load");
+}
+
+auto decider::run_in_term(asio::awaitable<void> coroutine, const std::string_view name) -> void
+{
+    spawn(m_executor, std::move(coroutine), name, [weak = weak_from_this()] {
+        // What the coroutine did for the term is missing from now on; the next term begins from the store.
+        if (const auto self = weak.lock()) {
+            self->m_state.m_deposed = true;
+            self->check_deposed();
+        }
+    });
 }
 
 auto decider::stop() -> void
@@ -267,11 +277,11 @@
                      .with("expected", m_state.m_expected_workers.size())
                      .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
                      .with("took_ms", to_ms(monotonic_now() - begin));
-    asio::co_spawn(m_executor, watch_jobs(self), asio::detached);
-    asio::co_spawn(m_executor, watch_workers(self), asio::detached);
-    asio::co_spawn(m_executor, store_progress(self), asio::detached);
-    asio::co_spawn(m_executor, tick(self), asio::detached);
-    asio::co_spawn(m_executor, collect_garbage(self), asio::detached);
+    run_in_term(watch_jobs(self), "watch_jobs");
+    run_in_term(watch_workers(self), "watch_workers");
+    run_in_term(store_progress(self), "store_progress");
+    run_in_term(tick(self), "tick");
+    run_in_term(collect_garbage(self), "collect_garbage");
     start_fleet_controller();
 }
 
@@ -382,7 +392,7 @@
     for (const auto index : m_state.m_current_workers) {
         if (!m_renewing[static_cast<std::size_t>(index)]) {
             m_renewing[static_cast<std::size_t>(index)] = true;
-            asio::co_spawn(m_executor, renew_worker_lease(shared_from_this(), index), asio::detached);
+            run_in_term(renew_worker_lease(shared_from_this(), index), "renew_worker_lease");
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -100,6 +100,8 @@
     [[nodiscard]] auto flush(milliseconds limit) -> asio::awaitable<void>;
 
 private:
+    /** @brief Runs a coroutine of the term; the term ends if it fails. @param name Has to outlive the coroutine. */
+    auto run_in_term(asio::awaitable<void> coroutine, std::string_view name) -> void;
     [[nodiscard]] auto load(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto load_from_store() -> asio::awaitable<bool>;
     [[nodiscard]] auto begin_decision_log() -> asio::awaitable<bool>;
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -6,8 +6,6 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -164,7 +162,7 @@
         run_pass();
         log_suspension(monotonic_now());
         for (const auto& command : plan_throttling(m_state, m_settings.m_throttling, monotonic_now())) {
-            asio::co_spawn(m_executor, send_throttle(self, command), asio::detached);
+            run_in_term(send_throttle(self, command), "send_throttle");
         }
         co_await sleep_for(m_executor, tick_interval);
     }
@@ -176,7 +174,7 @@
         return;
     }
     m_pass_scheduled = true;
-    asio::co_spawn(m_executor, run_pass_later(shared_from_this()), asio::detached);
+    run_in_term(run_pass_later(shared_from_this()), "run_pass_later");
 }
 
 auto decider::run_pass_later(const std::shared_ptr<decider> self) -> asio::awaitable<void>
@@ -227,17 +225,17 @@
         m_pending_permit_requests.push_back(std::move(request));
         if (m_permit_client != nullptr && m_permit_requests_in_flight < max_permit_requests_in_flight) {
             ++m_permit_requests_in_flight;
-            asio::co_spawn(m_executor, send_permit_requests(shared_from_this()), asio::detached);
+            run_in_term(send_permit_requests(shared_from_this()), "send_permit_requests");
         }
     }
     log_events();
     count_pass(m_load, monotonic_now() - now);
     m_settings.m_metrics->pass_run();
     for (auto& command : std::exchange(m_state.m_starts, {})) {
-        asio::co_spawn(m_executor, send_start(shared_from_this(), std::move(command)), asio::detached);
+        run_in_term(send_start(shared_from_this(), std::move(command)), "send_start");
     }
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
-        asio::co_spawn(m_executor, send_stop(shared_from_this(), command), asio::detached);
+        run_in_term(send_stop(shared_from_this(), command), "send_stop");
     }
     if (!m_state.m_dirty.empty()) {
         m_progress_event.notify();
--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -1,11 +1,10 @@
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -277,7 +276,7 @@
     // The write of the key does not renew its lease.
     m_last_renewal = m_lease_opened;
     LOG(INFO) << log_line{"term_began"}.with("token", m_term->m_token);
-    asio::co_spawn(m_executor, keep_lease_alive(m_lease), asio::detached);
+    spawn(m_executor, keep_lease_alive(m_lease), "keep_lease_alive");
     m_begin(*m_term);
 }
 
@@ -337,7 +336,7 @@
     m_begin = std::move(begin);
     m_end = std::move(end);
     m_flush = std::move(flush);
-    asio::co_spawn(m_executor, run(), asio::detached);
+    spawn(m_executor, run(), "election");
 }
 
 auto decider_election::run() -> asio::awaitable<void>
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/client_api.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_election.hpp>
@@ -13,8 +14,6 @@
 #include <cicadalug/telemetry/log_line.hpp>
 #include <cicadalug/telemetry/scheduler_metrics.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <glog/logging.h>
@@ -103,11 +102,11 @@
                             [this](http_exchange& exchange) { return handle_metrics(exchange); });
         }
         m_clients = &clients;
-        asio::co_spawn(m_executor, watch_config(), asio::detached);
+        spawn(m_executor, watch_config(), "watch_config");
         m_election.start([this](const decider_term& term) { begin_term(term); }, [this] { end_term(); },
                          [this] { return flush_progress(); });
         m_relay.start();
-        asio::co_spawn(m_executor, shut_down_on_signal(), asio::detached);
+        spawn(m_executor, shut_down_on_signal(), "shut_down_on_signal");
         // SIGHUP would end the program by default. A reload needs no action, as watch_config() follows the
         // configuration in the store.
         std::signal(SIGHUP, SIG_IGN);
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
@@ -8,8 +9,6 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -62,7 +61,17 @@
 
 auto fleet_controller::start() -> void
 {
-    asio::co_spawn(m_dependencies.m_executor, run(shared_from_this()), asio::detached);
+    run_in_term(run(shared_from_this()), "fleet_controller");
+}
+
+auto fleet_controller::run_in_term(asio::awaitable<void> coroutine, const std::string_view name) -> void
+{
+    spawn(m_dependencies.m_executor, std::move(coroutine), name, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self != nullptr && self->m_active) {
+            self->m_dependencies.m_state->m_deposed = true;
+            self->m_dependencies.m_on_change();
+        }
+    });
 }
 
 auto fleet_controller::apply_wave(const std::string& value) -> void
@@ -395,8 +404,7 @@
     }
     for (auto& command : moves) {
         if (sendable) {
-            asio::co_spawn(m_dependencies.m_executor, send_move(shared_from_this(), std::move(command)),
-                           asio::detached);
+            run_in_term(send_move(shared_from_this(), std::move(command)), "send_move");
         }
         else {
             apply_move_result(*m_dependencies.m_state, m_moves, command, vm_command_result::not_done, monotonic_now());
@@ -404,8 +412,7 @@
     }
     for (auto& command : maintenance) {
         if (sendable) {
-            asio::co_spawn(m_dependencies.m_executor, send_maintenance(shared_from_this(), std::move(command)),
-                           asio::detached);
+            run_in_term(send_maintenance(shared_from_this(), std::move(command)), "send_maintenance");
             continue;
         }
         m_pending_maintenance.erase(command.m_vm);
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -70,6 +71,8 @@
         worker_id m_worker;
     };
 
+    /** @brief Runs a coroutine of the term; the term ends if it fails. @param name Has to outlive the coroutine. */
+    auto run_in_term(asio::awaitable<void> coroutine, std::string_view name) -> void;
     [[nodiscard]] auto run(std::shared_ptr<fleet_controller> self) -> asio::awaitable<void>;
     [[nodiscard]] auto read_waves() -> asio::awaitable<bool>;
     [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
--- a/packages/entry/src/cicadalug/entry/job_intake.cpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.cpp
@@ -1,11 +1,10 @@
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/job_intake.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -58,7 +57,7 @@
         m_waiting.push_back(known);
         if (m_writers < writer_limit) {
             ++m_writers;
-            asio::co_spawn(m_executor, write_until_idle(), asio::detached);
+            spawn(m_executor, write_until_idle(), "job_intake");
         }
     }
     const auto submitted = known;
--- a/packages/entry/src/cicadalug/entry/relay_sessions.cpp
+++ b/packages/entry/src/cicadalug/entry/relay_sessions.cpp
@@ -1,12 +1,11 @@
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/relay_paths.hpp>
 #include <cicadalug/entry/relay_sessions.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <boost/asio/async_result.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -59,7 +58,7 @@
 
 auto relay_sessions::start() -> void
 {
-    asio::co_spawn(m_executor, expire_calls(shared_from_this()), asio::detached);
+    spawn(m_executor, expire_calls(shared_from_this()), "expire_calls");
 }
 
 auto relay_sessions::stop() -> void
@@ -137,7 +136,7 @@
 {
     if (!m_flush_scheduled) {
         m_flush_scheduled = true;
-        asio::co_spawn(m_executor, flush_later(shared_from_this()), asio::detached);
+        spawn(m_executor, flush_later(shared_from_this()), "flush_later");
     }
 }
 
--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -1,11 +1,10 @@
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/relay_paths.hpp>
 #include <cicadalug/entry/worker_relay.hpp>
 #include <cicadalug/scheduler/relays.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -94,7 +93,7 @@
 
 auto worker_relay::start() -> void
 {
-    asio::co_spawn(m_executor, run(), asio::detached);
+    spawn(m_executor, run(), "worker_relay");
 }
 
 auto worker_relay::is_wanted() const -> bool
@@ -130,7 +129,7 @@
         }
         if (current == nullptr) {
             current = std::make_shared<link>(m_executor, holder->m_peers, holder->m_revision);
-            asio::co_spawn(m_executor, return_results(current), asio::detached);
+            spawn(m_executor, return_results(current), "return_results");
         }
         co_await poll(current);
     }
@@ -183,7 +182,8 @@
     const auto held = held_time(response.assume_value());
     const auto handed_over = earliest_handover(sent, round_trip, held);
     for (auto& call : std::move(calls).assume_value()) {
-        asio::co_spawn(m_executor, carry_out(current, std::move(call), handed_over), asio::detached);
+        // The decider ends a call without a result as unknown.
+        spawn(m_executor, carry_out(current, std::move(call), handed_over), "carry_out", [] {});
     }
 }
 
