Keep VMs whose row in the platform's list cannot be read

What callers would see: one row with a capacity out of range makes its pool look rich, so that moves take VMs out of other pools or leave a surge without any; a row that cannot be read removes its VM from the list, so that a maintenance wave counts it as gone. Found by reading; the platform is not known to send such rows.

Cause: decode_vm accepted any JSON value, converted numbers of any size (1e300 became the largest integer, which is undefined and differs between processors), and a row without an id became a VM without one.

--- a/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/vm_list.hpp
@@ -36,6 +36,13 @@
     time_point m_requested{};
 };
 
+/** @brief The VMs in a response of the platform. */
+struct vm_listing {
+    std::vector<vm_status> m_vms;
+    /** @brief Some VMs could not be read. */
+    bool m_partial{false};
+};
+
 /** @brief Finds a VM. @pre The VMs are in the order of their ids. @return The VM, or null. */
 [[nodiscard]] auto find_vm(const std::vector<vm_status>& vms, const vm_id& id) -> const vm_status*;
 
@@ -43,13 +50,14 @@
 [[nodiscard]] auto is_current(const vm_list& list, time_point now) -> bool;
 
 /**
- * @brief Replaces a list by a response of the platform, unless the list was requested later.
+ * @brief Replaces a list by a response of the platform, unless the list was requested later. A VM that is missing in a
+ * partial response is kept as it was.
  * @param list The list.
- * @param vms VMs in the response.
+ * @param listed The response.
  * @param requested When the response was requested.
  * @return True if the list has been replaced.
  */
-auto update_vm_list(vm_list& list, std::vector<vm_status> vms, time_point requested) -> bool;
+auto update_vm_list(vm_list& list, vm_listing listed, time_point requested) -> bool;
 
 } // namespace cicadalug
 
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -68,7 +68,7 @@
 auto scheduler_simulation::listed_vms() const -> vm_list
 {
     vm_list list;
-    update_vm_list(list, m_vms, m_now);
+    update_vm_list(list, {m_vms}, m_now);
     return list;
 }
 
