Bound the occurrences and the times of a job in the decider

What callers would see: one accepted job with a large repeat_count and a short or missing interval_ms makes the decider open all due occurrences at once until its memory is used up; the next decider loads the same job and ends in the same way. Occurrences in the distant future start at once, and a job with long estimates counts as overdue.

Cause: the due time was computed as first_run_ms + K x interval_ms, which overflows, and the objective as a product of doubles that was converted without a check. The number of open occurrences had no limit.

Evidence, on the code before this change: 10,000 occurrences of 50 tasks were all opened (the test expects 2,000); of 10 occurrences with the longest interval, 3 were due at once (expected: 1); the deadline lay before the arrival of the job.

--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -11,6 +11,20 @@
 /** @brief Weight of the client's estimate against the learned mean of the queue; the estimates are far off. */
 constexpr double client_estimate_weight{0.5};
 
+/** @brief Maximum number of open tasks of a job with a schedule; its other due occurrences are opened as these end. */
+constexpr std::int64_t max_open_tasks{100'000};
+
+/** @brief Longest duration of an estimate, ten years in milliseconds. */
+constexpr double longest_estimate_ms{315'360'000'000.0};
+
+/** @brief Converts an estimate; any value that is not below the longest estimate, or not a number, becomes that. */
+[[nodiscard]] auto to_microseconds(const double ms) -> microseconds
+{
+    constexpr double microseconds_per_ms{1'000.0};
+    const auto limited = ms < longest_estimate_ms ? std::max(ms, 0.0) : longest_estimate_ms;
+    return microseconds{static_cast<std::int64_t>(limited * microseconds_per_ms)};
+}
+
 [[nodiscard]] auto make_occurrence(const job_spec& spec, const std::int64_t number) -> occurrence_state
 {
     occurrence_state occurrence;
@@ -65,13 +79,34 @@
     return job.m_open.empty() ? job.m_first_open : job.m_open.back().m_number + 1;
 }
 
+[[nodiscard]] auto is_due(const job_spec& spec, const std::int64_t occurrence, const std::int64_t unix_ms) -> bool
+{
+    const auto first = std::max<std::int64_t>(0, spec.m_first_due_unix_ms);
+    if (spec.m_occurrences <= 0 || first > unix_ms) {
+        return spec.m_occurrences <= 0;
+    }
+    // The product of number and interval could overflow.
+    return spec.m_interval <= milliseconds{0} || occurrence <= (unix_ms - first) / spec.m_interval.count();
+}
+
+/** @brief Returns the number of occurrences of a job that may be open at the same time. */
+[[nodiscard]] auto max_open_occurrences(const job_spec& spec) -> std::size_t
+{
+    std::int64_t tasks{0};
+    for (const auto& step : spec.m_steps) {
+        tasks += std::clamp<std::int64_t>(step.m_count, 0, max_open_tasks);
+    }
+    return static_cast<std::size_t>(std::max<std::int64_t>(1, max_open_tasks / std::max<std::int64_t>(1, tasks)));
+}
+
 /** @brief Opens the due occurrences of a job. @return True if any was opened. */
 auto open_occurrences(job_entry& job, const std::int64_t unix_ms) -> bool
 {
     const auto& spec = job.m_record.m_spec;
+    const auto limit = max_open_occurrences(spec);
     bool opened{false};
     for (auto next = next_occurrence(job); next < total_occurrences(job); ++next) {
-        if (spec.m_occurrences > 0 && spec.m_first_due_unix_ms + next * spec.m_interval.count() > unix_ms) {
+        if (!is_due(spec, next, unix_ms) || job.m_open.size() >= limit) {
             break;
         }
         job.m_open.push_back(make_occurrence(spec, next));
@@ -285,9 +320,9 @@
     restore_crashes(state, entry, crashes);
     open_occurrences(entry, clock.m_unix_ms);
     const auto& terms = entry.m_record.m_policy;
-    entry.m_deadline =
-        entry.m_arrived + terms.m_target +
-        std::chrono::duration_cast<microseconds>(estimate_critical_path(state, entry, true) * terms.m_stretch);
+    entry.m_deadline = entry.m_arrived + terms.m_target +
+                       to_microseconds(static_cast<double>(estimate_critical_path(state, entry, true).count()) /
+                                       1'000.0 * terms.m_stretch);
     state.m_active[terms.m_service].push_back(&entry);
     state.m_dispatch_requested = true;
     if (cancelled) {
@@ -526,7 +561,7 @@
         finish_ms[number] = before + own_ms;
         longest = std::max(longest, finish_ms[number]);
     }
-    return microseconds{static_cast<std::int64_t>(longest * 1'000.0)};
+    return to_microseconds(longest);
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
+
 namespace cicadalug::test {
 
 // Guards against a log line that gives a cancelled job fewer runs than are still to be stopped.
@@ -76,4 +79,40 @@
     EXPECT_TRUE(old_early_cancels(state, start + milliseconds{300}, 0).empty());
 }
 
+// Guards against a job whose due occurrences exhaust the memory of each decider, one after the other.
+TEST(jobs, the_due_occurrences_of_a_job_are_opened_within_a_limit)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto job = make_job("quotes", 50, 1'000, milliseconds{5'000});
+    job.m_spec.m_occurrences = 10'000;
+    const auto id = simulation.submit(job);
+    EXPECT_EQ(find_job(simulation.m_state, id)->m_open.size(), 2'000U) << "occurrences of 50 tasks";
+}
+
+// Guards against an overflow of the due time of a late occurrence, which would be due at once.
+TEST(jobs, an_occurrence_in_the_distant_future_is_not_due)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto job = make_job("quotes", 1, 1'000, milliseconds{5'000});
+    job.m_spec.m_first_due_unix_ms = 1;
+    job.m_spec.m_interval = milliseconds{std::numeric_limits<std::int64_t>::max()};
+    job.m_spec.m_occurrences = 10;
+    const auto id = simulation.submit(job);
+    EXPECT_EQ(find_job(simulation.m_state, id)->m_open.size(), 1U);
+}
+
+// Guards against estimates that overflow: the objective of the job would lie before its arrival.
+TEST(jobs, the_objective_of_a_job_with_long_estimates_does_not_overflow)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto job = make_job("quotes", 1, 1'000, milliseconds{std::numeric_limits<std::int64_t>::max()});
+    job.m_policy.m_stretch = 1e300;
+    const auto id = simulation.submit(job);
+    const auto* entry = find_job(simulation.m_state, id);
+    EXPECT_GT(entry->m_deadline, entry->m_arrived);
+}
+
 } // namespace cicadalug::test
