Keep one worker of each pool open during a wave

Cause: a wave whose concurrency allows it cordoned all workers of a pool at once, idle pools first. Each of them had a task of the same step, and none may be taken down while another task of the step is unavailable beyond the disruption budget. The waiting task was that other task, and no worker accepted it. Nothing ended this: a cordon has no time limit.

Evidence: the new test loses the worker of one of four tasks with a budget of 1 while the other three VMs are drained for a wave.

The last worker of a pool that accepts work is now cordoned only if no other VM of the pool is cordoned or down for the wave; these accept work again later, so that the wave ends. Waiting tasks and evacuations thereby have a worker to go to.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -188,6 +188,26 @@
     }
 }
 
+/** @brief Checks whether a VM has the only worker of its pool that accepts work while others are cordoned or down, and
+ * accept work again later. */
+[[nodiscard]] auto is_last_accepting(const scheduler_state& state, const wave_progress_state& wave,
+                                     const std::vector<vm_status>& vms, const vm_status& vm, const time_point now)
+    -> bool
+{
+    const auto of_pool = [&](const auto& entry) {
+        const auto* other = find_vm(vms, entry.first);
+        return other != nullptr && other->m_pool == vm.m_pool;
+    };
+    const bool others_return = std::any_of(wave.m_cordoned.begin(), wave.m_cordoned.end(), of_pool) ||
+                               std::any_of(wave.m_down.begin(), wave.m_down.end(), of_pool);
+    return others_return &&
+           std::none_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+               const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+               return worker.m_entry.m_id != vm.m_worker && worker.m_entry.m_service == vm.m_pool &&
+                      find_obstacle(worker, now) == worker_obstacle::none;
+           });
+}
+
 auto cordon_next(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
                  const std::vector<vm_status>& vms, const time_point now) -> void
 {
@@ -210,6 +230,9 @@
         if (busy >= required) {
             return;
         }
+        if (is_last_accepting(state, wave, vms, *vm, now)) {
+            continue;
+        }
         const auto index = find_worker(state, vm->m_worker);
         if (index != no_worker) {
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -73,8 +73,50 @@
     wave_progress_state& m_wave;
 };
 
+/** @brief Fills each worker with a short task that a later plan has to wait for. */
+auto add_short_tasks(scheduler_simulation& simulation, const std::int64_t count) -> void
+{
+    auto job = make_job("ledger", count, 1'000, milliseconds{2'500});
+    job.m_spec.m_steps.front().m_max_per_worker = 1;
+    static_cast<void>(simulation.submit(job));
+    simulation.run_for(milliseconds{50});
+}
+
 } // namespace
 
+// Guards against a long-running task that never starts, as all workers of its pool are cordoned and none of them may be
+// taken down before it has started.
+TEST(maintenance, a_task_whose_worker_is_lost_in_a_wave_starts_on_another_one)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    const auto job = simulation.submit(make_long_running_job("ledger", 4, 1));
+    simulation.run_for(milliseconds{200});
+    std::int64_t lost{0};
+    while (find_task(simulation.m_state, {job, 0, 0, lost})->m_worker != 3) {
+        ++lost;
+    }
+    simulation.m_restart_time = milliseconds{1'000'000};
+    simulation.crash(worker_id{"w4"});
+    simulation.run_for(milliseconds{1'500});
+    add_short_tasks(simulation, 3);
+    auto wave = make_wave(simulation, 3);
+    wave.m_request.m_vms.pop_back();
+    wave.m_request.m_duration = milliseconds{1'000};
+    wave_simulation maintained{simulation, wave};
+    for (int tick = 0; tick < 30 && find_task(simulation.m_state, {job, 0, 0, lost})->m_worker == 3; ++tick) {
+        maintained.run_for(milliseconds{100});
+    }
+    ASSERT_TRUE(wave.m_begun.empty()) << "the short tasks have not ended";
+    maintained.run_for(milliseconds{200});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, lost}), 2);
+    maintained.run_for(milliseconds{30'000});
+    EXPECT_TRUE(is_wave_completed(wave));
+    for (std::int64_t index = 0; index < 4; ++index) {
+        EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, index})->m_percent, 100);
+    }
+}
+
 // Guards against maintenance that makes two tasks of a step unavailable when its budget allows only one.
 TEST(maintenance, a_second_vm_of_one_step_waits_until_the_first_task_is_available)
 {
