Release a cordoned worker for a task that has room on no other

A long-running task did not start while the only workers with room for it, or with its label, were cordoned for a wave and waited for short tasks to end or for the disruption budget of a step, to which the waiting task itself may belong.

Cause: a cordon was set and kept without regard to waiting tasks. The worker that a wave leaves open in each pool may be full.

Evidence: in the new maintenance test two workers have no room left, and the third one is cordoned when the fourth one is lost.

find_needed_workers() finds the workers without which a waiting long-running task, or a gang of such tasks, has no place, by the predicates of dispatch. Such a worker is not cordoned, and is released if it is, unless a command for its VM was sent: one without a response may still be carried out. No more workers are released than are needed, and a task that has room on none of them releases none, so that it does not hold up a wave. The search for waiting steps is shared with the log of waiting tasks.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/maintenance.hpp>
+#include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
@@ -188,6 +189,31 @@
     }
 }
 
+/** @brief Releases cordoned VMs whose workers are needed by waiting long-running tasks. */
+auto release_needed(scheduler_state& state, wave_progress_state& wave, const std::vector<vm_status>& vms,
+                    const time_point now) -> void
+{
+    std::map<worker_index, vm_id> releasable;
+    for (const auto& [id, since] : wave.m_cordoned) {
+        const auto* vm = find_vm(vms, id);
+        const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
+        // The command for a VM that counts as down may be carried out.
+        if (index != no_worker && !wave.m_down.contains(id)) {
+            releasable.emplace(index, id);
+        }
+    }
+    std::set<worker_index> indices;
+    for (const auto& [index, id] : releasable) {
+        indices.insert(index);
+    }
+    for (const auto index : find_needed_workers(state, indices, now)) {
+        if (const auto found = releasable.find(index); found != releasable.end()) {
+            release_worker(state, state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
+            wave.m_cordoned.erase(found->second);
+        }
+    }
+}
+
 /** @brief Checks whether a VM has the only worker of its pool that accepts work while others are cordoned or down, and
  * accept work again later. */
 [[nodiscard]] auto is_last_accepting(const scheduler_state& state, const wave_progress_state& wave,
@@ -226,16 +252,18 @@
     const auto unfinished = static_cast<std::int64_t>(open.size() + wave.m_cordoned.size());
     const auto required = required_concurrency(settings, wave, unfinished, now);
     auto busy = static_cast<std::int64_t>(wave.m_cordoned.size() + wave.m_down.size());
+    auto needed = find_needed_workers(state, {}, now);
     for (const auto& [key, vm] : open) {
         if (busy >= required) {
             return;
         }
-        if (is_last_accepting(state, wave, vms, *vm, now)) {
+        const auto index = find_worker(state, vm->m_worker);
+        if (needed.contains(index) || is_last_accepting(state, wave, vms, *vm, now)) {
             continue;
         }
-        const auto index = find_worker(state, vm->m_worker);
         if (index != no_worker) {
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
+            needed = find_needed_workers(state, {}, now);
         }
         wave.m_cordoned.emplace(vm->m_vm, now);
         ++busy;
@@ -290,6 +318,7 @@
     const auto unconfirmed =
         std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
                       [&](const vm_id& id) { return reserved.contains(id) && !wave.m_down.contains(id); });
+    release_needed(state, wave, vms, now);
     evacuate_overcrowded_vms(state, wave, vms, now);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -212,6 +212,32 @@
     });
 }
 
+auto count_places(const scheduler_state& state, const worker_index worker, const placement_request& request,
+                  const time_point now) -> std::int64_t
+{
+    if (!can_place(state, worker, request, now)) {
+        return 0;
+    }
+    const auto& slot = slot_of(state, worker);
+    const auto& spec = *request.m_spec;
+    const auto demand = reserved_demand(spec);
+    const auto free = free_of(slot);
+    auto places = spec.m_count;
+    if (demand.m_cpu > millicores{0}) {
+        places = std::min(places, free.m_cpu.value() / demand.m_cpu.value());
+    }
+    if (demand.m_memory > mebibytes{0}) {
+        places = std::min(places, free.m_memory.value() / demand.m_memory.value());
+    }
+    if (demand.m_accelerators > 0) {
+        places = std::min(places, free.m_accelerators / demand.m_accelerators);
+    }
+    if (spec.m_max_per_worker > 0) {
+        places = std::min(places, spec.m_max_per_worker - tasks_of_step(slot, request.m_task));
+    }
+    return places;
+}
+
 auto can_place(const scheduler_state& state, const worker_index worker, const placement_request& request,
                const time_point now) -> bool
 {
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -87,6 +87,10 @@
 /** @brief Returns the number of tasks of a step on a worker. */
 [[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t;
 
+/** @brief Returns how many tasks of a step a worker that accepts new work can hold besides its runs. */
+[[nodiscard]] auto count_places(const scheduler_state& state, worker_index worker, const placement_request& request,
+                                time_point now) -> std::int64_t;
+
 /** @brief Checks whether a worker has the capacity, the label and the permit for a task. */
 [[nodiscard]] auto can_place(const scheduler_state& state, worker_index worker, const placement_request& request,
                              time_point now) -> bool;
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/wait_cause.hpp>
 
@@ -168,20 +169,8 @@
                      const time_point now) -> long_waits
 {
     long_waits waits;
-    for (const auto& [service, jobs] : state.m_active) {
-        for (const auto* job : jobs) {
-            const auto& steps = job->m_record.m_spec.m_steps;
-            for (const auto& occurrence : job->m_open) {
-                for (std::size_t number = 0; number < steps.size(); ++number) {
-                    if (steps[number].m_long_running && occurrence.m_steps[number].m_waiting > 0 &&
-                        is_ready(*job, occurrence, number)) {
-                        const task_ref first{job->m_record.m_id, occurrence.m_number, static_cast<std::int64_t>(number),
-                                             0};
-                        add_long_waits(state, *job, first, at_least, limit, now, waits);
-                    }
-                }
-            }
-        }
+    for (const auto& step : find_waiting_long_running_steps(state)) {
+        add_long_waits(state, *step.m_job, step.m_first, at_least, limit, now, waits);
     }
     return waits;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
@@ -24,14 +24,7 @@
     return registered == 0 || reported == 0 || registered == reported;
 }
 
-} // namespace
-
-auto name_of(const worker_obstacle obstacle) noexcept -> std::string_view
-{
-    return names[static_cast<std::size_t>(obstacle)];
-}
-
-auto find_service_obstacle(const worker_slot& worker) -> worker_obstacle
+[[nodiscard]] auto find_entry_obstacle(const worker_slot& worker) -> worker_obstacle
 {
     if (!worker.m_registered) {
         return worker_obstacle::not_registered;
@@ -39,17 +32,11 @@
     if (!is_entry_current(worker)) {
         return worker_obstacle::other_incarnation;
     }
-    if (worker.m_entry.m_state != worker_state::ready) {
-        return worker_obstacle::draining;
-    }
-    return worker.m_cordoned ? worker_obstacle::cordoned : worker_obstacle::none;
+    return worker.m_entry.m_state == worker_state::ready ? worker_obstacle::none : worker_obstacle::draining;
 }
 
-auto find_obstacle(const worker_slot& worker, const time_point now) -> worker_obstacle
+[[nodiscard]] auto find_report_obstacle(const worker_slot& worker, const time_point now) -> worker_obstacle
 {
-    if (const auto found = find_service_obstacle(worker); found != worker_obstacle::none) {
-        return found;
-    }
     if (!worker.m_has_reported) {
         return worker_obstacle::not_reported;
     }
@@ -65,4 +52,29 @@
     return now - worker.m_last_report < report_age_limit ? worker_obstacle::none : worker_obstacle::report_too_old;
 }
 
+} // namespace
+
+auto name_of(const worker_obstacle obstacle) noexcept -> std::string_view
+{
+    return names[static_cast<std::size_t>(obstacle)];
+}
+
+auto find_service_obstacle(const worker_slot& worker) -> worker_obstacle
+{
+    const auto found = find_entry_obstacle(worker);
+    return found == worker_obstacle::none && worker.m_cordoned ? worker_obstacle::cordoned : found;
+}
+
+auto find_obstacle(const worker_slot& worker, const time_point now) -> worker_obstacle
+{
+    const auto found = find_service_obstacle(worker);
+    return found == worker_obstacle::none ? find_report_obstacle(worker, now) : found;
+}
+
+auto find_obstacle_besides_cordon(const worker_slot& worker, const time_point now) -> worker_obstacle
+{
+    const auto found = find_entry_obstacle(worker);
+    return found == worker_obstacle::none ? find_report_obstacle(worker, now) : found;
+}
+
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
@@ -46,6 +46,9 @@
 /** @brief Returns the first reason for which a worker gets no new work of its service, whatever the task. */
 [[nodiscard]] auto find_obstacle(const worker_slot& worker, time_point now) -> worker_obstacle;
 
+/** @brief Returns the reason for which a worker would get no new work even if it were not cordoned. */
+[[nodiscard]] auto find_obstacle_besides_cordon(const worker_slot& worker, time_point now) -> worker_obstacle;
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -117,6 +117,35 @@
     }
 }
 
+// Guards against a long-running task that never starts, as the worker that its wave has left open has no room for it.
+TEST(maintenance, a_cordoned_worker_is_released_for_a_task_that_has_room_on_no_other)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    const auto job = simulation.submit(make_long_running_job("ledger", 4, 1));
+    simulation.run_for(milliseconds{200});
+    simulation.set_capacity(worker_id{"w1"}, 3'000);
+    simulation.set_capacity(worker_id{"w2"}, 3'000);
+    std::int64_t lost{0};
+    while (find_task(simulation.m_state, {job, 0, 0, lost})->m_worker != 3) {
+        ++lost;
+    }
+    simulation.m_restart_time = milliseconds{1'000'000};
+    simulation.crash(worker_id{"w4"});
+    simulation.run_for(milliseconds{1'500});
+    add_short_tasks(simulation, 3);
+    auto wave = make_wave(simulation, 1);
+    wave.m_request.m_vms = {simulation.m_vms[2].m_vm};
+    wave_simulation maintained{simulation, wave};
+    for (int tick = 0; tick < 30 && find_task(simulation.m_state, {job, 0, 0, lost})->m_worker == 3; ++tick) {
+        maintained.run_for(milliseconds{100});
+    }
+    ASSERT_TRUE(wave.m_begun.empty()) << "the short tasks have not ended";
+    maintained.run_for(milliseconds{300});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, lost}), 2);
+    EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, lost})->m_worker, 2);
+}
+
 // Guards against maintenance that makes two tasks of a step unavailable when its budget allows only one.
 TEST(maintenance, a_second_vm_of_one_step_waits_until_the_first_task_is_available)
 {
