Don't take a VM for removed because one list lacks it

A worker whose VM was missing in one list of VMs got no new work for the rest of the term, if it was cordoned for a wave or a move at that time; and a wave counted as completed without the maintenance of such a VM.

Cause: a VM that was not listed was recorded as maintained or its move as ended, and its worker was not released, since only the list told which one it was. A list has several pages that are read one after the other, so that one list can lack a VM while others come and go. Whether the platform's lists do so is not shown.

A cordon now records its worker. A VM counts as removed when all lists of 3 s lack it; until then its cordon for a wave ends, unless a command for it may be carried out, and its move goes on until it is carried out or abandoned by time. The worker is released in each case.

--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -156,18 +156,30 @@
                           const vm_list& list) -> void
 {
     const auto& vms = list.m_vms;
+    for (const auto& id : wave.m_request.m_vms) {
+        if (find_vm(vms, id) == nullptr) {
+            wave.m_missing.try_emplace(id, list.m_requested);
+        }
+        else {
+            wave.m_missing.erase(id);
+        }
+    }
+    const auto is_removed = [&](const vm_id& id) {
+        const auto missing = wave.m_missing.find(id);
+        return missing != wave.m_missing.end() && list.m_requested - missing->second >= settings.m_missing_timeout;
+    };
     for (auto down = wave.m_down.begin(); down != wave.m_down.end();) {
         const auto* vm = find_vm(vms, down->first);
         const bool maintained = list.m_requested - down->second > settings.m_maintenance_time;
-        const bool back = vm == nullptr || (vm->m_phase == vm_phase::up && maintained);
+        const bool back = is_removed(down->first) || (vm != nullptr && vm->m_phase == vm_phase::up && maintained);
         down = back ? wave.m_down.erase(down) : std::next(down);
     }
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
-        if (vm == nullptr) {
+        if (is_removed(id)) {
             wave.m_begun.insert(id);
         }
-        else if (vm->m_phase == vm_phase::in_maintenance) {
+        else if (vm != nullptr && vm->m_phase == vm_phase::in_maintenance) {
             // The command was sent by the previous decider.
             wave.m_begun.insert(id);
             wave.m_down.try_emplace(id, list.m_requested - settings.m_maintenance_time);
@@ -176,10 +188,12 @@
     for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
         const auto* vm = find_vm(vms, cordoned->first);
         const bool begun = wave.m_begun.contains(cordoned->first);
-        if (vm == nullptr || vm->m_phase != vm_phase::up || begun) {
+        // The command for a VM that counts as down may be carried out, even if a list lacks the VM.
+        const bool leaves = vm == nullptr ? !wave.m_down.contains(cordoned->first) : vm->m_phase != vm_phase::up;
+        if (begun || leaves) {
             // Once maintenance has begun, the VM's worker has terminated. It stays cordoned until its entry is removed.
-            if (vm != nullptr && !begun) {
-                release_worker(state, vm->m_worker);
+            if (!begun || is_removed(cordoned->first)) {
+                release_worker(state, cordoned->second.m_worker);
             }
             cordoned = wave.m_cordoned.erase(cordoned);
         }
@@ -194,7 +208,7 @@
                     const time_point now) -> void
 {
     std::map<worker_index, vm_id> releasable;
-    for (const auto& [id, since] : wave.m_cordoned) {
+    for (const auto& [id, cordon] : wave.m_cordoned) {
         const auto* vm = find_vm(vms, id);
         const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
         // The command for a VM that counts as down may be carried out.
@@ -265,7 +279,7 @@
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
             needed = find_needed_workers(state, {}, now);
         }
-        wave.m_cordoned.emplace(vm->m_vm, now);
+        wave.m_cordoned.emplace(vm->m_vm, wave_progress_state::cordon{now, vm->m_worker});
         ++busy;
     }
 }
@@ -322,7 +336,7 @@
     evacuate_overcrowded_vms(state, wave, vms, now);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
-    for (const auto& [id, since] : wave.m_cordoned) {
+    for (const auto& [id, cordon] : wave.m_cordoned) {
         if (static_cast<std::int64_t>(wave.m_down.size()) + unconfirmed >= wave.m_request.m_concurrency) {
             break;
         }
@@ -334,7 +348,7 @@
         if (!are_runs_known(state, index, now)) {
             continue;
         }
-        const bool drained = index == no_worker || now - since > settings.m_drain_timeout ||
+        const bool drained = index == no_worker || now - cordon.m_since > settings.m_drain_timeout ||
                              !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
         if (vm == nullptr || !drained || reserved.contains(id)) {
             continue;
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -42,8 +42,15 @@
     std::set<vm_id> m_begun;
     /** @brief VMs that are down for maintenance, with the time of the command. */
     std::map<vm_id, time_point> m_down;
-    /** @brief VMs that get no new work until their runs have ended, with the time at which they were cordoned. */
-    std::map<vm_id, time_point> m_cordoned;
+    /** @brief A VM whose worker gets no new work until its runs have ended. */
+    struct cordon {
+        time_point m_since{};
+        /** @brief Worker that was cordoned; empty if there was none. */
+        worker_id m_worker;
+    };
+    std::map<vm_id, cordon> m_cordoned;
+    /** @brief VMs missing in the last list, and when the first list without them was requested. */
+    std::map<vm_id, time_point> m_missing;
 };
 
 /** @brief Settings of maintenance. */
@@ -52,6 +59,9 @@
     milliseconds m_maintenance_time{2'000};
     /** @brief A cordoned VM is taken down after this time even if short tasks still run on it. */
     milliseconds m_drain_timeout{3'000};
+    /** @brief A VM that is missing in all lists for this time has been removed. A list has several pages, and one may
+     * lack a VM while VMs are added and removed. */
+    milliseconds m_missing_timeout{3'000};
     /** @brief Target duration of a wave in percent of its allowed duration; the rest is a reserve for faults. */
     std::int64_t m_target_time_percent{75};
 };
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -53,9 +53,9 @@
         const auto* vm = find_vm(vms, move->first);
         const bool arrived = vm != nullptr && vm->m_phase == vm_phase::up && vm->m_pool == move->second.m_target &&
                              find_worker(state, vm->m_worker) != no_worker;
-        const bool abandoned = vm == nullptr || now - move->second.m_since > settings.m_move_timeout;
-        if (abandoned && !arrived && vm != nullptr && vm->m_phase == vm_phase::up) {
-            release_worker(state, vm->m_worker);
+        const bool abandoned = now - move->second.m_since > settings.m_move_timeout;
+        if (abandoned && (vm == nullptr || vm->m_worker == move->second.m_worker)) {
+            release_worker(state, move->second.m_worker);
         }
         move = arrived || abandoned ? moves.m_moves.erase(move) : std::next(move);
     }
@@ -119,10 +119,12 @@
 auto begin_move(scheduler_state& state, move_state& moves, const candidate& chosen, const service_id& target,
                 const time_point now) -> void
 {
-    moves.m_moves[chosen.m_vm->m_vm] = {target, now, false};
+    auto& move = moves.m_moves[chosen.m_vm->m_vm];
+    move = {target, now, false};
     moves.m_idle_since.erase(chosen.m_vm->m_vm);
     if (chosen.m_worker != no_worker) {
         state.m_workers[static_cast<std::size_t>(chosen.m_worker)].m_cordoned = true;
+        move.m_worker = chosen.m_vm->m_worker;
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -49,6 +49,8 @@
         service_id m_target;
         time_point m_since{};
         bool m_command_sent{false};
+        /** @brief Worker that was cordoned for the move; empty if there was none. */
+        worker_id m_worker{};
     };
     std::map<vm_id, pending_move> m_moves;
     /** @brief Time since which a VM's worker has had no runs and its pool has not needed it. */
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -178,6 +178,49 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against a VM that is never maintained, and whose worker gets no work for good, as one list of several pages
+// lacked it.
+TEST(maintenance, a_vm_that_is_missing_in_one_list_is_still_maintained)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    const auto missing = simulation.m_vms.front();
+    auto wave = make_wave(simulation, 2);
+    wave.m_request.m_vms = {missing.m_vm};
+    add_short_tasks(simulation, 2);
+    const auto plan = [&](const vm_list& list) {
+        return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, list, {},
+                                simulation.now());
+    };
+    EXPECT_TRUE(plan(simulation.listed_vms()).empty());
+    ASSERT_TRUE(simulation.m_state.m_workers[0].m_cordoned);
+    auto others = simulation.listed_vms();
+    others.m_vms.erase(others.m_vms.begin());
+    EXPECT_TRUE(plan(others).empty());
+    EXPECT_FALSE(simulation.m_state.m_workers[0].m_cordoned);
+    EXPECT_FALSE(is_wave_completed(wave));
+    simulation.run_for(milliseconds{3'000});
+    EXPECT_EQ(plan(simulation.listed_vms()), std::vector{missing.m_vm});
+}
+
+// Guards against a wave that waits for a VM that has been removed.
+TEST(maintenance, a_vm_that_is_missing_for_long_is_gone)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    auto wave = make_wave(simulation, 1);
+    wave.m_request.m_vms = {simulation.m_vms.front().m_vm};
+    simulation.m_vms.erase(simulation.m_vms.begin());
+    for (int tick = 0; tick < 31; ++tick) {
+        EXPECT_FALSE(is_wave_completed(wave));
+        simulation.run_for(milliseconds{100});
+        EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                     simulation.listed_vms(), {}, simulation.now())
+                        .empty());
+    }
+    EXPECT_TRUE(is_wave_completed(wave));
+}
+
 // Guards against a wave that counts as completed because the VMs could not be listed yet.
 TEST(maintenance, a_wave_makes_no_progress_before_the_vms_are_listed)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -179,7 +179,7 @@
     auto& worker = simulation.m_state.m_workers.front();
     worker.m_cordoned = true;
     move_state moves;
-    moves.m_moves[vm.m_vm] = {command.m_target, simulation.now(), true};
+    moves.m_moves[vm.m_vm] = {command.m_target, simulation.now(), true, vm.m_worker};
     const auto plan = [&](const milliseconds later) {
         const auto now = simulation.now() + later;
         return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
@@ -195,6 +195,31 @@
     EXPECT_FALSE(worker.m_cordoned);
 }
 
+// Guards against a worker that gets no work for good after one list of several pages lacked its VM.
+TEST(moves, a_worker_whose_vm_is_missing_in_lists_is_released_in_the_end)
+{
+    scheduler_simulation simulation;
+    simulation.m_move_settings.m_standby_floor_percent = 100;
+    add_pools(simulation);
+    const auto vm = simulation.m_vms.front();
+    auto& worker = simulation.m_state.m_workers.front();
+    worker.m_cordoned = true;
+    move_state moves;
+    moves.m_moves[vm.m_vm] = {service_id{"orders"}, simulation.now(), false, vm.m_worker};
+    auto others = simulation.listed_vms().m_vms;
+    std::erase_if(others, [&vm](const vm_status& listed) { return listed.m_vm == vm.m_vm; });
+    const auto plan = [&](const std::vector<vm_status>& vms, const milliseconds later) {
+        const auto now = simulation.now() + later;
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, {vms, now},
+                          simulation.m_standby, {}, now);
+    };
+    EXPECT_TRUE(plan(others, milliseconds{100}).empty());
+    EXPECT_EQ(moves.m_moves.size(), 1U) << "the next list may contain the VM";
+    EXPECT_TRUE(plan(others, simulation.m_move_settings.m_move_timeout + milliseconds{100}).empty());
+    EXPECT_TRUE(moves.m_moves.empty());
+    EXPECT_FALSE(worker.m_cordoned);
+}
+
 // Guards against a command for a VM that has already moved: its acceptance would end the runs of the new worker in the
 // table, and their tasks would be started a second time.
 TEST(moves, no_command_is_sent_for_a_vm_that_has_arrived)
