--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/maintenance.hpp>
+#include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
@@ -155,18 +156,30 @@
                           const vm_list& list) -> void
 {
     const auto& vms = list.m_vms;
+    for (const auto& id : wave.m_request.m_vms) {
+        if (find_vm(vms, id) == nullptr) {
+            wave.m_missing.try_emplace(id, list.m_requested);
+        }
+        else {
+            wave.m_missing.erase(id);
+        }
+    }
+    const auto is_removed = [&](const vm_id& id) {
+        const auto missing = wave.m_missing.find(id);
+        return missing != wave.m_missing.end() && list.m_requested - missing->second >= settings.m_missing_timeout;
+    };
     for (auto down = wave.m_down.begin(); down != wave.m_down.end();) {
         const auto* vm = find_vm(vms, down->first);
         const bool maintained = list.m_requested - down->second > settings.m_maintenance_time;
-        const bool back = vm == nullptr || (vm->m_phase == vm_phase::up && maintained);
+        const bool back = is_removed(down->first) || (vm != nullptr && vm->m_phase == vm_phase::up && maintained);
         down = back ? wave.m_down.erase(down) : std::next(down);
     }
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
-        if (vm == nullptr) {
+        if (is_removed(id)) {
             wave.m_begun.insert(id);
         }
-        else if (vm->m_phase == vm_phase::in_maintenance) {
+        else if (vm != nullptr && vm->m_phase == vm_phase::in_maintenance) {
             // The command was sent by the previous decider.
             wave.m_begun.insert(id);
             wave.m_down.try_emplace(id, list.m_requested - settings.m_maintenance_time);
@@ -175,10 +188,12 @@
     for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
         const auto* vm = find_vm(vms, cordoned->first);
         const bool begun = wave.m_begun.contains(cordoned->first);
-        if (vm == nullptr || vm->m_phase != vm_phase::up || begun) {
+        // The command for a VM that counts as down may be carried out, even if a list lacks the VM.
+        const bool leaves = vm == nullptr ? !wave.m_down.contains(cordoned->first) : vm->m_phase != vm_phase::up;
+        if (begun || leaves) {
             // Once maintenance has begun, the VM's worker has terminated. It stays cordoned until its entry is removed.
-            if (vm != nullptr && !begun) {
-                release_worker(state, vm->m_worker);
+            if (!begun || is_removed(cordoned->first)) {
+                release_worker(state, cordoned->second.m_worker);
             }
             cordoned = wave.m_cordoned.erase(cordoned);
         }
@@ -188,6 +203,51 @@
     }
 }
 
+/** @brief Releases cordoned VMs whose workers are needed by waiting long-running tasks. */
+auto release_needed(scheduler_state& state, wave_progress_state& wave, const std::vector<vm_status>& vms,
+                    const time_point now) -> void
+{
+    std::map<worker_index, vm_id> releasable;
+    for (const auto& [id, cordon] : wave.m_cordoned) {
+        const auto* vm = find_vm(vms, id);
+        const auto index = vm == nullptr ? no_worker : find_worker(state, vm->m_worker);
+        // The command for a VM that counts as down may be carried out.
+        if (index != no_worker && !wave.m_down.contains(id)) {
+            releasable.emplace(index, id);
+        }
+    }
+    std::set<worker_index> indices;
+    for (const auto& [index, id] : releasable) {
+        indices.insert(index);
+    }
+    for (const auto index : find_needed_workers(state, indices, now)) {
+        if (const auto found = releasable.find(index); found != releasable.end()) {
+            release_worker(state, state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
+            wave.m_cordoned.erase(found->second);
+        }
+    }
+}
+
+/** @brief Checks whether a VM has the only worker of its pool that accepts work while others are cordoned or down, and
+ * accept work again later. */
+[[nodiscard]] auto is_last_accepting(const scheduler_state& state, const wave_progress_state& wave,
+                                     const std::vector<vm_status>& vms, const vm_status& vm, const time_point now)
+    -> bool
+{
+    const auto of_pool = [&](const auto& entry) {
+        const auto* other = find_vm(vms, entry.first);
+        return other != nullptr && other->m_pool == vm.m_pool;
+    };
+    const bool others_return = std::any_of(wave.m_cordoned.begin(), wave.m_cordoned.end(), of_pool) ||
+                               std::any_of(wave.m_down.begin(), wave.m_down.end(), of_pool);
+    return others_return &&
+           std::none_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+               const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+               return worker.m_entry.m_id != vm.m_worker && worker.m_entry.m_service == vm.m_pool &&
+                      find_obstacle(worker, now) == worker_obstacle::none;
+           });
+}
+
 auto cordon_next(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
                  const std::vector<vm_status>& vms, const time_point now) -> void
 {
@@ -206,15 +266,20 @@
     const auto unfinished = static_cast<std::int64_t>(open.size() + wave.m_cordoned.size());
     const auto required = required_concurrency(settings, wave, unfinished, now);
     auto busy = static_cast<std::int64_t>(wave.m_cordoned.size() + wave.m_down.size());
+    auto needed = find_needed_workers(state, {}, now);
     for (const auto& [key, vm] : open) {
         if (busy >= required) {
             return;
         }
         const auto index = find_worker(state, vm->m_worker);
+        if (needed.contains(index) || is_last_accepting(state, wave, vms, *vm, now)) {
+            continue;
+        }
         if (index != no_worker) {
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = true;
+            needed = find_needed_workers(state, {}, now);
         }
-        wave.m_cordoned.emplace(vm->m_vm, now);
+        wave.m_cordoned.emplace(vm->m_vm, wave_progress_state::cordon{now, vm->m_worker});
         ++busy;
     }
 }
@@ -267,10 +332,11 @@
     const auto unconfirmed =
         std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
                       [&](const vm_id& id) { return reserved.contains(id) && !wave.m_down.contains(id); });
+    release_needed(state, wave, vms, now);
     evacuate_overcrowded_vms(state, wave, vms, now);
     cordon_next(state, settings, wave, vms, now);
     std::vector<vm_id> begin;
-    for (const auto& [id, since] : wave.m_cordoned) {
+    for (const auto& [id, cordon] : wave.m_cordoned) {
         if (static_cast<std::int64_t>(wave.m_down.size()) + unconfirmed >= wave.m_request.m_concurrency) {
             break;
         }
@@ -282,7 +348,7 @@
         if (!are_runs_known(state, index, now)) {
             continue;
         }
-        const bool drained = index == no_worker || now - since > settings.m_drain_timeout ||
+        const bool drained = index == no_worker || now - cordon.m_since > settings.m_drain_timeout ||
                              !has_short_runs(state, state.m_workers[static_cast<std::size_t>(index)]);
         if (vm == nullptr || !drained || reserved.contains(id)) {
             continue;
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -73,8 +73,79 @@
     wave_progress_state& m_wave;
 };
 
+/** @brief Fills each worker with a short task that a later plan has to wait for. */
+auto add_short_tasks(scheduler_simulation& simulation, const std::int64_t count) -> void
+{
+    auto job = make_job("ledger", count, 1'000, milliseconds{2'500});
+    job.m_spec.m_steps.front().m_max_per_worker = 1;
+    static_cast<void>(simulation.submit(job));
+    simulation.run_for(milliseconds{50});
+}
+
 } // namespace
 
+// Guards against a long-running task that never starts, as all workers of its pool are cordoned and none of them may be
+// taken down before it has started.
+TEST(maintenance, a_task_whose_worker_is_lost_in_a_wave_starts_on_another_one)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    const auto job = simulation.submit(make_long_running_job("ledger", 4, 1));
+    simulation.run_for(milliseconds{200});
+    std::int64_t lost{0};
+    while (find_task(simulation.m_state, {job, 0, 0, lost})->m_worker != 3) {
+        ++lost;
+    }
+    simulation.m_restart_time = milliseconds{1'000'000};
+    simulation.crash(worker_id{"w4"});
+    simulation.run_for(milliseconds{1'500});
+    add_short_tasks(simulation, 3);
+    auto wave = make_wave(simulation, 3);
+    wave.m_request.m_vms.pop_back();
+    wave.m_request.m_duration = milliseconds{1'000};
+    wave_simulation maintained{simulation, wave};
+    for (int tick = 0; tick < 30 && find_task(simulation.m_state, {job, 0, 0, lost})->m_worker == 3; ++tick) {
+        maintained.run_for(milliseconds{100});
+    }
+    ASSERT_TRUE(wave.m_begun.empty()) << "the short tasks have not ended";
+    maintained.run_for(milliseconds{200});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, lost}), 2);
+    maintained.run_for(milliseconds{30'000});
+    EXPECT_TRUE(is_wave_completed(wave));
+    for (std::int64_t index = 0; index < 4; ++index) {
+        EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, index})->m_percent, 100);
+    }
+}
+
+// Guards against a long-running task that never starts, as the worker that its wave has left open has no room for it.
+TEST(maintenance, a_cordoned_worker_is_released_for_a_task_that_has_room_on_no_other)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    const auto job = simulation.submit(make_long_running_job("ledger", 4, 1));
+    simulation.run_for(milliseconds{200});
+    simulation.set_capacity(worker_id{"w1"}, 3'000);
+    simulation.set_capacity(worker_id{"w2"}, 3'000);
+    std::int64_t lost{0};
+    while (find_task(simulation.m_state, {job, 0, 0, lost})->m_worker != 3) {
+        ++lost;
+    }
+    simulation.m_restart_time = milliseconds{1'000'000};
+    simulation.crash(worker_id{"w4"});
+    simulation.run_for(milliseconds{1'500});
+    add_short_tasks(simulation, 3);
+    auto wave = make_wave(simulation, 1);
+    wave.m_request.m_vms = {simulation.m_vms[2].m_vm};
+    wave_simulation maintained{simulation, wave};
+    for (int tick = 0; tick < 30 && find_task(simulation.m_state, {job, 0, 0, lost})->m_worker == 3; ++tick) {
+        maintained.run_for(milliseconds{100});
+    }
+    ASSERT_TRUE(wave.m_begun.empty()) << "the short tasks have not ended";
+    maintained.run_for(milliseconds{300});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, lost}), 2);
+    EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, lost})->m_worker, 2);
+}
+
 // Guards against maintenance that makes two tasks of a step unavailable when its budget allows only one.
 TEST(maintenance, a_second_vm_of_one_step_waits_until_the_first_task_is_available)
 {
@@ -107,6 +178,49 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against a VM that is never maintained, and whose worker gets no work for good, as one list of several pages
+// lacked it.
+TEST(maintenance, a_vm_that_is_missing_in_one_list_is_still_maintained)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    const auto missing = simulation.m_vms.front();
+    auto wave = make_wave(simulation, 2);
+    wave.m_request.m_vms = {missing.m_vm};
+    add_short_tasks(simulation, 2);
+    const auto plan = [&](const vm_list& list) {
+        return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, list, {},
+                                simulation.now());
+    };
+    EXPECT_TRUE(plan(simulation.listed_vms()).empty());
+    ASSERT_TRUE(simulation.m_state.m_workers[0].m_cordoned);
+    auto others = simulation.listed_vms();
+    others.m_vms.erase(others.m_vms.begin());
+    EXPECT_TRUE(plan(others).empty());
+    EXPECT_FALSE(simulation.m_state.m_workers[0].m_cordoned);
+    EXPECT_FALSE(is_wave_completed(wave));
+    simulation.run_for(milliseconds{3'000});
+    EXPECT_EQ(plan(simulation.listed_vms()), std::vector{missing.m_vm});
+}
+
+// Guards against a wave that waits for a VM that has been removed.
+TEST(maintenance, a_vm_that_is_missing_for_long_is_gone)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    auto wave = make_wave(simulation, 1);
+    wave.m_request.m_vms = {simulation.m_vms.front().m_vm};
+    simulation.m_vms.erase(simulation.m_vms.begin());
+    for (int tick = 0; tick < 31; ++tick) {
+        EXPECT_FALSE(is_wave_completed(wave));
+        simulation.run_for(milliseconds{100});
+        EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave,
+                                     simulation.listed_vms(), {}, simulation.now())
+                        .empty());
+    }
+    EXPECT_TRUE(is_wave_completed(wave));
+}
+
 // Guards against a wave that counts as completed because the VMs could not be listed yet.
 TEST(maintenance, a_wave_makes_no_progress_before_the_vms_are_listed)
 {
