Wait after a takeover only for workers that may hold runs

Callers saw a long-running task without a run for up to 5.7 s after a change of the decider, though all its workers were in order.

A new decider started no task that had been started before until every registered worker of the service had reported. A worker that never reports held all of them until the inherited leases had ended: one that joined after the last term or during this one and is cut off, or an entry of another writer. Such a worker cannot hold a run: a decider starts tasks only on workers that the stored list of leases names.

Recovery now waits for the workers in that list. Those whose entry names another service hold only the tasks of that service. Deciders of earlier versions also start tasks on workers that no list names; a mark in the decision log tells that the list is complete, and without it all registered workers are waited for as before. Earlier versions take the mark for a worker that never reports, which costs them the full wait.

The simulation of the scheduler now passes the stored list on to the next decider, as the process does. The test of the named cause counts three expected workers instead of one for that reason.

No test runs a takeover from a decider without the mark.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -129,14 +129,21 @@
     const auto is_read = [](const store_read& result) {
         return result.m_status == store_status::ok || result.m_status == store_status::missing;
     };
-    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number.
+    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number. They
+    // also start tasks on workers that no list names.
+    m_lease_list_complete = read.m_status == store_status::missing;
     std::istringstream log{read.m_item.m_value};
     std::istringstream list{leases.m_item.m_value};
     std::string word;
     log >> word >> word;
     for (auto* text : {&log, &list}) {
         while (*text >> word) {
-            m_state.m_expected_workers.emplace(word);
+            if (word == complete_list_mark) {
+                m_lease_list_complete = true;
+            }
+            else {
+                m_state.m_expected_workers.emplace(word);
+            }
         }
     }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
@@ -148,7 +155,7 @@
     // After the first write of a term, all writes of earlier terms fail, including those in flight.
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
-    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
+    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(m_lease_list_complete), no_store_lease});
     const auto written = co_await m_store.write(std::move(write), store_timeout);
     if (written.m_status == store_status::conflict) {
         m_state.m_deposed = true;
@@ -239,6 +246,11 @@
     }
     m_state.m_began = monotonic_now();
     const bool workers = co_await load_workers();
+    if (workers && !m_lease_list_complete) {
+        for (const auto& worker : m_state.m_workers) {
+            m_state.m_expected_workers.insert(worker.m_entry.m_id);
+        }
+    }
     co_return workers;
 }
 
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -135,7 +135,7 @@
     auto log_dropped_lines(time_point now) -> void;
     auto start_fleet_controller() -> void;
     auto update_permit_queues() -> void;
-    [[nodiscard]] auto decision_log_value() const -> std::string;
+    [[nodiscard]] auto decision_log_value(bool lease_list_complete) const -> std::string;
     /** @brief Returns the ids to be written for workers with leases. */
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Checks whether the list of leased workers has to be written again. */
@@ -182,6 +182,8 @@
     store_revision m_jobs_revision;
     store_revision m_workers_revision;
     std::uint64_t m_decision_log_sequence{0};
+    /** @brief The stored list names all workers that may hold runs. */
+    bool m_lease_list_complete{false};
     /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
     signal_event m_progress_event;
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-auto decider::decision_log_value() const -> std::string
+auto decider::decision_log_value(const bool lease_list_complete) const -> std::string
 {
-    return std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
+    const auto value = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
+    return lease_list_complete ? value + ' ' + std::string{complete_list_mark} : value;
 }
 
 auto decider::leased_workers_value(const std::vector<worker_index>& leased) const -> std::string
@@ -111,12 +112,13 @@
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
     write.m_conditions.push_back({std::string{decision_log_key}, m_decision_log_revision});
     ++m_decision_log_sequence;
-    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
     // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
     const auto now = monotonic_now();
     std::vector<worker_index> leased;
     const bool lists_leases = is_lease_list_due(now);
     const bool lists_expected = are_expected_workers_listed(m_state, now);
+    write.m_puts.push_back(
+        {std::string{decision_log_key}, decision_log_value(lists_leases || m_lease_list_complete), no_store_lease});
     if (lists_leases) {
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
@@ -151,6 +153,7 @@
     }
     m_decision_log_revision = written.m_revision;
     complete_lease_list(m_state, leased);
+    m_lease_list_complete = m_lease_list_complete || lists_leases;
     m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -21,6 +21,9 @@
 /** @brief Key that each write of the decider's progress rewrites, so that the condition of a delayed write fails. */
 inline constexpr std::string_view decision_log_key{"decision-log"};
 
+/** @brief Word in the decision log after which the list of leased workers names all workers that may hold runs. */
+inline constexpr std::string_view complete_list_mark{"leases-listed"};
+
 /** @brief Key that lists the workers with leases, so that a successor waits for those that have left the registry. */
 inline constexpr std::string_view leased_workers_key{"leased-workers"};
 
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -456,14 +456,18 @@
     return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
 }
 
+auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t
+{
+    return std::count_if(state.m_expected_workers.begin(), state.m_expected_workers.end(), [&](const worker_id& id) {
+        const auto index = find_worker(state, id);
+        return index == no_worker || state.m_workers[static_cast<std::size_t>(index)].m_entry.m_service == service;
+    });
+}
+
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
     return (now > inherited_leases_end(state) && now < state.m_term_guaranteed_until) ||
-           (state.m_expected_workers.empty() &&
-            std::all_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
-                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-                return worker.m_has_reported || worker.m_entry.m_service != service;
-            }));
+           count_expected_workers(state, service) == 0;
 }
 
 auto are_jobs_current(const scheduler_state& state, const time_point now) -> bool
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -49,9 +49,13 @@
  */
 [[nodiscard]] auto classify_urgency(const scheduler_state& state, const job_entry& job, time_point now) -> urgency;
 
+/** @brief Counts the workers that may hold runs of earlier terms and have not reported: those in the stored list of
+ * leases, as nothing starts on others. Those whose entry names another service are left out. */
+[[nodiscard]] auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t;
+
 /**
  * @brief Checks whether tasks that were accepted before this decider took over may start on a service's workers: all
- * workers have reported their runs, or their leases from the previous term have expired.
+ * workers that may hold their runs have reported, or the leases from earlier terms have ended.
  */
 [[nodiscard]] auto is_recovered(const scheduler_state& state, const service_id& service, time_point now) -> bool;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -348,7 +348,7 @@
     time_point m_jobs_current_at{};
     /** @brief All entries of workers stored before this time have been applied. */
     time_point m_workers_current_at{};
-    /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
+    /** @brief Workers that may have leases of earlier terms, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
@@ -45,7 +45,7 @@
         }
         ++wait.m_workers[static_cast<std::size_t>(obstacle)];
     }
-    wait.m_expected = static_cast<std::int64_t>(state.m_expected_workers.size());
+    wait.m_expected = count_expected_workers(state, service);
 }
 
 [[nodiscard]] auto count_of(const task_wait& wait, const worker_obstacle obstacle) -> std::int64_t
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
@@ -54,9 +54,9 @@
     std::array<std::int64_t, worker_obstacles> m_workers{};
     /** @brief Workers on which runs use more than the present capacity. */
     std::int64_t m_overcommitted{0};
-    /** @brief Workers of the service of which it is not known what they run, and workers that only the stored list of
-     * leases names. */
+    /** @brief Workers of the service of which it is not known what they run. */
     std::int64_t m_unreported{0};
+    /** @brief Result of count_expected_workers(). */
     std::int64_t m_expected{0};
     /** @brief When the first pause of a worker of the service ends. */
     std::optional<microseconds> m_pause_left;
--- a/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/dispatch.cpp
@@ -378,6 +378,40 @@
     EXPECT_EQ(simulation.total_starts(), 3) << "the lease has expired, so the task has to be restarted";
 }
 
+// Guards against a task that waits after a takeover for workers that cannot hold a run of it, and never report.
+TEST(dispatch, tasks_of_an_open_step_do_not_wait_for_workers_that_no_list_of_leases_names)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 2);
+    static_cast<void>(simulation.submit(make_long_running_job("orders", 1, 1)));
+    simulation.run_for(milliseconds{100});
+    ASSERT_EQ(simulation.total_starts(), 1);
+    simulation.add_vms("orders", 1);
+    simulation.worker("w3").m_reachable = false;
+    simulation.fail_runs(worker_id{"w1"});
+    simulation.fail_runs(worker_id{"w2"});
+    simulation.take_over();
+    simulation.run_for(milliseconds{50});
+    EXPECT_EQ(simulation.total_starts(), 2) << "waits for a worker that has never had a lease";
+}
+
+// Guards against tasks of one service that wait for the workers of others.
+TEST(dispatch, only_expected_workers_of_a_service_and_those_of_an_unknown_one_hold_its_tasks)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    simulation.add_vms("quotes", 1);
+    auto& state = simulation.m_state;
+    state.m_expected_workers = {worker_id{"w2"}};
+    EXPECT_EQ(count_expected_workers(state, service_id{"orders"}), 0);
+    EXPECT_EQ(count_expected_workers(state, service_id{"quotes"}), 1);
+    EXPECT_TRUE(is_recovered(state, service_id{"orders"}, simulation.now()));
+    EXPECT_FALSE(is_recovered(state, service_id{"quotes"}, simulation.now()));
+    state.m_expected_workers.insert(worker_id{"gone"});
+    EXPECT_EQ(count_expected_workers(state, service_id{"orders"}), 1);
+    EXPECT_FALSE(is_recovered(state, service_id{"orders"}, simulation.now()));
+}
+
 // Guards against a takeover that delays all waiting jobs because one worker is unresponsive.
 TEST(dispatch, a_step_that_was_never_opened_starts_immediately_after_a_takeover)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -222,7 +222,15 @@
         }
     }
     acknowledge_ends(m_state, capture_ends(m_state));
-    complete_lease_list(m_state, begin_lease_list(m_state, m_now));
+    const auto leased = begin_lease_list(m_state, m_now);
+    m_stored_leases.clear();
+    for (const auto index : leased) {
+        m_stored_leases.insert(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
+    }
+    if (are_expected_workers_listed(m_state, m_now)) {
+        m_stored_leases.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
+    }
+    complete_lease_list(m_state, leased);
 }
 
 auto scheduler_simulation::finish_moves() -> void
@@ -372,6 +380,7 @@
     m_state.m_settings = settings;
     m_state.m_token = fencing_token{++m_token};
     m_state.m_began = m_now;
+    m_state.m_expected_workers = m_stored_leases;
     for (const auto& [id, stored] : m_store) {
         add_job(m_state, stored.m_record, stored.m_progress, true, clock());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -135,6 +135,8 @@
     std::multimap<time_point, worker_id> m_crashes;
     std::map<worker_id, time_point> m_restarts;
     std::map<job_id, stored_job> m_store;
+    /** @brief The stored list of workers with leases. */
+    std::set<worker_id> m_stored_leases;
     std::map<job_id, time_point> m_deadlines;
     std::map<job_id, time_point> m_completed;
     std::map<task_ref, std::int64_t> m_starts;
--- a/packages/scheduler/test/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/wait_cause.cpp
@@ -67,11 +67,11 @@
     m_simulation.worker("w1").m_reachable = false;
     m_simulation.worker("w2").m_reachable = false;
     m_simulation.take_over();
-    state().m_expected_workers.insert(worker_id{"w2"});
+    state().m_expected_workers.insert(worker_id{"gone"});
     m_simulation.run_for(milliseconds{100});
     EXPECT_EQ(explain().m_cause, wait_cause::recovering);
     EXPECT_EQ(explain().m_unreported, 2);
-    EXPECT_EQ(explain().m_expected, 1);
+    EXPECT_EQ(explain().m_expected, 3);
     EXPECT_EQ(explain().m_waited, milliseconds{100});
 }
 
