Take an incarnation with an earlier start time for a new one

Callers saw a worker without new work until the term of the decider ended, and the tasks that had run on it without a run.

A report whose start time of the incarnation was below the known one was ignored as old. It is not old: a worker has one renewal in flight at a time, the response to a lost one is dropped with its connection, and so reports are applied in the order in which the worker gave them. A VM whose clock is set back before its worker starts again under its id, or one report with a start time that is too high, made all later reports be ignored: the runs of the earlier incarnation counted as running, their lease was extended with each renewal, and no entry matched any more.

Each other start time now stands for a new incarnation. Runs that the report lists are kept, as before.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -274,12 +274,17 @@
     }
 }
 
-/** @brief Ends the runs of a worker if the report comes from a newer incarnation of it. */
+/** @brief Ends the runs of a worker if the report comes from another incarnation of it. That is a newer one, whatever
+ * their start times: the clock of a VM may be set back, and reports are applied in the order of the renewals. */
 auto apply_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
                        const time_point now) -> void
 {
-    if (worker.m_has_reported && report.m_incarnation_start_unix_ms > worker.m_incarnation_start_unix_ms &&
-        worker.m_incarnation_start_unix_ms != 0) {
+    const auto known = worker.m_incarnation_start_unix_ms;
+    if (report.m_incarnation_start_unix_ms == 0) {
+        return;
+    }
+    worker.m_incarnation_start_unix_ms = report.m_incarnation_start_unix_ms;
+    if (worker.m_has_reported && known != 0 && report.m_incarnation_start_unix_ms != known) {
         const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
         auto suspects = find_crash_suspects(state, index);
         std::erase_if(suspects, [&](const lost_run& suspect) {
@@ -302,8 +307,6 @@
         worker.m_failures_in_row = 0;
         state.m_dispatch_requested = true;
     }
-    worker.m_incarnation_start_unix_ms =
-        std::max(worker.m_incarnation_start_unix_ms, report.m_incarnation_start_unix_ms);
 }
 
 /** @brief Assumes that an earlier decider granted the longest lease that it could just before a worker's first report.
@@ -371,10 +374,6 @@
                   const time_point now) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    if (worker.m_has_reported && report.m_incarnation_start_unix_ms != 0 &&
-        report.m_incarnation_start_unix_ms < worker.m_incarnation_start_unix_ms) {
-        return;
-    }
     apply_incarnation(state, worker, report, sent, now);
     if (report.m_clock_ms >= worker.m_clock_ms || !worker.m_has_reported) {
         worker.m_clock_ms = report.m_clock_ms;
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -457,4 +457,24 @@
     EXPECT_GT(state.m_workers.front().m_paused_until, simulation.now());
 }
 
+// Guards against a worker whose reports are ignored for the rest of the term because its clock was set back before it
+// started again: its runs were never restarted, and it got no more work.
+TEST(reports, an_incarnation_with_an_earlier_start_time_is_a_new_one)
+{
+    scheduler_simulation simulation;
+    auto& worker = simulation.worker("w1");
+    worker.m_incarnation = 5;
+    simulation.begin_with("quotes", 1);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+    worker.m_runs.clear();
+    worker.m_incarnation = 3;
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
+    EXPECT_EQ(worker.m_runs.size(), 1U);
+    simulation.run_for(milliseconds{5'000});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2) << "the run of the new incarnation is kept";
+}
+
 } // namespace cicadalug::test
