Keep a job whose progress the store refuses out of the writes of others

Callers saw jobs that stay queued, and long-running tasks without a run, though the store answered and workers had room.

If the store refuses one job, it refuses the write, and all of it was written again unchanged, forever: no step was opened, no end was acknowledged and no new worker joined the list of leases. A job of more than 61,000 tasks is accepted, and its progress of 17 bytes a task exceeds the 1 MiB of a value.

After a refusal the decider now writes without jobs, which stores the list if it is due and tells a fault of the store from one of a job. If that succeeds, the jobs are written by halves until the refused ones are found. These are set aside and written again each second, each alone. While one that has started is set aside, no ends are acknowledged, as its own are not stored; one that has not started has none. The stand-in of the store now refuses values above the limit.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -110,8 +110,12 @@
     [[nodiscard]] auto renew_worker_lease(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
     [[nodiscard]] auto store_progress(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto write_dirty_jobs() -> asio::awaitable<bool>;
+    /** @brief Writes the progress of the jobs from position `first` to before `last`, and the list of leased workers if
+     * that is due. */
     [[nodiscard]] auto write_progress(const std::vector<job_entry*>& jobs, std::size_t first, std::size_t last)
-        -> asio::awaitable<bool>;
+        -> asio::awaitable<store_status>;
+    /** @brief Writes the jobs again that have been set aside, each alone. */
+    [[nodiscard]] auto retry_refused_jobs() -> asio::awaitable<void>;
     [[nodiscard]] auto tick(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto send_start(std::shared_ptr<decider> self, start_command command) -> asio::awaitable<void>;
     [[nodiscard]] auto send_stop(std::shared_ptr<decider> self, stop_command command) -> asio::awaitable<void>;
@@ -138,6 +142,10 @@
     [[nodiscard]] auto decision_log_value(bool lease_list_complete) const -> std::string;
     /** @brief Returns the ids to be written for workers with leases. */
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Keeps a job whose progress the store refuses out of the writes of others. */
+    auto set_aside(job_entry& job) -> void;
+    /** @brief Checks whether the effects of all reported ends are stored once no job is dirty. */
+    [[nodiscard]] auto can_acknowledge_ends() const -> bool;
     /** @brief Checks whether the list of leased workers has to be written again. */
     [[nodiscard]] auto is_lease_list_due(time_point now) const -> bool;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
@@ -186,6 +194,9 @@
     bool m_lease_list_complete{false};
     /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
+    /** @brief Dirty jobs whose progress the store refuses, which m_dirty of the state does not list. */
+    std::vector<job_entry*> m_refused_jobs;
+    time_point m_refused_retried_at{};
     signal_event m_progress_event;
     std::unique_ptr<permit_client> m_permit_client;
     std::deque<permit_request> m_pending_permit_requests;
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -31,6 +31,15 @@
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
 
+/** @brief Jobs whose progress the store has refused are written again at this interval, each alone. */
+constexpr milliseconds refused_job_interval{1'000};
+
+/** @brief Jobs of a write, from the first position to before the last one. */
+struct job_range {
+    std::size_t m_first{0};
+    std::size_t m_last{0};
+};
+
 /** @brief Jobs whose final state has been kept long enough are removed at this interval, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
 constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
@@ -71,8 +80,13 @@
         if (!m_active) {
             co_return;
         }
+        if (!m_refused_jobs.empty() && monotonic_now() - m_refused_retried_at > refused_job_interval) {
+            co_await retry_refused_jobs();
+        }
         if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now())) {
-            acknowledge_ends(m_state, capture_ends(m_state));
+            if (can_acknowledge_ends()) {
+                acknowledge_ends(m_state, capture_ends(m_state));
+            }
             continue;
         }
         const bool written = co_await write_dirty_jobs();
@@ -83,6 +97,13 @@
     }
 }
 
+auto decider::can_acknowledge_ends() const -> bool
+{
+    // No run of a job that has not started can have ended.
+    return std::none_of(m_refused_jobs.begin(), m_refused_jobs.end(),
+                        [](const job_entry* job) { return job->m_started; });
+}
+
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
     const auto jobs = std::exchange(m_state.m_dirty, {});
@@ -91,22 +112,70 @@
         job->m_dirty = false;
     }
     // Without jobs, the list of leased workers is written alone.
-    for (std::size_t first = 0; first == 0 || first < jobs.size(); first += progress_jobs) {
-        const auto last = std::min(jobs.size(), first + progress_jobs);
-        const bool written = co_await write_progress(jobs, first, last);
-        if (!written) {
-            for (auto position = first; position < jobs.size(); ++position) {
-                mark_dirty(m_state, *jobs[position]);
+    std::vector<job_range> ranges{{0, std::min(jobs.size(), progress_jobs)}};
+    for (auto first = progress_jobs; first < jobs.size(); first += progress_jobs) {
+        ranges.insert(ranges.begin(), {first, std::min(jobs.size(), first + progress_jobs)});
+    }
+    while (!ranges.empty()) {
+        const auto range = ranges.back();
+        ranges.pop_back();
+        auto status = co_await write_progress(jobs, range.m_first, range.m_last);
+        if (status == store_status::not_done && range.m_last > range.m_first) {
+            // If the store accepts a write without jobs, it refuses one of the jobs.
+            status = co_await write_progress(jobs, range.m_first, range.m_first);
+            if (status == store_status::ok) {
+                const auto middle = range.m_first + (range.m_last - range.m_first) / 2;
+                if (middle == range.m_first) {
+                    set_aside(*jobs[range.m_first]);
+                }
+                else {
+                    ranges.push_back({middle, range.m_last});
+                    ranges.push_back({range.m_first, middle});
+                }
+                continue;
+            }
+        }
+        if (status != store_status::ok) {
+            ranges.push_back(range);
+            for (const auto& left : ranges) {
+                for (auto position = left.m_first; position < left.m_last; ++position) {
+                    mark_dirty(m_state, *jobs[position]);
+                }
             }
             co_return false;
         }
     }
-    acknowledge_ends(m_state, ends);
+    if (can_acknowledge_ends()) {
+        acknowledge_ends(m_state, ends);
+    }
     co_return true;
 }
 
+auto decider::set_aside(job_entry& job) -> void
+{
+    LOG(ERROR) << log_line{"progress_refused"}.with("request", job.m_record.m_id);
+    // A job that has changed since is written again at once.
+    if (!job.m_dirty) {
+        job.m_dirty = true;
+        m_refused_jobs.push_back(&job);
+    }
+}
+
+auto decider::retry_refused_jobs() -> asio::awaitable<void>
+{
+    m_refused_retried_at = monotonic_now();
+    const auto jobs = std::exchange(m_refused_jobs, {});
+    for (std::size_t position = 0; position < jobs.size(); ++position) {
+        jobs[position]->m_dirty = false;
+        const auto status = co_await write_progress(jobs, position, position + 1);
+        if (status != store_status::ok) {
+            set_aside(*jobs[position]);
+        }
+    }
+}
+
 auto decider::write_progress(const std::vector<job_entry*>& jobs, const std::size_t first, const std::size_t last)
-    -> asio::awaitable<bool>
+    -> asio::awaitable<store_status>
 {
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
@@ -149,7 +218,7 @@
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
                             .with("status", static_cast<int>(written.m_status));
-        co_return false;
+        co_return written.m_status;
     }
     m_decision_log_revision = written.m_revision;
     complete_lease_list(m_state, leased);
@@ -169,7 +238,7 @@
         }
     }
     schedule_pass();
-    co_return true;
+    co_return store_status::ok;
 }
 
 auto decider::flush(const milliseconds limit) -> asio::awaitable<void>
--- /dev/null
+++ b/test/process/scheduler_progress.cpp
@@ -0,0 +1,46 @@
+#include "scheduler_deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <string>
+
+namespace {
+
+using namespace cicadalug;
+using namespace cicadalug::process_test;
+
+class scheduler_progress : public scheduler_deployment {};
+
+// Guards against one job whose progress the store refuses, and without which no progress of others is written: no step
+// is opened, no end is acknowledged, and no worker joins the list of leases.
+TEST_F(scheduler_progress, a_job_whose_progress_is_refused_does_not_hold_up_others)
+{
+    // The progress takes 17 bytes a task, above the limit of the platform for a value.
+    constexpr std::size_t too_many_tasks{70'000};
+    submit(first_job, too_many_tasks);
+    ASSERT_TRUE(wait_until([] { return state_of(first_job) == "queued"; }, patience));
+    submit(second_job, 2);
+    EXPECT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience)) << state_of(second_job);
+    EXPECT_EQ(state_of(first_job), "queued");
+}
+
+// Guards against a cancelled job that stays set aside.
+TEST_F(scheduler_progress, a_job_whose_progress_is_refused_can_be_cancelled)
+{
+    constexpr std::size_t too_many_tasks{70'000};
+    submit(first_job, too_many_tasks);
+    ASSERT_TRUE(wait_until([] { return state_of(first_job) == "queued"; }, patience));
+    // The job is set aside by the time the next one is done.
+    submit(second_job, 1);
+    ASSERT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience));
+    static_cast<void>(cancel(first_job, 0));
+    EXPECT_TRUE(wait_until([] { return state_of(first_job) == "cancelled"; }, patience)) << state_of(first_job);
+    const auto is_stored = [] {
+        const auto key = std::string{"/cicadalug/kv-key?key=progress/"} + first_job;
+        return call(http::verb::get, at_port(store_port, 0), key).m_status == 200;
+    };
+    EXPECT_TRUE(wait_until(is_stored, patience));
+}
+
+} // namespace
--- a/test/standin/scheduler_store.hpp
+++ b/test/standin/scheduler_store.hpp
@@ -81,6 +81,10 @@
             return {http::status::precondition_failed, {{"items", std::move(current)}}};
         }
         for (const auto& put : body.at("puts")) {
+            // Base64 takes four characters for three bytes.
+            if (put.at("value").get_ref<const std::string&>().size() / 4 * 3 > max_value_bytes) {
+                return {http::status::bad_request, {{"error", "value too long"}}};
+            }
             const auto lease = put.value("lease", std::uint64_t{0});
             if (lease != 0 && !m_leases.contains(lease)) {
                 return {http::status::not_found, nlohmann::json::object()};
@@ -148,6 +152,7 @@
 
 private:
     static constexpr std::size_t page_items{500};
+    static constexpr std::size_t max_value_bytes{1'048'576};
 
     struct lease_state {
         milliseconds m_time_to_live{};
