--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -370,6 +370,12 @@
     return find_trial_in(state, task);
 }
 
+auto has_trial(const scheduler_state& state, const job_id& job) -> bool
+{
+    return std::any_of(state.m_trials.begin(), state.m_trials.end(),
+                       [&job](const task_trial& trial) { return trial.m_task.m_job == job; });
+}
+
 auto plan_trial(scheduler_state& state, const task_ref& task, const worker_index worker, const run_number run) -> void
 {
     const auto& slot = slot_of(state, worker);
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -57,6 +57,9 @@
 [[nodiscard]] auto find_trial(scheduler_state& state, const task_ref& task) -> task_trial*;
 [[nodiscard]] auto find_trial(const scheduler_state& state, const task_ref& task) -> const task_trial*;
 
+/** @brief Checks whether any task of a job has a trial. */
+[[nodiscard]] auto has_trial(const scheduler_state& state, const job_id& job) -> bool;
+
 /**
  * @brief Plans a trial of a task on a worker and requests that it be stored. The worker gets no other new work.
  * @pre The task is waiting and a suspect, and the worker is not in a trial.
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -96,6 +96,52 @@
     }
 }
 
+// Guards against a job that crashes several workers at a time with trials of several of its tasks, of which one is
+// enough to give it up.
+TEST_P(crash_suspicion, a_deadly_job_has_one_trial_at_a_time)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.begin_with("quotes", 12);
+    // Each task needs a worker of its own.
+    const auto deadly = simulation.submit(make_job("quotes", 6, 20'000, milliseconds{700}));
+    for (std::int64_t index = 0; index < 6; ++index) {
+        simulation.m_deadly.insert({deadly, 0, 0, index});
+    }
+    simulation.run_for(milliseconds{100});
+    ASSERT_EQ(simulation.m_crash_count, 6);
+    simulation.run_for(milliseconds{20'000});
+    EXPECT_EQ(simulation.m_crash_count, 7);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
+// Guards against sound jobs that are not completed after a time with many jobs all of whose tasks crash their workers.
+TEST_P(crash_suspicion, sound_jobs_are_completed_after_many_deadly_ones)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.m_crash_delay = milliseconds{10};
+    simulation.begin_with("quotes", 9);
+    std::vector<job_id> sound;
+    std::vector<job_id> deadly;
+    for (int number = 0; number < 150; ++number) {
+        const auto id = simulation.submit(make_job("quotes", 6, 1'800, milliseconds{800}));
+        const bool kills = number % 7 == 3;
+        for (std::int64_t index = 0; kills && index < 6; ++index) {
+            simulation.m_deadly.insert({id, 0, 0, index});
+        }
+        (kills ? deadly : sound).push_back(id);
+        simulation.run_for(milliseconds{100});
+    }
+    simulation.run_for(milliseconds{25'000});
+    for (const auto& id : sound) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+    }
+    for (const auto& id : deadly) {
+        EXPECT_EQ(simulation.stored_state(id), job_state::failed);
+    }
+}
+
 // Guards against crashes that a successor of the decider does not know of.
 TEST_P(crash_suspicion, crashes_count_through_takeovers)
 {
