Reproduce long-running tasks that wait in a seeded simulation

Callers saw a long-running task that does not run although there is room for it. No test played a decider against workers with leases on clocks of their own, entries that expire, calls in flight and takeovers together.

The same seed replays the same events. CICADALUG_SOAK_SEED, _SEEDS, _FAULTS and _VERBOSE select what is played.

Long-running tasks that fail by themselves pause all workers of the pool.

--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/soak.cpp
@@ -0,0 +1,74 @@
+#include "soak_faults.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iterator>
+#include <sstream>
+#include <string>
+
+namespace cicadalug::test {
+
+namespace {
+
+[[nodiscard]] auto number_from_environment(const char* name, const std::uint64_t otherwise) -> std::uint64_t
+{
+    // The tests run in a single thread.
+    const auto* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? otherwise : std::stoull(text);
+}
+
+/** @brief Returns all kinds of faults, or those named in CICADALUG_SOAK_FAULTS. */
+[[nodiscard]] auto chosen_faults() -> std::set<soak_fault>
+{
+    const auto* text = std::getenv("CICADALUG_SOAK_FAULTS"); // NOLINT(concurrency-mt-unsafe)
+    std::istringstream words{text == nullptr ? "" : text};
+    const std::set<std::string> names{std::istream_iterator<std::string>{words}, {}};
+    std::set<soak_fault> faults;
+    for (std::size_t number = 0; number < soak_faults; ++number) {
+        const auto fault = static_cast<soak_fault>(number);
+        if (names.empty() || names.contains(std::string{name_of(fault)})) {
+            faults.insert(fault);
+        }
+    }
+    return faults;
+}
+
+/** @brief Runs a number of seeds, which CICADALUG_SOAK_SEED and CICADALUG_SOAK_SEEDS change. */
+auto soak_seeds(soak_settings settings, const std::string& name, const std::uint64_t seeds) -> void
+{
+    const auto first = number_from_environment("CICADALUG_SOAK_SEED", 1);
+    const auto count = number_from_environment("CICADALUG_SOAK_SEEDS", seeds);
+    for (auto seed = first; seed < first + count; ++seed) {
+        settings.m_seed = seed;
+        settings.m_verbose = number_from_environment("CICADALUG_SOAK_VERBOSE", 0) > 0;
+        const auto findings = run_soak(settings);
+        for (const auto& violation : findings.m_violations) {
+            ADD_FAILURE() << name << " seed " << seed << ": " << violation;
+        }
+    }
+}
+
+} // namespace
+
+// Guards against rules that are broken only by a single kind of fault.
+TEST(soak, faults_of_one_kind)
+{
+    for (const auto fault : chosen_faults()) {
+        soak_settings settings;
+        settings.m_faults = {fault};
+        settings.m_faulty = milliseconds{20'000};
+        settings.m_calm = milliseconds{12'000};
+        soak_seeds(settings, std::string{name_of(fault)}, 1);
+    }
+}
+
+// Guards against rules that are broken only by several faults together.
+TEST(soak, faults_of_all_kinds)
+{
+    soak_settings settings;
+    settings.m_faults = chosen_faults();
+    soak_seeds(settings, "all", 10);
+}
+
+} // namespace cicadalug::test
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.hpp
@@ -0,0 +1,43 @@
+#ifndef CICADALUG_SCHEDULER_TEST_SOAK_CHECKS_HPP
+#define CICADALUG_SCHEDULER_TEST_SOAK_CHECKS_HPP
+
+#include "soak_simulation.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cicadalug::test {
+
+/** @brief What the checks have found. */
+struct soak_findings {
+    std::vector<std::string> m_violations;
+    /** @brief Longest time that a long-running task waited in calm beside a worker with room for it. */
+    milliseconds m_longest_wait{0};
+};
+
+/** @brief State of the checks of a simulation. */
+struct soak_checks {
+    struct wait {
+        time_point m_last_run{};
+        /** @brief Since when the task has not run although a worker had room for it. */
+        time_point m_room_since{};
+        bool m_reported{false};
+    };
+    std::map<task_ref, wait> m_waits;
+    std::map<task_ref, bool> m_run_twice;
+    bool m_inconsistent{false};
+    soak_findings m_findings;
+};
+
+/**
+ * @brief Checks the platform's rules LOST and TWICE and the consistency of the scheduler's state after a step.
+ * @param checks State of the checks, updated.
+ * @param simulation The simulation.
+ * @param calm_since When the last disruption ended.
+ */
+auto check_step(soak_checks& checks, const soak_simulation& simulation, time_point calm_since) -> void;
+
+} // namespace cicadalug::test
+
+#endif
