Split writes of progress only when the store calls them invalid

A store that is busy or limits the rate of calls also answers that a write was not done. The decider took each such answer for a refused job and split the write, so that a store short of calls got several for one, and jobs were set aside for 1 s.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -120,7 +120,7 @@
         const auto range = ranges.back();
         ranges.pop_back();
         auto status = co_await write_progress(jobs, range.m_first, range.m_last);
-        if (status == store_status::not_done && range.m_last > range.m_first) {
+        if (status == store_status::rejected && range.m_last > range.m_first) {
             // If the store accepts a write without jobs, it refuses one of the jobs.
             status = co_await write_progress(jobs, range.m_first, range.m_first);
             if (status == store_status::ok) {
--- a/packages/entry/src/cicadalug/entry/job_intake.cpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.cpp
@@ -132,7 +132,7 @@
             m_waiting.push_back(batch[position]);
         }
     }
-    if (written.m_status == store_status::not_done || written.m_status == store_status::unknown) {
+    if (written.m_status != store_status::ok && written.m_status != store_status::conflict) {
         LOG_EVERY_N(WARNING, 20) << log_line{"job_write_failed"}
                                         .with("jobs", batch.size())
                                         .with("outcome",
--- a/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
@@ -33,8 +33,10 @@
     conflict,
     /** @brief The history after the given revision has been compacted. */
     compacted,
-    /** @brief The call was not carried out. */
+    /** @brief The call was not carried out, and may be later. */
     not_done,
+    /** @brief The call was not carried out, as it is invalid: a value may be too large. */
+    rejected,
     /** @brief No response: the call may have been carried out, or may still be. */
     unknown,
 };
