Release cordoned workers while the VMs cannot be listed

While the platform's interface to the VMs did not answer, workers that were cordoned for a wave or a move got no new work, however long that took, although no command could be sent for them.

Cause: without a current list of VMs nothing was planned at all, and the limits on a cordon (drain timeout, move timeout) are part of planning. The fleet controller did not even call it.

Planning with an outdated list now ends the cordons for which no command was sent. A command without a response may still be carried out: the worker of such a move stays cordoned until the move is abandoned by time, as with a current list, and that of a wave until a list shows what became of it. No command is planned on an outdated list, as before.

no_command_is_sent_on_an_outdated_list planned with an outdated list and then with a current one on the same moves. A move without a command now ends in the first call, so that each call gets its own copy; what it checks is unchanged.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -263,7 +263,7 @@
         record_own_capacity(m_demand, m_vms.m_vms, standby);
     }
     update_demand(m_demand, *m_dependencies.m_state, now);
-    if (config == nullptr || !m_dependencies.m_can_send_commands() || !is_current(m_vms, now)) {
+    if (config == nullptr || !m_dependencies.m_can_send_commands()) {
         return;
     }
     if (now - m_last_demand_log >= demand_log_interval) {
@@ -412,12 +412,13 @@
         if (!wave.m_loaded || wave.m_completed) {
             continue;
         }
-        if (m_dependencies.m_can_send_commands() && is_current(m_vms, clock.m_now)) {
+        if (m_dependencies.m_can_send_commands()) {
             static_cast<void>(plan_maintenance(*m_dependencies.m_state, m_dependencies.m_maintenance, wave.m_progress,
                                                m_vms, recent, clock.m_now));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
-                if (!wave.m_progress.m_begun.contains(vm) && m_pending_maintenance.insert(vm).second) {
+                if (is_current(m_vms, clock.m_now) && !wave.m_progress.m_begun.contains(vm) &&
+                    m_pending_maintenance.insert(vm).second) {
                     const auto* listed = find_vm(m_vms.m_vms, vm);
                     m_planned_maintenance.push_back({number, vm, listed == nullptr ? worker_id{} : listed->m_worker});
                 }
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -248,6 +248,19 @@
            });
 }
 
+/** @brief Releases cordoned VMs for which no command was sent. */
+auto release_without_command(scheduler_state& state, wave_progress_state& wave) -> void
+{
+    for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
+        if (wave.m_down.contains(cordoned->first)) {
+            ++cordoned;
+            continue;
+        }
+        release_worker(state, cordoned->second.m_worker);
+        cordoned = wave.m_cordoned.erase(cordoned);
+    }
+}
+
 auto cordon_next(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
                  const std::vector<vm_status>& vms, const time_point now) -> void
 {
@@ -324,6 +337,7 @@
                       const vm_list& list, const std::set<vm_id>& reserved, const time_point now) -> std::vector<vm_id>
 {
     if (!is_current(list, now)) {
+        release_without_command(state, wave);
         return {};
     }
     const auto& vms = list.m_vms;
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -90,7 +90,7 @@
  * @param state The scheduler; workers of chosen VMs are cordoned in it.
  * @param settings Settings.
  * @param wave The wave.
- * @param vms The platform's list of VMs; if it is not current, nothing is decided.
+ * @param vms The platform's list of VMs; if it is not current, VMs are released for which no command was sent.
  * @param reserved VMs for which no command may be sent now.
  * @param now Current time.
  * @return VMs whose maintenance begins now. They count as down from now on.
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -61,6 +61,22 @@
     }
 }
 
+/** @brief Abandons the moves that cannot be advanced without a list of VMs: those for which no command was sent, and
+ * those that were not carried out in time. */
+auto abandon_moves(scheduler_state& state, const move_settings& settings, move_state& moves, const time_point now)
+    -> void
+{
+    std::erase_if(moves.m_moves, [&](const auto& entry) {
+        const auto& move = entry.second;
+        const bool may_be_carried_out = move.m_command_sent || move.m_unanswered;
+        if (may_be_carried_out && now - move.m_since <= settings.m_move_timeout) {
+            return false;
+        }
+        release_worker(state, move.m_worker);
+        return true;
+    });
+}
+
 /** @brief Returns the expected time until all runs of a worker have ended, by the run times of their queues. */
 [[nodiscard]] auto drain_time(const scheduler_state& state, const worker_slot& worker, const time_point now)
     -> microseconds
@@ -268,6 +284,7 @@
                 const time_point now) -> std::vector<move_command>
 {
     if (!is_current(list, now)) {
+        abandon_moves(state, settings, moves, now);
         return {};
     }
     const auto& vms = list.m_vms;
@@ -326,6 +343,7 @@
     // Repeating the same command has no effect if it was carried out.
     if (const auto move = moves.m_moves.find(command.m_vm); move != moves.m_moves.end()) {
         move->second.m_command_sent = false;
+        move->second.m_unanswered = true;
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -51,6 +51,8 @@
         bool m_command_sent{false};
         /** @brief Worker that was cordoned for the move; empty if there was none. */
         worker_id m_worker{};
+        /** @brief A command had no response and may still be carried out. */
+        bool m_unanswered{false};
     };
     std::map<vm_id, pending_move> m_moves;
     /** @brief Time since which a VM's worker has had no runs and its pool has not needed it. */
@@ -67,7 +69,8 @@
  * @param demand The current demand.
  * @param settings Settings.
  * @param moves Moves in progress.
- * @param vms The platform's list of VMs; if it is not current, nothing is decided.
+ * @param vms The platform's list of VMs; if it is not current, moves are abandoned for which no command was sent, or
+ * which were not carried out in time.
  * @param standby Pools whose VMs are off.
  * @param reserved VMs that are about to be maintained.
  * @param now Current time.
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -248,6 +248,34 @@
     EXPECT_FALSE(plan(simulation.now() + max_vm_list_age).empty());
 }
 
+// Guards against workers that get no work as long as the VMs cannot be listed, and against work on a VM for which a
+// command was sent.
+TEST(maintenance, only_workers_without_a_command_are_released_while_the_vms_cannot_be_listed)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 3);
+    auto job = make_job("ledger", 1, 30'000, milliseconds{4'000});
+    static_cast<void>(simulation.submit(job));
+    simulation.run_for(milliseconds{50});
+    auto wave = make_wave(simulation, 2);
+    wave.m_request.m_duration = milliseconds{500};
+    const auto list = simulation.listed_vms();
+    const auto plan = [&](const time_point now) {
+        return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, list, {}, now);
+    };
+    wave.m_request.m_vms = {simulation.m_vms[0].m_vm, simulation.m_vms[1].m_vm};
+    ASSERT_EQ(plan(simulation.now()).size(), 1U);
+    ASSERT_EQ(wave.m_cordoned.size(), 2U);
+    const auto cordoned = [&] {
+        return std::count_if(simulation.m_state.m_workers.begin(), simulation.m_state.m_workers.end(),
+                             [](const worker_slot& worker) { return worker.m_cordoned; });
+    };
+    EXPECT_EQ(cordoned(), 2);
+    EXPECT_TRUE(plan(simulation.now() + max_vm_list_age + milliseconds{1}).empty());
+    EXPECT_EQ(cordoned(), 1);
+    EXPECT_EQ(wave.m_down.size(), 1U);
+}
+
 // Guards against a wave that counts as completed although its last VM is still down, as the list is older than that.
 TEST(maintenance, a_vm_is_not_back_by_a_list_requested_during_its_maintenance)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -220,6 +220,37 @@
     EXPECT_FALSE(worker.m_cordoned);
 }
 
+// Guards against workers that get no work as long as the VMs cannot be listed, and against work on a VM whose move may
+// still be carried out.
+TEST(moves, workers_are_released_while_the_vms_cannot_be_listed)
+{
+    scheduler_simulation simulation;
+    add_pools(simulation);
+    const auto list = simulation.listed_vms();
+    auto& workers = simulation.m_state.m_workers;
+    move_state moves;
+    for (const std::size_t index : {0U, 1U, 2U}) {
+        const auto& vm = simulation.m_vms[index];
+        workers[index].m_cordoned = true;
+        moves.m_moves[vm.m_vm] = {service_id{"orders"}, simulation.now(), index > 0, vm.m_worker};
+    }
+    const auto& unanswered = simulation.m_vms[2];
+    apply_move_result(simulation.m_state, moves, {unanswered.m_vm, unanswered.m_worker, service_id{"orders"}},
+                      vm_command_result::unknown, simulation.now());
+    const auto plan = [&](const milliseconds later) {
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, list,
+                          simulation.m_standby, {}, simulation.now() + later);
+    };
+    EXPECT_TRUE(plan(max_vm_list_age + milliseconds{1}).empty());
+    EXPECT_FALSE(workers[0].m_cordoned) << "no command was sent";
+    EXPECT_TRUE(workers[1].m_cordoned) << "the command has no response yet";
+    EXPECT_TRUE(workers[2].m_cordoned) << "the command had no response";
+    EXPECT_TRUE(plan(simulation.m_move_settings.m_move_timeout + milliseconds{1}).empty());
+    EXPECT_FALSE(workers[1].m_cordoned);
+    EXPECT_FALSE(workers[2].m_cordoned);
+    EXPECT_TRUE(moves.m_moves.empty());
+}
+
 // Guards against a command for a VM that has already moved: its acceptance would end the runs of the new worker in the
 // table, and their tasks would be started a second time.
 TEST(moves, no_command_is_sent_for_a_vm_that_has_arrived)
@@ -258,7 +289,8 @@
     moves.m_moves[simulation.m_vms.front().m_vm] = {service_id{"orders"}, simulation.now(), false};
     const auto vms = simulation.listed_vms();
     const auto plan = [&](const time_point now) {
-        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, vms,
+        auto pending = moves;
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, pending, vms,
                           simulation.m_standby, {}, now);
     };
     EXPECT_TRUE(plan(simulation.now() + max_vm_list_age + milliseconds{1}).empty());
