Don't move the only worker with room for a waiting task

A long-running task waited for up to 4 s while the only workers with room for it were drained for moves to other pools, and for a move back if the last of them had left.

Cause: moves look at the cores of a pool, not at whether a single worker has room, or the label, for a task that waits.

Evidence: on the code before, the new tests found a drained worker still cordoned for a task that has room on no other, with 0 starts instead of 1, and the only worker with room chosen for a move to standby.

find_needed_workers() now rules out candidates of moves, and a move without a command ends if its worker is needed. A worker whose command was sent, or had no response, stays cordoned. That a VM with a label moves away before a task that requires the label arrives is not changed.

--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 
 #include <algorithm>
@@ -95,10 +96,31 @@
     return longest;
 }
 
+/** @brief Abandons moves whose workers are needed by waiting long-running tasks and for which no command was sent. */
+auto abandon_needed(scheduler_state& state, move_state& moves, const time_point now) -> void
+{
+    std::map<worker_index, vm_id> releasable;
+    std::set<worker_index> indices;
+    for (const auto& [vm, move] : moves.m_moves) {
+        const auto index = find_worker(state, move.m_worker);
+        if (index != no_worker && !move.m_command_sent && !move.m_unanswered) {
+            releasable.emplace(index, vm);
+            indices.insert(index);
+        }
+    }
+    for (const auto index : find_needed_workers(state, indices, now)) {
+        if (const auto found = releasable.find(index); found != releasable.end()) {
+            release_worker(state, moves.m_moves.at(found->second).m_worker);
+            moves.m_moves.erase(found->second);
+        }
+    }
+}
+
 [[nodiscard]] auto collect_candidates(const scheduler_state& state, const move_state& moves,
                                       const std::vector<vm_status>& vms, const std::set<service_id>& standby,
                                       const std::set<vm_id>& reserved, const time_point now) -> std::vector<candidate>
 {
+    const auto needed = find_needed_workers(state, {}, now);
     std::vector<candidate> found;
     for (const auto& vm : vms) {
         if (vm.m_phase != vm_phase::up || moves.m_moves.contains(vm.m_vm) || reserved.contains(vm.m_vm)) {
@@ -109,7 +131,7 @@
             continue;
         }
         const auto index = find_worker(state, vm.m_worker);
-        if (index == no_worker) {
+        if (index == no_worker || needed.contains(index)) {
             continue;
         }
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
@@ -289,6 +311,7 @@
     }
     const auto& vms = list.m_vms;
     remove_ended_moves(state, settings, moves, vms, now);
+    abandon_needed(state, moves, now);
     auto candidates = collect_candidates(state, moves, vms, standby, reserved, now);
     auto balance = balance_pools(state, demand, settings, moves, vms, standby, now);
     // Present work takes precedence over expected work.
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -251,6 +251,60 @@
     EXPECT_TRUE(moves.m_moves.empty());
 }
 
+// Guards against a long-running task that waits for a move, as no other worker has room for it.
+TEST(moves, a_worker_that_drains_is_released_for_a_task_that_has_room_on_no_other)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 3);
+    simulation.add_vms("orders", 2);
+    static_cast<void>(simulation.submit(make_job("quotes", 3, 20'000, milliseconds{2'000})));
+    simulation.run_for(milliseconds{50});
+    simulation.set_capacity(worker_id{"w1"}, 20'000);
+    auto& workers = simulation.m_state.m_workers;
+    move_state moves;
+    for (const std::size_t index : {1U, 2U}) {
+        const auto& vm = simulation.m_vms[index];
+        workers[index].m_cordoned = true;
+        moves.m_moves[vm.m_vm] = {service_id{"orders"}, simulation.now(), index == 2, vm.m_worker};
+    }
+    const auto plan = [&] {
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                          simulation.listed_vms(), simulation.m_standby, {}, simulation.now());
+    };
+    EXPECT_TRUE(plan().empty());
+    EXPECT_TRUE(workers[1].m_cordoned) << "no task waits";
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    EXPECT_TRUE(plan().empty());
+    EXPECT_FALSE(workers[1].m_cordoned);
+    EXPECT_TRUE(workers[2].m_cordoned) << "the command may be carried out";
+    simulation.run_for(milliseconds{50});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+}
+
+// Guards against moving the only worker away that has room for a waiting long-running task.
+TEST(moves, a_worker_that_a_waiting_task_needs_is_not_moved)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 4);
+    simulation.add_standby("spare", 1);
+    for (const auto* id : {"w2", "w3", "w4"}) {
+        simulation.set_capacity(worker_id{id}, 1'000);
+    }
+    simulation.m_move_settings.m_min_pool_size = 0;
+    simulation.m_move_settings.m_standby_floor_percent = 0;
+    record_own_capacity(simulation.m_demand, simulation.m_vms, simulation.m_standby);
+    auto job = make_long_running_job("quotes", 1, 1);
+    static_cast<void>(simulation.submit(job));
+    move_state moves;
+    for (const auto& vm : simulation.m_vms) {
+        moves.m_idle_since[vm.m_vm] = simulation.now() - milliseconds{10'000};
+    }
+    static_cast<void>(plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                                 simulation.listed_vms(), simulation.m_standby, {}, simulation.now()));
+    EXPECT_FALSE(moves.m_moves.contains(simulation.m_vms[0].m_vm));
+    EXPECT_FALSE(moves.m_moves.empty()) << "the others are not needed";
+}
+
 // Guards against a command for a VM that has already moved: its acceptance would end the runs of the new worker in the
 // table, and their tasks would be started a second time.
 TEST(moves, no_command_is_sent_for_a_vm_that_has_arrived)
