Count only workers that accept work among those a pool keeps

A pool could be left without any worker that accepts work: its idle workers were moved away while the others were paused after failures, did not answer, or were draining.

Cause: each pool keeps at least two workers, but all registered ones that were not cordoned counted.

Evidence: in the new test two of four workers are paused and the pool is idle; on the code before, the two others were cordoned for standby.

The number is now that of the workers that accept work by the predicate of dispatch. The estimate of a pool's cores still counts paused workers: a pause usually ends before a move would.

--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/scheduler/moves.hpp>
 #include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -146,11 +147,12 @@
     return found;
 }
 
-/** @brief Returns the current number of workers of a pool. */
-[[nodiscard]] auto pool_size(const scheduler_state& state, const service_id& pool) -> std::int64_t
+/** @brief Returns the current number of workers of a pool that accept work. */
+[[nodiscard]] auto pool_size(const scheduler_state& state, const service_id& pool, const time_point now) -> std::int64_t
 {
-    return std::count_if(state.m_workers.begin(), state.m_workers.end(), [&pool](const worker_slot& worker) {
-        return worker.m_registered && worker.m_entry.m_service == pool && !worker.m_cordoned;
+    return std::count_if(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        return worker.m_entry.m_service == pool && find_obstacle(worker, now) == worker_obstacle::none;
     });
 }
 
@@ -248,7 +250,7 @@
             const auto& source = chosen.m_vm->m_pool;
             const bool spare = standby.contains(source) ||
                                (can_give(balance, settings, source, ratio(target, cores_per_vm), from_busy) &&
-                                pool_size(state, source) > settings.m_min_pool_size);
+                                pool_size(state, source, now) > settings.m_min_pool_size);
             if (spare) {
                 begin_move(state, moves, chosen, target, now);
                 available[target] += cores_per_vm;
@@ -287,7 +289,8 @@
                                     own * static_cast<double>(settings.m_standby_floor_percent) / 100.0);
         const auto idle = moves.m_idle_since.try_emplace(chosen.m_vm->m_vm, now).first;
         if (available->second - balance.m_cores_per_vm >= floor &&
-            now - idle->second > settings.m_idle_before_standby && pool_size(state, pool) > settings.m_min_pool_size) {
+            now - idle->second > settings.m_idle_before_standby &&
+            pool_size(state, pool, now) > settings.m_min_pool_size) {
             available->second -= balance.m_cores_per_vm;
             begin_move(state, moves, chosen, *standby.begin(), now);
         }
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -32,7 +32,7 @@
     /** @brief A pool short of capacity takes a VM from another pool that needs it only if that pool's ratio of capacity
      * to demand stays higher by this much. Hysteresis, which keeps VMs from moving back and forth. */
     double m_advantage{0.25};
-    /** @brief Minimum number of workers that each pool keeps. */
+    /** @brief Minimum number of workers that accept work that each pool keeps. */
     std::int64_t m_min_pool_size{2};
 };
 
--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -305,6 +305,27 @@
     EXPECT_FALSE(moves.m_moves.empty()) << "the others are not needed";
 }
 
+// Guards against a pool whose last workers are paused, since all others have been moved away.
+TEST(moves, a_pool_keeps_workers_that_accept_work)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 4);
+    simulation.add_standby("spare", 1);
+    simulation.m_move_settings.m_standby_floor_percent = 0;
+    record_own_capacity(simulation.m_demand, simulation.m_vms, simulation.m_standby);
+    auto& workers = simulation.m_state.m_workers;
+    workers[2].m_paused_until = simulation.now() + milliseconds{10'000};
+    workers[3].m_paused_until = simulation.now() + milliseconds{10'000};
+    move_state moves;
+    for (const auto& vm : simulation.m_vms) {
+        moves.m_idle_since[vm.m_vm] = simulation.now() - milliseconds{10'000};
+    }
+    static_cast<void>(plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                                 simulation.listed_vms(), simulation.m_standby, {}, simulation.now()));
+    EXPECT_FALSE(workers[0].m_cordoned);
+    EXPECT_FALSE(workers[1].m_cordoned);
+}
+
 // Guards against a command for a VM that has already moved: its acceptance would end the runs of the new worker in the
 // table, and their tasks would be started a second time.
 TEST(moves, no_command_is_sent_for_a_vm_that_has_arrived)
