--- a/packages/scheduler/test/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/moves.cpp
@@ -220,6 +220,112 @@
     EXPECT_FALSE(worker.m_cordoned);
 }
 
+// Guards against workers that get no work as long as the VMs cannot be listed, and against work on a VM whose move may
+// still be carried out.
+TEST(moves, workers_are_released_while_the_vms_cannot_be_listed)
+{
+    scheduler_simulation simulation;
+    add_pools(simulation);
+    const auto list = simulation.listed_vms();
+    auto& workers = simulation.m_state.m_workers;
+    move_state moves;
+    for (const std::size_t index : {0U, 1U, 2U}) {
+        const auto& vm = simulation.m_vms[index];
+        workers[index].m_cordoned = true;
+        moves.m_moves[vm.m_vm] = {service_id{"orders"}, simulation.now(), index > 0, vm.m_worker};
+    }
+    const auto& unanswered = simulation.m_vms[2];
+    apply_move_result(simulation.m_state, moves, {unanswered.m_vm, unanswered.m_worker, service_id{"orders"}},
+                      vm_command_result::unknown, simulation.now());
+    const auto plan = [&](const milliseconds later) {
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, list,
+                          simulation.m_standby, {}, simulation.now() + later);
+    };
+    EXPECT_TRUE(plan(max_vm_list_age + milliseconds{1}).empty());
+    EXPECT_FALSE(workers[0].m_cordoned) << "no command was sent";
+    EXPECT_TRUE(workers[1].m_cordoned) << "the command has no response yet";
+    EXPECT_TRUE(workers[2].m_cordoned) << "the command had no response";
+    EXPECT_TRUE(plan(simulation.m_move_settings.m_move_timeout + milliseconds{1}).empty());
+    EXPECT_FALSE(workers[1].m_cordoned);
+    EXPECT_FALSE(workers[2].m_cordoned);
+    EXPECT_TRUE(moves.m_moves.empty());
+}
+
+// Guards against a long-running task that waits for a move, as no other worker has room for it.
+TEST(moves, a_worker_that_drains_is_released_for_a_task_that_has_room_on_no_other)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 3);
+    simulation.add_vms("orders", 2);
+    static_cast<void>(simulation.submit(make_job("quotes", 3, 20'000, milliseconds{2'000})));
+    simulation.run_for(milliseconds{50});
+    simulation.set_capacity(worker_id{"w1"}, 20'000);
+    auto& workers = simulation.m_state.m_workers;
+    move_state moves;
+    for (const std::size_t index : {1U, 2U}) {
+        const auto& vm = simulation.m_vms[index];
+        workers[index].m_cordoned = true;
+        moves.m_moves[vm.m_vm] = {service_id{"orders"}, simulation.now(), index == 2, vm.m_worker};
+    }
+    const auto plan = [&] {
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                          simulation.listed_vms(), simulation.m_standby, {}, simulation.now());
+    };
+    EXPECT_TRUE(plan().empty());
+    EXPECT_TRUE(workers[1].m_cordoned) << "no task waits";
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    EXPECT_TRUE(plan().empty());
+    EXPECT_FALSE(workers[1].m_cordoned);
+    EXPECT_TRUE(workers[2].m_cordoned) << "the command may be carried out";
+    simulation.run_for(milliseconds{50});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+}
+
+// Guards against moving the only worker away that has room for a waiting long-running task.
+TEST(moves, a_worker_that_a_waiting_task_needs_is_not_moved)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 4);
+    simulation.add_standby("spare", 1);
+    for (const auto* id : {"w2", "w3", "w4"}) {
+        simulation.set_capacity(worker_id{id}, 1'000);
+    }
+    simulation.m_move_settings.m_min_pool_size = 0;
+    simulation.m_move_settings.m_standby_floor_percent = 0;
+    record_own_capacity(simulation.m_demand, simulation.m_vms, simulation.m_standby);
+    auto job = make_long_running_job("quotes", 1, 1);
+    static_cast<void>(simulation.submit(job));
+    move_state moves;
+    for (const auto& vm : simulation.m_vms) {
+        moves.m_idle_since[vm.m_vm] = simulation.now() - milliseconds{10'000};
+    }
+    static_cast<void>(plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                                 simulation.listed_vms(), simulation.m_standby, {}, simulation.now()));
+    EXPECT_FALSE(moves.m_moves.contains(simulation.m_vms[0].m_vm));
+    EXPECT_FALSE(moves.m_moves.empty()) << "the others are not needed";
+}
+
+// Guards against a pool whose last workers are paused, since all others have been moved away.
+TEST(moves, a_pool_keeps_workers_that_accept_work)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 4);
+    simulation.add_standby("spare", 1);
+    simulation.m_move_settings.m_standby_floor_percent = 0;
+    record_own_capacity(simulation.m_demand, simulation.m_vms, simulation.m_standby);
+    auto& workers = simulation.m_state.m_workers;
+    workers[2].m_paused_until = simulation.now() + milliseconds{10'000};
+    workers[3].m_paused_until = simulation.now() + milliseconds{10'000};
+    move_state moves;
+    for (const auto& vm : simulation.m_vms) {
+        moves.m_idle_since[vm.m_vm] = simulation.now() - milliseconds{10'000};
+    }
+    static_cast<void>(plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves,
+                                 simulation.listed_vms(), simulation.m_standby, {}, simulation.now()));
+    EXPECT_FALSE(workers[0].m_cordoned);
+    EXPECT_FALSE(workers[1].m_cordoned);
+}
+
 // Guards against a command for a VM that has already moved: its acceptance would end the runs of the new worker in the
 // table, and their tasks would be started a second time.
 TEST(moves, no_command_is_sent_for_a_vm_that_has_arrived)
@@ -258,7 +364,8 @@
     moves.m_moves[simulation.m_vms.front().m_vm] = {service_id{"orders"}, simulation.now(), false};
     const auto vms = simulation.listed_vms();
     const auto plan = [&](const time_point now) {
-        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, moves, vms,
+        auto pending = moves;
+        return plan_moves(simulation.m_state, simulation.m_demand, simulation.m_move_settings, pending, vms,
                           simulation.m_standby, {}, now);
     };
     EXPECT_TRUE(plan(simulation.now() + max_vm_list_age + milliseconds{1}).empty());
