Give up an unanswered start when its lease has ended

Callers saw tasks without a run, and jobs too late, while workers carried out starts and stops late without a response.

A start without a response held its task and its capacity until a stop was accepted. A worker that answers renewals, but neither starts nor stops, kept its lease, and nothing ended the wait before the fault did.

A start without a response is now given up by the first complete report whose clock is past that lease by 100 ms and which does not list the run. The worker is paused for 300 ms, so that the task goes to another one first. A clock of a new incarnation starts again, which only prolongs the wait.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -265,6 +265,7 @@
     start.m_run = command.m_run;
     start.m_text = job->m_record.m_spec.m_text;
     start.m_lease_until_ms = grant_start_lease(m_state, command.m_worker, now);
+    record_start_lease(m_state, command, start.m_lease_until_ms);
     start.m_checkpoint = command.m_checkpoint;
     start.m_permit = command.m_permit;
     ++m_load.m_starts;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -220,6 +220,15 @@
     });
 }
 
+/** @brief Checks whether a start without a response can no longer be carried out: the worker's clock has passed its
+ * lease. Stops of the run may have no response either. */
+[[nodiscard]] auto has_start_lapsed(const scheduler_state& state, const placed_run& run, const worker_report& report)
+    -> bool
+{
+    return !run.m_confirmed && run.m_no_response_since && run.m_start_until_ms > 0 &&
+           report.m_clock_ms > run.m_start_until_ms + state.m_settings.m_lease_margin.count();
+}
+
 /** @brief Abandons runs missing in the report of a poll that was sent after their start or stop had been settled. */
 auto drop_missing_runs(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
                        const time_point now) -> void
@@ -232,7 +241,13 @@
         // A start without a response may still be carried out; after a stop, the worker permanently rejects it.
         run.m_stop_requested =
             run.m_stop_requested || (!listed && run.m_no_response_since && *run.m_no_response_since <= sent);
-        if (!listed && settled) {
+        if (!listed && has_start_lapsed(state, run, report)) {
+            // Other workers are tried first.
+            worker.m_paused_until = std::max(worker.m_paused_until, now + rejection_pause);
+            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
+                        lost_cause::start_not_accepted, now);
+        }
+        else if (!listed && settled) {
             abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
                         lost_cause::missing_in_report, now);
         }
@@ -403,6 +418,15 @@
     }
 }
 
+auto record_start_lease(scheduler_state& state, const start_command& command, const std::int64_t lease_until_ms) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
+    const auto run = find_run(worker, command.m_task, command.m_run);
+    if (run != worker.m_runs.end()) {
+        run->m_start_until_ms = lease_until_ms;
+    }
+}
+
 auto apply_start_result(scheduler_state& state, const start_command& command, const command_result result,
                         const time_point now) -> void
 {
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -176,6 +176,10 @@
     bool m_confirmed{false};
     /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
     bool m_adopted{false};
+    /** @brief Lease in the start, on the worker's clock, after which the worker refuses the start; 0 if it was not
+     * sent.
+     */
+    std::int64_t m_start_until_ms{0};
     /** @brief When the response to the start was found missing: the run may exist, or may still be started. */
     std::optional<time_point> m_no_response_since;
     bool m_stop_requested{false};
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -130,6 +130,59 @@
     EXPECT_GT(state.m_starts.front().m_run, start.m_run);
 }
 
+// Guards against a task that waits for as long as its worker responds to renewals, but to no start and no stop.
+TEST(reports, a_start_without_a_response_ends_with_its_lease_although_no_stop_is_answered)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 2);
+    const auto job = simulation.submit(make_long_running_job("orders", 1, 1));
+    auto& state = simulation.m_state;
+    dispatch(state, simulation.now());
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    const auto& worker = state.m_workers[static_cast<std::size_t>(start.m_worker)];
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    report.m_clock_ms = worker.m_clock_ms;
+    record_start_lease(state, start, worker.m_clock_ms + 1'000);
+    const auto now = simulation.now() + milliseconds{800};
+    apply_start_result(state, start, command_result::unknown, now);
+    report.m_clock_ms += 1'090;
+    apply_report(state, start.m_worker, report, now + milliseconds{1}, now + milliseconds{290});
+    EXPECT_EQ(worker.m_runs.size(), 1U) << "the start may have been carried out when the report was made";
+    report.m_clock_ms += 20;
+    apply_report(state, start.m_worker, report, now + milliseconds{291}, now + milliseconds{310});
+    EXPECT_TRUE(worker.m_runs.empty());
+    state.m_jobs_current_at = now;
+    state.m_workers_current_at = now;
+    state.m_term_guaranteed_until = now + milliseconds{1'000};
+    state.m_grant_limit = now + milliseconds{5'000};
+    dispatch(state, now + milliseconds{311});
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    EXPECT_GT(state.m_starts.front().m_run, start.m_run);
+    EXPECT_NE(state.m_starts.front().m_worker, start.m_worker);
+}
+
+// Guards against a start that counts as lapsed although the worker lists its run.
+TEST(reports, a_listed_run_outlasts_the_lease_of_its_start)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_long_running_job("orders", 1, 1));
+    simulation.run_for(milliseconds{100});
+    auto& worker = simulation.m_state.m_workers.front();
+    ASSERT_EQ(worker.m_runs.size(), 1U);
+    worker.m_runs.front().m_start_until_ms = worker.m_clock_ms;
+    worker.m_runs.front().m_confirmed = false;
+    worker.m_runs.front().m_no_response_since = simulation.now();
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(worker.m_runs.size(), 1U);
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+}
+
 // Guards against assuming that runs continue in a new incarnation of their worker.
 TEST(reports, a_new_incarnation_of_a_worker_ends_its_runs)
 {
--- a/test/process/scheduler_progress.cpp
+++ b/test/process/scheduler_progress.cpp
@@ -43,4 +43,17 @@
     EXPECT_TRUE(wait_until(is_stored, patience));
 }
 
+// Guards against a task that waits for as long as workers respond to renewals, but to no start and no stop.
+TEST_F(scheduler_progress, a_task_is_started_again_when_neither_its_start_nor_its_stop_is_answered)
+{
+    control({{"command_delay_ms", 60'000}, {"run_ms", 3'000}});
+    submit(first_job, 1);
+    EXPECT_TRUE(wait_until([this] { return control()["held_starts"].size() >= 3; }, patience))
+        << control()["held_starts"].size();
+    control({{"command_delay_ms", 0}});
+    EXPECT_TRUE(wait_until([] { return state_of(first_job) == "completed"; }, patience)) << state_of(first_job);
+    EXPECT_EQ(control()["doubled_runs"], 0);
+    EXPECT_EQ(control()["starts"].size(), 1U);
+}
+
 } // namespace
