Stop a copy of a run instead of counting it as a second start

A step counts its waiting tasks, and a step with none is skipped. When two workers reported the same run of a task, the second one was adopted as a start of a waiting task: the count fell by one too many, to a number near 2^64 or to zero while another task of the step waited, which then never started again in this term. The end of the copy set the task to waiting although its own run continued.

It was found by reading for what can leave a task waiting that no pass looks at.

A run is now the current one of its task only on the worker that the task names; a copy on another worker is stopped, and its end changes nothing.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -35,18 +35,25 @@
     state.m_dispatch_requested = true;
 }
 
+/** @brief Checks whether a run on a worker is the one that its task has now; a worker may report a copy of it. */
+[[nodiscard]] auto is_current_run(const task_state& task, const worker_index index, const run_number run) -> bool
+{
+    return task.m_phase != task_phase::waiting && task.m_run == run && task.m_worker == index;
+}
+
 /** @brief Removes a run that never ran or has ended without a reported end. */
 auto abandon_run(scheduler_state& state, worker_slot& worker, const std::vector<placed_run>::iterator run,
                  const lost_cause cause, const time_point now) -> void
 {
     const auto task = run->m_task;
     const auto number = run->m_run;
-    state.m_events.push_back({run_event_kind::lost, state.m_worker_by_id.at(worker.m_entry.m_id), task, number, 0,
-                              cause, run->m_adopted, lease_end(state, worker), worker.m_last_report});
+    const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
+    state.m_events.push_back({run_event_kind::lost, index, task, number, 0, cause, run->m_adopted,
+                              lease_end(state, worker), worker.m_last_report});
     remove_run(state, worker, run);
     auto* job = find_job(state, task.m_job);
     const auto* known = find_task(state, task);
-    if (job != nullptr && known != nullptr && known->m_run == number && known->m_phase != task_phase::waiting) {
+    if (job != nullptr && known != nullptr && is_current_run(*known, index, number)) {
         apply_task_end(state, *job, {task, number, run_end::expired, {}}, now);
     }
 }
@@ -79,10 +86,10 @@
     auto* job = find_job(state, report.m_task.m_job);
     auto* task = find_task(state, report.m_task);
     if (job == nullptr || task == nullptr || is_final(job->m_state) || task->m_phase == task_phase::done ||
-        (task->m_phase != task_phase::waiting && task->m_run != report.m_run)) {
+        (task->m_phase != task_phase::waiting && !is_current_run(*task, index, report.m_run))) {
         placed.m_stop_requested = true;
     }
-    else {
+    else if (task->m_phase == task_phase::waiting) {
         task->m_phase = task_phase::running;
         task->m_worker = index;
         task->m_run = report.m_run;
@@ -121,7 +128,7 @@
     run->m_confirmed = true;
     run->m_no_response_since.reset();
     auto* task = find_task(state, report.m_task);
-    if (task == nullptr || task->m_run != report.m_run) {
+    if (task == nullptr || !is_current_run(*task, index, report.m_run)) {
         return;
     }
     if (task->m_phase == task_phase::starting) {
@@ -197,7 +204,8 @@
     if (report.m_outcome == run_end::failed) {
         record_survived_run(state, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task, report.m_run);
     }
-    const bool current = task->m_phase != task_phase::waiting && task->m_run == report.m_run;
+    const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
+    const bool current = is_current_run(*task, index, report.m_run);
     if (report.m_outcome == run_end::done && current) {
         learn_run_time(state, *job, *task, now);
     }
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -530,4 +530,22 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2) << "the run of the new incarnation is kept";
 }
 
+// Guards against a task that is never started because its step counts too few waiting tasks, after two workers have
+// reported the same run of another one.
+TEST(reports, a_run_that_two_workers_report_leaves_the_count_of_waiting_tasks)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 2);
+    const auto job = simulation.submit(make_long_running_job("orders", 2, 1));
+    simulation.run_for(milliseconds{100});
+    const auto first = simulation.worker("w1").m_runs.front();
+    simulation.worker("w2").m_runs.push_back(first);
+    simulation.run_for(milliseconds{10});
+    EXPECT_EQ(simulation.worker("w2").m_runs.size(), 1U) << "the second copy is stopped";
+    simulation.fail_runs(worker_id{"w2"});
+    simulation.run_for(milliseconds{1'500});
+    EXPECT_EQ(simulation.worker("w1").m_runs.size() + simulation.worker("w2").m_runs.size(), 2U);
+    EXPECT_EQ(find_step(*find_job(simulation.m_state, job), {job, 0, 0, 0})->m_waiting, 0U);
+}
+
 } // namespace cicadalug::test
