Test the count of waiting tasks through failures, crashes and takeovers

A step that counts no waiting task is skipped by each scheduling pass, so that a wrong count would leave a long-running task without a run for the rest of the term.

--- a/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/jobs.cpp
@@ -4,6 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+
 namespace cicadalug::test {
 
 // Guards against a log line that gives a cancelled job fewer runs than are still to be stopped.
@@ -76,4 +82,58 @@
     EXPECT_TRUE(old_early_cancels(state, start + milliseconds{300}, 0).empty());
 }
 
+// Guards against a task that waits in a step which counts no waiting tasks, and which therefore no pass looks at.
+TEST(jobs, the_count_of_waiting_tasks_is_exact_after_failures_crashes_and_takeovers)
+{
+    constexpr std::uint32_t seeds{40};
+    constexpr int rounds{60};
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        std::mt19937 random{seed};
+        scheduler_simulation simulation;
+        simulation.m_restart_keeps_id = true;
+        simulation.begin_with("quotes", 3);
+        const auto lasting = simulation.submit(make_long_running_job("quotes", 6, 1));
+        for (int round = 0; round < rounds; ++round) {
+            const worker_id worker{"w" + std::to_string(1 + random() % 3)};
+            switch (random() % 8) {
+            case 0:
+                simulation.crash(worker);
+                break;
+            case 1:
+            case 2:
+                simulation.fail_runs(worker);
+                break;
+            case 3:
+                simulation.take_over();
+                break;
+            case 4:
+                simulation.worker(worker.str()).m_reachable = !simulation.worker(worker.str()).m_reachable;
+                break;
+            case 5:
+                static_cast<void>(simulation.submit(make_job("quotes", 3, 2'000, milliseconds{300})));
+                break;
+            default:
+                break;
+            }
+            simulation.run_for(milliseconds{200});
+            for (const auto& [id, job] : simulation.m_state.m_jobs) {
+                for (const auto& occurrence : job->m_open) {
+                    const auto& step = occurrence.m_steps.front();
+                    const auto waiting =
+                        std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
+                                      [](const task_state& task) { return task.m_phase == task_phase::waiting; });
+                    ASSERT_EQ(step.m_waiting, static_cast<std::size_t>(waiting))
+                        << "seed " << seed << " round " << round;
+                }
+            }
+        }
+        for (const auto& id : simulation.worker_ids()) {
+            simulation.worker(id.str()).m_reachable = true;
+        }
+        simulation.run_for(milliseconds{15'000});
+        EXPECT_EQ(find_step(*find_job(simulation.m_state, lasting), {lasting, 0, 0, 0})->m_waiting, 0U)
+            << "seed " << seed;
+    }
+}
+
 } // namespace cicadalug::test
