Wait for evidence before the next trial of a task

When the lease of a trial's worker ended, the task was a suspect with one counted crash again, and its next trial began at once. In the simulation with workers that return after 4.5 s instead of 3 s, deadly tasks were started up to four times.

The next trial now waits for evidence about the last one, for 2 s at most, as a worker that never returns leaves none.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -33,6 +33,10 @@
  * unlikely to have another cause. */
 constexpr std::int64_t lost_trials_to_count{2};
 
+/** @brief The next trial of a task waits this long for evidence about a lost one. A worker that has crashed returns
+ * within 1 s after the end of its lease in most cases. */
+constexpr milliseconds evidence_time{2'000};
+
 /** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
  * four, 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
 constexpr std::size_t workers_per_trial{2};
@@ -117,12 +121,11 @@
     }
 }
 
-/** @brief Checks whether the cause of the loss of a trial is still unknown. */
-[[nodiscard]] auto awaits_evidence(const worker_slot& worker, const task_trial& trial) -> bool
+/** @brief Checks whether the cause of the loss of a run is still unknown. */
+[[nodiscard]] auto awaits_evidence(const worker_slot& worker, const task_ref& task, const run_number run) -> bool
 {
-    return std::any_of(worker.m_lost_runs.begin(), worker.m_lost_runs.end(), [&trial](const lost_run& lost) {
-        return lost.m_task == trial.m_task && lost.m_run == trial.m_stored.m_run;
-    });
+    return std::any_of(worker.m_lost_runs.begin(), worker.m_lost_runs.end(),
+                       [&](const lost_run& lost) { return lost.m_task == task && lost.m_run == run; });
 }
 
 /** @brief Ends a trial if its outcome is known. @return True if it has ended. */
@@ -138,7 +141,7 @@
     }
     const auto* run = find_placed(slot_of(state, trial.m_worker), trial);
     if (run == nullptr) {
-        if (!awaits_evidence(slot_of(state, trial.m_worker), trial)) {
+        if (!awaits_evidence(slot_of(state, trial.m_worker), trial.m_task, trial.m_stored.m_run)) {
             remove_stored_trial(state, trial.m_task, trial.m_stored);
         }
         return true;
@@ -370,6 +373,20 @@
     return find_trial_in(state, task);
 }
 
+auto awaits_evidence(const scheduler_state& state, const task_ref& task, const time_point now) -> bool
+{
+    const auto* job = find_job(state, task.m_job);
+    const auto* step = job == nullptr ? nullptr : find_step(*job, task);
+    if (step == nullptr) {
+        return false;
+    }
+    const auto& found = step->m_tasks[static_cast<std::size_t>(task.m_index)];
+    const bool lost = found.m_lost_trials > 0 && found.m_last_lost_trial == found.m_run;
+    return lost && now - found.m_since < evidence_time &&
+           std::any_of(state.m_workers.begin(), state.m_workers.end(),
+                       [&](const worker_slot& worker) { return awaits_evidence(worker, task, found.m_run); });
+}
+
 auto has_trial(const scheduler_state& state, const job_id& job) -> bool
 {
     return std::any_of(state.m_trials.begin(), state.m_trials.end(),
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -57,6 +57,10 @@
 [[nodiscard]] auto find_trial(scheduler_state& state, const task_ref& task) -> task_trial*;
 [[nodiscard]] auto find_trial(const scheduler_state& state, const task_ref& task) -> const task_trial*;
 
+/** @brief Checks whether evidence may still follow about the last trial of a waiting task, which was lost: the next one
+ * should not begin before. Limited in time, as a worker that never returns leaves none. */
+[[nodiscard]] auto awaits_evidence(const scheduler_state& state, const task_ref& task, time_point now) -> bool;
+
 /** @brief Checks whether any task of a job has a trial. */
 [[nodiscard]] auto has_trial(const scheduler_state& state, const job_id& job) -> bool;
 
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -411,6 +411,21 @@
     EXPECT_FALSE(is_suspect(*find_task(simulation.m_state, task)));
 }
 
+// Guards against a deadly task that is tried again between the end of the lease of its trial's worker and the return of
+// that worker, which proves the crash.
+TEST_P(crash_suspicion, no_trial_begins_while_evidence_about_the_last_one_may_follow)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_keeps_id = GetParam();
+    simulation.m_restart_time = milliseconds{4'500};
+    simulation.begin_with("quotes", 6);
+    const auto deadly = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    simulation.m_deadly.insert({deadly, 0, 0, 0});
+    simulation.run_for(milliseconds{20'000});
+    EXPECT_EQ(simulation.starts_of({deadly, 0, 0, 0}), 2);
+    EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
+}
+
 // Guards against a task that crashes workers which never return: without evidence, its trials would never end.
 TEST(crash_suspicion_evidence, a_task_whose_trials_are_lost_again_and_again_is_given_up)
 {
