Let long trials of a job overlap

From the third crash on, a trial lasts until its run ends or for 5 s. Since only one task of a job is tried at a time, such tasks of a sound job had to wait for each other's whole runs, though workers were idle: four tasks of 2 s on ten workers were not done after 4 s.

One trial at a time is meant for tasks that crash their workers at once, and whose job is given up with the first of them. A trial whose run has survived its start now holds back no other task of its job. The test failed before.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -387,10 +387,16 @@
                        [&](const worker_slot& worker) { return awaits_evidence(worker, task, found.m_run); });
 }
 
-auto has_trial(const scheduler_state& state, const job_id& job) -> bool
+auto has_early_trial(const scheduler_state& state, const job_id& job) -> bool
 {
-    return std::any_of(state.m_trials.begin(), state.m_trials.end(),
-                       [&job](const task_trial& trial) { return trial.m_task.m_job == job; });
+    return std::any_of(state.m_trials.begin(), state.m_trials.end(), [&](const task_trial& trial) {
+        if (trial.m_task.m_job != job) {
+            return false;
+        }
+        const auto& worker = slot_of(state, trial.m_worker);
+        const auto* run = find_placed(worker, trial);
+        return run == nullptr || !has_survived(worker, *run, proof_time);
+    });
 }
 
 auto plan_trial(scheduler_state& state, const task_ref& task, const worker_index worker, const run_number run) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -61,8 +61,8 @@
  * should not begin before. Limited in time, as a worker that never returns leaves none. */
 [[nodiscard]] auto awaits_evidence(const scheduler_state& state, const task_ref& task, time_point now) -> bool;
 
-/** @brief Checks whether any task of a job has a trial. */
-[[nodiscard]] auto has_trial(const scheduler_state& state, const job_id& job) -> bool;
+/** @brief Checks whether any task of a job has a trial whose run has not survived its start yet. */
+[[nodiscard]] auto has_early_trial(const scheduler_state& state, const job_id& job) -> bool;
 
 /**
  * @brief Plans a trial of a task on a worker and requests that it be stored. The worker gets no other new work.
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
@@ -26,8 +26,8 @@
     back_off,
     /** @brief The other members of its gang cannot start yet. */
     gang_incomplete,
-    /** @brief A suspect has no worker for its trial, another task of its job is in one, evidence about its last one may
-     * follow, or there are as many trials as allowed. */
+    /** @brief A suspect has no worker for its trial, another task of its job has begun one, evidence about its last one
+     * may follow, or there are as many trials as allowed. */
     no_trial,
     trial_not_stored,
     /** @brief Other runs on the worker of the trial have not survived their start yet. */
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+/** @brief Makes all tasks of a job suspects that have survived the start of their runs in three crashes. */
+auto suspect_after_three_crashes(scheduler_simulation& simulation, const job_id& id) -> void
+{
+    auto& step = find_job(simulation.m_state, id)->m_open.front().m_steps.front();
+    step.m_opened = true;
+    for (auto& task : step.m_tasks) {
+        task.m_suspect = true;
+        task.m_crashed_runs = {run_number{1}, run_number{2}, run_number{3}};
+    }
+}
+
 /** @brief Submits jobs of four tasks of 700 ms. @return Their ids. */
 auto submit_jobs(scheduler_simulation& simulation, const int count) -> std::vector<job_id>
 {
@@ -265,6 +276,17 @@
     EXPECT_TRUE(find_task(simulation.m_state, task)->m_crashed_runs.empty());
 }
 
+// Guards against tasks of a job that wait for each other's long trials, one after the other.
+TEST(crash_suspicion_evidence, long_trials_of_a_job_overlap)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 10);
+    const auto job = simulation.submit(make_job("quotes", 4, 2'000, milliseconds{2'000}));
+    suspect_after_three_crashes(simulation, job);
+    simulation.run_for(milliseconds{4'000});
+    EXPECT_EQ(simulation.stored_state(job), job_state::completed);
+}
+
 // Guards against suspects that wait for one trial at a time after their pool has shrunk.
 TEST(crash_suspicion_evidence, many_suspects_in_a_small_pool_are_completed_in_time)
 {
