Expect the lease of an earlier incarnation's call in a new one

Callers saw two runs of one task on workers that are up (TWICE): a worker started again under its id, was cut off from the decider within seconds, and its runs went on while their tasks were started elsewhere.

Cause: a lease ends at a time on the worker's clock, which starts anew with each incarnation. A start or renewal that is sent before the decider knows of the restart reaches the new incarnation with an end by the old clock, far ahead of the new one, and the worker takes on the longest lease that it allows (6 or 10 s). At the first report of the new incarnation the decider forgot all leases and reckoned with its own 3.5 s.

The new test failed before the change: the lease was expected to end at once rather than 10 s later.

The latest end sent to the last incarnation, bounded by the platform's longest lease, now counts as the lease of the new one. It is never sent. A worker lost right after a restart keeps its tasks for up to that time, which is when the platform's rules allow a second run.

--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -139,6 +139,7 @@
         decider_settings settings;
         auto& scheduler = settings.m_scheduler;
         scheduler.m_worker_lease = std::min(scheduler.m_worker_lease, m_settings.m_longest_worker_lease);
+        scheduler.m_longest_lease = m_settings.m_longest_worker_lease;
         scheduler.m_stop_grace = m_settings.m_stop_grace;
         scheduler.m_cancel_time = m_settings.m_cancel_time;
         scheduler.m_drain_time = m_settings.m_drain_time;
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -318,8 +318,11 @@
         worker.m_acknowledged_end = 0;
         // The clock of the new incarnation starts again.
         worker.m_clock_ms = 0;
+        // The new incarnation has taken the calls sent to the last one, whose leases are long by its own clock.
+        const auto longest_until_ms = report.m_clock_ms + state.m_settings.m_longest_lease.count();
+        worker.m_inherited_until_ms =
+            std::min(std::max(worker.m_lease_until_ms, worker.m_inherited_until_ms), longest_until_ms);
         worker.m_lease_until_ms = 0;
-        worker.m_inherited_until_ms = 0;
         // The new incarnation has no fencing token, so that an earlier decider may have granted it a lease, too.
         worker.m_has_reported = false;
         worker.m_cordoned = false;
@@ -337,7 +340,9 @@
 {
     const auto left = std::chrono::ceil<milliseconds>(inherited_leases_end(state) - now);
     const auto longest = std::min(left, state.m_settings.m_worker_lease);
-    worker.m_inherited_until_ms = longest > milliseconds{0} ? report.m_clock_ms + longest.count() : 0;
+    if (longest > milliseconds{0}) {
+        worker.m_inherited_until_ms = std::max(worker.m_inherited_until_ms, report.m_clock_ms + longest.count());
+    }
 }
 
 } // namespace
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -24,6 +24,8 @@
     /** @brief Lease of a worker's runs. Long enough to outlast a takeover (about 2 s), short enough that the tasks of a
      * lost worker are restarted soon. */
     milliseconds m_worker_lease{3'500};
+    /** @brief Longest lease that a worker takes on, from the platform's settings; it shortens a longer one. */
+    milliseconds m_longest_lease{10'000};
     /** @brief A decider grants leases up to this long after it last renewed its own lease in the store. Bounds how long
      * the successor of a partitioned decider waits for workers that it cannot reach; longer than outages of the store,
      * during which tasks keep running. */
@@ -237,8 +239,9 @@
     time_point m_clock_read{};
     /** @brief Latest end of a lease that was sent, on the worker's clock; 0 if there is none. */
     std::int64_t m_lease_until_ms{0};
-    /** @brief Latest end of a lease that an earlier decider can have granted, on the worker's clock; 0 if there is
-     * none. It is never sent: an earlier decider may have been allowed to grant a longer lease than this one. */
+    /** @brief Latest end of a lease that an earlier decider can have granted, or that this one granted by the clock of an
+     * earlier incarnation, on the worker's clock; 0 if there is none. It is never sent: an earlier decider may have been
+     * allowed to grant a longer lease than this one. */
     std::int64_t m_inherited_until_ms{0};
     /** @brief The worker is in the stored list of workers with leases, for which the next decider waits. */
     bool m_lease_listed{false};
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -160,6 +160,25 @@
     EXPECT_EQ(grant_lease(state, 0, simulation.now()), report.m_clock_ms + state.m_settings.m_worker_lease.count());
 }
 
+// Guards against a second run of a task while the first one goes on: the worker, cut off soon after it had started
+// again, holds the lease of a call that was meant for its last incarnation, whose clock was far ahead.
+TEST(reports, a_new_incarnation_holds_the_lease_of_a_call_sent_to_the_last_one)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    simulation.run_for(milliseconds{8'000});
+    auto& state = simulation.m_state;
+    const auto& worker = state.m_workers.front();
+    ASSERT_GT(worker.m_lease_until_ms, state.m_settings.m_longest_lease.count());
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 2;
+    report.m_clock_ms = 5;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    EXPECT_GE(lease_end(state, worker), simulation.now() + state.m_settings.m_longest_lease);
+    // The lease that this incarnation is granted is not longer than usual.
+    EXPECT_EQ(grant_lease(state, 0, simulation.now()), report.m_clock_ms + state.m_settings.m_worker_lease.count());
+}
+
 // Guards against reusing a run number after a restarted worker has carried out a delayed start of an earlier run.
 TEST(reports, run_numbers_increase_after_an_earlier_run_is_adopted)
 {
