--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -239,9 +239,9 @@
     time_point m_clock_read{};
     /** @brief Latest end of a lease that was sent, on the worker's clock; 0 if there is none. */
     std::int64_t m_lease_until_ms{0};
-    /** @brief Latest end of a lease that an earlier decider can have granted, or that this one granted by the clock of an
-     * earlier incarnation, on the worker's clock; 0 if there is none. It is never sent: an earlier decider may have been
-     * allowed to grant a longer lease than this one. */
+    /** @brief Latest end of a lease that an earlier decider can have granted, or that this one granted by the clock of
+     * an earlier incarnation, on the worker's clock; 0 if there is none. It is never sent: an earlier decider may have
+     * been allowed to grant a longer lease than this one. */
     std::int64_t m_inherited_until_ms{0};
     /** @brief The worker is in the stored list of workers with leases, for which the next decider waits. */
     bool m_lease_listed{false};
