--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -138,6 +138,8 @@
     [[nodiscard]] auto decision_log_value() const -> std::string;
     /** @brief Returns the ids to be written for workers with leases. */
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Checks whether the list of leased workers has to be written again. */
+    [[nodiscard]] auto is_lease_list_due(time_point now) const -> bool;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
     auto apply_workers() -> void;
     /** @brief Applies an entry of the registry to the copy of it. */
@@ -170,6 +172,8 @@
     std::shared_ptr<fleet_controller> m_fleet_controller;
     scheduler_state m_state;
     std::map<std::string, worker_entry> m_registry;
+    /** @brief Findings of the registry's unusable entries that have been logged, by key. */
+    std::map<std::string, std::string> m_unusable_entries;
     std::shared_ptr<relay_sessions> m_relays;
     bool m_uses_relays{false};
     /** @brief When the first relays are waited for at most. */
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -76,6 +76,21 @@
 [[nodiscard]] auto choose_worker(placement_index& index, const scheduler_state& state, const placement_request& request,
                                  time_point now) -> worker_index;
 
+/**
+ * @brief Selects the worker to be kept free for a long-running task that no worker can hold now.
+ *
+ * Load pattern: in a surge, the run of a small task ends every few milliseconds on each worker, and another small task
+ * takes its capacity. A larger task would never find enough of it.
+ * @param index The index.
+ * @param state The scheduler.
+ * @param request The task.
+ * @param now Current time.
+ * @return The worker with the most free CPU capacity among those that can hold the task as soon as their other runs
+ * have ended, long-running ones excepted; or no_worker.
+ */
+[[nodiscard]] auto choose_worker_to_free(const placement_index& index, const scheduler_state& state,
+                                         const placement_request& request, time_point now) -> worker_index;
+
 /** @brief Removes a worker from the index; does nothing if it is not a candidate. */
 auto remove_candidate(placement_index& index, const scheduler_state& state, worker_index worker) -> void;
 
@@ -84,6 +99,9 @@
 [[nodiscard]] auto find_placement_obstacle(const scheduler_state& state, worker_index worker,
                                            const placement_request& request, time_point now) -> worker_obstacle;
 
+/** @brief Returns the number of tasks of a step on a worker. */
+[[nodiscard]] auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t;
+
 /** @brief Checks whether a worker has the capacity, the label and the permit for a task. */
 [[nodiscard]] auto can_place(const scheduler_state& state, worker_index worker, const placement_request& request,
                              time_point now) -> bool;
