Test that a task starts beside a worker over its capacity

No fault was found in the code. The test pins what ends the wait of a long-running task: the first worker that has room for it, while another one of the pool is over its capacity and gets nothing.

--- a/packages/scheduler/test/cicadalug/scheduler/changing_capacity.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/changing_capacity.cpp
@@ -43,6 +43,24 @@
     EXPECT_EQ(simulation.stored_state(waiting), job_state::completed);
 }
 
+// Guards against a long-running task that waits although one worker has room, as another one is over its capacity.
+TEST(changing_capacity, a_long_running_task_starts_beside_a_worker_over_its_capacity)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    static_cast<void>(simulation.submit(make_long_running_job("quotes", 16, 0)));
+    simulation.run_for(milliseconds{50});
+    ASSERT_EQ(simulation.m_state.m_workers[0].m_runs.size(), 16U);
+    simulation.set_capacity(worker_id{"w1"}, 9'000);
+    simulation.set_capacity(worker_id{"w2"}, 1'000);
+    const auto job = simulation.submit(make_long_running_job("quotes", 1, 1));
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 0);
+    simulation.set_capacity(worker_id{"w2"}, 2'000);
+    simulation.run_for(milliseconds{20});
+    EXPECT_EQ(find_task(simulation.m_state, {job, 0, 0, 0})->m_worker, 1);
+}
+
 // Guards against a task larger than any present capacity that fails or keeps others from starting.
 TEST(changing_capacity, a_task_larger_than_any_worker_waits)
 {
