State the size of a listed worker id as one number

The linter reports the product of two int constants as an implicit widening. Nine bytes, an id of eight characters and a blank, are twelve characters in base64, which is now written as such. Nothing else changes. Not built again after this change.

--- a/test/process/scheduler_takeover.cpp
+++ b/test/process/scheduler_takeover.cpp
@@ -13,7 +13,7 @@
 class scheduler_takeover : public scheduler_deployment {
 protected:
     /** @brief An id of eight characters in the stored list of leased workers, followed by a blank, in base64. */
-    static constexpr std::size_t id_bytes{9 / 3 * 4};
+    static constexpr std::size_t id_bytes{12};
 
     [[nodiscard]] static auto listed_bytes() -> std::size_t
     {
