Test that a trial without a response ends

The start of a trial that gets no response holds its worker, which accepts no other work, until a report without the run and an accepted stop show that it never began, or until the lease of the worker has ended. No test covered the first case.

No change of the code: the test passes on it. After the missing response the task is tried again and done within 1.5 s.

--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -373,6 +373,29 @@
     EXPECT_TRUE(state.m_trials.empty());
 }
 
+// Guards against a trial whose start had no response, and that reserves its worker without end.
+TEST(crash_suspicion_evidence, a_trial_without_a_response_ends_and_another_begins)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{700}));
+    const task_ref ref{job, 0, 0, 0};
+    find_step(*find_job(state, job), ref)->m_opened = true;
+    find_task(state, ref)->m_suspect = true;
+    dispatch(state, simulation.now());
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    ASSERT_EQ(state.m_starts.size(), 1U);
+    const auto start = state.m_starts.front();
+    state.m_starts.clear();
+    apply_start_result(state, start, command_result::unknown, simulation.now());
+    simulation.run_for(milliseconds{1'500});
+    EXPECT_EQ(simulation.starts_of(ref), 1);
+    EXPECT_EQ(simulation.stored_state(job), job_state::completed);
+    EXPECT_TRUE(state.m_trials.empty());
+}
+
 // Guards against giving up a task for crashes of workers that have not started it: a start without an answer may not
 // have arrived.
 TEST(crash_suspicion_evidence, an_unanswered_start_makes_a_suspect_and_is_no_crash)
