Write the list of leases in the soak as the decider does

The soak has a store loop of its own, which still wrote the list of leases every 5 s, while the decider now writes it again within a second when a listed lease has ended. A successor in the soak waited for workers that the stored list would no longer name.

--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds renewal_pause{200};
 constexpr milliseconds write_time{20};
 constexpr milliseconds write_timeout{700};
-constexpr milliseconds lease_list_interval{5'000};
+constexpr milliseconds lease_list_interval{1'000};
 
 [[nodiscard]] auto to_unix_ms(const time_point time) -> std::int64_t
 {
@@ -168,6 +168,7 @@
     m_state.m_token = fencing_token{++m_term};
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
+    m_state.m_expected_listed = !m_stored_leases.empty();
     m_decider_up = true;
     m_renewals.clear();
     m_writing = false;
@@ -489,7 +490,9 @@
         return;
     }
     const auto ends = capture_ends(m_state);
-    if (m_state.m_dirty.empty() && !has_unlisted_lease(m_state, m_now)) {
+    const bool lists_leases = has_unlisted_lease(m_state, m_now) || (m_now - m_leases_listed_at > lease_list_interval &&
+                                                                     has_ended_lease_in_list(m_state, m_now));
+    if (m_state.m_dirty.empty() && !lists_leases) {
         acknowledge_ends(m_state, ends);
         return;
     }
@@ -501,18 +504,19 @@
     }
     std::optional<std::vector<worker_index>> leased;
     std::set<worker_id> list;
-    if (has_unlisted_lease(m_state, m_now) || m_now - m_leases_listed_at > lease_list_interval) {
+    const bool lists_expected = are_expected_workers_listed(m_state, m_now);
+    if (lists_leases) {
         leased = begin_lease_list(m_state, m_now);
         m_leases_listed_at = m_now;
         for (const auto index : *leased) {
             list.insert(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
         }
-        if (m_now < inherited_leases_end(m_state)) {
+        if (lists_expected) {
             list.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
         }
     }
     const bool succeeds = m_store_up;
-    const auto finish = [this, term = m_term, ends, progress, leased, list, succeeds] {
+    const auto finish = [this, term = m_term, ends, progress, leased, list, lists_expected, succeeds] {
         if (!m_decider_up || term != m_term) {
             return;
         }
@@ -532,6 +536,7 @@
             if (leased) {
                 m_stored_leases = list;
                 complete_lease_list(m_state, *leased);
+                m_state.m_expected_listed = lists_expected;
             }
         }
     };
