--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
@@ -8,8 +9,6 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -56,8 +55,19 @@
 {
     m_load.m_began = monotonic_now();
     m_relays->start();
-    asio::co_spawn(m_executor, load(shared_from_this()), asio::detached);
-    asio::co_spawn(m_executor, observe_load(shared_from_this()), asio::detached);
+    run_in_term(load(shared_from_this()), "load");
+    run_in_term(observe_load(shared_from_this()), "observe_load");
+}
+
+auto decider::run_in_term(asio::awaitable<void> coroutine, const std::string_view name) -> void
+{
+    spawn(m_executor, std::move(coroutine), name, [weak = weak_from_this()] {
+        // What the coroutine did for the term is missing from now on; the next term begins from the store.
+        if (const auto self = weak.lock()) {
+            self->m_state.m_deposed = true;
+            self->check_deposed();
+        }
+    });
 }
 
 auto decider::stop() -> void
@@ -129,14 +139,21 @@
     const auto is_read = [](const store_read& result) {
         return result.m_status == store_status::ok || result.m_status == store_status::missing;
     };
-    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number.
+    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number. They
+    // also start tasks on workers that no list names.
+    m_lease_list_complete = read.m_status == store_status::missing;
     std::istringstream log{read.m_item.m_value};
     std::istringstream list{leases.m_item.m_value};
     std::string word;
     log >> word >> word;
     for (auto* text : {&log, &list}) {
         while (*text >> word) {
-            m_state.m_expected_workers.emplace(word);
+            if (word == complete_list_mark) {
+                m_lease_list_complete = true;
+            }
+            else {
+                m_state.m_expected_workers.emplace(word);
+            }
         }
     }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
@@ -148,7 +165,7 @@
     // After the first write of a term, all writes of earlier terms fail, including those in flight.
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
-    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
+    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(m_lease_list_complete), no_store_lease});
     const auto written = co_await m_store.write(std::move(write), store_timeout);
     if (written.m_status == store_status::conflict) {
         m_state.m_deposed = true;
@@ -243,6 +260,11 @@
     }
     m_state.m_began = monotonic_now();
     const bool workers = co_await load_workers();
+    if (workers && !m_lease_list_complete) {
+        for (const auto& worker : m_state.m_workers) {
+            m_state.m_expected_workers.insert(worker.m_entry.m_id);
+        }
+    }
     co_return workers;
 }
 
@@ -268,11 +290,11 @@
                      .with("expected", m_state.m_expected_workers.size())
                      .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
                      .with("took_ms", to_ms(monotonic_now() - begin));
-    asio::co_spawn(m_executor, watch_jobs(self), asio::detached);
-    asio::co_spawn(m_executor, watch_workers(self), asio::detached);
-    asio::co_spawn(m_executor, store_progress(self), asio::detached);
-    asio::co_spawn(m_executor, tick(self), asio::detached);
-    asio::co_spawn(m_executor, collect_garbage(self), asio::detached);
+    run_in_term(watch_jobs(self), "watch_jobs");
+    run_in_term(watch_workers(self), "watch_workers");
+    run_in_term(store_progress(self), "store_progress");
+    run_in_term(tick(self), "tick");
+    run_in_term(collect_garbage(self), "collect_garbage");
     start_fleet_controller();
 }
 
@@ -383,7 +405,7 @@
     for (const auto index : m_state.m_current_workers) {
         if (!m_renewing[static_cast<std::size_t>(index)]) {
             m_renewing[static_cast<std::size_t>(index)] = true;
-            asio::co_spawn(m_executor, renew_worker_lease(shared_from_this(), index), asio::detached);
+            run_in_term(renew_worker_lease(shared_from_this(), index), "renew_worker_lease");
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -31,15 +31,25 @@
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
 
+/** @brief Jobs whose progress the store has refused are written again at this interval, each alone. */
+constexpr milliseconds refused_job_interval{1'000};
+
+/** @brief Jobs of a write, from the first position to before the last one. */
+struct job_range {
+    std::size_t m_first{0};
+    std::size_t m_last{0};
+};
+
 /** @brief Jobs whose final state has been kept long enough are removed at this interval, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
 constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
 
 } // namespace
 
-auto decider::decision_log_value() const -> std::string
+auto decider::decision_log_value(const bool lease_list_complete) const -> std::string
 {
-    return std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
+    const auto value = std::to_string(m_term.m_token.value()) + ' ' + std::to_string(m_decision_log_sequence);
+    return lease_list_complete ? value + ' ' + std::string{complete_list_mark} : value;
 }
 
 auto decider::leased_workers_value(const std::vector<worker_index>& leased) const -> std::string
@@ -70,8 +80,13 @@
         if (!m_active) {
             co_return;
         }
+        if (!m_refused_jobs.empty() && monotonic_now() - m_refused_retried_at > refused_job_interval) {
+            co_await retry_refused_jobs();
+        }
         if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now())) {
-            acknowledge_ends(m_state, capture_ends(m_state));
+            if (can_acknowledge_ends()) {
+                acknowledge_ends(m_state, capture_ends(m_state));
+            }
             continue;
         }
         const bool written = co_await write_dirty_jobs();
@@ -82,6 +97,13 @@
     }
 }
 
+auto decider::can_acknowledge_ends() const -> bool
+{
+    // No run of a job that has not started can have ended.
+    return std::none_of(m_refused_jobs.begin(), m_refused_jobs.end(),
+                        [](const job_entry* job) { return job->m_started; });
+}
+
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
     const auto jobs = std::exchange(m_state.m_dirty, {});
@@ -90,33 +112,82 @@
         job->m_dirty = false;
     }
     // Without jobs, the list of leased workers is written alone.
-    for (std::size_t first = 0; first == 0 || first < jobs.size(); first += progress_jobs) {
-        const auto last = std::min(jobs.size(), first + progress_jobs);
-        const bool written = co_await write_progress(jobs, first, last);
-        if (!written) {
-            for (auto position = first; position < jobs.size(); ++position) {
-                mark_dirty(m_state, *jobs[position]);
+    std::vector<job_range> ranges{{0, std::min(jobs.size(), progress_jobs)}};
+    for (auto first = progress_jobs; first < jobs.size(); first += progress_jobs) {
+        ranges.insert(ranges.begin(), {first, std::min(jobs.size(), first + progress_jobs)});
+    }
+    while (!ranges.empty()) {
+        const auto range = ranges.back();
+        ranges.pop_back();
+        auto status = co_await write_progress(jobs, range.m_first, range.m_last);
+        if (status == store_status::rejected && range.m_last > range.m_first) {
+            // If the store accepts a write without jobs, it refuses one of the jobs.
+            status = co_await write_progress(jobs, range.m_first, range.m_first);
+            if (status == store_status::ok) {
+                const auto middle = range.m_first + (range.m_last - range.m_first) / 2;
+                if (middle == range.m_first) {
+                    set_aside(*jobs[range.m_first]);
+                }
+                else {
+                    ranges.push_back({middle, range.m_last});
+                    ranges.push_back({range.m_first, middle});
+                }
+                continue;
+            }
+        }
+        if (status != store_status::ok) {
+            ranges.push_back(range);
+            for (const auto& left : ranges) {
+                for (auto position = left.m_first; position < left.m_last; ++position) {
+                    mark_dirty(m_state, *jobs[position]);
+                }
             }
             co_return false;
         }
     }
-    acknowledge_ends(m_state, ends);
+    if (can_acknowledge_ends()) {
+        acknowledge_ends(m_state, ends);
+    }
     co_return true;
 }
 
+auto decider::set_aside(job_entry& job) -> void
+{
+    LOG(ERROR) << log_line{"progress_refused"}.with("request", job.m_record.m_id);
+    // A job that has changed since is written again at once.
+    if (!job.m_dirty) {
+        job.m_dirty = true;
+        m_refused_jobs.push_back(&job);
+    }
+}
+
+auto decider::retry_refused_jobs() -> asio::awaitable<void>
+{
+    m_refused_retried_at = monotonic_now();
+    const auto jobs = std::exchange(m_refused_jobs, {});
+    for (std::size_t position = 0; position < jobs.size(); ++position) {
+        jobs[position]->m_dirty = false;
+        const auto status = co_await write_progress(jobs, position, position + 1);
+        if (status != store_status::ok) {
+            set_aside(*jobs[position]);
+        }
+    }
+}
+
 auto decider::write_progress(const std::vector<job_entry*>& jobs, const std::size_t first, const std::size_t last)
-    -> asio::awaitable<bool>
+    -> asio::awaitable<store_status>
 {
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
     write.m_conditions.push_back({std::string{decision_log_key}, m_decision_log_revision});
     ++m_decision_log_sequence;
-    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(), no_store_lease});
     // The list takes 13 bytes a worker; in each write, it would cost more than the progress itself.
     const auto now = monotonic_now();
     std::vector<worker_index> leased;
     const bool lists_leases = is_lease_list_due(now);
     const bool lists_expected = are_expected_workers_listed(m_state, now);
+    write.m_puts.push_back(
+        {std::string{decision_log_key}, decision_log_value(lists_leases || m_lease_list_complete), no_store_lease});
     if (lists_leases) {
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
@@ -147,10 +218,11 @@
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
                             .with("status", static_cast<int>(written.m_status));
-        co_return false;
+        co_return written.m_status;
     }
     m_decision_log_revision = written.m_revision;
     complete_lease_list(m_state, leased);
+    m_lease_list_complete = m_lease_list_complete || lists_leases;
     m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
@@ -166,7 +238,7 @@
         }
     }
     schedule_pass();
-    co_return true;
+    co_return store_status::ok;
 }
 
 auto decider::flush(const milliseconds limit) -> asio::awaitable<void>
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
@@ -8,8 +9,6 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -62,7 +61,17 @@
 
 auto fleet_controller::start() -> void
 {
-    asio::co_spawn(m_dependencies.m_executor, run(shared_from_this()), asio::detached);
+    run_in_term(run(shared_from_this()), "fleet_controller");
+}
+
+auto fleet_controller::run_in_term(asio::awaitable<void> coroutine, const std::string_view name) -> void
+{
+    spawn(m_dependencies.m_executor, std::move(coroutine), name, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self != nullptr && self->m_active) {
+            self->m_dependencies.m_state->m_deposed = true;
+            self->m_dependencies.m_on_change();
+        }
+    });
 }
 
 auto fleet_controller::apply_wave(const std::string& value) -> void
@@ -263,7 +272,7 @@
         record_own_capacity(m_demand, m_vms.m_vms, standby);
     }
     update_demand(m_demand, *m_dependencies.m_state, now);
-    if (config == nullptr || !m_dependencies.m_can_send_commands() || !is_current(m_vms, now)) {
+    if (config == nullptr || !m_dependencies.m_can_send_commands()) {
         return;
     }
     if (now - m_last_demand_log >= demand_log_interval) {
@@ -383,8 +392,7 @@
     }
     for (auto& command : moves) {
         if (sendable) {
-            asio::co_spawn(m_dependencies.m_executor, send_move(shared_from_this(), std::move(command)),
-                           asio::detached);
+            run_in_term(send_move(shared_from_this(), std::move(command)), "send_move");
         }
         else {
             apply_move_result(*m_dependencies.m_state, m_moves, command, vm_command_result::not_done, monotonic_now());
@@ -392,8 +400,7 @@
     }
     for (auto& command : maintenance) {
         if (sendable) {
-            asio::co_spawn(m_dependencies.m_executor, send_maintenance(shared_from_this(), std::move(command)),
-                           asio::detached);
+            run_in_term(send_maintenance(shared_from_this(), std::move(command)), "send_maintenance");
             continue;
         }
         m_pending_maintenance.erase(command.m_vm);
@@ -412,12 +419,13 @@
         if (!wave.m_loaded || wave.m_completed) {
             continue;
         }
-        if (m_dependencies.m_can_send_commands() && is_current(m_vms, clock.m_now)) {
+        if (m_dependencies.m_can_send_commands()) {
             static_cast<void>(plan_maintenance(*m_dependencies.m_state, m_dependencies.m_maintenance, wave.m_progress,
                                                m_vms, recent, clock.m_now));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
-                if (!wave.m_progress.m_begun.contains(vm) && m_pending_maintenance.insert(vm).second) {
+                if (is_current(m_vms, clock.m_now) && !wave.m_progress.m_begun.contains(vm) &&
+                    m_pending_maintenance.insert(vm).second) {
                     const auto* listed = find_vm(m_vms.m_vms, vm);
                     m_planned_maintenance.push_back({number, vm, listed == nullptr ? worker_id{} : listed->m_worker});
                 }
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -364,7 +364,9 @@
         }
         return;
     }
-    if (pass.m_in_trial >= trial_limit(pass.m_accepting.size())) {
+    // The tasks of a job are much alike: trials of several at once would crash several workers to give up one job.
+    if (pass.m_in_trial >= trial_limit(pass.m_accepting.size()) || has_early_trial(state, job.m_record.m_id) ||
+        awaits_evidence(state, task, pass.m_now)) {
         return;
     }
     const auto worker = choose_trial_worker(pass, waiting, index);
@@ -474,14 +476,18 @@
     return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
 }
 
+auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t
+{
+    return std::count_if(state.m_expected_workers.begin(), state.m_expected_workers.end(), [&](const worker_id& id) {
+        const auto index = find_worker(state, id);
+        return index == no_worker || state.m_workers[static_cast<std::size_t>(index)].m_entry.m_service == service;
+    });
+}
+
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
     return (now > inherited_leases_end(state) && now < state.m_term_guaranteed_until) ||
-           (state.m_expected_workers.empty() &&
-            std::all_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
-                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-                return worker.m_has_reported || worker.m_entry.m_service != service;
-            }));
+           count_expected_workers(state, service) == 0;
 }
 
 auto are_jobs_current(const scheduler_state& state, const time_point now) -> bool
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -1,5 +1,7 @@
 #include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -54,14 +56,30 @@
         const auto* vm = find_vm(vms, move->first);
         const bool arrived = vm != nullptr && vm->m_phase == vm_phase::up && vm->m_pool == move->second.m_target &&
                              find_worker(state, vm->m_worker) != no_worker;
-        const bool abandoned = vm == nullptr || now - move->second.m_since > settings.m_move_timeout;
-        if (abandoned && !arrived && vm != nullptr && vm->m_phase == vm_phase::up) {
-            release_worker(state, vm->m_worker);
+        const bool abandoned = now - move->second.m_since > settings.m_move_timeout;
+        if (abandoned && (vm == nullptr || vm->m_worker == move->second.m_worker)) {
+            release_worker(state, move->second.m_worker);
         }
         move = arrived || abandoned ? moves.m_moves.erase(move) : std::next(move);
     }
 }
 
+/** @brief Abandons the moves that cannot be advanced without a list of VMs: those for which no command was sent, and
+ * those that were not carried out in time. */
+auto abandon_moves(scheduler_state& state, const move_settings& settings, move_state& moves, const time_point now)
+    -> void
+{
+    std::erase_if(moves.m_moves, [&](const auto& entry) {
+        const auto& move = entry.second;
+        const bool may_be_carried_out = move.m_command_sent || move.m_unanswered;
+        if (may_be_carried_out && now - move.m_since <= settings.m_move_timeout) {
+            return false;
+        }
+        release_worker(state, move.m_worker);
+        return true;
+    });
+}
+
 /** @brief Returns the expected time until all runs of a worker have ended, by the run times of their queues. */
 [[nodiscard]] auto drain_time(const scheduler_state& state, const worker_slot& worker, const time_point now)
     -> microseconds
@@ -80,10 +98,31 @@
     return longest;
 }
 
+/** @brief Abandons moves whose workers are needed by waiting long-running tasks and for which no command was sent. */
+auto abandon_needed(scheduler_state& state, move_state& moves, const time_point now) -> void
+{
+    std::map<worker_index, vm_id> releasable;
+    std::set<worker_index> indices;
+    for (const auto& [vm, move] : moves.m_moves) {
+        const auto index = find_worker(state, move.m_worker);
+        if (index != no_worker && !move.m_command_sent && !move.m_unanswered) {
+            releasable.emplace(index, vm);
+            indices.insert(index);
+        }
+    }
+    for (const auto index : find_needed_workers(state, indices, now)) {
+        if (const auto found = releasable.find(index); found != releasable.end()) {
+            release_worker(state, moves.m_moves.at(found->second).m_worker);
+            moves.m_moves.erase(found->second);
+        }
+    }
+}
+
 [[nodiscard]] auto collect_candidates(const scheduler_state& state, const move_state& moves,
                                       const std::vector<vm_status>& vms, const std::set<service_id>& standby,
                                       const std::set<vm_id>& reserved, const time_point now) -> std::vector<candidate>
 {
+    const auto needed = find_needed_workers(state, {}, now);
     std::vector<candidate> found;
     for (const auto& vm : vms) {
         if (vm.m_phase != vm_phase::up || moves.m_moves.contains(vm.m_vm) || reserved.contains(vm.m_vm)) {
@@ -94,7 +133,7 @@
             continue;
         }
         const auto index = find_worker(state, vm.m_worker);
-        if (index == no_worker) {
+        if (index == no_worker || needed.contains(index)) {
             continue;
         }
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
@@ -109,21 +148,24 @@
     return found;
 }
 
-/** @brief Returns the current number of workers of a pool. */
-[[nodiscard]] auto pool_size(const scheduler_state& state, const service_id& pool) -> std::int64_t
+/** @brief Returns the current number of workers of a pool that accept work. */
+[[nodiscard]] auto pool_size(const scheduler_state& state, const service_id& pool, const time_point now) -> std::int64_t
 {
-    return std::count_if(state.m_workers.begin(), state.m_workers.end(), [&pool](const worker_slot& worker) {
-        return worker.m_registered && worker.m_entry.m_service == pool && !worker.m_cordoned;
+    return std::count_if(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        return worker.m_entry.m_service == pool && find_obstacle(worker, now) == worker_obstacle::none;
     });
 }
 
 auto begin_move(scheduler_state& state, move_state& moves, const candidate& chosen, const service_id& target,
                 const time_point now) -> void
 {
-    moves.m_moves[chosen.m_vm->m_vm] = {target, now, false};
+    auto& move = moves.m_moves[chosen.m_vm->m_vm];
+    move = {target, now, false};
     moves.m_idle_since.erase(chosen.m_vm->m_vm);
     if (chosen.m_worker != no_worker) {
         state.m_workers[static_cast<std::size_t>(chosen.m_worker)].m_cordoned = true;
+        move.m_worker = chosen.m_vm->m_worker;
     }
 }
 
@@ -228,7 +270,7 @@
             const auto& source = chosen.m_vm->m_pool;
             const bool spare =
                 standby.contains(source) || (can_give(balance, settings, source, ratio(target, cores_per_vm), from) &&
-                                             pool_size(state, source) > settings.m_min_pool_size);
+                                             pool_size(state, source, now) > settings.m_min_pool_size);
             if (spare) {
                 begin_move(state, moves, chosen, target, now);
                 available[target] += cores_per_vm;
@@ -267,7 +309,8 @@
                                     own * static_cast<double>(settings.m_standby_floor_percent) / 100.0);
         const auto idle = moves.m_idle_since.try_emplace(chosen.m_vm->m_vm, now).first;
         if (available->second - balance.m_cores_per_vm >= floor &&
-            now - idle->second > settings.m_idle_before_standby && pool_size(state, pool) > settings.m_min_pool_size) {
+            now - idle->second > settings.m_idle_before_standby &&
+            pool_size(state, pool, now) > settings.m_min_pool_size) {
             available->second -= balance.m_cores_per_vm;
             begin_move(state, moves, chosen, *standby.begin(), now);
         }
@@ -286,10 +329,12 @@
                 const time_point now) -> std::vector<move_command>
 {
     if (!is_current(list, now)) {
+        abandon_moves(state, settings, moves, now);
         return {};
     }
     const auto& vms = list.m_vms;
     remove_ended_moves(state, settings, moves, vms, now);
+    abandon_needed(state, moves, now);
     auto candidates = collect_candidates(state, moves, vms, standby, reserved, now);
     auto balance = balance_pools(state, demand, settings, moves, vms, standby, now);
     // Long-running tasks go before other work, and present work before expected work.
@@ -346,6 +391,7 @@
     // Repeating the same command has no effect if it was carried out.
     if (const auto move = moves.m_moves.find(command.m_vm); move != moves.m_moves.end()) {
         move->second.m_command_sent = false;
+        move->second.m_unanswered = true;
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/moves.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.hpp
@@ -32,7 +32,7 @@
     /** @brief A pool short of capacity takes a VM from another pool that needs it only if that pool's ratio of capacity
      * to demand stays higher by this much. Hysteresis, which keeps VMs from moving back and forth. */
     double m_advantage{0.25};
-    /** @brief Minimum number of workers that each pool keeps. */
+    /** @brief Minimum number of workers that accept work that each pool keeps. */
     std::int64_t m_min_pool_size{2};
 };
 
@@ -49,6 +49,10 @@
         service_id m_target;
         time_point m_since{};
         bool m_command_sent{false};
+        /** @brief Worker that was cordoned for the move; empty if there was none. */
+        worker_id m_worker{};
+        /** @brief A command had no response and may still be carried out. */
+        bool m_unanswered{false};
     };
     std::map<vm_id, pending_move> m_moves;
     /** @brief Time since which a VM's worker has had no runs and its pool has not needed it. */
@@ -65,7 +69,8 @@
  * @param demand The current demand.
  * @param settings Settings.
  * @param moves Moves in progress.
- * @param vms The platform's list of VMs; if it is not current, nothing is decided.
+ * @param vms The platform's list of VMs; if it is not current, moves are abandoned for which no command was sent, or
+ * which were not carried out in time.
  * @param standby Pools whose VMs are off.
  * @param reserved VMs that are about to be maintained.
  * @param now Current time.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -178,6 +178,10 @@
     bool m_confirmed{false};
     /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
     bool m_adopted{false};
+    /** @brief Lease in the start, on the worker's clock, after which the worker refuses the start; 0 if it was not
+     * sent.
+     */
+    std::int64_t m_start_until_ms{0};
     /** @brief When the response to the start was found missing: the run may exist, or may still be started. */
     std::optional<time_point> m_no_response_since;
     bool m_stop_requested{false};
@@ -351,7 +355,7 @@
     time_point m_jobs_current_at{};
     /** @brief All entries of workers stored before this time have been applied. */
     time_point m_workers_current_at{};
-    /** @brief Workers that had leases when the last decider stored its progress, and have not reported yet. */
+    /** @brief Workers that may have leases of earlier terms, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
@@ -26,7 +26,8 @@
     back_off,
     /** @brief The other members of its gang cannot start yet. */
     gang_incomplete,
-    /** @brief A suspect has no worker for its trial, or there are as many trials as allowed. */
+    /** @brief A suspect has no worker for its trial, another task of its job has begun one, evidence about its last one
+     * may follow, or there are as many trials as allowed. */
     no_trial,
     trial_not_stored,
     /** @brief Other runs on the worker of the trial have not survived their start yet. */
@@ -54,9 +55,9 @@
     std::array<std::int64_t, worker_obstacles> m_workers{};
     /** @brief Workers on which runs use more than the present capacity. */
     std::int64_t m_overcommitted{0};
-    /** @brief Workers of the service of which it is not known what they run, and workers that only the stored list of
-     * leases names. */
+    /** @brief Workers of the service of which it is not known what they run. */
     std::int64_t m_unreported{0};
+    /** @brief Result of count_expected_workers(). */
     std::int64_t m_expected{0};
     /** @brief When the first pause of a worker of the service ends. */
     std::optional<microseconds> m_pause_left;
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
@@ -48,6 +48,9 @@
  * worker has no other one. */
 [[nodiscard]] auto find_obstacle(const worker_slot& worker, time_point now) -> worker_obstacle;
 
+/** @brief Returns the reason for which a worker would get no new work even if it were not cordoned. */
+[[nodiscard]] auto find_obstacle_besides_cordon(const worker_slot& worker, time_point now) -> worker_obstacle;
+
 } // namespace cicadalug
 
 #endif
