Let long-running tasks start on a worker that is kept free for a larger one

A worker that is kept free for a long-running task was closed to all later steps of the pass, also to smaller long-running tasks that would have fitted at once, and that may fit nowhere else: they waited until the short runs there had ended. Found by review.

Only steps of other tasks are kept away now. long_running_room.a_worker_kept_free_takes_other_long_running_tasks failed before: no start of a task of 2 cores on a worker with 8 free cores.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -140,6 +140,8 @@
     std::vector<worker_index> m_accepting;
     /** @brief Workers in m_accepting that are in a trial. */
     std::size_t m_in_trial{0};
+    /** @brief Workers that are kept free for long-running tasks. */
+    std::vector<worker_index> m_kept_free;
 };
 
 /** @brief Changes the used capacity of a worker, and its place in the index. */
@@ -381,7 +383,7 @@
     remove_candidate(pass.m_index, state, worker);
 }
 
-/** @brief Keeps less urgent tasks of this pass from a worker on which a long-running task will start. */
+/** @brief Keeps a worker free from other tasks than long-running ones, so that one of those can start there soon. */
 auto keep_worker_free(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
 {
     const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
@@ -392,8 +394,15 @@
     const auto worker = choose_worker_to_free(pass.m_index, pass.m_state,
                                               {&spec, task_of(waiting, index), &step.m_tasks[index].m_failed_workers,
                                                waiting.m_needs_permit ? &step : nullptr},
-                                              pass.m_now);
+                                              pass.m_kept_free, pass.m_now);
     if (worker != no_worker) {
+        pass.m_kept_free.push_back(worker);
+    }
+}
+
+auto close_kept_workers(service_pass& pass) -> void
+{
+    for (const auto worker : std::exchange(pass.m_kept_free, {})) {
         remove_candidate(pass.m_index, pass.m_state, worker);
     }
 }
@@ -581,7 +590,11 @@
             if (is_final(waiting.m_job->m_state)) {
                 continue;
             }
-            if (waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_gang) {
+            const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
+            if (!spec.m_long_running) {
+                close_kept_workers(pass);
+            }
+            if (spec.m_gang) {
                 start_gang(pass, waiting);
             }
             else {
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -202,7 +202,7 @@
 }
 
 auto choose_worker_to_free(const placement_index& index, const scheduler_state& state, const placement_request& request,
-                           const time_point now) -> worker_index
+                           const std::vector<worker_index>& kept, const time_point now) -> worker_index
 {
     const auto demand = reserved_demand(*request.m_spec);
     auto best = no_worker;
@@ -210,7 +210,9 @@
     for (const auto candidate : index.m_candidates) {
         const auto& worker = slot_of(state, candidate);
         const auto free_cpu = free_of(worker).m_cpu;
-        if ((best == no_worker || free_cpu > most_free) && fits(demand, capacity_beside_long_running(worker)) &&
+        if ((best == no_worker || free_cpu > most_free) &&
+            std::find(kept.begin(), kept.end(), candidate) == kept.end() &&
+            fits(demand, capacity_beside_long_running(worker)) &&
             find_obstacle(worker, candidate, {}, request, now) == worker_obstacle::none) {
             best = candidate;
             most_free = free_cpu;
--- a/packages/scheduler/src/cicadalug/scheduler/placement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.hpp
@@ -84,12 +84,14 @@
  * @param index The index.
  * @param state The scheduler.
  * @param request The task.
+ * @param kept Workers that are kept free for other tasks.
  * @param now Current time.
  * @return The worker with the most free CPU capacity among those that can hold the task as soon as their other runs
  * have ended, long-running ones excepted; or no_worker.
  */
 [[nodiscard]] auto choose_worker_to_free(const placement_index& index, const scheduler_state& state,
-                                         const placement_request& request, time_point now) -> worker_index;
+                                         const placement_request& request, const std::vector<worker_index>& kept,
+                                         time_point now) -> worker_index;
 
 /** @brief Removes a worker from the index; does nothing if it is not a candidate. */
 auto remove_candidate(placement_index& index, const scheduler_state& state, worker_index worker) -> void;
--- a/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
@@ -41,6 +41,23 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 1}), 1);
 }
 
+// Guards against a long-running task that waits because the worker that has room for it is kept free for a larger one.
+TEST(long_running_room, a_worker_kept_free_takes_other_long_running_tasks)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 1, 24'000, milliseconds{5'000})));
+    simulation.run_for(milliseconds{100});
+    const auto large = simulation.submit(make_wide_job(1, 30'000));
+    simulation.run_for(milliseconds{100});
+    const auto small = simulation.submit(make_wide_job(1, 2'000));
+    const auto other = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{500}));
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.starts_of({large, 0, 0, 0}), 0);
+    EXPECT_EQ(simulation.starts_of({small, 0, 0, 0}), 1);
+    EXPECT_EQ(simulation.starts_of({other, 0, 0, 0}), 0);
+}
+
 // Guards against long-running tasks without a worker, since moves have left fewer workers than a step needs with its
 // limit for each of them.
 TEST(long_running_room, moves_leave_a_worker_for_each_task_of_a_step_with_a_limit)
