Move VMs to other pools when the neediest one cannot get any

Capacity went to the pool with the smallest share of what it requests, and if that one could not be served, or needed nothing and had nothing, to no other. A pool without workers thus kept all others from workers for their long-running tasks.

Pools that lack nothing are left out, and one that cannot be served is passed over. long_running_room.a_pool_without_workers_that_needs_none_holds_up_no_other failed before: one of four tasks had no start in 4 s beside two VMs in standby.

--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -253,35 +253,45 @@
     const auto ratio = [&](const service_id& service, const double change) {
         return (available[service] + change) / std::max(1.0, requested.at(service));
     };
-    for (bool moved = true; moved;) {
-        moved = false;
+    // Pools that lack capacity, without those that cannot get any.
+    std::set<service_id> lacking;
+    for (const auto& [service, cores] : requested) {
+        if (available[service] < cores) {
+            lacking.insert(service);
+        }
+    }
+    while (!lacking.empty()) {
         const auto neediest =
-            std::min_element(requested.begin(), requested.end(), [&ratio](const auto& left, const auto& right) {
-                return ratio(left.first, 0.0) < ratio(right.first, 0.0);
+            std::min_element(lacking.begin(), lacking.end(), [&ratio](const auto& left, const auto& right) {
+                return ratio(left, 0.0) < ratio(right, 0.0);
             });
-        if (neediest == requested.end() || available[neediest->first] >= neediest->second) {
-            return;
-        }
-        const auto& target = neediest->first;
-        for (auto& chosen : candidates) {
-            if (chosen.m_vm == nullptr || chosen.m_vm->m_pool == target) {
-                continue;
+        const auto target = *neediest;
+        const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&](const candidate& possible) {
+            if (possible.m_vm == nullptr || possible.m_vm->m_pool == target) {
+                return false;
             }
-            const auto& source = chosen.m_vm->m_pool;
-            const bool spare =
-                standby.contains(source) || (can_give(balance, settings, source, ratio(target, cores_per_vm), from) &&
-                                             pool_size(state, source, now) > settings.m_min_pool_size);
-            if (spare) {
-                begin_move(state, moves, chosen, target, now);
-                available[target] += cores_per_vm;
-                if (!standby.contains(source)) {
-                    available[source] -= cores_per_vm;
-                }
-                chosen.m_vm = nullptr;
-                moved = true;
-                break;
+            const auto& source = possible.m_vm->m_pool;
+            return standby.contains(source) ||
+                   (can_give(balance, settings, source, ratio(target, cores_per_vm), from) &&
+                    pool_size(state, source, now) > settings.m_min_pool_size);
+        });
+        if (chosen == candidates.end()) {
+            lacking.erase(neediest);
+            continue;
+        }
+        const auto source = chosen->m_vm->m_pool;
+        begin_move(state, moves, *chosen, target, now);
+        available[target] += cores_per_vm;
+        if (!standby.contains(source)) {
+            available[source] -= cores_per_vm;
+            if (requested.contains(source) && available[source] < requested.at(source)) {
+                lacking.insert(source);
             }
         }
+        chosen->m_vm = nullptr;
+        if (available[target] >= requested.at(target)) {
+            lacking.erase(target);
+        }
     }
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
@@ -58,6 +58,22 @@
     EXPECT_EQ(simulation.starts_of({other, 0, 0, 0}), 0);
 }
 
+// Guards against a pool that gets no worker for its long-running tasks, as another one without any worker needs none.
+TEST(long_running_room, a_pool_without_workers_that_needs_none_holds_up_no_other)
+{
+    scheduler_simulation simulation;
+    simulation.add_vms("archive", 1);
+    simulation.add_vms("quotes", 3);
+    simulation.add_standby("spare", 2);
+    simulation.run_for(milliseconds{210});
+    simulation.lose(worker_id{"w1"});
+    const auto job = simulation.submit(make_wide_job(4, 2'000));
+    simulation.run_for(milliseconds{4'000});
+    for (std::int64_t index = 0; index < 4; ++index) {
+        EXPECT_EQ(simulation.starts_of({job, 0, 0, index}), 1) << index;
+    }
+}
+
 // Guards against long-running tasks without a worker, since moves have left fewer workers than a step needs with its
 // limit for each of them.
 TEST(long_running_room, moves_leave_a_worker_for_each_task_of_a_step_with_a_limit)
