--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/** @brief A result is still of use until this many times the objective has passed, as the platform's rules state. */
-constexpr std::int64_t late_factor{3};
-
 /** @brief Capacity is reserved this long for a step that is being opened: several times the duration of an ordinary
  * write. If the store does not respond, steps that are already open can use the capacity afterwards. */
 constexpr milliseconds opening_reservation_time{150};
@@ -25,13 +22,6 @@
 /** @brief Run numbers of a token begin at token * this; more starts of one task in one term are not expected. */
 constexpr std::int64_t runs_per_token{1'000};
 
-/** @brief A job counts as in time if it meets its objective with run times that are shorter by this multiple of their
- * mean deviation. Run times are estimates, and a job that is deprioritized too early is certain to be late. */
-constexpr double deviation_tolerance{0.35};
-
-/** @brief Upper bound of the tolerance, as a share of the run time. */
-constexpr double tolerance_limit{0.15};
-
 /** @brief A long-running task that has waited this long uses paused workers, too. It bounds the time without a run, and
  * the rate at which the task is started on a worker that fails it at once. */
 constexpr milliseconds paused_worker_delay{1'000};
@@ -42,15 +32,6 @@
     return std::max(limit - settings.m_command_timeout - settings.m_start_margin, settings.m_min_copy_age);
 }
 
-[[nodiscard]] auto run_time_tolerance(const scheduler_state& state, const job_entry& job) -> double
-{
-    const auto learned = state.m_run_times.find(job.m_record.m_policy.m_queue);
-    if (learned == state.m_run_times.end() || learned->second.m_mean_ms <= 0.0) {
-        return 0.0;
-    }
-    return std::min(tolerance_limit, deviation_tolerance * learned->second.m_deviation_ms / learned->second.m_mean_ms);
-}
-
 /** @brief A step with waiting tasks. */
 struct waiting_step {
     job_entry* m_job{nullptr};
@@ -474,17 +455,6 @@
     return step_of(job, task).m_long_running && now - waiting_since(state, job, found) >= paused_worker_delay;
 }
 
-auto classify_urgency(const scheduler_state& state, const job_entry& job, const time_point now) -> urgency
-{
-    const auto objective = job.m_deadline - job.m_arrived;
-    const auto remaining = estimate_critical_path(state, job, false);
-    const auto shortest = std::chrono::duration_cast<microseconds>(remaining * (1.0 - run_time_tolerance(state, job)));
-    if (now + shortest <= job.m_deadline) {
-        return urgency::in_time;
-    }
-    return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
-}
-
 auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t
 {
     return std::count_if(state.m_expected_workers.begin(), state.m_expected_workers.end(), [&](const worker_id& id) {
@@ -585,7 +555,8 @@
                           {},
                           now,
                           std::move(accepting),
-                          in_trial};
+                          in_trial,
+                          {}};
         for (const auto& waiting : collect_waiting(state, jobs, is_recovered(state, service, now), now)) {
             if (is_final(waiting.m_job->m_state)) {
                 continue;
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -2,24 +2,13 @@
 #define CICADALUG_SCHEDULER_DISPATCH_HPP
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/urgency.hpp>
 
 #include <cstddef>
 #include <cstdint>
 
 namespace cicadalug {
 
-/** @brief Benefit to the client if a job's waiting tasks start now. Lower values are started first. */
-enum class urgency : std::uint8_t {
-    /** @brief Long-running tasks, which serve their own clients all the time. */
-    serving,
-    /** @brief The job can still meet its objective. */
-    in_time,
-    /** @brief The job will miss its objective, but its result is still of use. */
-    late,
-    /** @brief No client waits for the job any more; it runs when there is free capacity. */
-    overdue,
-};
-
 /** @brief Checks whether all steps that a step depends on are done. */
 [[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, std::size_t step) -> bool;
 
@@ -36,19 +25,6 @@
 [[nodiscard]] auto may_use_paused_workers(const scheduler_state& state, const job_entry& job, const task_ref& task,
                                           time_point now) -> bool;
 
-/**
- * @brief Classifies how much a job is still worth to its client.
- *
- * Load pattern: for some seconds, a queue requests several times the capacity of its pool. In order of arrival, each
- * job would wait until its slack is used up, and all jobs would be late. Jobs that can no longer meet their objectives
- * therefore yield to those that can.
- * @param state The scheduler, for learned run times.
- * @param job The job.
- * @param now Current time.
- * @return The urgency of its waiting tasks.
- */
-[[nodiscard]] auto classify_urgency(const scheduler_state& state, const job_entry& job, time_point now) -> urgency;
-
 /** @brief Counts the workers that may hold runs of earlier terms and have not reported: those in the stored list of
  * leases, as nothing starts on others. Those whose entry names another service are left out. */
 [[nodiscard]] auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t;
