Name pools' minimum, unproven trials and obstacles of tasks as what they are

Names that a reader stumbled over in review: all_but_least, m_least_cores, has_early_trial, and a find_obstacle() of placement.cpp beside the one of worker_obstacle.hpp. No change of behaviour.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -387,7 +387,7 @@
                        [&](const worker_slot& worker) { return awaits_evidence(worker, task, found.m_run); });
 }
 
-auto has_early_trial(const scheduler_state& state, const job_id& job) -> bool
+auto has_unproven_trial(const scheduler_state& state, const job_id& job) -> bool
 {
     return std::any_of(state.m_trials.begin(), state.m_trials.end(), [&](const task_trial& trial) {
         if (trial.m_task.m_job != job) {
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.hpp
@@ -62,7 +62,7 @@
 [[nodiscard]] auto awaits_evidence(const scheduler_state& state, const task_ref& task, time_point now) -> bool;
 
 /** @brief Checks whether any task of a job has a trial whose run has not survived its start yet. */
-[[nodiscard]] auto has_early_trial(const scheduler_state& state, const job_id& job) -> bool;
+[[nodiscard]] auto has_unproven_trial(const scheduler_state& state, const job_id& job) -> bool;
 
 /**
  * @brief Plans a trial of a task on a worker and requests that it be stored. The worker gets no other new work.
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -348,7 +348,7 @@
         return;
     }
     // The tasks of a job are much alike: trials of several at once would crash several workers to give up one job.
-    if (pass.m_in_trial >= trial_limit(pass.m_accepting.size()) || has_early_trial(state, job.m_record.m_id) ||
+    if (pass.m_in_trial >= trial_limit(pass.m_accepting.size()) || has_unproven_trial(state, job.m_record.m_id) ||
         awaits_evidence(state, task, pass.m_now)) {
         return;
     }
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.hpp
@@ -12,8 +12,8 @@
 /** @brief Checks whether all steps that a step depends on are done. */
 [[nodiscard]] auto is_ready(const job_entry& job, const occurrence_state& occurrence, std::size_t step) -> bool;
 
-/** @brief Returns since when a task has been waiting at least: its last run ended, its job arrived, or this term began.
- */
+/** @brief Returns the latest time from which a task is known to have been waiting: the end of its last run, the arrival
+ * of its job, or the begin of this term. */
 [[nodiscard]] auto waiting_since(const scheduler_state& state, const job_entry& job, const task_state& task)
     -> time_point;
 
--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -176,7 +176,7 @@
     /** @brief Also what it needs less than the other one. */
     less_needed,
     /** @brief All but what its long-running tasks need. */
-    all_but_least,
+    above_minimum,
 };
 
 /** @brief Available and required capacity of the pools while moves are planned, in cores. */
@@ -184,10 +184,10 @@
     std::map<service_id, double> m_needed_cores;
     std::map<service_id, double> m_target_cores;
     std::map<service_id, double> m_available_cores;
-    /** @brief A pool keeps at least this much as long as no other pool has a greater shortage. */
+    /** @brief A pool keeps at min_cores this much as long as no other pool has a greater shortage. */
     std::map<service_id, double> m_retained_cores;
     /** @brief A pool keeps this much even if others need it more: each of its long-running tasks has a worker. */
-    std::map<service_id, double> m_least_cores;
+    std::map<service_id, double> m_min_cores;
     double m_cores_per_vm{0.0};
 };
 
@@ -205,10 +205,10 @@
         if (standby.contains(service)) {
             continue;
         }
-        const auto least = static_cast<double>(entry.m_long_running_workers) * balance.m_cores_per_vm;
-        balance.m_least_cores[service] = least;
-        balance.m_needed_cores[service] = std::max(least, needed_cores(demand, service, now) * headroom);
-        balance.m_target_cores[service] = std::max(least, target_cores(demand, service, now) * headroom);
+        const auto min_cores = static_cast<double>(entry.m_long_running_workers) * balance.m_cores_per_vm;
+        balance.m_min_cores[service] = min_cores;
+        balance.m_needed_cores[service] = std::max(min_cores, needed_cores(demand, service, now) * headroom);
+        balance.m_target_cores[service] = std::max(min_cores, target_cores(demand, service, now) * headroom);
         balance.m_available_cores[service] = pool_cores(state, moves, service, balance.m_cores_per_vm);
         balance.m_retained_cores[service] = balance.m_target_cores[service];
         if (!can_lend(demand, service)) {
@@ -232,10 +232,10 @@
     if (remaining >= balance.m_retained_cores.at(source)) {
         return true;
     }
-    if (from == lending::surplus || remaining < balance.m_least_cores.at(source)) {
+    if (from == lending::surplus || remaining < balance.m_min_cores.at(source)) {
         return false;
     }
-    return from == lending::all_but_least ||
+    return from == lending::above_minimum ||
            remaining / std::max(1.0, balance.m_needed_cores.at(source)) > share_of_target + settings.m_advantage;
 }
 
@@ -348,8 +348,7 @@
     auto candidates = collect_candidates(state, moves, vms, standby, reserved, now);
     auto balance = balance_pools(state, demand, settings, moves, vms, standby, now);
     // Long-running tasks go before other work, and present work before expected work.
-    fill_pools(state, settings, moves, balance, balance.m_least_cores, lending::all_but_least, candidates, standby,
-               now);
+    fill_pools(state, settings, moves, balance, balance.m_min_cores, lending::above_minimum, candidates, standby, now);
     fill_pools(state, settings, moves, balance, balance.m_needed_cores, lending::less_needed, candidates, standby, now);
     fill_pools(state, settings, moves, balance, balance.m_target_cores, lending::surplus, candidates, standby, now);
     return_idle_vms(state, demand, settings, moves, balance, candidates, standby, now);
--- a/packages/scheduler/src/cicadalug/scheduler/placement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/placement.cpp
@@ -51,8 +51,8 @@
 }
 
 /** @brief Returns what rules out a worker that accepts new work for a task, or none. */
-[[nodiscard]] auto find_obstacle(const worker_slot& worker, const worker_index index, const resources& demand,
-                                 const placement_request& request, const time_point now) -> worker_obstacle
+[[nodiscard]] auto find_task_obstacle(const worker_slot& worker, const worker_index index, const resources& demand,
+                                      const placement_request& request, const time_point now) -> worker_obstacle
 {
     const auto& spec = *request.m_spec;
     if (!fits(demand, free_of(worker))) {
@@ -84,7 +84,7 @@
 [[nodiscard]] auto can_hold(const worker_slot& worker, const worker_index index, const resources& demand,
                             const placement_request& request, const time_point now) -> bool
 {
-    return find_obstacle(worker, index, demand, request, now) == worker_obstacle::none;
+    return find_task_obstacle(worker, index, demand, request, now) == worker_obstacle::none;
 }
 
 [[nodiscard]] auto is_unplaceable(const placement_index& index, const resources& demand) -> bool
@@ -213,7 +213,7 @@
         if ((best == no_worker || free_cpu > most_free) &&
             std::find(kept.begin(), kept.end(), candidate) == kept.end() &&
             fits(demand, capacity_beside_long_running(worker)) &&
-            find_obstacle(worker, candidate, {}, request, now) == worker_obstacle::none) {
+            find_task_obstacle(worker, candidate, {}, request, now) == worker_obstacle::none) {
             best = candidate;
             most_free = free_cpu;
         }
@@ -233,7 +233,7 @@
 auto find_placement_obstacle(const scheduler_state& state, const worker_index worker, const placement_request& request,
                              const time_point now) -> worker_obstacle
 {
-    return find_obstacle(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
+    return find_task_obstacle(slot_of(state, worker), worker, reserved_demand(*request.m_spec), request, now);
 }
 
 auto tasks_of_step(const worker_slot& worker, const task_ref& task) -> std::int64_t
