Count the crash of an inherited trial whatever the next start time

After a takeover, a worker that had started again with its clock set back counted as the one that the last decider's trial ran on: the crash was not counted, and the task could crash one more worker.

Each other start time stands for another incarnation. The new test counted no crash before, and one now.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -175,7 +175,7 @@
     if (index != no_worker) {
         const auto& worker = slot_of(state, index);
         if (worker.m_has_reported) {
-            return worker.m_incarnation_start_unix_ms > trial.m_stored.m_incarnation_start_unix_ms
+            return worker.m_incarnation_start_unix_ms != trial.m_stored.m_incarnation_start_unix_ms
                        ? trial_evidence::crashed
                        : trial_evidence::settled;
         }
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -471,6 +471,25 @@
     EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
 }
 
+// Guards against a crash that a successor does not count, as the worker's clock was set back before it started again.
+TEST(crash_suspicion_evidence, a_crash_in_an_inherited_trial_counts_whatever_the_start_time_of_the_next_incarnation)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_job("quotes", 1, 2'000, milliseconds{20'000}));
+    const task_ref task{job, 0, 0, 0};
+    auto& state = simulation.m_state;
+    find_task(state, task)->m_suspect = true;
+    const auto& worker = state.m_workers.front();
+    ASSERT_TRUE(worker.m_has_reported);
+    const stored_trial trial{run_number{500}, worker.m_entry.m_id, worker.m_entry.m_vm,
+                             worker.m_incarnation_start_unix_ms + 1'000};
+    find_task(state, task)->m_trial = trial;
+    state.m_recovered_trials.push_back({task, trial});
+    update_trials(state, simulation.now());
+    EXPECT_EQ(find_task(state, task)->m_crashed_runs.size(), 1U);
+}
+
 // Guards against a task that crashes workers which never return: without evidence, its trials would never end.
 TEST(crash_suspicion_evidence, a_task_whose_trials_are_lost_again_and_again_is_given_up)
 {
