--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -187,10 +187,11 @@
         return;
     }
     worker.m_last_end = report.m_number;
+    const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
     update_worker_health(state, worker, report, now);
     if (report.m_outcome == run_end::failed) {
-        state.m_events.push_back({run_event_kind::failed, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task,
-                                  report.m_run, worker.m_failures_in_row});
+        state.m_events.push_back(
+            {run_event_kind::failed, index, report.m_task, report.m_run, worker.m_failures_in_row});
     }
     const auto run = find_run(worker, report.m_task, report.m_run);
     if (run != worker.m_runs.end()) {
@@ -202,9 +203,8 @@
         return;
     }
     if (report.m_outcome == run_end::failed) {
-        record_survived_run(state, state.m_worker_by_id.at(worker.m_entry.m_id), report.m_task, report.m_run);
+        record_survived_run(state, index, report.m_task, report.m_run);
     }
-    const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
     const bool current = is_current_run(*task, index, report.m_run);
     if (report.m_outcome == run_end::done && current) {
         learn_run_time(state, *job, *task, now);
@@ -242,7 +242,8 @@
                        const time_point now) -> void
 {
     for (std::size_t position = 0; position < worker.m_runs.size();) {
-        auto& run = worker.m_runs[position];
+        const auto place = worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position);
+        auto& run = *place;
         const bool listed = is_listed(report, run);
         const bool settled =
             (run.m_confirmed && run.m_sent < sent) || (run.m_stop_accepted && *run.m_stop_accepted <= sent);
@@ -252,12 +253,10 @@
         if (!listed && has_start_lapsed(state, run, report)) {
             // Other workers are tried first.
             worker.m_paused_until = std::max(worker.m_paused_until, now + rejection_pause);
-            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
-                        lost_cause::start_not_accepted, now);
+            abandon_run(state, worker, place, lost_cause::start_not_accepted, now);
         }
         else if (!listed && settled) {
-            abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
-                        lost_cause::missing_in_report, now);
+            abandon_run(state, worker, place, lost_cause::missing_in_report, now);
         }
         else {
             ++position;
