--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -184,7 +184,7 @@
     std::map<service_id, double> m_needed_cores;
     std::map<service_id, double> m_target_cores;
     std::map<service_id, double> m_available_cores;
-    /** @brief A pool keeps at min_cores this much as long as no other pool has a greater shortage. */
+    /** @brief A pool keeps at least this much as long as no other pool has a greater shortage. */
     std::map<service_id, double> m_retained_cores;
     /** @brief A pool keeps this much even if others need it more: each of its long-running tasks has a worker. */
     std::map<service_id, double> m_min_cores;
