--- a/packages/scheduler/src/cicadalug/scheduler/moves.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/moves.cpp
@@ -265,7 +265,7 @@
             std::min_element(lacking.begin(), lacking.end(), [&ratio](const auto& left, const auto& right) {
                 return ratio(left, 0.0) < ratio(right, 0.0);
             });
-        const auto target = *neediest;
+        const auto& target = *neediest;
         const auto chosen = std::find_if(candidates.begin(), candidates.end(), [&](const candidate& possible) {
             if (possible.m_vm == nullptr || possible.m_vm->m_pool == target) {
                 return false;
@@ -290,7 +290,7 @@
         }
         chosen->m_vm = nullptr;
         if (available[target] >= requested.at(target)) {
-            lacking.erase(target);
+            lacking.erase(neediest);
         }
     }
 }
