Account for the time of each job by what it was spent on

Operators saw that a job ended late (job_ended), but not where its time went: job_started and job_ended give only the first start and the end. The scheduler now keeps, for each task, the time in each part of its way: waiting by cause (named as in wait_cause), placed, running, and runs that did not complete it. The parts of the task that ends last in a step are added to those of the step before, so that the parts of a job add up to its time. A task costs a comparison in a pass while its part stays the same; nothing is allocated. Decisions do not depend on the account.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/placement.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
@@ -60,13 +61,17 @@
         for (auto& occurrence : job->m_open) {
             for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
                 const auto& spec = job->m_record.m_spec.m_steps[step];
-                if (occurrence.m_steps[step].m_waiting == 0 || !is_ready(*job, occurrence, step) ||
-                    (occurrence.m_steps[step].m_recovered && !recovered && !spec.m_speculative)) {
+                if (occurrence.m_steps[step].m_waiting == 0 || !is_ready(*job, occurrence, step)) {
+                    continue;
+                }
+                if (occurrence.m_steps[step].m_recovered && !recovered && !spec.m_speculative) {
+                    account_waiting(occurrence.m_steps[step], job_part::recovering, now);
                     continue;
                 }
                 if (!classified) {
                     job_urgency = classify_urgency(state, *job, now);
                     classified = true;
+                    job->m_found_late = job->m_found_late || job_urgency != urgency::in_time;
                 }
                 found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency,
                                  needs_permit, occurrence.m_steps[step].m_recovered && !recovered});
@@ -148,6 +153,7 @@
     found.m_run = run;
     found.m_highest_run = run;
     found.m_since = pass.m_now;
+    enter_part(found.m_times, job_part::placed, pass.m_now);
     --step.m_waiting;
     placed_run placed;
     placed.m_task = task;
@@ -260,6 +266,7 @@
     const bool in_backoff = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
                                         [now](const task_state& member) { return member.m_not_before > now; });
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
+        account_waiting(step, in_backoff ? job_part::back_off : job_part::gang_incomplete, now);
         return;
     }
     if (is_out_of_attempts(job, task_of(waiting, 0))) {
@@ -284,9 +291,11 @@
         if (waiting.m_needs_permit) {
             request_permits(pass, waiting, 0);
         }
+        account_waiting(step, step.m_permits_requested ? job_part::no_permit : job_part::none_fitting, now);
         return;
     }
     if (!step.m_opened) {
+        account_waiting(step, job_part::step_not_opened, now);
         if (open_step(pass, job, step)) {
             reserve_for_step(pass, waiting);
         }
@@ -394,8 +403,12 @@
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
     bool full{false};
     for (std::size_t index = 0; index < step.m_tasks.size(); ++index) {
-        const auto& member = step.m_tasks[index];
-        if (member.m_phase != task_phase::waiting || member.m_not_before > pass.m_now) {
+        auto& member = step.m_tasks[index];
+        if (member.m_phase != task_phase::waiting) {
+            continue;
+        }
+        if (member.m_not_before > pass.m_now) {
+            enter_part(member.m_times, job_part::back_off, pass.m_now);
             continue;
         }
         const auto task = task_of(waiting, index);
@@ -407,6 +420,7 @@
             continue;
         }
         if (is_suspect(member)) {
+            enter_part(member.m_times, job_part::trial, pass.m_now);
             advance_trial(pass, waiting, index);
             continue;
         }
@@ -419,9 +433,12 @@
             keep_worker_free(pass, waiting, index);
             // Suspects have workers of their own, and tasks that have waited longer use paused workers.
             full = true;
+            enter_part(member.m_times, step.m_permits_requested ? job_part::no_permit : job_part::none_fitting,
+                       pass.m_now);
             continue;
         }
         if (!step.m_opened) {
+            account_waiting(step, job_part::step_not_opened, pass.m_now);
             // Less urgent steps that are already open would take the capacity while the write is in progress.
             if (open_step(pass, job, step)) {
                 reserve_for_step(pass, waiting);
@@ -526,6 +543,9 @@
 {
     state.m_dispatch_requested = false;
     if (!are_leases_long_enough(state, now) || !may_start(state, now)) {
+        for (const auto& [service, jobs] : state.m_active) {
+            account_waiting(jobs, job_part::starts_suspended, now);
+        }
         return;
     }
     for (const auto& [service, jobs] : state.m_active) {
@@ -544,6 +564,7 @@
             }
         }
         if (candidates.empty() && paused.empty()) {
+            account_waiting(jobs, job_part::none_accepting, now);
             continue;
         }
         auto accepting = candidates;
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/time_accounting.hpp>
 
 #include <algorithm>
 #include <set>
@@ -202,6 +203,7 @@
 auto close_done_occurrences(scheduler_state& state, job_entry& job, const time_point now) -> void
 {
     while (!job.m_open.empty() && is_done(job.m_open.front())) {
+        account_job_end(job, job.m_open.front());
         job.m_first_open = job.m_open.front().m_number + 1;
         job.m_open.erase(job.m_open.begin());
     }
@@ -296,6 +298,7 @@
     auto job = std::make_unique<job_entry>();
     job->m_record = std::move(record);
     job->m_recovered = recovered;
+    job->m_read = clock.m_now;
     job->m_arrived =
         clock.m_now - milliseconds{std::max<std::int64_t>(0, clock.m_unix_ms - job->m_record.m_arrived_unix_ms)};
     if (progress) {
@@ -319,6 +322,7 @@
     }
     restore_crashes(state, entry, crashes);
     open_occurrences(entry, clock.m_unix_ms);
+    account_ready_steps(entry, clock.m_now);
     const auto& terms = entry.m_record.m_policy;
     entry.m_deadline = entry.m_arrived + terms.m_target +
                        to_microseconds(static_cast<double>(estimate_critical_path(state, entry, true).count()) /
@@ -378,6 +382,7 @@
     for (auto& [service, jobs] : state.m_active) {
         for (auto* job : jobs) {
             if (job->m_record.m_spec.m_occurrences > 0 && open_occurrences(*job, clock.m_unix_ms)) {
+                account_ready_steps(*job, clock.m_now);
                 state.m_dispatch_requested = true;
             }
         }
@@ -440,6 +445,10 @@
         else {
             complete(*found);
         }
+        if (step.m_done == step.m_tasks.size()) {
+            account_step_end(step, *found, now);
+            account_ready_steps(job, now);
+        }
         mark_dirty(state, job);
         close_done_occurrences(state, job, now);
         return;
@@ -447,6 +456,7 @@
     if (found->m_phase != task_phase::waiting) {
         found->m_phase = task_phase::waiting;
         ++step.m_waiting;
+        account_unfinished_run(*found, now);
     }
     if (outcome == run_end::failed && found->m_worker != no_worker) {
         found->m_failed_workers.push_back(found->m_worker);
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
@@ -90,11 +91,10 @@
         placed.m_stop_requested = true;
     }
     else if (task->m_phase == task_phase::waiting) {
-        task->m_phase = task_phase::running;
+        begin_running(*task, now, now);
         task->m_worker = index;
         task->m_run = report.m_run;
         task->m_highest_run = std::max(task->m_highest_run, report.m_run);
-        task->m_since = now;
         auto& step = *find_step(*job, report.m_task);
         --step.m_waiting;
         step.m_opened = true;
@@ -132,8 +132,7 @@
         return;
     }
     if (task->m_phase == task_phase::starting) {
-        task->m_phase = task_phase::running;
-        task->m_since = run->m_sent;
+        begin_running(*task, run->m_sent, now);
     }
     // A run that is being stopped counts as unavailable from the command on.
     task->m_percent = run->m_stop_requested || run->m_ending ? 0 : report.m_percent;
@@ -458,8 +457,7 @@
         run->m_confirmed = true;
         run->m_sent = now;
         if (current) {
-            task->m_phase = task_phase::running;
-            task->m_since = now;
+            begin_running(*task, now, now);
         }
         return;
     case command_result::unknown:
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_SCHEDULER_STATE_HPP
 
 #include <cicadalug/scheduler/job.hpp>
+#include <cicadalug/scheduler/job_times.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/scheduler/worker.hpp>
 
@@ -108,6 +109,8 @@
     time_point m_not_before{};
     std::int64_t m_percent{0};
     std::int64_t m_usage{0};
+    /** @brief Where the time went since the turn of the task's step came; for observation only. */
+    task_times m_times;
 };
 
 /** @brief Decision of the permit service about a step on one incarnation of a worker. */
@@ -136,6 +139,12 @@
     std::map<worker_index, step_permit> m_permits;
     bool m_permits_requested{false};
     time_point m_permits_not_before{};
+    /** @brief The step's turn has come, and the time of its tasks is accounted for. */
+    bool m_accounted{false};
+    /** @brief Where the time went: up to the turn of the step, and once it has ended, up to its end. */
+    job_times m_times;
+    /** @brief When its last task ended; the epoch if that was before this term. */
+    time_point m_ended{};
 };
 
 struct occurrence_state {
@@ -160,6 +169,12 @@
     time_point m_deadline{};
     /** @brief When the job reached its final state. */
     time_point m_finished{};
+    /** @brief When this decider has read the job. */
+    time_point m_read{};
+    /** @brief A scheduling pass with waiting tasks of the job found that it cannot meet its objective. */
+    bool m_found_late{false};
+    /** @brief Where the time of the completed job went, along the tasks that ended last. */
+    job_times m_times;
 };
 
 /** @brief A run that occupies a worker. */
