Log and export where the time of late jobs went, by queue

A queue whose jobs missed their objective could not be told to lack workers, processor time of the decider, or a faster store. The decider now logs job_late for a job whose end is stored after its deadline (in the same limit of lines as other runs) and late_jobs once a second for each queue with late or overdue jobs: their numbers, the workers of the service that accept work or are cordoned, and the mean parts of the late ones. The metrics have the sums by queue, part and result; they are updated once a second.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -8,6 +8,7 @@
 #include <cicadalug/entry/relay_sessions.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/worker_calls.hpp>
+#include <cicadalug/scheduler/class_times.hpp>
 #include <cicadalug/scheduler/decider_load.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/log_budget.hpp>
@@ -139,6 +140,11 @@
     auto log_suspension(time_point now) -> void;
     auto log_start(const start_command& command, const job_entry& job) -> void;
     auto log_dropped_lines(time_point now) -> void;
+    /** @brief Records the end of a job whose final state has been stored, and logs where its time went if it is late.
+     */
+    auto record_job_end(const job_entry& job, time_point stored) -> void;
+    /** @brief Logs and exports where the time of the jobs went that ended since the last call, by queue. */
+    auto log_class_times(time_point now) -> void;
     auto start_fleet_controller() -> void;
     auto update_permit_queues() -> void;
     [[nodiscard]] auto decision_log_value(bool lease_list_complete) const -> std::string;
@@ -209,6 +215,7 @@
     version m_permit_config;
     log_budget m_run_log_budget;
     decider_load m_load;
+    std::map<queue_id, class_times> m_class_times;
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace cicadalug {
 
@@ -39,6 +40,18 @@
     return time ? std::to_string(to_ms(*time)) : "unknown";
 }
 
+/** @brief Adds the parts that are not zero, in milliseconds and divided by a number of jobs. */
+[[nodiscard]] auto add_parts(log_line line, const job_times& times, const std::int64_t jobs) -> log_line
+{
+    for (std::size_t number = 0; number < job_parts; ++number) {
+        const auto part = static_cast<job_part>(number);
+        if (const auto mean_ms = to_ms(times[part] / jobs); mean_ms > 0) {
+            line = std::move(line).with(std::string{name_of(part)} + "_ms", mean_ms);
+        }
+    }
+    return line;
+}
+
 [[nodiscard]] auto max_age(const copy_age& copy) -> std::optional<microseconds>
 {
     return copy.m_sent ? std::optional{copy.m_max} : std::nullopt;
@@ -99,6 +112,7 @@
     const auto now = monotonic_now();
     const auto load = take_window(m_load, now);
     m_settings.m_metrics->set_relays(m_relays->live_relays());
+    log_class_times(now);
     LOG(INFO) << log_line{"decider_load"}
                      .with("token", m_term.m_token)
                      .with("window_ms", to_ms(now - load.m_began))
@@ -143,6 +157,63 @@
     }
 }
 
+auto decider::record_job_end(const job_entry& job, const time_point stored) -> void
+{
+    if (!has_times(job)) {
+        return;
+    }
+    const auto& queue = job.m_record.m_policy.m_queue;
+    count_job(m_class_times[queue], job, stored);
+    log_dropped_lines(stored);
+    if (stored <= job.m_deadline || !admit_line(m_run_log_budget)) {
+        return;
+    }
+    const auto times = times_until_stored(job, stored);
+    LOG(INFO) << add_parts(log_line{"job_late"}
+                               .with("queue", queue)
+                               .with("request", job.m_record.m_id)
+                               .with("took_ms", to_ms(stored - job.m_arrived))
+                               .with("objective_ms", to_ms(job.m_deadline - job.m_arrived))
+                               .with("found_late", job.m_found_late)
+                               .with("bound_by", name_of(largest_delay(times))),
+                           times, 1);
+}
+
+auto decider::log_class_times(const time_point now) -> void
+{
+    const auto ended = std::exchange(m_class_times, {});
+    for (const auto& [queue, backlog] : find_backlogs(m_state, ended, now)) {
+        const auto found = ended.find(queue);
+        const auto times = found == ended.end() ? class_times{} : found->second;
+        m_settings.m_metrics->jobs_ended(queue.str(), true, times.m_in_time);
+        m_settings.m_metrics->jobs_ended(queue.str(), false, times.m_late);
+        for (std::size_t number = 0; number < job_parts; ++number) {
+            const auto part = static_cast<job_part>(number);
+            m_settings.m_metrics->add_job_time(queue.str(), name_of(part), true, times.m_times_in_time[part]);
+            m_settings.m_metrics->add_job_time(queue.str(), name_of(part), false, times.m_times_late[part]);
+        }
+        if (times.m_late == 0 && backlog.m_overdue == 0) {
+            continue;
+        }
+        auto line = log_line{"late_jobs"}
+                        .with("queue", queue)
+                        .with("in_time", times.m_in_time)
+                        .with("late", times.m_late)
+                        .with("overdue", backlog.m_overdue)
+                        .with("accepting", backlog.m_accepting)
+                        .with("cordoned", backlog.m_cordoned)
+                        .with("not_accepting", backlog.m_not_accepting);
+        if (times.m_late > 0) {
+            line = add_parts(std::move(line)
+                                 .with("found_in_time", times.m_found_in_time)
+                                 .with("late_by_ms", to_ms(times.m_lateness / times.m_late))
+                                 .with("bound_by", name_of(most_frequent_bound(times))),
+                             times.m_times_late, times.m_late);
+        }
+        LOG(INFO) << line;
+    }
+}
+
 auto decider::log_dropped_lines(const time_point now) -> void
 {
     if (const auto dropped = begin_window(m_run_log_budget, now); dropped > 0) {
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -235,6 +235,7 @@
                              .with("state", state_name(state))
                              .with("took_ms", to_ms(job.m_finished - job.m_arrived))
                              .with("objective_ms", to_ms(job.m_deadline - job.m_arrived));
+            record_job_end(job, monotonic_now());
         }
     }
     schedule_pass();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.cpp
@@ -18,11 +18,17 @@
 using internal::histogram;
 
 using fractional_seconds = std::chrono::duration<double>;
+using fractional_milliseconds = std::chrono::duration<double, std::milli>;
 
 /** @brief Upper bounds in seconds: delays are some milliseconds on an idle decider, and a cancellation has to take
  * effect within 3 s. */
 const Histogram::BucketBoundaries delay_buckets{0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10};
 
+[[nodiscard]] auto result_name(const bool in_time) -> std::string
+{
+    return in_time ? "in_time" : "late";
+}
+
 } // namespace
 
 struct scheduler_metrics::series {
@@ -45,6 +51,11 @@
     Gauge& m_long_waits{gauge(m_registry, "cicadalug_scheduler_long_running_tasks_waiting",
                               "Long-running tasks that have been waiting for their start for over 1 s.")
                             .Add({})};
+    prometheus::Family<Counter>& m_jobs_ended{counter(m_registry, "cicadalug_scheduler_jobs_ended_total",
+                                                      "Completed jobs by whether they met their objective.")};
+    prometheus::Family<Counter>& m_job_time{
+        counter(m_registry, "cicadalug_scheduler_job_time_milliseconds_total",
+                "Time of completed jobs along the tasks that ended last, by what it was spent on.")};
     Counter& m_passes{counter(m_registry, "cicadalug_scheduler_passes_total", "Scheduling passes.").Add({})};
     Histogram& m_cancel_delay{histogram(m_registry, "cicadalug_scheduler_cancel_delay_seconds",
                                         "Time from the write of a cancellation to its application.")
@@ -125,6 +136,19 @@
     m_series->m_long_waits.Set(static_cast<double>(tasks));
 }
 
+auto scheduler_metrics::jobs_ended(const std::string& queue, const bool in_time, const std::int64_t jobs) -> void
+{
+    m_series->m_jobs_ended.Add({{"queue", queue}, {"result", result_name(in_time)}})
+        .Increment(static_cast<double>(jobs));
+}
+
+auto scheduler_metrics::add_job_time(const std::string& queue, const std::string_view part, const bool in_time,
+                                     const microseconds time) -> void
+{
+    m_series->m_job_time.Add({{"queue", queue}, {"part", std::string{part}}, {"result", result_name(in_time)}})
+        .Increment(fractional_milliseconds{time}.count());
+}
+
 auto scheduler_metrics::pass_run() -> void
 {
     m_series->m_passes.Increment();
--- a/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
+++ b/packages/runtime/src/cicadalug/telemetry/scheduler_metrics.hpp
@@ -4,15 +4,17 @@
 #include <cicadalug/base/time.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cicadalug {
 
 /**
- * @brief Metrics of the scheduler on one entry VM, exported in the Prometheus text format. The time series are created
- * once, so that an update needs no lookup of labels.
+ * @brief Metrics of the scheduler on one entry VM, exported in the Prometheus text format. The time series without
+ * labels are created once, so that an update needs no lookup.
  * @note Thread safety: all functions can be called concurrently.
  */
 class scheduler_metrics {
@@ -55,6 +57,12 @@
     /** @brief Sets the number of long-running tasks that have been waiting for their start for over 1 s. */
     auto set_long_waits(std::size_t tasks) -> void;
 
+    /** @brief Counts jobs that ended. @param in_time Whether they met their objective. */
+    auto jobs_ended(const std::string& queue, bool in_time, std::int64_t jobs) -> void;
+
+    /** @brief Adds time that jobs spent in one part of their way. @param in_time Whether they met their objective. */
+    auto add_job_time(const std::string& queue, std::string_view part, bool in_time, microseconds time) -> void;
+
     /** @brief Counts a scheduling pass. */
     auto pass_run() -> void;
 
--- a/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
+++ b/packages/runtime/test/cicadalug/telemetry/scheduler_metrics.cpp
@@ -20,6 +20,9 @@
     all.cancel_applied(std::nullopt);
     all.unknown_job_cancelled();
     all.set_long_waits(2);
+    all.jobs_ended("orders", true, 3);
+    all.jobs_ended("orders", false, 2);
+    all.add_job_time("orders", "placed", false, microseconds{2'500});
     all.pass_run();
     all.timer_run(milliseconds{2});
     const auto text = all.text();
@@ -27,6 +30,9 @@
          {"cicadalug_scheduler_decider 1\n", "cicadalug_scheduler_starts_total 2\n",
           "cicadalug_scheduler_stops_total 1\n", "cicadalug_scheduler_cancels_total 2\n",
           "cicadalug_scheduler_unknown_cancels_total 1\n", "cicadalug_scheduler_passes_total 1\n",
+          "cicadalug_scheduler_jobs_ended_total{queue=\"orders\",result=\"in_time\"} 3\n",
+          "cicadalug_scheduler_jobs_ended_total{queue=\"orders\",result=\"late\"} 2\n",
+          "cicadalug_scheduler_job_time_milliseconds_total{part=\"placed\",queue=\"orders\",result=\"late\"} 2.5\n",
           "cicadalug_scheduler_long_running_tasks_waiting 2\n", "cicadalug_scheduler_cancel_delay_seconds_count 1\n",
           "cicadalug_scheduler_cancel_delay_seconds_sum 1.5\n",
           "cicadalug_scheduler_event_loop_delay_seconds_bucket{le=\"0.003\"} 1\n",
