Include the delays of a step in the remaining time of a job

A job counted as in time while the mean run times of its steps, shortened by up to 15 %, fitted before its deadline. In an overload the earliest deadline goes first, so that each job started exactly at that point, and then was late by what the estimate lacked: the slowest task of a step, the start, the report, and the writes that open a step and store the end.

A step's overrun beyond the expected run time is now learned by queue, and the times to open a step and to store an end for all queues. Jobs that would be late if a step took as much longer as usual deviations yield to jobs with that margin (`marginal`). Without an overload nothing waits, and all start as before.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
@@ -229,6 +230,7 @@
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
         if (is_final(state)) {
             const auto& job = *jobs[position];
+            learn_storing_time(m_state, job, monotonic_now());
             LOG(INFO) << log_line{"job_ended"}
                              .with("request", job.m_record.m_id)
                              .with("queue", job.m_record.m_policy.m_queue)
--- a/packages/scheduler/src/cicadalug/scheduler/demand.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/demand.cpp
@@ -1,6 +1,6 @@
 #include <cicadalug/scheduler/demand.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
-#include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/job_estimates.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -166,8 +166,8 @@
         for (const auto* job : jobs) {
             const auto work = work_of(state, *job);
             entry.m_running_cores += work.m_running_cores;
-            (classify_urgency(state, *job, now) == urgency::in_time ? entry.m_ready_core_ms
-                                                                    : entry.m_late_ready_core_ms) +=
+            (classify_urgency(state, *job, now) <= urgency::marginal ? entry.m_ready_core_ms
+                                                                     : entry.m_late_ready_core_ms) +=
                 work.m_ready_core_ms;
             entry.m_long_running_cores += long_running_cores(*job);
             entry.m_long_running_workers = std::max(entry.m_long_running_workers, long_running_workers(*job));
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -149,6 +149,10 @@
     found.m_highest_run = run;
     found.m_since = pass.m_now;
     --step.m_waiting;
+    if (step.m_last_start == time_point{} && step.m_opening_since != time_point{}) {
+        add_sample(state.m_opening_time, static_cast<double>((pass.m_now - step.m_opening_since).count()) / 1'000.0);
+    }
+    step.m_last_start = pass.m_now;
     placed_run placed;
     placed.m_task = task;
     placed.m_run = run;
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 
 #include <algorithm>
@@ -8,23 +9,9 @@
 
 namespace {
 
-/** @brief Weight of the client's estimate against the learned mean of the queue; the estimates are far off. */
-constexpr double client_estimate_weight{0.5};
-
 /** @brief Maximum number of open tasks of a job with a schedule; its other due occurrences are opened as these end. */
 constexpr std::int64_t max_open_tasks{100'000};
 
-/** @brief Longest duration of an estimate, ten years in milliseconds. */
-constexpr double longest_estimate_ms{315'360'000'000.0};
-
-/** @brief Converts an estimate; any value that is not below the longest estimate, or not a number, becomes that. */
-[[nodiscard]] auto to_microseconds(const double ms) -> microseconds
-{
-    constexpr double microseconds_per_ms{1'000.0};
-    const auto limited = ms < longest_estimate_ms ? std::max(ms, 0.0) : longest_estimate_ms;
-    return microseconds{static_cast<std::int64_t>(limited * microseconds_per_ms)};
-}
-
 [[nodiscard]] auto make_occurrence(const job_spec& spec, const std::int64_t number) -> occurrence_state
 {
     occurrence_state occurrence;
@@ -320,9 +307,7 @@
     restore_crashes(state, entry, crashes);
     open_occurrences(entry, clock.m_unix_ms);
     const auto& terms = entry.m_record.m_policy;
-    entry.m_deadline = entry.m_arrived + terms.m_target +
-                       to_microseconds(static_cast<double>(estimate_critical_path(state, entry, true).count()) /
-                                       1'000.0 * terms.m_stretch);
+    entry.m_deadline = entry.m_arrived + estimate_objective(state, entry);
     state.m_active[terms.m_service].push_back(&entry);
     state.m_dispatch_requested = true;
     if (cancelled) {
@@ -440,10 +425,14 @@
         else {
             complete(*found);
         }
+        if (step.m_done == step.m_tasks.size()) {
+            learn_step_overrun(state, job, spec, step, now);
+        }
         mark_dirty(state, job);
         close_done_occurrences(state, job, now);
         return;
     }
+    step.m_interrupted = true;
     if (found->m_phase != task_phase::waiting) {
         found->m_phase = task_phase::waiting;
         ++step.m_waiting;
@@ -531,37 +520,4 @@
     return count;
 }
 
-auto expected_run_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step) -> double
-{
-    const auto declared_ms = static_cast<double>(step.m_estimate.count());
-    const auto learned = state.m_run_times.find(job.m_record.m_policy.m_queue);
-    if (learned == state.m_run_times.end() || learned->second.m_samples == 0) {
-        return declared_ms;
-    }
-    return client_estimate_weight * declared_ms + (1.0 - client_estimate_weight) * learned->second.m_mean_ms;
-}
-
-auto estimate_critical_path(const scheduler_state& state, const job_entry& job, const bool whole) -> microseconds
-{
-    const auto& steps = job.m_record.m_spec.m_steps;
-    std::vector<double> finish_ms(steps.size(), 0.0);
-    double longest{0.0};
-    for (std::size_t number = 0; number < steps.size(); ++number) {
-        auto own_ms = expected_run_time_ms(state, job, steps[number]);
-        if (!whole && !job.m_open.empty()) {
-            const auto& step = job.m_open.front().m_steps[number];
-            own_ms = step.m_done == step.m_tasks.size() ? 0.0 : own_ms;
-        }
-        double before{0.0};
-        for (const auto earlier : steps[number].m_after) {
-            if (earlier >= 0 && static_cast<std::size_t>(earlier) < number) {
-                before = std::max(before, finish_ms[static_cast<std::size_t>(earlier)]);
-            }
-        }
-        finish_ms[number] = before + own_ms;
-        longest = std::max(longest, finish_ms[number]);
-    }
-    return to_microseconds(longest);
-}
-
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -101,23 +101,6 @@
 /** @brief Counts the jobs of a queue that have not started any task. */
 [[nodiscard]] auto pending_jobs(const scheduler_state& state, const queue_id& queue) -> std::int64_t;
 
-/**
- * @brief Returns the expected run time of a step's tasks in milliseconds: the client's estimate, or, once tasks of the
- * queue have ended, the weighted mean of that estimate and the learned run time of the queue.
- */
-[[nodiscard]] auto expected_run_time_ms(const scheduler_state& state, const job_entry& job, const step_spec& step)
-    -> double;
-
-/**
- * @brief Estimates the critical path of a job.
- * @param state The scheduler, for learned run times.
- * @param job The job.
- * @param whole True to include all steps, false for only those that are not done.
- * @return The run time of the critical path on idle workers.
- */
-[[nodiscard]] auto estimate_critical_path(const scheduler_state& state, const job_entry& job, bool whole)
-    -> microseconds;
-
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -5,16 +5,12 @@
 #include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace cicadalug {
 
 namespace {
 
-/** @brief Weight of a new sample in the mean run time of a queue. */
-constexpr double run_time_weight{0.1};
-
 /** @brief Pauses of a worker after a rejected start: for lack of capacity or health, or if another worker responded. */
 constexpr milliseconds rejection_pause{300};
 constexpr milliseconds other_worker_pause{1'000};
@@ -148,13 +144,8 @@
     if (task.m_phase != task_phase::running || !task.m_checkpoint.empty()) {
         return;
     }
-    const auto run_time_ms = static_cast<double>((now - task.m_since).count()) / 1'000.0;
-    auto& estimate = state.m_run_times[job.m_record.m_policy.m_queue];
-    estimate.m_mean_ms = estimate.m_samples == 0
-                             ? run_time_ms
-                             : estimate.m_mean_ms + run_time_weight * (run_time_ms - estimate.m_mean_ms);
-    estimate.m_deviation_ms += run_time_weight * (std::abs(run_time_ms - estimate.m_mean_ms) - estimate.m_deviation_ms);
-    ++estimate.m_samples;
+    add_sample(state.m_run_times[job.m_record.m_policy.m_queue],
+               static_cast<double>((now - task.m_since).count()) / 1'000.0);
 }
 
 /** @brief Stops the remaining runs of a task that is done. */
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -1,6 +1,7 @@
 #ifndef CICADALUG_SCHEDULER_SCHEDULER_STATE_HPP
 #define CICADALUG_SCHEDULER_SCHEDULER_STATE_HPP
 
+#include <cicadalug/scheduler/duration_estimate.hpp>
 #include <cicadalug/scheduler/job.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/scheduler/worker.hpp>
@@ -132,6 +133,10 @@
     bool m_opened{false};
     /** @brief The step was already opened when this decider took over. */
     bool m_recovered{false};
+    /** @brief When a task was last started in this term. */
+    time_point m_last_start{};
+    /** @brief A run of the step has failed, was lost or was not accepted. */
+    bool m_interrupted{false};
     /** @brief Decisions on permits by worker, for queues that need permits. */
     std::map<worker_index, step_permit> m_permits;
     bool m_permits_requested{false};
@@ -330,14 +335,6 @@
     run_number m_run;
 };
 
-/** @brief Learned run time of the tasks of a queue. */
-struct run_time_estimate {
-    double m_mean_ms{0.0};
-    /** @brief Mean absolute deviation from the mean, in milliseconds. */
-    double m_deviation_ms{0.0};
-    std::int64_t m_samples{0};
-};
-
 /**
  * @brief State of the decider, built from the store and from the workers' reports.
  * @note Thread safety: one thread at a time.
@@ -371,7 +368,15 @@
     std::vector<worker_index> m_current_workers;
     /** @brief Jobs whose progress differs from the store. */
     std::vector<job_entry*> m_dirty;
-    std::map<queue_id, run_time_estimate> m_run_times;
+    /** @brief Learned run times of the tasks of each queue. */
+    std::map<queue_id, duration_estimate> m_run_times;
+    /** @brief By queue, how much longer a step takes from its last start to its end than the expected run time of its
+     * tasks: the slowest task decides, and start and report take their time. */
+    std::map<queue_id, duration_estimate> m_step_overruns;
+    /** @brief Time from the decision to open a step to its first start. */
+    duration_estimate m_opening_time;
+    /** @brief Time from the end of a job to its stored final state. */
+    duration_estimate m_storing_time;
     std::vector<task_trial> m_trials;
     std::vector<recovered_trial> m_recovered_trials;
     std::vector<start_command> m_starts;
--- a/packages/scheduler/src/cicadalug/scheduler/urgency.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/urgency.hpp
@@ -11,8 +11,10 @@
 enum class urgency : std::uint8_t {
     /** @brief Long-running tasks, which serve their own clients all the time. */
     serving,
-    /** @brief The job can still meet its objective. */
+    /** @brief The job meets its objective, even if a step takes somewhat longer than usual. */
     in_time,
+    /** @brief The job meets its objective only if its runs take less time than usual. */
+    marginal,
     /** @brief The job will miss its objective, but its result is still of use. */
     late,
     /** @brief No client waits for the job any more; it runs when there is free capacity. */
@@ -24,7 +26,8 @@
  *
  * Load pattern: for some seconds, a queue requests several times the capacity of its pool. In order of arrival, each
  * job would wait until its slack is used up, and all jobs would be late. Jobs that can no longer meet their objectives
- * therefore yield to those that can.
+ * therefore yield to those that can. In order of deadlines, the next job to start is always the one that can wait no
+ * longer: without a margin for the delays between a decision and the stored end of a job, it would be late by these.
  * @param state The scheduler, for learned run times.
  * @param job The job.
  * @param now Current time.
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -1,5 +1,7 @@
 #include "scheduler_simulation.hpp"
 
+#include <cicadalug/scheduler/job_estimates.hpp>
+
 #include <algorithm>
 #include <optional>
 
@@ -153,28 +155,44 @@
     static_cast<void>(grant_lease(m_state, index->second, m_now));
 }
 
+auto scheduler_simulation::run_time(const step_spec& spec) -> microseconds
+{
+    const auto position = static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
+    return std::chrono::duration_cast<microseconds>(spec.m_estimate * (1.0 + m_run_time_spread * (2 * position - 1)));
+}
+
+auto scheduler_simulation::execute_start(const start_command& command) -> void
+{
+    const auto& id = m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id;
+    mark_started(m_state, *find_job(m_state, command.m_task.m_job));
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.m_reachable || !found->second.m_alive) {
+        apply_start_result(m_state, command, command_result::unknown, m_now);
+        return;
+    }
+    auto& worker = found->second;
+    if (!m_state.m_permit_queues.empty() && command.m_permit != "permit-" + id.str()) {
+        apply_start_result(m_state, command, command_result::no_permit, m_now);
+        ++m_rejected_starts;
+        return;
+    }
+    ++m_starts[command.m_task];
+    const auto& spec = step_of(*find_job(m_state, command.m_task.m_job), command.m_task);
+    worker.m_runs.push_back({command.m_task, command.m_run, m_now, m_now + run_time(spec), spec.m_long_running});
+    apply_start_result(m_state, command, command_result::accepted, m_now);
+    if (m_deadly.contains(command.m_task)) {
+        m_crashes.emplace(m_now + m_crash_delay, id);
+    }
+}
+
 auto scheduler_simulation::execute_commands() -> void
 {
-    for (const auto& command : std::exchange(m_state.m_starts, {})) {
-        const auto& id = m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id;
-        auto& worker = m_workers[id];
-        mark_started(m_state, *find_job(m_state, command.m_task.m_job));
-        if (!worker.m_reachable || !worker.m_alive) {
-            apply_start_result(m_state, command, command_result::unknown, m_now);
-            continue;
-        }
-        if (!m_state.m_permit_queues.empty() && command.m_permit != "permit-" + id.str()) {
-            apply_start_result(m_state, command, command_result::no_permit, m_now);
-            ++m_rejected_starts;
-            continue;
-        }
-        ++m_starts[command.m_task];
-        const auto& spec = step_of(*find_job(m_state, command.m_task.m_job), command.m_task);
-        worker.m_runs.push_back({command.m_task, command.m_run, m_now, m_now + spec.m_estimate, spec.m_long_running});
-        apply_start_result(m_state, command, command_result::accepted, m_now);
-        if (m_deadly.contains(command.m_task)) {
-            m_crashes.emplace(m_now + m_crash_delay, id);
-        }
+    for (auto& command : std::exchange(m_state.m_starts, {})) {
+        m_starts_in_flight.emplace_back(m_now + m_start_delay, std::move(command));
+    }
+    while (!m_starts_in_flight.empty() && m_starts_in_flight.front().first <= m_now) {
+        execute_start(m_starts_in_flight.front().second);
+        m_starts_in_flight.pop_front();
     }
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
         auto& worker = m_workers[m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id];
@@ -209,7 +227,7 @@
 
 auto scheduler_simulation::store() -> void
 {
-    if (!m_store_up) {
+    if (!m_store_up || m_now.time_since_epoch() % m_store_interval != microseconds{0}) {
         return;
     }
     for (auto* job : std::exchange(m_state.m_dirty, {})) {
@@ -217,6 +235,9 @@
         const auto progress = progress_of(*job);
         m_store[job->m_record.m_id].m_progress = progress;
         apply_stored_progress(m_state, *job, progress);
+        if (is_final(progress.m_state)) {
+            learn_storing_time(m_state, *job, m_now);
+        }
         if (progress.m_state == job_state::completed) {
             m_completed.try_emplace(job->m_record.m_id, m_now);
         }
@@ -343,8 +364,13 @@
         m_last_renewal = m_now;
     }
     update_lease_limits(m_state, m_last_renewal, m_term_lease);
+    // The workers report in turn.
+    milliseconds turn{0};
     for (auto& [id, worker] : m_workers) {
-        report(id, worker);
+        turn += simulation_step;
+        if ((m_now + turn).time_since_epoch() % m_report_interval == microseconds{0}) {
+            report(id, worker);
+        }
     }
     finish_moves();
     expire_runs(m_state, m_now);
@@ -384,6 +410,7 @@
 auto scheduler_simulation::take_over() -> void
 {
     const auto settings = m_state.m_settings;
+    m_starts_in_flight.clear();
     m_state = scheduler_state{};
     m_state.m_settings = settings;
     m_state.m_token = fencing_token{++m_token};
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -12,10 +12,12 @@
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadalug::test {
@@ -97,6 +99,14 @@
     /** @brief If false, the lease of the term is not renewed. */
     bool m_term_renewed{true};
     milliseconds m_term_lease{1'000};
+    /** @brief Time from the decision to start a task until its worker begins and responds. */
+    milliseconds m_start_delay{0};
+    /** @brief Interval between two reports of a worker. */
+    milliseconds m_report_interval{10};
+    /** @brief Interval between two writes of progress. */
+    milliseconds m_store_interval{10};
+    /** @brief Run times differ from the estimates by up to this share of them. */
+    double m_run_time_spread{0.0};
     std::int64_t m_move_count{0};
     /** @brief Workers on which the permit service allows steps to run, and how long its permits are valid. */
     std::set<worker_id> m_permitted;
@@ -117,6 +127,9 @@
     auto step() -> void;
     auto report(const worker_id& id, simulated_worker& worker) -> void;
     auto execute_commands() -> void;
+    auto execute_start(const start_command& command) -> void;
+    /** @brief Returns how long a run of a step takes. */
+    [[nodiscard]] auto run_time(const step_spec& spec) -> microseconds;
     auto handle_permit_requests() -> void;
     auto store() -> void;
     auto finish_moves() -> void;
@@ -142,6 +155,9 @@
     std::map<job_id, time_point> m_deadlines;
     std::map<job_id, time_point> m_completed;
     std::map<task_ref, std::int64_t> m_starts;
+    /** @brief Starts that have not reached their workers, and when they do. */
+    std::deque<std::pair<time_point, start_command>> m_starts_in_flight;
+    std::mt19937 m_random;
     std::int64_t m_next_job{0};
     std::int64_t m_next_worker{0};
     std::uint64_t m_token{1};
