--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -71,7 +71,7 @@
                 if (!classified) {
                     job_urgency = classify_urgency(state, *job, now);
                     classified = true;
-                    job->m_found_late = job->m_found_late || job_urgency != urgency::in_time;
+                    job->m_found_late = job->m_found_late || job_urgency > urgency::marginal;
                 }
                 found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency,
                                  needs_permit, occurrence.m_steps[step].m_recovered && !recovered});
