Collect the workers of all services in one scan of a pass

Cause: the candidates of each service were collected by a scan of their own. One scan now sorts the workers by service before the services are served; the order within a service stays the same, so that the decisions do not change.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -7,6 +7,7 @@
 #include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -88,15 +89,43 @@
     return find_service_obstacle(worker) == worker_obstacle::none;
 }
 
-[[nodiscard]] auto accepts_new_work(const worker_slot& worker, const service_id& service, const time_point now) -> bool
-{
-    return worker.m_entry.m_service == service && find_obstacle(worker, now) == worker_obstacle::none;
-}
+/** @brief Workers of a service, in the order of the current workers. */
+struct service_workers {
+    /** @brief Workers that accept new work. */
+    std::vector<worker_index> m_accepting;
+    /** @brief Workers that would accept new work without their pause, without those in a trial. */
+    std::vector<worker_index> m_paused;
+};
 
-/** @brief Checks whether a pause is all that keeps a worker from new work of a service. */
-[[nodiscard]] auto is_paused(const worker_slot& worker, const service_id& service, const time_point now) -> bool
+/** @brief Collects the workers of each service with jobs. One scan serves all services, as the records of the workers
+ * of a large fleet exceed the caches of the processor. */
+[[nodiscard]] auto collect_workers(const scheduler_state& state, const time_point now)
+    -> std::map<service_id, service_workers>
 {
-    return worker.m_entry.m_service == service && find_obstacle(worker, now) == worker_obstacle::paused;
+    std::map<service_id, service_workers> found;
+    for (const auto& [service, jobs] : state.m_active) {
+        if (!jobs.empty()) {
+            found.try_emplace(service);
+        }
+    }
+    if (found.empty()) {
+        return found;
+    }
+    for (const auto index : state.m_current_workers) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        const auto service = found.find(worker.m_entry.m_service);
+        if (service == found.end()) {
+            continue;
+        }
+        const auto obstacle = find_obstacle(worker, now);
+        if (obstacle == worker_obstacle::none) {
+            service->second.m_accepting.push_back(index);
+        }
+        else if (obstacle == worker_obstacle::paused && !is_in_trial(state, index)) {
+            service->second.m_paused.push_back(index);
+        }
+    }
+    return found;
 }
 
 /** @brief Checks whether a worker's runs need more than its capacity of a resource that the demand is part of. */
@@ -528,21 +557,12 @@
     if (!are_leases_long_enough(state, now) || !may_start(state, now)) {
         return;
     }
+    auto workers = collect_workers(state, now);
     for (const auto& [service, jobs] : state.m_active) {
         if (jobs.empty()) {
             continue;
         }
-        std::vector<worker_index> candidates;
-        std::vector<worker_index> paused;
-        for (const auto index : state.m_current_workers) {
-            const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-            if (accepts_new_work(worker, service, now)) {
-                candidates.push_back(index);
-            }
-            else if (is_paused(worker, service, now) && !is_in_trial(state, index)) {
-                paused.push_back(index);
-            }
-        }
+        auto& [candidates, paused] = workers.find(service)->second;
         if (candidates.empty() && paused.empty()) {
             continue;
         }
