Run the servers of an entry VM without strands

In a surge on 1,100 workers the decider is charged its whole processor share, and jobs of one class end too late (SHORT).

Cause: http_server made a strand for each connection, so that each read, write and timer of a connection took another handler and an allocation, although a single thread runs the event loop of an entry VM. The server now takes the number of threads; with one, connections run on the context itself. The daemon has several threads and keeps its strands.

--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -82,24 +82,24 @@
     auto run() -> void
     {
         const http_server_limits limits;
-        http_server clients{m_context, m_settings.m_clients, limits, [this](http_exchange& exchange) {
-                                return m_api.handle(exchange);
-                            }};
+        http_server clients{m_context, m_settings.m_clients, limits,
+                            [this](http_exchange& exchange) { return m_api.handle(exchange); }, server_threads::single};
         http_server_limits peer_limits;
         peer_limits.m_body_bytes = max_peer_body;
-        http_server peers{m_context, m_settings.m_peers, peer_limits, [this](http_exchange& exchange) {
-                              return m_api.handle_peer(exchange);
-                          }};
-        http_server readiness{m_context, m_settings.m_readiness, limits, [this](http_exchange& exchange) {
-                                  return handle_readiness(exchange);
-                              }};
+        http_server peers{m_context, m_settings.m_peers, peer_limits,
+                          [this](http_exchange& exchange) { return m_api.handle_peer(exchange); },
+                          server_threads::single};
+        http_server readiness{m_context, m_settings.m_readiness, limits,
+                              [this](http_exchange& exchange) { return handle_readiness(exchange); },
+                              server_threads::single};
         std::optional<http_server> metrics;
         if (m_settings.m_metrics.port() == 0) {
             LOG(WARNING) << log_line{"metrics_not_served"}.with("reason", "internal_ports has no second port");
         }
         else {
-            metrics.emplace(m_context, m_settings.m_metrics, limits,
-                            [this](http_exchange& exchange) { return handle_metrics(exchange); });
+            metrics.emplace(
+                m_context, m_settings.m_metrics, limits,
+                [this](http_exchange& exchange) { return handle_metrics(exchange); }, server_threads::single);
         }
         m_clients = &clients;
         spawn(m_executor, watch_config(), "watch_config");
--- a/packages/runtime/src/cicadalug/http/http_server.cpp
+++ b/packages/runtime/src/cicadalug/http/http_server.cpp
@@ -74,12 +74,22 @@
 
 class http_server::state {
 public:
-    state(asio::io_context& context, const http_server_limits& limits, http_handler handler)
-        : m_context{context}, m_acceptor{asio::make_strand(context)}, m_limits{limits}, m_handler{std::move(handler)}
+    state(asio::io_context& context, const http_server_limits& limits, http_handler handler,
+          const server_threads threads)
+        : m_context{context}, m_threads{threads}, m_acceptor{make_executor()}, m_limits{limits}, m_handler{
+                                                                                                     std::move(handler)}
     {
     }
 
+    /** @brief Returns an executor whose handlers do not run concurrently. */
+    [[nodiscard]] auto make_executor() const -> asio::any_io_executor
+    {
+        return m_threads == server_threads::single ? asio::any_io_executor{m_context.get_executor()}
+                                                   : asio::any_io_executor{asio::make_strand(m_context)};
+    }
+
     asio::io_context& m_context;
+    const server_threads m_threads;
     asio::ip::tcp::acceptor m_acceptor;
     const http_server_limits m_limits;
     const http_handler m_handler;
@@ -373,7 +383,7 @@
 {
     while (!server->m_draining) {
         boost::system::error_code error;
-        auto socket = co_await server->m_acceptor.async_accept(asio::make_strand(server->m_context),
+        auto socket = co_await server->m_acceptor.async_accept(server->make_executor(),
                                                                asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted) {
             co_return;
@@ -395,8 +405,8 @@
 } // namespace
 
 http_server::http_server(asio::io_context& context, const tcp_endpoint& endpoint, const http_server_limits& limits,
-                         http_handler handler)
-    : m_state{std::make_shared<state>(context, limits, std::move(handler))}
+                         http_handler handler, const server_threads threads)
+    : m_state{std::make_shared<state>(context, limits, std::move(handler), threads)}
 {
     auto& acceptor = m_state->m_acceptor;
     acceptor.open(endpoint.protocol());
--- a/packages/runtime/src/cicadalug/http/http_server.hpp
+++ b/packages/runtime/src/cicadalug/http/http_server.hpp
@@ -110,11 +110,20 @@
     bool m_streaming{false};
 };
 
-/** @brief Responds to one request. Runs on the strand of the connection. */
+/** @brief Threads that run the context of a server. */
+enum class server_threads : std::uint8_t {
+    /** @brief One thread at a time. Connections need no strands, which cost a handler and an allocation each time a
+     * connection resumes. */
+    single,
+    multiple,
+};
+
+/** @brief Responds to one request. Runs on the executor of the connection. */
 using http_handler = std::function<asio::awaitable<void>(http_exchange&)>;
 
 /**
- * @brief HTTP/1.1 server. Each connection runs as a coroutine on its own strand.
+ * @brief HTTP/1.1 server. Each connection runs as a coroutine, on its own strand unless a single thread runs the
+ * context.
  * @note Thread safety: all functions can be called concurrently.
  */
 class http_server {
@@ -125,10 +134,11 @@
      * @param endpoint Address and port to listen on; port 0 selects a free port.
      * @param limits Resource limits.
      * @param handler Called for each request.
+     * @param threads Threads that run the context.
      * @throws boost::system::system_error if the address is not available.
      */
     http_server(asio::io_context& context, const tcp_endpoint& endpoint, const http_server_limits& limits,
-                http_handler handler);
+                http_handler handler, server_threads threads = server_threads::multiple);
 
     http_server(const http_server&) = delete;
     http_server(http_server&&) = delete;
--- a/packages/runtime/test/cicadalug/http/http_server.cpp
+++ b/packages/runtime/test/cicadalug/http/http_server.cpp
@@ -11,7 +11,9 @@
 
 #include <atomic>
 #include <future>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -117,6 +119,39 @@
     EXPECT_EQ(response.assume_value().body(), "in flight");
 }
 
+// Guards against connections of a single-threaded server that wait for each other or run on another thread.
+TEST_F(http_server_test, single_thread_handles_connections_concurrently)
+{
+    constexpr int connections{4};
+    std::atomic<int> arrived{0};
+    std::atomic<int> on_other_threads{0};
+    const auto echo_together = [&](http_exchange& exchange) -> asio::awaitable<void> {
+        on_other_threads += std::this_thread::get_id() == m_thread.get_id() ? 0 : 1;
+        ++arrived;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
+        while (arrived < connections) {
+            timer.expires_after(milliseconds{5});
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await echo(exchange);
+    };
+    http_server server{m_context, local_endpoint(), {}, echo_together, server_threads::single};
+    std::vector<std::future<std::string>> responses;
+    for (int number = 0; number < connections; ++number) {
+        responses.push_back(std::async(std::launch::async, [&server, number] {
+            http_request request{http::verb::post, "/", 11};
+            request.body() = std::to_string(number);
+            const auto response = http_fetch_blocking(server.endpoint(), request, milliseconds{10'000});
+            return response ? response.assume_value().body() : std::string{"no response"};
+        }));
+    }
+    for (int number = 0; number < connections; ++number) {
+        EXPECT_EQ(responses[static_cast<std::size_t>(number)].get(), std::to_string(number));
+    }
+    EXPECT_EQ(on_other_threads, 0);
+    server.drain();
+}
+
 // Guards against reporting a refused connection as a request that may have been sent.
 TEST_F(http_server_test, refused_connection_reports_not_sent)
 {
