Spend fewer allocations and handlers on a call through a relay

In a surge the decider hands several thousand starts and renewals a second to relays, and 15 % of the samples of its profile were in malloc, most often called from the coroutines of these calls.

Cause: each call passed through two coroutines whose frames held copies of it, its waiting caller was kept in a shared pointer inside a std::function, and each result was posted to the event loop by itself. The frames are gone, a pending call holds its handler directly, and the callers of all calls that end together are resumed by one handler. Their order stays the same, and they still run outside the handling of the message, as one of them may end the term: the new test callers_get_their_results_although_one_of_them_ends_the_term guards that (run on the changed code only).

The messages themselves are unchanged.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -86,11 +86,9 @@
 auto decider::call_worker(const worker_index index, worker_call call, std::function<bool()> may_send)
     -> asio::awaitable<worker_call_result>
 {
+    // Not a coroutine: its frame would be one more allocation for each call.
     if (m_uses_relays && m_relays->is_available()) {
-        const auto relays = m_relays;
-        auto zone = m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_zone;
-        auto relayed = co_await relays->perform(std::move(call), std::move(zone));
-        co_return relayed;
+        return m_relays->perform(std::move(call), m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_zone);
     }
     if (!may_send) {
         may_send = [this] {
@@ -98,8 +96,7 @@
         };
     }
     send_condition condition{monotonic_now() + call.m_timeout, std::move(may_send)};
-    auto result = co_await m_calls.perform(std::move(call), std::move(condition));
-    co_return result;
+    return m_calls.perform(std::move(call), std::move(condition));
 }
 
 auto decider::renew_worker_lease(const std::shared_ptr<decider> self, const worker_index index) -> asio::awaitable<void>
--- a/packages/entry/src/cicadalug/entry/relay_sessions.cpp
+++ b/packages/entry/src/cicadalug/entry/relay_sessions.cpp
@@ -5,7 +5,8 @@
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
-#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -71,7 +72,7 @@
         }
     }
     for (auto& [number, pending] : std::exchange(m_pending, {})) {
-        pending.m_complete({call_number{number}, command_result::unknown, {}});
+        resume_later(std::move(pending.m_handler), {call_number{number}, command_result::unknown, {}});
     }
 }
 
@@ -90,34 +91,47 @@
                                                   [now](const relay_state& relay) { return is_live(relay, now); }));
 }
 
-auto relay_sessions::enqueue(worker_call call, const availability_zone_id& zone,
-                             std::function<void(worker_call_result)> complete) -> void
+auto relay_sessions::enqueue(worker_call call, const availability_zone_id& zone, call_handler handler) -> void
 {
     const auto now = monotonic_now();
     const auto relay = choose_relay(m_relays, zone, now);
     call.m_number = call_number{++m_last_number};
     if (!relay || !m_active) {
-        complete({call.m_number, command_result::withdrawn, {}});
+        resume_later(std::move(handler), {call.m_number, command_result::withdrawn, {}});
         return;
     }
     const auto deadline = now + call.m_timeout;
     ++m_relays[*relay].m_in_flight;
-    m_pending.emplace(m_last_number, pending_call{std::move(complete), *relay, deadline + result_slack});
+    m_pending.emplace(m_last_number, pending_call{std::move(handler), *relay, deadline + result_slack});
     m_sessions[*relay].m_queue.push_back({std::move(call), deadline});
     schedule_flush();
 }
 
 auto relay_sessions::perform(worker_call call, availability_zone_id zone) -> asio::awaitable<worker_call_result>
 {
-    const auto initiate = [this, &call, &zone](auto handler) {
-        const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        enqueue(std::move(call), zone, [shared, executor = m_executor](worker_call_result result) {
-            // Posted, because the caller continues with decisions that may end the term and with it the sessions.
-            asio::post(executor, [shared, result = std::move(result)]() mutable { (*shared)(std::move(result)); });
-        });
+    const auto initiate = [self = shared_from_this()](call_handler handler, worker_call initiated,
+                                                      const availability_zone_id& worker_zone) {
+        self->enqueue(std::move(initiated), worker_zone, std::move(handler));
     };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(worker_call_result)>(
-        initiate, asio::use_awaitable);
+    // Not a coroutine: its frame would be one more allocation for each call.
+    return asio::async_initiate<const asio::use_awaitable_t<>, void(worker_call_result)>(
+        initiate, asio::use_awaitable, std::move(call), std::move(zone));
+}
+
+auto relay_sessions::resume_later(call_handler handler, worker_call_result result) -> void
+{
+    m_ended.push_back({std::move(handler), std::move(result)});
+    if (m_ended.size() == 1) {
+        // Posted, because a resumed caller continues with decisions that may end the term and with it the sessions.
+        asio::post(m_executor, [self = shared_from_this()] { self->resume_callers(); });
+    }
+}
+
+auto relay_sessions::resume_callers() -> void
+{
+    for (auto& ended : std::exchange(m_ended, {})) {
+        ended.m_handler(std::move(ended.m_result));
+    }
 }
 
 auto relay_sessions::complete(const call_number number, worker_call_result result) -> void
@@ -129,7 +143,7 @@
     auto pending = std::move(found->second);
     m_pending.erase(found);
     --m_relays[pending.m_relay].m_in_flight;
-    pending.m_complete(std::move(result));
+    resume_later(std::move(pending.m_handler), std::move(result));
 }
 
 auto relay_sessions::schedule_flush() -> void
@@ -195,8 +209,10 @@
 auto relay_sessions::take_batch(const std::size_t relay) -> std::vector<worker_call>
 {
     const auto now = monotonic_now();
+    auto queue = std::exchange(m_sessions[relay].m_queue, {});
     std::vector<worker_call> batch;
-    for (auto& queued : std::exchange(m_sessions[relay].m_queue, {})) {
+    batch.reserve(queue.size());
+    for (auto& queued : queue) {
         const auto left = std::chrono::duration_cast<milliseconds>(queued.m_deadline - now);
         if (left <= milliseconds{0}) {
             // The call has not left this process.
--- a/packages/entry/src/cicadalug/entry/relay_sessions.hpp
+++ b/packages/entry/src/cicadalug/entry/relay_sessions.hpp
@@ -6,11 +6,12 @@
 #include <cicadalug/scheduler/worker_call.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/async_result.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -56,7 +57,7 @@
 
     /**
      * @brief Hands a call to a relay.
-     * @pre is_available().
+     * @pre is_available(), on an object owned by a shared_ptr.
      * @param call The call; its number is set here.
      * @param zone Availability zone of the worker.
      * @return The result.
@@ -70,6 +71,9 @@
     [[nodiscard]] auto live_relays() const -> std::size_t;
 
 private:
+    /** @brief Resumes the coroutine that waits for a result; movable, so that a pending call needs no allocation. */
+    using call_handler = asio::async_result<asio::use_awaitable_t<>, void(worker_call_result)>::handler_type;
+
     struct queued_call {
         worker_call m_call;
         time_point m_deadline{};
@@ -81,10 +85,14 @@
         std::uint64_t m_poll_number{0};
     };
     struct pending_call {
-        std::function<void(worker_call_result)> m_complete;
+        call_handler m_handler;
         std::size_t m_relay{0};
         time_point m_deadline{};
     };
+    struct ended_call {
+        call_handler m_handler;
+        worker_call_result m_result;
+    };
 
     [[nodiscard]] auto handle_poll(http_exchange& exchange, const entry_vm_id& relay) -> asio::awaitable<void>;
     auto apply_results(std::string_view body) -> void;
@@ -96,9 +104,11 @@
     [[nodiscard]] auto expire_calls(std::shared_ptr<relay_sessions> self) -> asio::awaitable<void>;
     [[nodiscard]] auto find_relay(const entry_vm_id& relay) const -> std::size_t;
     [[nodiscard]] auto take_batch(std::size_t relay) -> std::vector<worker_call>;
-    /** @brief Hands a call to a relay. @param complete Receives the result. */
-    auto enqueue(worker_call call, const availability_zone_id& zone, std::function<void(worker_call_result)> complete)
-        -> void;
+    /** @brief Hands a call to a relay. @param handler Receives the result. */
+    auto enqueue(worker_call call, const availability_zone_id& zone, call_handler handler) -> void;
+    /** @brief Resumes the caller of an ended call later, together with those of other calls that end meanwhile. */
+    auto resume_later(call_handler handler, worker_call_result result) -> void;
+    auto resume_callers() -> void;
 
     asio::any_io_executor m_executor;
     fencing_token m_token;
@@ -110,6 +120,8 @@
     /** @brief Sessions by the index of their relay. */
     std::vector<session> m_sessions;
     std::unordered_map<std::uint64_t, pending_call> m_pending;
+    /** @brief Ended calls whose callers have not been resumed yet. */
+    std::vector<ended_call> m_ended;
 };
 
 } // namespace cicadalug
--- a/packages/entry/test/cicadalug/entry/relay_sessions.cpp
+++ b/packages/entry/test/cicadalug/entry/relay_sessions.cpp
@@ -141,6 +141,41 @@
     EXPECT_EQ(*result, command_result::unknown);
 }
 
+// Guards against a result that is lost, or read after its end, when the caller before it in the same message ends the
+// term.
+TEST_F(relay_sessions_test, callers_get_their_results_although_one_of_them_ends_the_term)
+{
+    std::optional<http_response> poll;
+    send(internal::relay_poll_path, {}, poll);
+    run_until([this] { return m_sessions->is_available(); });
+    std::vector<command_result> ended;
+    const auto call = [](const std::shared_ptr<relay_sessions> sessions,
+                         std::vector<command_result>& results) -> asio::awaitable<void> {
+        worker_call stop;
+        stop.m_kind = worker_call_kind::stop;
+        stop.m_timeout = milliseconds{5'000};
+        const auto response = co_await sessions->perform(std::move(stop), availability_zone_id{"north"});
+        sessions->stop();
+        results.push_back(response.m_result);
+    };
+    constexpr std::size_t calls{3};
+    for (std::size_t number = 0; number < calls; ++number) {
+        asio::co_spawn(m_context, call(m_sessions, ended), asio::detached);
+    }
+    run_until([&] { return poll.has_value(); });
+    const auto fetched = decode_worker_calls(poll->body());
+    ASSERT_TRUE(fetched);
+    ASSERT_EQ(fetched.assume_value().size(), calls);
+    // The third call has no result when the term ends.
+    const std::vector<worker_call_result> results{{fetched.assume_value()[0].m_number, command_result::accepted, {}},
+                                                  {fetched.assume_value()[1].m_number, command_result::fenced, {}}};
+    std::optional<http_response> response;
+    send(internal::relay_results_path, encode(results), response);
+    run_until([&] { return ended.size() == calls && response.has_value(); });
+    const std::vector expected{command_result::accepted, command_result::fenced, command_result::unknown};
+    EXPECT_EQ(ended, expected);
+}
+
 // Guards against results of an earlier term, whose numbers belong to other calls.
 TEST_F(relay_sessions_test, a_relay_of_another_term_is_refused)
 {
