--- a/packages/runtime/test/cicadalug/http/http_server.cpp
+++ b/packages/runtime/test/cicadalug/http/http_server.cpp
@@ -7,11 +7,14 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <future>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -100,6 +103,49 @@
     EXPECT_EQ(handled, 0);
 }
 
+// Guards against losing a part of a request that arrives in several segments, or mixing it up with the next request.
+TEST_F(http_server_test, reads_requests_in_segments_and_in_succession)
+{
+    const http_server server{m_context, local_endpoint(), {}, echo};
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect(server.endpoint());
+    socket.set_option(asio::ip::tcp::no_delay{true});
+    const std::string segments[]{"POST / HTTP/1.1\r\nContent-Le", "ngth: 6\r\n\r\nfir", "st.",
+                                 "POST / HTTP/1.1\r\nContent-Length: 6\r\n\r\nsecondPOST / HTTP/1.1\r\n"
+                                 "Content-Length: 5\r\n\r\nthird"};
+    for (const auto& segment : segments) {
+        asio::write(socket, asio::buffer(segment));
+        std::this_thread::sleep_for(milliseconds{30});
+    }
+    beast::flat_buffer buffer;
+    for (const auto* body : {"first.", "second", "third"}) {
+        http_response response;
+        http::read(socket, buffer, response);
+        EXPECT_EQ(response.result(), http::status::ok);
+        EXPECT_EQ(response.body(), body);
+    }
+}
+
+// Guards against a body of 100 kB that is read wrongly into the buffer that an earlier one has enlarged.
+TEST_F(http_server_test, reads_large_requests_in_succession)
+{
+    const http_server server{m_context, local_endpoint(), {}, echo};
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect(server.endpoint());
+    beast::flat_buffer buffer;
+    for (const std::size_t size : {100'000U, 10U, 99'999U, 0U, 70'000U}) {
+        http_request request{http::verb::post, "/", 11};
+        request.body() = std::string(size, static_cast<char>('a' + size % 26));
+        request.prepare_payload();
+        http::write(socket, request);
+        http_response response;
+        http::read(socket, buffer, response);
+        EXPECT_EQ(response.body(), request.body());
+    }
+}
+
 // Guards against a shutdown that aborts a request in flight.
 TEST_F(http_server_test, drain_completes_requests_in_flight)
 {
@@ -117,6 +163,39 @@
     EXPECT_EQ(response.assume_value().body(), "in flight");
 }
 
+// Guards against connections of a single-threaded server that wait for each other or run on another thread.
+TEST_F(http_server_test, single_thread_handles_connections_concurrently)
+{
+    constexpr int connections{4};
+    std::atomic<int> arrived{0};
+    std::atomic<int> on_other_threads{0};
+    const auto echo_together = [&](http_exchange& exchange) -> asio::awaitable<void> {
+        on_other_threads += std::this_thread::get_id() == m_thread.get_id() ? 0 : 1;
+        ++arrived;
+        asio::steady_timer timer{co_await asio::this_coro::executor};
+        while (arrived < connections) {
+            timer.expires_after(milliseconds{5});
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await echo(exchange);
+    };
+    http_server server{m_context, local_endpoint(), {}, echo_together, server_threads::single};
+    std::vector<std::future<std::string>> responses;
+    for (int number = 0; number < connections; ++number) {
+        responses.push_back(std::async(std::launch::async, [&server, number] {
+            http_request request{http::verb::post, "/", 11};
+            request.body() = std::to_string(number);
+            const auto response = http_fetch_blocking(server.endpoint(), request, milliseconds{10'000});
+            return response ? response.assume_value().body() : std::string{"no response"};
+        }));
+    }
+    for (int number = 0; number < connections; ++number) {
+        EXPECT_EQ(responses[static_cast<std::size_t>(number)].get(), std::to_string(number));
+    }
+    EXPECT_EQ(on_other_threads, 0);
+    server.drain();
+}
+
 // Guards against reporting a refused connection as a request that may have been sent.
 TEST_F(http_server_test, refused_connection_reports_not_sent)
 {
