Keep the pages of a takeover between attempts, and log what it does

Callers saw jobs that were accepted and never ran: a decider repeated all of its reads every 60 ms, from the first page, until one attempt got each page within 700 ms, and logged nothing about it. Past a certain load of the store's link, that never happened.

Pages that have arrived are now kept (paged_read), also for jobs and workers that are read again after a compaction and for the waves. Each step of a takeover is done once, and a failed step is repeated alone (takeover), after pauses that grow. A page is limited by inactivity, by 700 ms at first and more after each failure, instead of in total. The changes after the first page are followed, as before. The loading moves to a file of its own.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -12,7 +12,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace cicadalug {
@@ -20,8 +19,6 @@
 namespace {
 
 using internal::failure_pause;
-using internal::store_timeout;
-using internal::to_ms;
 
 /** @brief A watch is requested again after this time; bounds how long an unresponsive connection goes unnoticed, and,
  * while nothing changes, how old the copy of the store is known to be. */
@@ -35,6 +32,9 @@
  * learn of a new decider within milliseconds; as long as no worker is called, each lease of the last term continues. */
 constexpr milliseconds first_relay_wait{600};
 
+/** @brief Longest pause between two attempts to read what a takeover needs. */
+constexpr milliseconds longest_load_pause{500};
+
 /** @brief Minimum time between two watch requests for one prefix; changes in quick succession share a request. */
 constexpr milliseconds watch_gap{8};
 
@@ -44,8 +44,9 @@
                  const decider_settings& settings, const decider_term& term, std::function<time_point()> last_renewal,
                  std::function<void()> on_deposed)
     : m_executor{std::move(executor)}, m_store{store}, m_calls{calls}, m_term{term}, m_settings{settings},
-      m_last_renewal{std::move(last_renewal)}, m_on_deposed{std::move(on_deposed)},
-      m_relays{std::make_shared<relay_sessions>(m_executor, term.m_token)}, m_progress_event{m_executor}
+      m_last_renewal{std::move(last_renewal)},
+      m_on_deposed{std::move(on_deposed)}, m_relays{std::make_shared<relay_sessions>(m_executor, term.m_token)},
+      m_progress_event{m_executor}, m_load_backoff{settings.m_self.str(), failure_pause, longest_load_pause}
 {
     m_state.m_settings = settings.m_scheduler;
     m_state.m_token = term.m_token;
@@ -54,9 +55,11 @@
 auto decider::start() -> void
 {
     m_load.m_began = monotonic_now();
+    m_takeover = begin_takeover(m_load.m_began);
     m_relays->start();
     run_in_term(load(shared_from_this()), "load");
     run_in_term(observe_load(shared_from_this()), "observe_load");
+    run_in_term(report_slow_takeover(shared_from_this()), "report_slow_takeover");
 }
 
 auto decider::run_in_term(asio::awaitable<void> coroutine, const std::string_view name) -> void
@@ -132,172 +135,6 @@
     m_fleet_controller->start();
 }
 
-auto decider::read_decision_log() -> asio::awaitable<bool>
-{
-    const auto read = co_await m_store.read(std::string{decision_log_key}, store_timeout);
-    const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
-    const auto is_read = [](const store_read& result) {
-        return result.m_status == store_status::ok || result.m_status == store_status::missing;
-    };
-    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number. They
-    // also start tasks on workers that no list names.
-    m_lease_list_complete = read.m_status == store_status::missing;
-    std::istringstream log{read.m_item.m_value};
-    std::istringstream list{leases.m_item.m_value};
-    std::string word;
-    log >> word >> word;
-    for (auto* text : {&log, &list}) {
-        while (*text >> word) {
-            if (word == complete_list_mark) {
-                m_lease_list_complete = true;
-            }
-            else {
-                m_state.m_expected_workers.emplace(word);
-            }
-        }
-    }
-    m_state.m_expected_listed = !m_state.m_expected_workers.empty();
-    co_return is_read(read) && is_read(leases);
-}
-
-auto decider::begin_decision_log() -> asio::awaitable<bool>
-{
-    // After the first write of a term, all writes of earlier terms fail, including those in flight.
-    store_write write;
-    write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
-    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(m_lease_list_complete), no_store_lease});
-    const auto written = co_await m_store.write(std::move(write), store_timeout);
-    if (written.m_status == store_status::conflict) {
-        m_state.m_deposed = true;
-    }
-    if (written.m_status == store_status::ok) {
-        m_decision_log_revision = written.m_revision;
-    }
-    co_return written.m_status == store_status::ok;
-}
-
-auto decider::load_jobs(const bool recovered) -> asio::awaitable<bool>
-{
-    const auto sent = monotonic_now();
-    const auto jobs = co_await m_store.list_all(std::string{job_prefix}, store_timeout);
-    if (jobs.m_status != store_status::ok) {
-        co_return false;
-    }
-    std::map<std::string, std::optional<job_progress>> stored;
-    if (recovered) {
-        const auto progress = co_await m_store.list_all(std::string{progress_prefix}, store_timeout);
-        if (progress.m_status != store_status::ok) {
-            co_return false;
-        }
-        for (const auto& item : progress.m_items) {
-            auto decoded = decode_job_progress(item.m_value);
-            if (!decoded) {
-                LOG(ERROR) << log_line{"progress_unreadable"}.with("key", item.m_key);
-                continue;
-            }
-            stored.emplace(item.m_key, std::move(decoded).assume_value());
-        }
-    }
-    m_jobs_revision = std::max(m_jobs_revision, jobs.m_revision);
-    const auto clock = read_clocks();
-    for (const auto& item : jobs.m_items) {
-        if (cancelled_job(item.m_key)) {
-            continue;
-        }
-        auto record = decode_job_record(item.m_value);
-        if (!record) {
-            LOG(ERROR) << log_line{"job_unreadable"}.with("key", item.m_key);
-            continue;
-        }
-        auto& progress = stored[progress_key(record.assume_value().m_id)];
-        add_job(m_state, std::move(record).assume_value(), progress, recovered, clock);
-    }
-    for (const auto& item : jobs.m_items) {
-        if (const auto id = cancelled_job(item.m_key)) {
-            apply_cancel(*id, item.m_value, clock);
-        }
-    }
-    record_jobs_read(sent);
-    co_return true;
-}
-
-auto decider::load_workers() -> asio::awaitable<bool>
-{
-    const auto sent = monotonic_now();
-    const auto page = co_await m_store.list_all(std::string{worker_prefix}, store_timeout);
-    if (page.m_status != store_status::ok) {
-        co_return false;
-    }
-    m_workers_revision = std::max(m_workers_revision, page.m_revision);
-    m_registry.clear();
-    for (const auto& item : page.m_items) {
-        apply_worker_entry(item.m_key, item.m_value);
-    }
-    std::erase_if(m_unusable_entries, [&page](const auto& logged) {
-        return std::none_of(page.m_items.begin(), page.m_items.end(),
-                            [&logged](const store_item& item) { return item.m_key == logged.first; });
-    });
-    record_workers_read(sent);
-    apply_workers();
-    co_return true;
-}
-
-auto decider::load_from_store() -> asio::awaitable<bool>
-{
-    if (m_decision_log_revision == store_revision{0}) {
-        const bool read = co_await read_decision_log();
-        if (!read) {
-            co_return false;
-        }
-        const bool written = co_await begin_decision_log();
-        if (!written) {
-            co_return false;
-        }
-    }
-    const bool jobs = co_await load_jobs(true);
-    if (!jobs) {
-        co_return false;
-    }
-    m_state.m_began = monotonic_now();
-    const bool workers = co_await load_workers();
-    if (workers && !m_lease_list_complete) {
-        for (const auto& worker : m_state.m_workers) {
-            m_state.m_expected_workers.insert(worker.m_entry.m_id);
-        }
-    }
-    co_return workers;
-}
-
-auto decider::load(const std::shared_ptr<decider> self) -> asio::awaitable<void>
-{
-    const auto begin = monotonic_now();
-    // GCC 12 miscompiles a co_await in the condition of a loop, hence the flag.
-    for (bool loaded = false; self->m_active && !loaded;) {
-        loaded = co_await load_from_store();
-        if (!loaded) {
-            check_deposed();
-            co_await sleep_for(m_executor, failure_pause);
-        }
-    }
-    if (!m_active) {
-        co_return;
-    }
-    m_loaded = true;
-    LOG(INFO) << log_line{"takeover"}
-                     .with("token", m_term.m_token)
-                     .with("jobs", m_state.m_jobs.size())
-                     .with("workers", m_state.m_workers.size())
-                     .with("expected", m_state.m_expected_workers.size())
-                     .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
-                     .with("took_ms", to_ms(monotonic_now() - begin));
-    run_in_term(watch_jobs(self), "watch_jobs");
-    run_in_term(watch_workers(self), "watch_workers");
-    run_in_term(store_progress(self), "store_progress");
-    run_in_term(tick(self), "tick");
-    run_in_term(collect_garbage(self), "collect_garbage");
-    start_fleet_controller();
-}
-
 auto decider::apply_job_change(const std::string& key, const std::optional<std::string>& value, const bool recovered)
     -> void
 {
@@ -345,7 +182,7 @@
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
             LOG(WARNING) << log_line{"job_history_gone"}.with("revision", m_jobs_revision);
-            static_cast<void>(co_await load_jobs(false));
+            static_cast<void>(co_await reload_jobs());
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/adapter/permit_client.hpp>
 #include <cicadalug/adapter/store_client.hpp>
+#include <cicadalug/async/retry_backoff.hpp>
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/fleet_controller.hpp>
 #include <cicadalug/entry/relay_sessions.hpp>
@@ -11,7 +12,9 @@
 #include <cicadalug/scheduler/decider_load.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/log_budget.hpp>
+#include <cicadalug/scheduler/paged_read.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/takeover.hpp>
 #include <cicadalug/scheduler/throttling.hpp>
 #include <cicadalug/telemetry/scheduler_metrics.hpp>
 
@@ -103,9 +106,16 @@
     /** @brief Runs a coroutine of the term; the term ends if it fails. @param name Has to outlive the coroutine. */
     auto run_in_term(asio::awaitable<void> coroutine, std::string_view name) -> void;
     [[nodiscard]] auto load(std::shared_ptr<decider> self) -> asio::awaitable<void>;
-    [[nodiscard]] auto load_from_store() -> asio::awaitable<bool>;
+    /** @brief Does the current step of the takeover. @return False if it failed. */
+    [[nodiscard]] auto do_takeover_step() -> asio::awaitable<bool>;
+    [[nodiscard]] auto report_slow_takeover(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto begin_decision_log() -> asio::awaitable<bool>;
-    [[nodiscard]] auto load_jobs(bool recovered) -> asio::awaitable<bool>;
+    /** @brief Reads the missing pages of a prefix. @return True if the pages are complete. */
+    [[nodiscard]] auto read_pages(std::string_view prefix, paged_read& read) -> asio::awaitable<bool>;
+    /** @brief Applies the pages of jobs and of their progress. */
+    auto apply_stored_jobs(bool recovered) -> void;
+    /** @brief Reads all jobs again, after the history of their changes was compacted. */
+    [[nodiscard]] auto reload_jobs() -> asio::awaitable<bool>;
     [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
     [[nodiscard]] auto watch_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto watch_workers(std::shared_ptr<decider> self) -> asio::awaitable<void>;
@@ -209,6 +219,12 @@
     version m_permit_config;
     log_budget m_run_log_budget;
     decider_load m_load;
+    takeover m_takeover;
+    retry_backoff m_load_backoff;
+    /** @brief Pages that have been read, but not applied as others are missing. */
+    paged_read m_job_pages;
+    paged_read m_progress_pages;
+    paged_read m_worker_pages;
     bool m_loaded{false};
     bool m_active{true};
     bool m_pass_scheduled{false};
--- /dev/null
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -0,0 +1,242 @@
+#include <cicadalug/adapter/operator_values.hpp>
+#include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/entry/decider.hpp>
+#include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/read_clocks.hpp>
+#include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/telemetry/log_line.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+#include <utility>
+
+namespace cicadalug {
+
+namespace {
+
+using internal::store_timeout;
+using internal::to_ms;
+
+/** @brief Maximum time without any byte of a page, which doubles with each failure up to the longest. */
+constexpr milliseconds longest_patience{5'000};
+
+/** @brief Interval of the log lines about a takeover that has not ended. */
+constexpr milliseconds slow_takeover_interval{1'000};
+
+} // namespace
+
+auto decider::read_decision_log() -> asio::awaitable<bool>
+{
+    const auto read = co_await m_store.read(std::string{decision_log_key}, store_timeout);
+    const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
+    const auto is_read = [](const store_read& result) {
+        return result.m_status == store_status::ok || result.m_status == store_status::missing;
+    };
+    // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number. They
+    // also start tasks on workers that no list names.
+    m_lease_list_complete = read.m_status == store_status::missing;
+    std::istringstream log{read.m_item.m_value};
+    std::istringstream list{leases.m_item.m_value};
+    std::string word;
+    log >> word >> word;
+    for (auto* text : {&log, &list}) {
+        while (*text >> word) {
+            if (word == complete_list_mark) {
+                m_lease_list_complete = true;
+            }
+            else {
+                m_state.m_expected_workers.emplace(word);
+            }
+        }
+    }
+    m_state.m_expected_listed = !m_state.m_expected_workers.empty();
+    co_return is_read(read) && is_read(leases);
+}
+
+auto decider::begin_decision_log() -> asio::awaitable<bool>
+{
+    // After the first write of a term, all writes of earlier terms fail, including those in flight.
+    store_write write;
+    write.m_conditions.push_back({std::string{holder_key}, m_term.m_revision});
+    write.m_puts.push_back({std::string{decision_log_key}, decision_log_value(m_lease_list_complete), no_store_lease});
+    const auto written = co_await m_store.write(std::move(write), store_timeout);
+    if (written.m_status == store_status::conflict) {
+        m_state.m_deposed = true;
+    }
+    if (written.m_status == store_status::ok) {
+        m_decision_log_revision = written.m_revision;
+    }
+    co_return written.m_status == store_status::ok;
+}
+
+auto decider::read_pages(const std::string_view prefix, paged_read& read) -> asio::awaitable<bool>
+{
+    const auto pages = read.m_pages;
+    if (!read.m_complete) {
+        const auto patience = m_load_backoff.scaled(store_timeout, longest_patience);
+        const auto status = co_await m_store.read_pages(std::string{prefix}, read, patience);
+        if (read.m_pages > pages) {
+            m_load_backoff.reset();
+        }
+        co_return status == store_status::ok;
+    }
+    co_return true;
+}
+
+auto decider::apply_stored_jobs(const bool recovered) -> void
+{
+    std::map<std::string, std::optional<job_progress>> stored;
+    for (const auto& item : m_progress_pages.m_items) {
+        auto decoded = decode_job_progress(item.m_value);
+        if (!decoded) {
+            LOG(ERROR) << log_line{"progress_unreadable"}.with("key", item.m_key);
+            continue;
+        }
+        stored.emplace(item.m_key, std::move(decoded).assume_value());
+    }
+    const auto jobs = std::exchange(m_job_pages, {});
+    m_progress_pages = {};
+    m_jobs_revision = std::max(m_jobs_revision, jobs.m_revision);
+    const auto clock = read_clocks();
+    for (const auto& item : jobs.m_items) {
+        if (cancelled_job(item.m_key)) {
+            continue;
+        }
+        auto record = decode_job_record(item.m_value);
+        if (!record) {
+            LOG(ERROR) << log_line{"job_unreadable"}.with("key", item.m_key);
+            continue;
+        }
+        auto& progress = stored[progress_key(record.assume_value().m_id)];
+        add_job(m_state, std::move(record).assume_value(), progress, recovered, clock);
+    }
+    for (const auto& item : jobs.m_items) {
+        if (const auto id = cancelled_job(item.m_key)) {
+            apply_cancel(*id, item.m_value, clock);
+        }
+    }
+    record_jobs_read(jobs.m_sent);
+}
+
+auto decider::reload_jobs() -> asio::awaitable<bool>
+{
+    const bool read = co_await read_pages(job_prefix, m_job_pages);
+    if (read) {
+        apply_stored_jobs(false);
+    }
+    co_return read;
+}
+
+auto decider::load_workers() -> asio::awaitable<bool>
+{
+    const bool read = co_await read_pages(worker_prefix, m_worker_pages);
+    if (!read) {
+        co_return false;
+    }
+    const auto pages = std::exchange(m_worker_pages, {});
+    m_workers_revision = std::max(m_workers_revision, pages.m_revision);
+    m_registry.clear();
+    for (const auto& item : pages.m_items) {
+        apply_worker_entry(item.m_key, item.m_value);
+    }
+    std::erase_if(m_unusable_entries, [&pages](const auto& logged) {
+        return std::none_of(pages.m_items.begin(), pages.m_items.end(),
+                            [&logged](const store_item& item) { return item.m_key == logged.first; });
+    });
+    record_workers_read(pages.m_sent);
+    apply_workers();
+    co_return true;
+}
+
+auto decider::do_takeover_step() -> asio::awaitable<bool>
+{
+    switch (m_takeover.m_step) {
+    case takeover_step::read_decision_log:
+        co_return co_await read_decision_log();
+    case takeover_step::begin_decision_log:
+        co_return co_await begin_decision_log();
+    case takeover_step::read_jobs:
+        co_return co_await read_pages(job_prefix, m_job_pages);
+    case takeover_step::read_progress: {
+        const bool read = co_await read_pages(progress_prefix, m_progress_pages);
+        if (read) {
+            apply_stored_jobs(true);
+        }
+        co_return read;
+    }
+    case takeover_step::read_workers: {
+        m_state.m_began = monotonic_now();
+        const bool read = co_await load_workers();
+        if (read && !m_lease_list_complete) {
+            for (const auto& worker : m_state.m_workers) {
+                m_state.m_expected_workers.insert(worker.m_entry.m_id);
+            }
+        }
+        co_return read;
+    }
+    case takeover_step::done:
+        break;
+    }
+    co_return true;
+}
+
+auto decider::load(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    while (self->m_active && m_takeover.m_step != takeover_step::done) {
+        const bool succeeded = co_await do_takeover_step();
+        if (succeeded) {
+            complete_step(m_takeover, monotonic_now());
+            m_load_backoff.reset();
+            continue;
+        }
+        count_failure(m_takeover);
+        check_deposed();
+        co_await sleep_for(m_executor, m_load_backoff.next_pause());
+    }
+    if (!m_active) {
+        co_return;
+    }
+    m_loaded = true;
+    LOG(INFO) << log_line{"takeover"}
+                     .with("token", m_term.m_token)
+                     .with("jobs", m_state.m_jobs.size())
+                     .with("workers", m_state.m_workers.size())
+                     .with("expected", m_state.m_expected_workers.size())
+                     .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
+                     .with("failures", m_takeover.m_failures)
+                     .with("jobs_ms", to_ms(duration_of(m_takeover, takeover_step::read_jobs)))
+                     .with("progress_ms", to_ms(duration_of(m_takeover, takeover_step::read_progress)))
+                     .with("workers_ms", to_ms(duration_of(m_takeover, takeover_step::read_workers)))
+                     .with("took_ms", to_ms(monotonic_now() - m_takeover.m_began));
+    run_in_term(watch_jobs(self), "watch_jobs");
+    run_in_term(watch_workers(self), "watch_workers");
+    run_in_term(store_progress(self), "store_progress");
+    run_in_term(tick(self), "tick");
+    run_in_term(collect_garbage(self), "collect_garbage");
+    start_fleet_controller();
+}
+
+auto decider::report_slow_takeover(const std::shared_ptr<decider> self) -> asio::awaitable<void>
+{
+    for (;;) {
+        co_await sleep_for(m_executor, slow_takeover_interval);
+        if (!self->m_active || m_loaded) {
+            co_return;
+        }
+        LOG(WARNING) << log_line{"takeover_slow"}
+                            .with("token", m_term.m_token)
+                            .with("step", name_of(m_takeover.m_step))
+                            .with("age_ms", to_ms(monotonic_now() - m_takeover.m_began))
+                            .with("failures", m_takeover.m_failures)
+                            .with("step_failures", m_takeover.m_step_failures)
+                            .with("job_pages", m_job_pages.m_pages)
+                            .with("progress_pages", m_progress_pages.m_pages)
+                            .with("worker_pages", m_worker_pages.m_pages);
+    }
+}
+
+} // namespace cicadalug
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -119,11 +119,13 @@
 
 auto fleet_controller::read_waves() -> asio::awaitable<bool>
 {
-    const auto page = co_await m_dependencies.m_store->list_all(std::string{wave_prefix}, call_timeout);
-    if (page.m_status != store_status::ok) {
+    const auto status =
+        co_await m_dependencies.m_store->read_pages(std::string{wave_prefix}, m_wave_pages, call_timeout);
+    if (status != store_status::ok) {
         co_return false;
     }
-    for (const auto& item : page.m_items) {
+    const auto pages = std::exchange(m_wave_pages, {});
+    for (const auto& item : pages.m_items) {
         apply_wave(item.m_value);
     }
     std::vector<std::int64_t> unloaded;
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -6,6 +6,7 @@
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/scheduler/maintenance.hpp>
 #include <cicadalug/scheduler/moves.hpp>
+#include <cicadalug/scheduler/paged_read.hpp>
 #include <cicadalug/scheduler/queue_config.hpp>
 #include <cicadalug/scheduler/saved_fleet_state.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
@@ -111,6 +112,7 @@
 
     fleet_controller_dependencies m_dependencies;
     std::unique_ptr<fleet_client> m_fleet;
+    paged_read m_wave_pages;
     std::map<std::int64_t, open_wave> m_waves;
     vm_list m_vms;
     std::set<vm_id> m_pending_maintenance;
--- a/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/store_types.hpp
@@ -52,8 +52,18 @@
     store_item m_item;
 };
 
+/** @brief Details of a failed call, for the log. */
+struct store_failure {
+    /** @brief HTTP status; 0 without a response. */
+    unsigned m_http_status{0};
+    std::string m_reason;
+    /** @brief Bytes of the response's body that were received. */
+    std::size_t m_received_bytes{0};
+};
+
 struct store_page {
     store_status m_status{store_status::unknown};
+    store_failure m_failure;
     std::vector<store_item> m_items;
     bool m_more{false};
     store_revision m_revision;
