Read a large configuration over a busy link

What was given up kept the store's link full. Besides, each failed watch made the configuration be read as a whole again.

The read is limited by inactivity now, and it is repeated after pauses that grow and differ between entry VMs. After a failure other than a compacted history, the watch continues from the known revision. The stand-in of the store can limit the bandwidth that its responses share.

--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/adapter/operator_values.hpp>
 #include <cicadalug/adapter/store_client.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/retry_backoff.hpp>
 #include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/client_api.hpp>
 #include <cicadalug/entry/decider.hpp>
@@ -39,6 +40,12 @@
 
 constexpr milliseconds failure_pause{60};
 
+/** @brief Longest pause between two attempts to read the configuration. */
+constexpr milliseconds longest_failure_pause{2'000};
+
+/** @brief Maximum time without any byte of a response with the configuration, after any number of failures. */
+constexpr milliseconds longest_patience{5'000};
+
 /** @brief After SIGTERM the load balancer sends new connections until two checks, one per second, have failed. */
 constexpr milliseconds balancer_delay{2'600};
 
@@ -196,27 +203,46 @@
 
     [[nodiscard]] auto watch_config() -> asio::awaitable<void>
     {
-        bool known{false};
-        store_revision seen;
+        retry_backoff backoff{m_settings.m_entry_vm.str(), failure_pause, longest_failure_pause};
+        std::optional<store_revision> seen;
         for (;;) {
-            if (!known) {
-                const auto page = co_await m_store.list(std::string{config_key}, std::string{}, store_timeout);
-                if (page.m_status != store_status::ok) {
-                    co_await sleep_for(m_executor, failure_pause);
-                    continue;
-                }
-                seen = page.m_revision;
-                known = true;
-                for (const auto& item : page.m_items) {
-                    apply_config(item.m_value);
-                }
+            auto status = store_status::ok;
+            if (!seen) {
+                status = co_await read_config(seen, backoff.scaled(store_timeout, longest_patience));
             }
-            const auto changes = co_await m_store.watch(std::string{config_key}, seen, watch_wait);
-            if (changes.m_status != store_status::ok) {
-                known = false;
-                co_await sleep_for(m_executor, failure_pause);
+            else {
+                status = co_await follow_config(*seen, backoff.scaled(watch_slack, longest_patience));
+            }
+            if (status == store_status::ok) {
+                backoff.reset();
                 continue;
             }
+            if (status == store_status::compacted) {
+                seen.reset();
+            }
+            co_await sleep_for(m_executor, backoff.next_pause());
+        }
+    }
+
+    /** @brief Reads the configuration, and the revision from which to follow its changes. */
+    [[nodiscard]] auto read_config(std::optional<store_revision>& seen, const milliseconds patience)
+        -> asio::awaitable<store_status>
+    {
+        const auto page = co_await m_store.list_bulk(std::string{config_key}, std::string{}, patience);
+        if (page.m_status == store_status::ok) {
+            seen = page.m_revision;
+            for (const auto& item : page.m_items) {
+                apply_config(item.m_value);
+            }
+        }
+        co_return page.m_status;
+    }
+
+    /** @brief Waits for changes of the configuration after a revision, and applies them. */
+    [[nodiscard]] auto follow_config(store_revision& seen, const milliseconds patience) -> asio::awaitable<store_status>
+    {
+        const auto changes = co_await m_store.watch(std::string{config_key}, seen, watch_wait, patience);
+        if (changes.m_status == store_status::ok) {
             seen = std::max(seen, changes.m_revision);
             for (const auto& change : changes.m_changes) {
                 if (change.m_value) {
@@ -224,6 +250,7 @@
                 }
             }
         }
+        co_return changes.m_status;
     }
 
     [[nodiscard]] auto shut_down_on_signal() -> asio::awaitable<void>
--- a/test/process/scheduler_deployment.hpp
+++ b/test/process/scheduler_deployment.hpp
@@ -57,18 +57,7 @@
     /** @param cpu_share CPU capacity that the settings of the entry VMs state, in cores. */
     explicit scheduler_deployment(const double cpu_share = 1.0) : m_cpu_share{cpu_share}
     {
-        json config{{"version", 1}, {"limits", json::object()}};
-        config["services"] = json::array({{{"name", "batch"}, {"enforces_capacity", false}}});
-        // The requests of these tests have no Host header.
-        config["routes"] = json::array({{{"name", "night"},
-                                         {"host", ""},
-                                         {"prefix", "/night/"},
-                                         {"service", "batch"},
-                                         {"timeout_ms", 3'000},
-                                         {"priority", 0},
-                                         {"max_attempts", 3},
-                                         {"stretch", 3.0},
-                                         {"target_duration_ms", 10'000}}});
+        const auto config = config_of(1, 0, 0);
         std::vector<std::string> arguments{"--listen",    m_store, "--config",
                                            config.dump(), "--cpu", std::to_string(worker_cpu)};
         for (std::size_t index = 0; index < worker_count; ++index) {
@@ -94,6 +83,32 @@
         }
     }
 
+    /** @brief Returns a configuration with the queue of the tests and further ones. @param host_size Size of the host
+     * name of each further queue. */
+    [[nodiscard]] static auto config_of(const int version, const std::size_t further_queues,
+                                        const std::size_t host_size) -> json
+    {
+        json config{{"version", version}, {"limits", json::object()}};
+        config["services"] = json::array({{{"name", "batch"}, {"enforces_capacity", false}}});
+        // The requests of these tests have no Host header.
+        config["routes"] = json::array({{{"name", "night"},
+                                         {"host", ""},
+                                         {"prefix", "/night/"},
+                                         {"service", "batch"},
+                                         {"timeout_ms", 3'000},
+                                         {"priority", 0},
+                                         {"max_attempts", 3},
+                                         {"stretch", 3.0},
+                                         {"target_duration_ms", 10'000}}});
+        for (std::size_t index = 0; index < further_queues; ++index) {
+            auto queue = config["routes"][0];
+            queue["name"] = "night-" + std::to_string(index);
+            queue["host"] = std::string(host_size, 'x') + std::to_string(index);
+            config["routes"].push_back(std::move(queue));
+        }
+        return config;
+    }
+
     [[nodiscard]] static auto at_port(const int first_port, const std::size_t index) -> std::string
     {
         return loopback_address() + ':' + std::to_string(first_port + static_cast<int>(index));
--- a/test/process/scheduler_takeover.cpp
+++ b/test/process/scheduler_takeover.cpp
@@ -60,4 +60,30 @@
     EXPECT_TRUE(wait_until([] { return listed_bytes() == (worker_count - 1) * id_bytes; }, patience)) << listed_bytes();
 }
 
+// Guards against entry VMs that repeat large reads with a time limit that a link shared by all of them exceeds: what
+// they give up and begin again keeps the link full, so that none of them ever gets its configuration or its jobs.
+TEST_F(scheduler_takeover, ends_after_a_common_restart_on_a_slow_link_of_the_store)
+{
+    constexpr int stored_jobs{3'000};
+    constexpr int link_bytes_per_s{1'000'000};
+    constexpr std::size_t queues{1'600};
+    constexpr std::size_t host_size{400};
+    constexpr milliseconds takeover_limit{30'000};
+    submit(first_job, 1);
+    ASSERT_TRUE(wait_until([] { return state_of(first_job) == "completed"; }, patience));
+    control({{"copied_job", {{"id", first_job}, {"copies", stored_jobs}}},
+             {"config", config_of(2, queues, host_size)},
+             {"link_bytes_per_s", link_bytes_per_s}});
+    for (std::size_t index = 0; index < entry_vm_count; ++index) {
+        kill(index);
+    }
+    for (std::size_t index = 0; index < entry_vm_count; ++index) {
+        start(index);
+    }
+    ASSERT_TRUE(wait_until([] { return are_ready() && decider() < entry_vm_count; }, takeover_limit));
+    submit(second_job, 1);
+    EXPECT_TRUE(wait_until([this] { return control()["starts"].size() == 2; }, patience));
+    EXPECT_EQ(state_of("000000000000" + std::to_string(stored_jobs - 1)), "completed");
+}
+
 } // namespace
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -25,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,8 @@
 /** @brief A worker's entry expires after three heartbeat intervals. */
 constexpr milliseconds entry_lease{4'500};
 constexpr milliseconds longest_watch{30'000};
+/** @brief Responses take turns on the link after this many bytes. */
+constexpr std::size_t link_piece_bytes{16'384};
 
 struct standin_options {
     std::string m_listen{"127.0.0.1:0"};
@@ -70,6 +73,8 @@
     std::map<std::string, milliseconds> m_held_writes;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
+    /** @brief Bandwidth that the responses of the store share, in bytes per second; 0 for unlimited. */
+    std::int64_t m_link_bytes_per_s{0};
     /** @brief If positive, workers respond to no start and no stop, and carry each out after this time. */
     milliseconds m_command_delay{0};
 };
@@ -81,6 +86,14 @@
     return text;
 }
 
+[[nodiscard]] auto decode_base64(const std::string& text) -> std::string
+{
+    std::string bytes(beast::detail::base64::decoded_size(text.size()), '\0');
+    const auto [written, read] = beast::detail::base64::decode(bytes.data(), text.data(), text.size());
+    bytes.resize(written);
+    return bytes;
+}
+
 [[nodiscard]] auto query_text(const http_target& target, const std::string& name) -> std::string
 {
     const auto found = target.m_query.find(name);
@@ -136,7 +149,7 @@
         if (const auto delay = m_faults.m_delays.find(target.m_path); delay != m_faults.m_delays.end()) {
             co_await sleep(delay->second);
         }
-        co_await exchange.respond(json_response(result.m_status, result.m_body));
+        co_await respond_on_link(exchange, json_response(result.m_status, result.m_body));
     }
 
     [[nodiscard]] auto handle_worker(http_exchange& exchange, scheduler_worker& worker) -> asio::awaitable<void>
@@ -322,7 +335,49 @@
         if (prefix == m_faults.m_partial_watch) {
             co_await sleep(m_faults.m_partial_delay);
         }
-        co_await exchange.respond(json_response(http::status::ok, changes));
+        co_await respond_on_link(exchange, json_response(http::status::ok, changes));
+    }
+
+    /** @brief Responds piece by piece at the rate of the link, which concurrent responses share. */
+    [[nodiscard]] auto respond_on_link(http_exchange& exchange, http_response response) -> asio::awaitable<void>
+    {
+        const auto rate = m_faults.m_link_bytes_per_s;
+        if (rate == 0 || response.body().size() <= link_piece_bytes || response.result() != http::status::ok) {
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        bool open = co_await exchange.begin_stream("application/json");
+        const std::string_view body{response.body()};
+        for (std::size_t begin = 0; open && begin < body.size(); begin += link_piece_bytes) {
+            const auto piece = body.substr(begin, link_piece_bytes);
+            const auto now = monotonic_now();
+            m_link_free_at = std::max(m_link_free_at, now) +
+                             microseconds{static_cast<std::int64_t>(piece.size()) * 1'000'000 / rate};
+            co_await sleep(std::chrono::ceil<milliseconds>(m_link_free_at - now));
+            open = co_await exchange.write_chunk(piece);
+        }
+    }
+
+    /** @brief Stores copies of a job and its progress under other ids. */
+    auto copy_job(const std::string& id, const int copies) -> void
+    {
+        for (const std::string prefix : {"job/", "progress/"}) {
+            const auto stored = m_store.read(prefix + id);
+            if (stored.m_status != http::status::ok) {
+                std::cerr << "job " << id << " has no " << prefix << '\n';
+                return;
+            }
+            const auto value = decode_base64(stored.m_body.at("value").get<std::string>());
+            for (int copy = 0; copy < copies; ++copy) {
+                auto other = std::to_string(copy);
+                other.insert(0, id.size() - other.size(), '0');
+                auto text = value;
+                if (const auto position = text.find(id); position != std::string::npos) {
+                    text.replace(position, id.size(), other);
+                }
+                put(prefix + other, text, 0);
+            }
+        }
     }
 
     /** @brief Returns the response to a watch, with only a part of the changes if that fault is set. */
@@ -370,6 +425,13 @@
             m_faults.m_partial_changes = partial->value("changes", std::size_t{1});
             m_faults.m_partial_delay = milliseconds{partial->value("delay_ms", 0)};
         }
+        m_faults.m_link_bytes_per_s = body.value("link_bytes_per_s", m_faults.m_link_bytes_per_s);
+        if (const auto config = body.find("config"); config != body.end()) {
+            put("op/config", config->dump(), 0);
+        }
+        if (const auto copies = body.find("copied_job"); copies != body.end()) {
+            copy_job(copies->value("id", ""), copies->value("copies", 0));
+        }
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
         m_faults.m_overwritten = body.value("overwritten", m_faults.m_overwritten);
@@ -419,6 +481,8 @@
     scheduler_store m_store;
     std::vector<scheduler_worker> m_workers;
     injected_faults m_faults;
+    /** @brief When all pieces of responses have been sent that are waiting for the link. */
+    time_point m_link_free_at{};
     /** @brief Number of lists by prefix. */
     std::map<std::string, int> m_lists;
     /** @brief Number of starts of a task that was running on another worker. */
