Try long-running suspects on paused workers

Callers saw a long-running task without a run for seconds, with room for it (LOST), on a pool whose workers were all paused after failures; the line of its wait said no_trial although workers accept work.

Cause: a long-running task that has waited for a second may start on paused workers, but a suspect is only started in a trial, and trials were planned on workers that accept new work alone. With pauses of up to 12 s and tasks that fail again and again, all workers of a pool are paused at once.

Trials of long-running tasks now use paused workers after the same wait, if no other worker can hold them. Paused workers in a trial count towards the limit of trials in a pool, so that one at most is in a trial while all are paused.

Evidence: the new test failed before: neither suspect was started within 2 s.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -49,6 +49,14 @@
             static_cast<std::int64_t>(index)};
 }
 
+/** @brief Returns a request for a place for a task. The step has to outlast it. */
+[[nodiscard]] auto request_of(const waiting_step& waiting, const std::size_t index) -> placement_request
+{
+    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
+    return {&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
+            &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+}
+
 [[nodiscard]] auto collect_waiting(const scheduler_state& state, const std::vector<job_entry*>& jobs,
                                    const bool recovered, const time_point now) -> std::vector<waiting_step>
 {
@@ -119,7 +127,7 @@
     time_point m_now{};
     /** @brief Workers that accept new work, those in a trial included; the index lacks these. */
     std::vector<worker_index> m_accepting;
-    /** @brief Workers in m_accepting that are in a trial. */
+    /** @brief Workers that accept new work, or would without their pause, and are in a trial. */
     std::size_t m_in_trial{0};
     /** @brief Workers that are kept free for long-running tasks. */
     std::vector<worker_index> m_kept_free;
@@ -201,9 +209,7 @@
 [[nodiscard]] auto choose_worker(service_pass& pass, const waiting_step& waiting, const std::size_t index)
     -> worker_index
 {
-    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const placement_request request{&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
-                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    const auto request = request_of(waiting, index);
     const auto worker = choose_worker(pass.m_index, pass.m_state, request, pass.m_now);
     return worker == no_worker && uses_paused_workers(pass, waiting, index)
                ? choose_worker(pass.m_paused, pass.m_state, request, pass.m_now)
@@ -298,19 +304,38 @@
     }
 }
 
-/** @brief Selects a worker on which the trial can begin at once, and among these the one with the fewest runs, all of
- * which would be lost in a crash. */
+/** @brief Returns the workers on which a trial may begin, paused ones included if the task may use them. */
+[[nodiscard]] auto trial_candidates(const service_pass& pass, const waiting_step& waiting, const std::size_t index)
+    -> std::vector<worker_index>
+{
+    auto candidates = pass.m_accepting;
+    if (uses_paused_workers(pass, waiting, index)) {
+        candidates.insert(candidates.end(), pass.m_paused.m_candidates.begin(), pass.m_paused.m_candidates.end());
+    }
+    return candidates;
+}
+
+/** @brief Checks whether a trial that was planned for a worker may still begin there. */
+[[nodiscard]] auto accepts_trial(const service_pass& pass, const waiting_step& waiting, const std::size_t index,
+                                 const worker_index worker) -> bool
+{
+    const auto& slot = pass.m_state.m_workers[static_cast<std::size_t>(worker)];
+    const auto& service = waiting.m_job->m_record.m_policy.m_service;
+    return accepts_new_work(slot, service, pass.m_now) ||
+           (uses_paused_workers(pass, waiting, index) && is_paused(slot, service, pass.m_now));
+}
+
+/** @brief Selects a worker for a trial: a paused one only if no other can hold it, then one on which the trial can
+ * begin at once, and among these the one with the fewest runs, all of which would be lost in a crash. */
 [[nodiscard]] auto choose_trial_worker(const service_pass& pass, const waiting_step& waiting, const std::size_t index)
     -> worker_index
 {
-    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const placement_request request{&waiting.m_job->m_record.m_spec.m_steps[waiting.m_step], task_of(waiting, index),
-                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    const auto request = request_of(waiting, index);
     auto best = no_worker;
-    std::pair<bool, std::size_t> best_cost;
-    for (const auto candidate : pass.m_accepting) {
+    std::tuple<bool, bool, std::size_t> best_cost;
+    for (const auto candidate : trial_candidates(pass, waiting, index)) {
         const auto& worker = pass.m_state.m_workers[static_cast<std::size_t>(candidate)];
-        const std::pair cost{!is_quiet(worker), worker.m_runs.size()};
+        const std::tuple cost{worker.m_paused_until > pass.m_now, !is_quiet(worker), worker.m_runs.size()};
         if (can_place(pass.m_state, candidate, request, pass.m_now) && !is_in_trial(pass.m_state, candidate) &&
             (best == no_worker || cost < best_cost)) {
             best = candidate;
@@ -327,17 +352,14 @@
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
     const auto task = task_of(waiting, index);
-    const placement_request request{&job.m_record.m_spec.m_steps[waiting.m_step], task,
-                                    &step.m_tasks[index].m_failed_workers, waiting.m_needs_permit ? &step : nullptr};
+    const auto request = request_of(waiting, index);
     auto* trial = find_trial(state, task);
     if (trial != nullptr) {
         const auto worker = trial->m_worker;
-        const auto& accepting = pass.m_accepting;
         if (trial->m_started) {
             return;
         }
-        if (std::find(accepting.begin(), accepting.end(), worker) == accepting.end() ||
-            !can_place(state, worker, request, pass.m_now)) {
+        if (!accepts_trial(pass, waiting, index, worker) || !can_place(state, worker, request, pass.m_now)) {
             drop_trial(state, task);
             return;
         }
@@ -355,27 +377,24 @@
     const auto worker = choose_trial_worker(pass, waiting, index);
     if (worker == no_worker) {
         if (waiting.m_needs_permit) {
-            request_permits(state, task, step, pass.m_accepting, pass.m_now);
+            request_permits(state, task, step, trial_candidates(pass, waiting, index), pass.m_now);
         }
         return;
     }
     plan_trial(state, task, worker, next_run(state, step.m_tasks[index]));
     ++pass.m_in_trial;
     remove_candidate(pass.m_index, state, worker);
+    remove_candidate(pass.m_paused, state, worker);
 }
 
 /** @brief Keeps a worker free from other tasks than long-running ones, so that one of those can start there soon. */
 auto keep_worker_free(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
 {
-    const auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const auto& spec = waiting.m_job->m_record.m_spec.m_steps[waiting.m_step];
-    if (!spec.m_long_running) {
+    if (!waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_long_running) {
         return;
     }
-    const auto worker = choose_worker_to_free(pass.m_index, pass.m_state,
-                                              {&spec, task_of(waiting, index), &step.m_tasks[index].m_failed_workers,
-                                               waiting.m_needs_permit ? &step : nullptr},
-                                              pass.m_kept_free, pass.m_now);
+    const auto worker =
+        choose_worker_to_free(pass.m_index, pass.m_state, request_of(waiting, index), pass.m_kept_free, pass.m_now);
     if (worker != no_worker) {
         pass.m_kept_free.push_back(worker);
     }
@@ -539,7 +558,7 @@
             if (accepts_new_work(worker, service, now)) {
                 candidates.push_back(index);
             }
-            else if (is_paused(worker, service, now) && !is_in_trial(state, index)) {
+            else if (is_paused(worker, service, now)) {
                 paused.push_back(index);
             }
         }
@@ -547,8 +566,10 @@
             continue;
         }
         auto accepting = candidates;
-        const auto in_trial = static_cast<std::size_t>(
-            std::erase_if(candidates, [&state](const worker_index index) { return is_in_trial(state, index); }));
+        const auto tried = [&state](const worker_index index) {
+            return is_in_trial(state, index);
+        };
+        const auto in_trial = std::erase_if(candidates, tried) + std::erase_if(paused, tried);
         service_pass pass{state,
                           make_placement_index(state, std::move(candidates)),
                           make_placement_index(state, std::move(paused)),
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion.cpp
@@ -503,4 +503,32 @@
     EXPECT_EQ(simulation.stored_state(deadly), job_state::failed);
 }
 
+// Guards against a long-running suspect without a run while all workers that can hold it are paused.
+TEST(crash_suspicion_evidence, a_long_running_suspect_is_tried_on_a_paused_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_long_running_job("quotes", 2, 1));
+    simulation.run_for(milliseconds{100});
+    auto& state = simulation.m_state;
+    for (auto& worker : state.m_workers) {
+        worker.m_paused_until = simulation.now() + milliseconds{10'000};
+    }
+    simulation.fail_runs(worker_id{"w1"});
+    simulation.fail_runs(worker_id{"w2"});
+    simulation.run_for(milliseconds{50});
+    for (std::int64_t index = 0; index < 2; ++index) {
+        ASSERT_EQ(find_task(state, {job, 0, 0, index})->m_phase, task_phase::waiting);
+        find_task(state, {job, 0, 0, index})->m_suspect = true;
+    }
+    simulation.run_for(milliseconds{500});
+    EXPECT_TRUE(state.m_trials.empty()) << "paused workers are used after a wait only";
+    for (int tick = 0; tick < 200; ++tick) {
+        simulation.run_for(milliseconds{10});
+        ASSERT_LE(state.m_trials.size(), 1U) << "both workers in trials at once";
+    }
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 2);
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 1}), 2);
+}
+
 } // namespace cicadalug::test
