Keep a start without a response beyond the lease of its worker

Callers saw two runs of one task on workers that are up (TWICE): the start of the first had no response, its worker started again under its id, and the next incarnation carried the start out after the task had begun elsewhere.

Cause: the lease in a start ends at a time on the clock of the incarnation to which it is sent. The clock of the next one starts anew, so that it accepts the start whenever it arrives. The decider counted the start as ended with the lease of the last incarnation, before the next one had reported.

Such a start now ends with the first report that settles it. It is stopped meanwhile, so that the worker refuses it.

Evidence: two of the new tests failed before, the task was waiting again.

Open: a start sent by the last decider to the last incarnation is not known to the next decider.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -2,19 +2,17 @@
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/run_times.hpp>
+#include <cicadalug/scheduler/unanswered_start.hpp>
 #include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace cicadalug {
 
 namespace {
 
-/** @brief Weight of a new sample in the mean run time of a queue. */
-constexpr double run_time_weight{0.1};
-
 /** @brief Pauses of a worker after a rejected start: for lack of capacity or health, or if another worker responded. */
 constexpr milliseconds rejection_pause{300};
 constexpr milliseconds other_worker_pause{1'000};
@@ -143,20 +141,6 @@
     }
 }
 
-auto learn_run_time(scheduler_state& state, const job_entry& job, const task_state& task, const time_point now) -> void
-{
-    if (task.m_phase != task_phase::running || !task.m_checkpoint.empty()) {
-        return;
-    }
-    const auto run_time_ms = static_cast<double>((now - task.m_since).count()) / 1'000.0;
-    auto& estimate = state.m_run_times[job.m_record.m_policy.m_queue];
-    estimate.m_mean_ms = estimate.m_samples == 0
-                             ? run_time_ms
-                             : estimate.m_mean_ms + run_time_weight * (run_time_ms - estimate.m_mean_ms);
-    estimate.m_deviation_ms += run_time_weight * (std::abs(run_time_ms - estimate.m_mean_ms) - estimate.m_deviation_ms);
-    ++estimate.m_samples;
-}
-
 /** @brief Stops the remaining runs of a task that is done. */
 auto stop_other_runs(scheduler_state& state, const task_ref& task) -> void
 {
@@ -228,15 +212,6 @@
     });
 }
 
-/** @brief Checks whether a start without a response can no longer be carried out: the worker's clock has passed its
- * lease. Stops of the run may have no response either. */
-[[nodiscard]] auto has_start_lapsed(const scheduler_state& state, const placed_run& run, const worker_report& report)
-    -> bool
-{
-    return !run.m_confirmed && run.m_no_response_since && run.m_start_until_ms > 0 &&
-           report.m_clock_ms > run.m_start_until_ms + state.m_settings.m_lease_margin.count();
-}
-
 /** @brief Abandons runs missing in the report of a poll that was sent after their start or stop had been settled. */
 auto drop_missing_runs(scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point sent,
                        const time_point now) -> void
@@ -334,6 +309,26 @@
     }
 }
 
+/** @brief Abandons the runs of a worker whose lease has ended, except for starts that its next incarnation may still
+ * carry out: these are stopped first. */
+auto end_lapsed_runs(scheduler_state& state, worker_slot& worker, const worker_index index, const time_point now)
+    -> void
+{
+    auto suspects = find_crash_suspects(state, index);
+    for (std::size_t position = 0; position < worker.m_runs.size();) {
+        auto& run = worker.m_runs[position];
+        if (may_start_in_next_incarnation(state, worker, run, now)) {
+            run.m_stop_requested = true;
+            std::erase_if(suspects, [&run](const lost_run& lost) { return lost.m_task == run.m_task; });
+            ++position;
+            continue;
+        }
+        abandon_run(state, worker, worker.m_runs.begin() + static_cast<std::ptrdiff_t>(position),
+                    lost_cause::lease_over, now);
+    }
+    record_lost_runs(state, index, suspects, now);
+}
+
 /** @brief Assumes that an earlier decider granted the longest lease that it could just before a worker's first report.
  * The worker rejects calls of earlier deciders from the call on to which the report responds. */
 auto inherit_lease(const scheduler_state& state, worker_slot& worker, const worker_report& report, const time_point now)
@@ -576,9 +571,7 @@
         auto& worker = state.m_workers[static_cast<std::size_t>(position)];
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
-            const auto suspects = find_crash_suspects(state, position);
-            abandon_all_runs(state, worker, lost_cause::lease_over, now);
-            record_lost_runs(state, position, suspects, now);
+            end_lapsed_runs(state, worker, position, now);
         }
         for (auto& run : worker.m_runs) {
             const bool repeat = run.m_stop_sent == time_point{} ||
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -0,0 +1,19 @@
+#include <cicadalug/scheduler/unanswered_start.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
+
+namespace cicadalug {
+
+auto has_start_lapsed(const scheduler_state& state, const placed_run& run, const worker_report& report) -> bool
+{
+    return !run.m_confirmed && run.m_no_response_since && run.m_start_until_ms > 0 &&
+           report.m_clock_ms > run.m_start_until_ms + state.m_settings.m_lease_margin.count();
+}
+
+auto may_start_in_next_incarnation(const scheduler_state& state, const worker_slot& worker, const placed_run& run,
+                                   const time_point now) -> bool
+{
+    return !run.m_confirmed && (now < run.m_sent + state.m_settings.m_late_start_time ||
+                                find_service_obstacle(worker) == worker_obstacle::other_incarnation);
+}
+
+} // namespace cicadalug
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
@@ -0,0 +1,84 @@
+#include "scheduler_simulation.hpp"
+
+#include <cicadalug/scheduler/crash_suspicion.hpp>
+#include <cicadalug/scheduler/unanswered_start.hpp>
+
+#include <gtest/gtest.h>
+
+namespace cicadalug::test {
+
+namespace {
+
+/** @brief Lets a start to the only worker of a pool remain without a response. @return The job. */
+[[nodiscard]] auto begin_with_unanswered_start(scheduler_simulation& simulation) -> job_id
+{
+    simulation.begin_with("orders", 1);
+    auto job = simulation.submit(make_long_running_job("orders", 1, 1));
+    auto& state = simulation.m_state;
+    dispatch(state, simulation.now());
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, simulation.now());
+    EXPECT_EQ(state.m_starts.size(), 1U);
+    apply_start_result(state, state.m_starts.front(), command_result::unknown, simulation.now() + milliseconds{800});
+    state.m_starts.clear();
+    return job;
+}
+
+/** @brief Applies the end of the leases at a time at which the term is guaranteed. */
+auto expire_at(scheduler_state& state, const time_point now) -> void
+{
+    state.m_term_guaranteed_until = now + milliseconds{500};
+    expire_runs(state, now);
+}
+
+} // namespace
+
+// Guards against a second run of a task while the next incarnation of a worker carries out a start that was sent to the
+// last one, whose lease has ended.
+TEST(unanswered_start, a_start_without_a_response_does_not_end_with_the_lease_of_its_worker)
+{
+    scheduler_simulation simulation;
+    const auto job = begin_with_unanswered_start(simulation);
+    auto& state = simulation.m_state;
+    const auto& worker = state.m_workers.front();
+    const auto sent = worker.m_runs.front().m_sent;
+    ASSERT_LT(lease_end(state, worker), sent + state.m_settings.m_late_start_time);
+    expire_at(state, sent + state.m_settings.m_late_start_time - milliseconds{1});
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::starting);
+    ASSERT_EQ(state.m_stops.size(), 1U) << "the next incarnation is to refuse the start";
+    expire_at(state, sent + state.m_settings.m_late_start_time);
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::waiting);
+    EXPECT_TRUE(is_suspect(*find_task(state, {job, 0, 0, 0}))) << "the start may have crashed the worker";
+}
+
+// Guards against a second run of a task whose start may have been carried out by an incarnation that has not reported.
+TEST(unanswered_start, a_start_without_a_response_waits_for_the_report_of_a_registered_incarnation)
+{
+    scheduler_simulation simulation;
+    const auto job = begin_with_unanswered_start(simulation);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers.front().m_entry;
+    entry.m_incarnation_start_unix_ms = 1'000'000;
+    register_worker(state, entry);
+    const auto late = simulation.now() + milliseconds{20'000};
+    expire_at(state, late);
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::starting);
+    unregister_worker(state, entry.m_id);
+    expire_at(state, late);
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::waiting);
+}
+
+// Guards against a run that is kept as if it could start, although its worker has reported it and is lost.
+TEST(unanswered_start, a_run_that_was_reported_ends_with_the_lease_of_its_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    const auto job = simulation.submit(make_long_running_job("orders", 1, 1));
+    simulation.run_for(milliseconds{100});
+    auto& state = simulation.m_state;
+    ASSERT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::running);
+    expire_at(state, lease_end(state, state.m_workers.front()) + milliseconds{1});
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::waiting);
+}
+
+} // namespace cicadalug::test
