--- a/packages/scheduler/src/cicadalug/scheduler/job_estimates.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/job_estimates.cpp
@@ -88,6 +88,13 @@
     return to_microseconds(longest_ms + state.m_storing_time.m_mean_ms);
 }
 
+auto learn_run_time(scheduler_state& state, const job_entry& job, const task_state& task, const time_point now) -> void
+{
+    if (task.m_phase == task_phase::running && task.m_checkpoint.empty()) {
+        add_sample(state.m_run_times[job.m_record.m_policy.m_queue], to_ms(now - task.m_since));
+    }
+}
+
 auto learn_step_overrun(scheduler_state& state, const job_entry& job, const step_spec& spec, const step_state& step,
                         const time_point now) -> void
 {
--- a/packages/scheduler/src/cicadalug/scheduler/job_estimates.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/job_estimates.hpp
@@ -31,6 +31,10 @@
 [[nodiscard]] auto estimate_remaining_time(const scheduler_state& state, const job_entry& job, time_point now)
     -> microseconds;
 
+/** @brief Adds the run time of a task that has ended as done to the estimate of its queue. Runs that this decider has
+ * not seen running, or that resumed from a checkpoint, are no samples. */
+auto learn_run_time(scheduler_state& state, const job_entry& job, const task_state& task, time_point now) -> void;
+
 /**
  * @brief Learns how much longer a step that is done took than the expected run time of its tasks. Steps with runs of an
  * earlier term, or with runs that did not complete their tasks, are no measure.
