--- a/packages/scheduler/test/cicadalug/scheduler/job_estimates.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/job_estimates.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 // Guards against an estimate that follows a single run.
-TEST(run_times, the_first_run_is_the_estimate_and_later_ones_change_it_slowly)
+TEST(job_estimates, the_first_run_is_the_estimate_and_later_ones_change_it_slowly)
 {
     scheduler_state state;
     const job_entry job;
@@ -33,7 +33,7 @@
 }
 
 // Guards against estimates that are too short, as a run has done only a part of its task.
-TEST(run_times, a_run_whose_begin_is_not_known_or_that_resumed_is_no_sample)
+TEST(job_estimates, a_run_whose_begin_is_not_known_or_that_resumed_is_no_sample)
 {
     scheduler_state state;
     const job_entry job;
