Finish jobs that have started before new ones begin

Such a job keeps its tier as long as it can meet its objective, and goes before others of the same urgency and priority.

waiting_steps.a_started_job_goes_before_one_with_an_earlier_deadline fails with the former order.

--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
@@ -50,7 +50,8 @@
     }
     std::stable_sort(found.begin(), found.end(), [](const waiting_step& left, const waiting_step& right) {
         const auto key = [](const waiting_step& step) {
-            return std::tuple{step.m_urgency, step.m_job->m_record.m_policy.m_priority, step.m_job->m_deadline};
+            const auto& job = *step.m_job;
+            return std::tuple{step.m_urgency, job.m_record.m_policy.m_priority, !job.m_started, job.m_deadline};
         };
         return key(left) < key(right);
     });
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/waiting_steps.cpp
@@ -0,0 +1,62 @@
+#include "scheduler_simulation.hpp"
+
+#include <cicadalug/scheduler/waiting_steps.hpp>
+
+#include <gtest/gtest.h>
+
+namespace cicadalug::test {
+
+namespace {
+
+[[nodiscard]] auto collect(const scheduler_simulation& simulation, const bool recovered) -> std::vector<waiting_step>
+{
+    const auto& state = simulation.m_state;
+    return collect_waiting(state, state.m_active.at(service_id{"quotes"}), recovered, simulation.now());
+}
+
+} // namespace
+
+// Guards against a job that can only be late being started before one that can be in time.
+TEST(waiting_steps, urgency_goes_before_priority_and_priority_before_the_deadline)
+{
+    scheduler_simulation simulation;
+    auto hopeless = make_job("quotes", 1, 1'000, milliseconds{5'000});
+    hopeless.m_policy.m_stretch = 0.1;
+    hopeless.m_policy.m_target = milliseconds{0};
+    auto unimportant = make_job("quotes", 1, 1'000, milliseconds{500});
+    unimportant.m_policy.m_priority = 1;
+    const auto late = simulation.submit(hopeless);
+    const auto last_in_time = simulation.submit(unimportant);
+    const auto second = simulation.submit(make_job("quotes", 1, 1'000, milliseconds{900}));
+    const auto first = simulation.submit(make_job("quotes", 1, 1'000, milliseconds{500}));
+    std::vector<job_id> order;
+    for (const auto& step : collect(simulation, true)) {
+        order.push_back(step.m_job->m_record.m_id);
+    }
+    EXPECT_EQ(order, (std::vector{first, second, last_in_time, late}));
+}
+
+// Guards against an overload in which each job runs its first step, and then waits behind new jobs until it is late.
+TEST(waiting_steps, a_started_job_goes_before_one_with_an_earlier_deadline)
+{
+    scheduler_simulation simulation;
+    const auto started = simulation.submit(make_job("quotes", 2, 1'000, milliseconds{900}));
+    const auto other = simulation.submit(make_job("quotes", 1, 1'000, milliseconds{500}));
+    EXPECT_EQ(collect(simulation, true).front().m_job->m_record.m_id, other);
+    static_cast<void>(mark_started(simulation.m_state, *find_job(simulation.m_state, started)));
+    EXPECT_EQ(collect(simulation, true).front().m_job->m_record.m_id, started);
+}
+
+// Guards against a second run of a task whose run of an earlier term may still be found.
+TEST(waiting_steps, opened_steps_of_an_earlier_term_wait_for_the_recovery)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    static_cast<void>(simulation.submit(make_job("quotes", 1, 1'000, milliseconds{5'000})));
+    simulation.run_for(milliseconds{200});
+    simulation.take_over();
+    EXPECT_TRUE(collect(simulation, false).empty());
+    EXPECT_EQ(collect(simulation, true).size(), 1U);
+}
+
+} // namespace cicadalug::test
