Record the lease of each start in the soak, as the decider does

The soak reported tasks without a run (LOST) that the decider would not have kept waiting: a worker that answers polls and no commands held two starts for 8 s.

Cause: the decider records the lease that it sends in a start, so that a start without a response ends when the worker's clock has passed it. The simulation sent the same lease without recording it, and such a start waited for an accepted stop, however long that took.

No check is changed.

--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -463,6 +463,7 @@
         }
         static_cast<void>(mark_started(m_state, *find_job(m_state, command.m_task.m_job)));
         const auto lease_until_ms = grant_start_lease(m_state, command.m_worker, m_now);
+        record_start_lease(m_state, command, lease_until_ms);
         perform(
             m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id,
             [this, command, lease_until_ms, token = m_state.m_token](soak_worker& worker) {
