Stop waiting for workers that were replaced on their VMs

Callers saw long-running tasks without a run (LOST): after a takeover, and again after a second one in calm, tasks waited up to 5.7 s for workers that had already been replaced.

Cause: a successor knows the workers with leases by their ids only. A worker that has ended and whose VM runs another one never reports under its id, so that only the longest lease ended the wait, in each term anew.

The VMs of the listed workers are now stored beside the list, in a key of its own: earlier versions read the list as before, and as a worker never changes its VM, what they leave in the key remains true. A worker in the list is not waited for any more when another worker on its VM has reported in this term. A VM runs one worker after the other, and the listed one was there before the term, so that it has ended; no clocks are compared and no entry of the registry counts as proof. A write holds one job less.

Evidence: the new test of a takeover failed before, one worker was still expected and the task not started. The four process tests of scheduler_takeover pass, one of them new, and the 11 of entry_test.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -136,6 +136,7 @@
 {
     const auto read = co_await m_store.read(std::string{decision_log_key}, store_timeout);
     const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
+    const auto vms = co_await m_store.read(std::string{leased_worker_vms_key}, store_timeout);
     const auto is_read = [](const store_read& result) {
         return result.m_status == store_status::ok || result.m_status == store_status::missing;
     };
@@ -156,8 +157,15 @@
             }
         }
     }
+    std::istringstream vm_list{vms.m_item.m_value};
+    std::string vm;
+    while (vm_list >> word >> vm) {
+        if (m_state.m_expected_workers.contains(worker_id{word})) {
+            m_state.m_expected_vms[worker_id{word}] = vm_id{vm};
+        }
+    }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
-    co_return is_read(read) && is_read(leases);
+    co_return is_read(read) && is_read(leases) && is_read(vms);
 }
 
 auto decider::begin_decision_log() -> asio::awaitable<bool>
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -25,8 +25,8 @@
 constexpr milliseconds progress_gap{12};
 
 /** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision
- * log, and the puts of the decision log and of the list of leased workers. */
-constexpr std::size_t progress_jobs{store_write_entries - 4};
+ * log, and the puts of the decision log and of the leased workers and their VMs. */
+constexpr std::size_t progress_jobs{store_write_entries - 5};
 
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
@@ -67,6 +67,16 @@
     return text;
 }
 
+auto decider::leased_worker_vms_value(const std::vector<worker_index>& leased) const -> std::string
+{
+    std::string text;
+    const bool lists_expected = are_expected_workers_listed(m_state, monotonic_now());
+    for (const auto& [worker, vm] : vms_of_listed_workers(m_state, leased, lists_expected)) {
+        text += worker.str() + ' ' + vm.str() + ' ';
+    }
+    return text;
+}
+
 auto decider::is_lease_list_due(const time_point now) const -> bool
 {
     return has_unlisted_lease(m_state, now) ||
@@ -192,6 +202,7 @@
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
+        write.m_puts.push_back({std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
     }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -27,6 +27,10 @@
 /** @brief Key that lists the workers with leases, so that a successor waits for those that have left the registry. */
 inline constexpr std::string_view leased_workers_key{"leased-workers"};
 
+/** @brief Key that holds the VM of each worker with a lease, written beside the list. Deciders of earlier versions
+ * write the list alone; what the key then says of a worker remains true, as a worker never changes its VM. */
+inline constexpr std::string_view leased_worker_vms_key{"leased-worker-vms"};
+
 /** @brief Prefix of accepted jobs and of their cancellations. */
 inline constexpr std::string_view job_prefix{"job/"};
 
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <tuple>
 
 namespace cicadalug {
 
@@ -56,4 +57,38 @@
     }
 }
 
+auto vms_of_listed_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
+                           const bool lists_expected) -> std::map<worker_id, vm_id>
+{
+    std::map<worker_id, vm_id> vms;
+    if (lists_expected) {
+        vms = state.m_expected_vms;
+    }
+    for (const auto index : leased) {
+        const auto& entry = state.m_workers[static_cast<std::size_t>(index)].m_entry;
+        if (!entry.m_vm.empty()) {
+            vms[entry.m_id] = entry.m_vm;
+        }
+    }
+    return vms;
+}
+
+auto drop_replaced_workers(scheduler_state& state, const worker_slot& reporting) -> void
+{
+    const auto& [id, vm] = std::tie(reporting.m_entry.m_id, reporting.m_entry.m_vm);
+    state.m_expected_vms.erase(id);
+    if (vm.empty()) {
+        return;
+    }
+    for (auto known = state.m_expected_vms.begin(); known != state.m_expected_vms.end();) {
+        if (known->second != vm) {
+            ++known;
+            continue;
+        }
+        state.m_expected_workers.erase(known->first);
+        state.m_dispatch_requested = true;
+        known = state.m_expected_vms.erase(known);
+    }
+}
+
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
+#include <map>
 #include <vector>
 
 namespace cicadalug {
@@ -34,6 +35,22 @@
  */
 auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void;
 
+/**
+ * @brief Returns the VMs of the workers that a write of the list names.
+ * @param state The scheduler.
+ * @param leased Result of begin_lease_list() for the write.
+ * @param lists_expected Result of are_expected_workers_listed() for the write.
+ */
+[[nodiscard]] auto vms_of_listed_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
+                                         bool lists_expected) -> std::map<worker_id, vm_id>;
+
+/**
+ * @brief Removes expected workers that cannot hold runs any more, as another worker on their VM has reported. A VM runs
+ * one worker after the other, and those in the list were there before this term: one that responds in this term came
+ * after them.
+ */
+auto drop_replaced_workers(scheduler_state& state, const worker_slot& reporting) -> void;
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/run_times.hpp>
@@ -410,6 +411,7 @@
     worker.m_unresponsive = false;
     worker.m_last_report = now;
     state.m_expected_workers.erase(worker.m_entry.m_id);
+    drop_replaced_workers(state, worker);
     for (const auto& end : report.m_ended) {
         apply_ended_report(state, worker, end, now);
     }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -360,6 +360,8 @@
     time_point m_workers_current_at{};
     /** @brief Workers that may have leases of earlier terms, and have not reported yet. */
     std::set<worker_id> m_expected_workers;
+    /** @brief VMs of workers in m_expected_workers, as far as they are stored. */
+    std::map<worker_id, vm_id> m_expected_vms;
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -76,4 +76,58 @@
     EXPECT_FALSE(has_ended_lease_in_list(state, simulation.now()));
 }
 
+// Guards against a wait of seconds after each takeover for workers that have been replaced on their VMs.
+TEST(leased_workers, a_takeover_does_not_wait_for_a_worker_whose_successor_on_its_vm_has_reported)
+{
+    scheduler_simulation simulation;
+    simulation.m_restart_time = milliseconds{300};
+    simulation.begin_with("quotes", 2);
+    const auto job = simulation.submit(make_long_running_job("quotes", 2, 1));
+    simulation.run_for(milliseconds{200});
+    ASSERT_EQ(simulation.total_starts(), 2);
+    simulation.crash(worker_id{"w2"});
+    simulation.run_for(milliseconds{20});
+    simulation.take_over();
+    ASSERT_EQ(count_expected_workers(simulation.m_state, service_id{"quotes"}), 2);
+    simulation.run_for(milliseconds{100});
+    EXPECT_EQ(count_expected_workers(simulation.m_state, service_id{"quotes"}), 1);
+    EXPECT_EQ(simulation.total_starts(), 2);
+    simulation.run_for(milliseconds{400});
+    EXPECT_EQ(count_expected_workers(simulation.m_state, service_id{"quotes"}), 0);
+    EXPECT_EQ(simulation.total_starts(), 3);
+}
+
+// Guards against a second run of a task whose worker may still hold the first one: another VM says nothing about it.
+TEST(leased_workers, only_a_report_from_its_vm_ends_the_wait_for_a_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    auto& state = simulation.m_state;
+    state.m_expected_workers = {worker_id{"gone"}, worker_id{"unknown"}, worker_id{"w1"}};
+    state.m_expected_vms = {{worker_id{"gone"}, vm_id{"vm9"}}, {worker_id{"w1"}, state.m_workers[0].m_entry.m_vm}};
+    drop_replaced_workers(state, state.m_workers[1]);
+    EXPECT_EQ(state.m_expected_workers.size(), 3U);
+    auto replacement = state.m_workers[1];
+    replacement.m_entry.m_vm = vm_id{};
+    drop_replaced_workers(state, replacement);
+    EXPECT_EQ(state.m_expected_workers.size(), 3U);
+    replacement.m_entry.m_vm = vm_id{"vm9"};
+    drop_replaced_workers(state, replacement);
+    EXPECT_EQ(state.m_expected_workers, (std::set{worker_id{"unknown"}, worker_id{"w1"}}));
+}
+
+// Guards against a successor that does not know the VMs of workers for which this decider still waits itself.
+TEST(leased_workers, the_vms_of_expected_workers_are_listed_with_them)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    state.m_expected_workers = {worker_id{"gone"}};
+    state.m_expected_vms = {{worker_id{"gone"}, vm_id{"vm9"}}};
+    const auto leased = begin_lease_list(state, simulation.now());
+    const auto& entry = state.m_workers[0].m_entry;
+    EXPECT_EQ(vms_of_listed_workers(state, leased, false), (std::map{std::pair{entry.m_id, entry.m_vm}}));
+    EXPECT_EQ(vms_of_listed_workers(state, leased, true).size(), 2U);
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -230,6 +230,7 @@
     if (are_expected_workers_listed(m_state, m_now)) {
         m_stored_leases.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
     }
+    m_stored_vms = vms_of_listed_workers(m_state, leased, are_expected_workers_listed(m_state, m_now));
     complete_lease_list(m_state, leased);
 }
 
@@ -389,6 +390,7 @@
     m_state.m_token = fencing_token{++m_token};
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
+    m_state.m_expected_vms = m_stored_vms;
     for (const auto& [id, stored] : m_store) {
         add_job(m_state, stored.m_record, stored.m_progress, true, clock());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -139,6 +139,7 @@
     std::map<job_id, stored_job> m_store;
     /** @brief The stored list of workers with leases. */
     std::set<worker_id> m_stored_leases;
+    std::map<worker_id, vm_id> m_stored_vms;
     std::map<job_id, time_point> m_deadlines;
     std::map<job_id, time_point> m_completed;
     std::map<task_ref, std::int64_t> m_starts;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -168,6 +168,7 @@
     m_state.m_token = fencing_token{++m_term};
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
+    m_state.m_expected_vms = m_stored_vms;
     m_state.m_expected_listed = !m_stored_leases.empty();
     m_decider_up = true;
     m_renewals.clear();
@@ -505,6 +506,7 @@
     }
     std::optional<std::vector<worker_index>> leased;
     std::set<worker_id> list;
+    std::map<worker_id, vm_id> vms;
     const bool lists_expected = are_expected_workers_listed(m_state, m_now);
     if (lists_leases) {
         leased = begin_lease_list(m_state, m_now);
@@ -512,12 +514,13 @@
         for (const auto index : *leased) {
             list.insert(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
         }
+        vms = vms_of_listed_workers(m_state, *leased, lists_expected);
         if (lists_expected) {
             list.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
         }
     }
     const bool succeeds = m_store_up;
-    const auto finish = [this, term = m_term, ends, progress, leased, list, lists_expected, succeeds] {
+    const auto finish = [this, term = m_term, ends, progress, leased, list, vms, lists_expected, succeeds] {
         if (!m_decider_up || term != m_term) {
             return;
         }
@@ -536,6 +539,7 @@
             acknowledge_ends(m_state, ends);
             if (leased) {
                 m_stored_leases = list;
+                m_stored_vms = vms;
                 complete_lease_list(m_state, *leased);
                 m_state.m_expected_listed = lists_expected;
             }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -152,6 +152,7 @@
     std::set<job_id> m_new_jobs;
     std::set<job_id> m_new_cancels;
     std::set<worker_id> m_stored_leases;
+    std::map<worker_id, vm_id> m_stored_vms;
     bool m_writing{false};
     time_point m_leases_listed_at{};
     std::int64_t m_next_worker{0};
--- a/test/process/scheduler_takeover.cpp
+++ b/test/process/scheduler_takeover.cpp
@@ -15,10 +15,13 @@
     /** @brief An id of eight characters in the stored list of leased workers, followed by a blank, in base64. */
     static constexpr std::size_t id_bytes{12};
 
-    [[nodiscard]] static auto listed_bytes() -> std::size_t
+    [[nodiscard]] static auto listed_bytes() -> std::size_t { return value_bytes("leased-workers"); }
+
+    /** @brief Returns the size of a stored value in base64. */
+    [[nodiscard]] static auto value_bytes(const std::string& key) -> std::size_t
     {
-        const auto list = call(http::verb::get, at_port(store_port, 0), "/cicadalug/kv-key?key=leased-workers").m_body;
-        return list.is_object() ? list.value("value", "").size() : std::size_t{0};
+        const auto stored = call(http::verb::get, at_port(store_port, 0), "/cicadalug/kv-key?key=" + key).m_body;
+        return stored.is_object() ? stored.value("value", "").size() : std::size_t{0};
     }
 };
 
@@ -51,6 +54,15 @@
     EXPECT_TRUE(wait_until([] { return listed_bytes() == worker_count * id_bytes; }, patience)) << listed_bytes();
 }
 
+// Guards against a successor that waits for replaced workers, as it does not know the VMs of those in the list.
+TEST_F(scheduler_takeover, the_vms_of_workers_with_leases_are_stored_beside_the_list)
+{
+    // An id of eight characters and a VM of three, each followed by a blank, in base64.
+    constexpr auto bytes = (worker_count * 13 + 2) / 3 * 4;
+    EXPECT_TRUE(wait_until([] { return value_bytes("leased-worker-vms") == bytes; }, patience))
+        << value_bytes("leased-worker-vms");
+}
+
 // Guards against a decider that waits for a worker which left long before its term, because no job's progress has been
 // written since.
 TEST_F(scheduler_takeover, a_worker_that_left_is_removed_from_the_stored_list_without_a_job)
