Count jobs with one repeat in the times of their queue

On the large deployment, late_jobs showed no late job although most jobs of a surge ended after their objective: a job with a number of repeats counted as one with a schedule, and clients name a number of one for ordinary jobs. A job is now left out only if it repeats, or is due later than it arrives. Its parts follow from the same account as before.

The test for one repeat is new; it was not run on the code before.

--- a/packages/scheduler/src/cicadalug/scheduler/class_times.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/class_times.cpp
@@ -7,12 +7,20 @@
 
 namespace {
 
+/** @brief Checks whether a job does not run on a schedule: all of it was due when it arrived. */
+[[nodiscard]] auto is_due_at_once(const job_entry& job) -> bool
+{
+    const auto& spec = job.m_record.m_spec;
+    return spec.m_occurrences <= 1 &&
+           (spec.m_occurrences <= 0 || spec.m_first_due_unix_ms <= job.m_record.m_arrived_unix_ms);
+}
+
 /** @brief Checks whether a job is to end by its objective: it has no schedule, and no task that runs until a cancel. */
 [[nodiscard]] auto has_objective(const job_entry& job) -> bool
 {
-    const auto& spec = job.m_record.m_spec;
-    return spec.m_occurrences == 0 && std::none_of(spec.m_steps.begin(), spec.m_steps.end(),
-                                                   [](const step_spec& step) { return step.m_long_running; });
+    const auto& steps = job.m_record.m_spec.m_steps;
+    return is_due_at_once(job) &&
+           std::none_of(steps.begin(), steps.end(), [](const step_spec& step) { return step.m_long_running; });
 }
 
 auto count_workers(const scheduler_state& state, class_backlog& backlog, const time_point now) -> void
@@ -38,7 +46,7 @@
 
 auto has_times(const job_entry& job) -> bool
 {
-    return job.m_state == job_state::completed && job.m_record.m_spec.m_occurrences == 0 && job.m_finished > job.m_read;
+    return job.m_state == job_state::completed && is_due_at_once(job) && job.m_finished > job.m_read;
 }
 
 auto times_until_stored(const job_entry& job, const time_point stored) -> job_times
--- a/packages/scheduler/test/cicadalug/scheduler/class_times.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/class_times.cpp
@@ -58,6 +58,16 @@
     EXPECT_FALSE(has_times(job));
 }
 
+// Guards against a class whose jobs are all left out, as their clients name a number of repeats of one.
+TEST(class_times, a_job_that_runs_once_at_its_arrival_has_times)
+{
+    auto job = make_completed_job();
+    job.m_record.m_spec.m_occurrences = 1;
+    EXPECT_TRUE(has_times(job));
+    job.m_record.m_spec.m_first_due_unix_ms = job.m_record.m_arrived_unix_ms + 1;
+    EXPECT_FALSE(has_times(job));
+}
+
 // Guards against an overload that is not visible before its jobs end.
 TEST(class_times, overdue_jobs_are_counted_with_the_workers_of_their_service)
 {
