Repeat failed reads of requests and of the election with growing pauses

A request for a job's state that the store refused was repeated every 50 ms until its deadline, and the election was read again every 100 ms, by all entry VMs in step. While the store is busy or down, each waiting caller cost dozens of calls of its read rate, and the decider's reads were refused with the others.

Both, and cancellations, now pause longer after each failure, by at most 800 ms and with a random part. A request whose job was read, but not its progress, repeats only the read of the progress. Reads of a request keep their total limit, as their answer is due by then.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/adapter/job_body.hpp>
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/retry_backoff.hpp>
 #include <cicadalug/entry/client_api.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
@@ -27,6 +28,10 @@
 /** @brief Timeout of one call to the store. */
 constexpr milliseconds store_timeout{700};
 
+/** @brief Longest pauses after the first failed call of a request to the store, and after any number of them. */
+constexpr milliseconds first_failure_pause{50};
+constexpr milliseconds longest_failure_pause{800};
+
 /** @brief The response is due this long before the client's deadline, or after half of a short time limit. */
 constexpr milliseconds deadline_margin{150};
 
@@ -209,9 +214,13 @@
 
 auto client_api::get_stored_state(const job_id& id, const time_point deadline) -> asio::awaitable<http_response>
 {
+    retry_backoff backoff{id.str(), first_failure_pause, longest_failure_pause};
+    store_page stored;
     while (monotonic_now() < deadline) {
-        const auto stored =
-            co_await m_dependencies.m_store->list(job_key(id), std::string{}, time_left(deadline, store_timeout));
+        if (stored.m_status != store_status::ok) {
+            stored =
+                co_await m_dependencies.m_store->list(job_key(id), std::string{}, time_left(deadline, store_timeout));
+        }
         if (stored.m_status == store_status::ok) {
             // A cancellation without its job was stored before the job came, which then never runs.
             if (!has_item(stored.m_items, job_key(id))) {
@@ -232,7 +241,7 @@
                                         encode_job_state(cancelled && !is_final(state) ? job_state::cancelled : state));
             }
         }
-        co_await sleep_for(m_dependencies.m_executor, milliseconds{50});
+        co_await sleep_for(m_dependencies.m_executor, time_left(deadline, backoff.next_pause()));
     }
     co_return make_response(http::status::service_unavailable);
 }
@@ -240,6 +249,7 @@
 auto client_api::cancel(const std::string& id, const time_point deadline) -> asio::awaitable<http_response>
 {
     const job_id job{id};
+    retry_backoff backoff{id, first_failure_pause, longest_failure_pause};
     while (monotonic_now() < deadline) {
         const auto read = co_await m_dependencies.m_store->read(job_key(job), time_left(deadline, store_timeout));
         const bool missing = read.m_status == store_status::missing;
@@ -257,7 +267,7 @@
             LOG(INFO) << log_line{"cancel_stored"}.with("request", id);
             co_return make_response(http::status::ok);
         }
-        co_await sleep_for(m_dependencies.m_executor, milliseconds{50});
+        co_await sleep_for(m_dependencies.m_executor, time_left(deadline, backoff.next_pause()));
     }
     co_return make_response(http::status::gateway_timeout);
 }
--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/async/monotonic_now.hpp>
+#include <cicadalug/async/retry_backoff.hpp>
 #include <cicadalug/async/spawn.hpp>
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/signal_event.hpp>
@@ -28,6 +29,9 @@
 /** @brief Delay after a failed call. */
 constexpr milliseconds failure_pause{100};
 
+/** @brief Longest pause after any number of failed reads of the election. */
+constexpr milliseconds longest_failure_pause{800};
+
 /** @brief Number of renewals within the duration of the lease. */
 constexpr int renewals_per_lease{4};
 
@@ -154,11 +158,12 @@
 
 auto decider_election::refresh_until_read() -> asio::awaitable<void>
 {
+    retry_backoff backoff{m_self.str(), failure_pause, longest_failure_pause};
     bool read{false};
     while (!read) {
         read = co_await refresh();
         if (!read) {
-            co_await sleep_for(m_executor, failure_pause);
+            co_await sleep_for(m_executor, backoff.next_pause());
         }
     }
 }
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -24,6 +24,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -65,6 +66,8 @@
     milliseconds m_partial_delay{};
     /** @brief Delay of the responses to calls of a path; the call itself is executed at once. */
     std::map<std::string, milliseconds> m_delays;
+    /** @brief Calls of these paths get 503. */
+    std::set<std::string> m_refused_paths;
     /** @brief Worker that the registry has lost, as one that is cut off from the store; empty for none. */
     std::string m_unregistered;
     /** @brief Worker whose own entry is not written, as another writer overwrites it; empty for none. */
@@ -288,13 +291,17 @@
     [[nodiscard]] auto execute(const http_target& target, const json& body) -> scheduler_store_response
     {
         const auto& path = target.m_path;
+        if (path == "/cicadalug/kv-range") {
+            ++m_lists[query_text(target, "prefix")];
+        }
+        if (m_faults.m_refused_paths.contains(path)) {
+            return {http::status::service_unavailable, json::object()};
+        }
         if (path == "/cicadalug/kv-key") {
             return m_store.read(query_text(target, "key"));
         }
         if (path == "/cicadalug/kv-range") {
-            const auto prefix = query_text(target, "prefix");
-            ++m_lists[prefix];
-            return m_store.list(prefix, query_text(target, "after"));
+            return m_store.list(query_text(target, "prefix"), query_text(target, "after"));
         }
         if (path == "/cicadalug/kv-txn") {
             return m_store.write(body);
@@ -426,6 +433,9 @@
             m_faults.m_partial_delay = milliseconds{partial->value("delay_ms", 0)};
         }
         m_faults.m_link_bytes_per_s = body.value("link_bytes_per_s", m_faults.m_link_bytes_per_s);
+        if (const auto paths = body.find("refused_paths"); paths != body.end()) {
+            m_faults.m_refused_paths = paths->get<std::set<std::string>>();
+        }
         if (const auto config = body.find("config"); config != body.end()) {
             put("op/config", config->dump(), 0);
         }
@@ -483,7 +493,7 @@
     injected_faults m_faults;
     /** @brief When all pieces of responses have been sent that are waiting for the link. */
     time_point m_link_free_at{};
-    /** @brief Number of lists by prefix. */
+    /** @brief Number of lists by prefix, with refused ones. */
     std::map<std::string, int> m_lists;
     /** @brief Number of starts of a task that was running on another worker. */
     int m_doubled_runs{0};
