Reserve the responses of the test of a single-threaded server

The linter found that single_thread_handles_connections_concurrently, which came with the servers without strands, adds to a vector in a loop without reserving it.

--- a/packages/runtime/test/cicadalug/http/http_server.cpp
+++ b/packages/runtime/test/cicadalug/http/http_server.cpp
@@ -181,6 +181,7 @@
     };
     http_server server{m_context, local_endpoint(), {}, echo_together, server_threads::single};
     std::vector<std::future<std::string>> responses;
+    responses.reserve(connections);
     for (int number = 0; number < connections; ++number) {
         responses.push_back(std::async(std::launch::async, [&server, number] {
             http_request request{http::verb::post, "/", 11};
