Keep a worker free for a long-running suspect

Callers could see a long-running task that may have crashed a worker without a run for as long as its pool is full (LOST): no worker ever has room for its trial.

Cause: a worker is kept free from smaller tasks for a long-running task that fits nowhere, but not for one that is only started in a trial, so that smaller tasks take each core that becomes free.

Evidence: the new test failed before, the suspect was not started in 4 s beside tasks of a third of its size; it is now. The 243 tests of scheduler_test other than the soak pass. Gangs are still not protected.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -262,9 +262,8 @@
 {
     auto& job = *waiting.m_job;
     auto& step = waiting.m_occurrence->m_steps[waiting.m_step];
-    const auto now = pass.m_now;
     const bool in_backoff = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
-                                        [now](const task_state& member) { return member.m_not_before > now; });
+                                        [&pass](const task_state& member) { return member.m_not_before > pass.m_now; });
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
         return;
     }
@@ -345,6 +344,19 @@
     return best;
 }
 
+/** @brief Keeps a worker free from other tasks than long-running ones, so that one of those can start there soon. */
+auto keep_worker_free(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
+{
+    if (!waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_long_running) {
+        return;
+    }
+    const auto worker =
+        choose_worker_to_free(pass.m_index, pass.m_state, request_of(waiting, index), pass.m_kept_free, pass.m_now);
+    if (worker != no_worker) {
+        pass.m_kept_free.push_back(worker);
+    }
+}
+
 /** @brief Plans the trial of a task, or starts it if it is stored and nothing else can crash its worker. */
 auto advance_trial(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
 {
@@ -379,6 +391,7 @@
         if (waiting.m_needs_permit) {
             request_permits(state, task, step, trial_candidates(pass, waiting, index), pass.m_now);
         }
+        keep_worker_free(pass, waiting, index);
         return;
     }
     plan_trial(state, task, worker, next_run(state, step.m_tasks[index]));
@@ -387,19 +400,6 @@
     remove_candidate(pass.m_paused, state, worker);
 }
 
-/** @brief Keeps a worker free from other tasks than long-running ones, so that one of those can start there soon. */
-auto keep_worker_free(service_pass& pass, const waiting_step& waiting, const std::size_t index) -> void
-{
-    if (!waiting.m_job->m_record.m_spec.m_steps[waiting.m_step].m_long_running) {
-        return;
-    }
-    const auto worker =
-        choose_worker_to_free(pass.m_index, pass.m_state, request_of(waiting, index), pass.m_kept_free, pass.m_now);
-    if (worker != no_worker) {
-        pass.m_kept_free.push_back(worker);
-    }
-}
-
 auto close_kept_workers(service_pass& pass) -> void
 {
     for (const auto worker : std::exchange(pass.m_kept_free, {})) {
--- a/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/long_running_room.cpp
@@ -41,6 +41,19 @@
     EXPECT_EQ(simulation.starts_of({job, 0, 0, 1}), 1);
 }
 
+// Guards against a long-running task that may have crashed a worker and is never tried, since smaller tasks take each
+// core that becomes free.
+TEST(long_running_room, a_long_running_suspect_is_not_starved_by_smaller_tasks)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    saturate_for(simulation, milliseconds{2'000});
+    const auto job = simulation.submit(make_wide_job(1, 12'000));
+    find_task(simulation.m_state, {job, 0, 0, 0})->m_suspect = true;
+    saturate_for(simulation, milliseconds{4'000});
+    EXPECT_EQ(simulation.starts_of({job, 0, 0, 0}), 1);
+}
+
 // Guards against a long-running task that waits because the worker that has room for it is kept free for a larger one.
 TEST(long_running_room, a_worker_kept_free_takes_other_long_running_tasks)
 {
