Measure inherited leases from the election, not from the end of the load

Callers waited longer for recovered tasks the longer the jobs took to be read at a takeover: the wait of 5.7 s for an unreachable worker in the list of leases began anew with the last page.

Cause: the end of the leases of earlier deciders was reckoned from m_began, which is set when the jobs have been read. An earlier decider grants leases until 5.5 s after it last renewed its term. It cannot renew it after the successor has stored its own, so that the bound holds from there on.

The decider now records when it learned that its term is stored. A state without that time reckons from m_began as before.

Evidence: the new unit test covers the member and cannot be built without it. The time saved was not measured: the soak and the process tests read the jobs in milliseconds.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -54,6 +54,7 @@
 auto decider::start() -> void
 {
     m_load.m_began = monotonic_now();
+    m_state.m_elected = m_load.m_began;
     m_relays->start();
     run_in_term(load(shared_from_this()), "load");
     run_in_term(observe_load(shared_from_this()), "observe_load");
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -511,7 +511,7 @@
 auto inherited_leases_end(const scheduler_state& state) -> time_point
 {
     const auto& settings = state.m_settings;
-    return state.m_began + settings.m_grant_horizon +
+    return state.m_elected.value_or(state.m_began) + settings.m_grant_horizon +
            settings.m_grant_horizon * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -87,8 +87,8 @@
  */
 auto update_lease_limits(scheduler_state& state, time_point last_renewal, milliseconds term_lease) -> void;
 
-/** @brief Returns the local time at which all leases of earlier deciders have ended, as measured from the beginning of
- * the term. */
+/** @brief Returns the local time at which all leases of earlier deciders have ended, as measured from the time at which
+ * the term was stored: an earlier decider has not renewed its own later. */
 [[nodiscard]] auto inherited_leases_end(const scheduler_state& state) -> time_point;
 
 /** @brief Checks whether a lease of this decider, or of an earlier one, may still run on a worker that has reported. */
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -349,6 +349,9 @@
     scheduler_settings m_settings;
     fencing_token m_token;
     time_point m_began{};
+    /** @brief When this decider learned that its term is stored, if known. No earlier decider renews its term after it;
+     * the jobs are read between this time and m_began. */
+    std::optional<time_point> m_elected;
     /** @brief No granted lease ends after this time. */
     time_point m_grant_limit{};
     /** @brief Until this time no other decider can have begun its term. Afterwards another one may renew the leases of
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -567,4 +567,15 @@
     EXPECT_EQ(find_step(*find_job(simulation.m_state, job), {job, 0, 0, 0})->m_waiting, 0U);
 }
 
+// Guards against a wait for leases that have ended while the jobs were read, which takes seconds with thousands of
+// them.
+TEST(reports, inherited_leases_are_measured_from_the_election)
+{
+    scheduler_state state;
+    state.m_began = time_point{milliseconds{10'000}};
+    const auto without = inherited_leases_end(state);
+    state.m_elected = state.m_began - milliseconds{3'000};
+    EXPECT_EQ(inherited_leases_end(state), without - milliseconds{3'000});
+}
+
 } // namespace cicadalug::test
