Keep the text of late_jobs and job_late when parts are added

No job_late line was logged and late_jobs lines had late=0 only: a line to which parts were added was moved into itself, as log_line::with() returns the line, and lost its text. The parts are now added by add_parts(), which has a test of its own.

The new test passes; it was not run on the code before, which had no function to call.

--- a/packages/entry/src/cicadalug/entry/decider_observation.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_observation.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/async/monotonic_now.hpp>
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
+#include <cicadalug/entry/job_times_line.hpp>
 #include <cicadalug/entry/wait_line.hpp>
 #include <cicadalug/scheduler/cancel_time.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
@@ -40,18 +41,6 @@
     return time ? std::to_string(to_ms(*time)) : "unknown";
 }
 
-/** @brief Adds the parts that are not zero, in milliseconds and divided by a number of jobs. */
-[[nodiscard]] auto add_parts(log_line line, const job_times& times, const std::int64_t jobs) -> log_line
-{
-    for (std::size_t number = 0; number < job_parts; ++number) {
-        const auto part = static_cast<job_part>(number);
-        if (const auto mean_ms = to_ms(times[part] / jobs); mean_ms > 0) {
-            line = std::move(line).with(std::string{name_of(part)} + "_ms", mean_ms);
-        }
-    }
-    return line;
-}
-
 [[nodiscard]] auto max_age(const copy_age& copy) -> std::optional<microseconds>
 {
     return copy.m_sent ? std::optional{copy.m_max} : std::nullopt;
@@ -204,11 +193,11 @@
                         .with("cordoned", backlog.m_cordoned)
                         .with("not_accepting", backlog.m_not_accepting);
         if (times.m_late > 0) {
-            line = add_parts(std::move(line)
-                                 .with("found_in_time", times.m_found_in_time)
-                                 .with("late_by_ms", to_ms(times.m_lateness / times.m_late))
-                                 .with("bound_by", name_of(most_frequent_bound(times))),
-                             times.m_times_late, times.m_late);
+            auto extended = std::move(line)
+                                .with("found_in_time", times.m_found_in_time)
+                                .with("late_by_ms", to_ms(times.m_lateness / times.m_late))
+                                .with("bound_by", name_of(most_frequent_bound(times)));
+            line = add_parts(std::move(extended), times.m_times_late, times.m_late);
         }
         LOG(INFO) << line;
     }
