Write the progress that something waits for before that of other jobs

Callers saw nearly all jobs of a class end late.

All jobs that had changed were written in turn, 27 in a write, one write after the other, since each is conditional on the last one. With hundreds of running jobs whose tasks end all the time, a step had to wait for a whole cycle of them, and the slower the decider, the longer. Steps that are being opened, trials and final states now go first, those that change during a cycle included. A quarter of each write is for the others, so that ends are acknowledged.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -123,6 +123,8 @@
     [[nodiscard]] auto renew_worker_lease(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
     [[nodiscard]] auto store_progress(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto write_dirty_jobs() -> asio::awaitable<bool>;
+    /** @brief Writes the progress of jobs in one write, or in several if the store refuses some of the jobs. */
+    [[nodiscard]] auto write_jobs(std::vector<job_entry*> jobs) -> asio::awaitable<bool>;
     /** @brief Writes the progress of the jobs from position `first` to before `last`, and the list of leased workers if
      * that is due. */
     [[nodiscard]] auto write_progress(const std::vector<job_entry*>& jobs, std::size_t first, std::size_t last)
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -5,6 +5,7 @@
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
+#include <cicadalug/scheduler/progress_batch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -117,16 +118,30 @@
 
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
-    const auto jobs = std::exchange(m_state.m_dirty, {});
+    auto remaining = std::exchange(m_state.m_dirty, {});
     const auto ends = capture_ends(m_state);
-    for (auto* job : jobs) {
+    for (auto* job : remaining) {
         job->m_dirty = false;
     }
     // Without jobs, the list of leased workers is written alone.
-    std::vector<job_range> ranges{{0, std::min(jobs.size(), progress_jobs)}};
-    for (auto first = progress_jobs; first < jobs.size(); first += progress_jobs) {
-        ranges.insert(ranges.begin(), {first, std::min(jobs.size(), first + progress_jobs)});
+    do {
+        const bool written = co_await write_jobs(take_progress_batch(remaining, m_state, progress_jobs));
+        if (!written) {
+            for (auto* job : remaining) {
+                mark_dirty(m_state, *job);
+            }
+            co_return false;
+        }
+    } while (!remaining.empty());
+    if (can_acknowledge_ends()) {
+        acknowledge_ends(m_state, ends);
     }
+    co_return true;
+}
+
+auto decider::write_jobs(const std::vector<job_entry*> jobs) -> asio::awaitable<bool>
+{
+    std::vector<job_range> ranges{{0, jobs.size()}};
     while (!ranges.empty()) {
         const auto range = ranges.back();
         ranges.pop_back();
@@ -156,9 +171,6 @@
             co_return false;
         }
     }
-    if (can_acknowledge_ends()) {
-        acknowledge_ends(m_state, ends);
-    }
     co_return true;
 }
 
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/progress_batch.cpp
@@ -0,0 +1,69 @@
+#include <cicadalug/scheduler/progress_batch.hpp>
+
+#include <algorithm>
+
+namespace cicadalug {
+
+namespace {
+
+/** @brief Moves jobs whose write is awaited from a list to a batch, until it has a number of jobs. */
+auto take_awaited(std::vector<job_entry*>& from, std::vector<job_entry*>& batch, const std::size_t limit) -> void
+{
+    std::erase_if(from, [&](job_entry* job) {
+        const bool taken = batch.size() < limit && awaits_write(*job);
+        if (taken) {
+            batch.push_back(job);
+        }
+        return taken;
+    });
+}
+
+/** @brief Moves jobs from the front of a list to a batch, until it has a number of jobs. */
+auto take_first(std::vector<job_entry*>& from, std::vector<job_entry*>& batch, const std::size_t limit) -> void
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min(from.size(), limit - std::min(limit, batch.size())));
+    batch.insert(batch.end(), from.begin(), from.begin() + count);
+    from.erase(from.begin(), from.begin() + count);
+}
+
+} // namespace
+
+auto awaits_write(const job_entry& job) -> bool
+{
+    if (is_final(job.m_state)) {
+        return !is_final(job.m_stored_state);
+    }
+    return std::any_of(job.m_open.begin(), job.m_open.end(), [](const occurrence_state& occurrence) {
+        return std::any_of(occurrence.m_steps.begin(), occurrence.m_steps.end(), [](const step_state& step) {
+            return (step.m_opening && !step.m_opened) ||
+                   std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
+                               [](const task_state& task) { return task.m_trial.has_value(); });
+        });
+    });
+}
+
+auto take_progress_batch(std::vector<job_entry*>& remaining, scheduler_state& state, const std::size_t limit)
+    -> std::vector<job_entry*>
+{
+    std::vector<job_entry*> batch;
+    batch.reserve(limit);
+    take_first(remaining, batch, limit / 4);
+    const auto oldest = batch.size();
+    take_awaited(remaining, batch, limit);
+    const auto known = batch.size();
+    take_awaited(state.m_dirty, batch, limit);
+    for (auto position = known; position < batch.size(); ++position) {
+        batch[position]->m_dirty = false;
+        std::erase(remaining, batch[position]);
+    }
+    // A job that has changed again is written once, with its present progress.
+    const auto repeated = [&batch, oldest](const job_entry* job) {
+        return std::find(batch.begin(), batch.begin() + static_cast<std::ptrdiff_t>(oldest), job) !=
+               batch.begin() + static_cast<std::ptrdiff_t>(oldest);
+    };
+    batch.erase(std::remove_if(batch.begin() + static_cast<std::ptrdiff_t>(known), batch.end(), repeated), batch.end());
+    take_first(remaining, batch, limit);
+    return batch;
+}
+
+} // namespace cicadalug
