Keep priority before the margin, and queueing out of the opening time

The reviewer showed two ways by which the learned delays go wrong: a job without margin yielded to jobs of a lower priority, and the time to open a step included waiting for capacity once its reservation had ended, so that a surge of one pool would make the jobs of all others look late. A job with a schedule, which has nearly always started, no longer goes before others for that reason.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -131,7 +131,8 @@
     found.m_since = pass.m_now;
     enter_part(found.m_times, job_part::placed, pass.m_now);
     --step.m_waiting;
-    if (step.m_last_start == time_point{} && step.m_opening_since != time_point{}) {
+    // Once the reservation has ended, the step may have waited for capacity, too.
+    if (step.m_last_start == time_point{} && pass.m_now - step.m_opening_since < opening_reservation_time) {
         add_sample(state.m_opening_time, static_cast<double>((pass.m_now - step.m_opening_since).count()) / 1'000.0);
     }
     step.m_last_start = pass.m_now;
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
@@ -51,7 +51,11 @@
     std::stable_sort(found.begin(), found.end(), [](const waiting_step& left, const waiting_step& right) {
         const auto key = [](const waiting_step& step) {
             const auto& job = *step.m_job;
-            return std::tuple{step.m_urgency, job.m_record.m_policy.m_priority, !job.m_started, job.m_deadline};
+            // A marginal job has not lost its claim to its priority.
+            const bool marginal = step.m_urgency == urgency::marginal;
+            const bool started = job.m_started && job.m_record.m_spec.m_occurrences <= 1;
+            return std::tuple{marginal ? urgency::in_time : step.m_urgency, job.m_record.m_policy.m_priority, marginal,
+                              !started, job.m_deadline};
         };
         return key(left) < key(right);
     });
