Let a reload after a compaction end, and keep removed jobs out of it

Its time limits never grew, since only the takeover counted failures, so that a store whose first byte takes longer than 700 ms would keep the decider from starting anything. And pages that are kept between attempts could contain a job that is removed from the store meanwhile, which would be added again without its progress, and run a second time.

Failed reloads now pause and get longer limits like those of a takeover. No job is removed while jobs are read again, and the other way round. The watch of the configuration keeps short pauses and limits once a configuration is known, as a change has to be in force within 2 s. Found by reading; no test of its own yet.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -183,7 +183,8 @@
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
             LOG(WARNING) << log_line{"job_history_gone"}.with("revision", m_jobs_revision);
-            static_cast<void>(co_await reload_jobs());
+            const bool reloaded = co_await reload_jobs();
+            co_await pause_after_reload(reloaded);
         }
     }
 }
@@ -302,7 +303,8 @@
         ++m_load.m_failed_watches;
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
-            static_cast<void>(co_await load_workers());
+            const bool reloaded = co_await load_workers();
+            co_await pause_after_reload(reloaded);
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -117,6 +117,8 @@
     auto apply_stored_jobs(bool recovered) -> void;
     /** @brief Reads all jobs again, after the history of their changes was compacted. */
     [[nodiscard]] auto reload_jobs() -> asio::awaitable<bool>;
+    /** @brief After a failure, waits before the next attempt to read the missing pages, which has longer time limits. */
+    [[nodiscard]] auto pause_after_reload(bool reloaded) -> asio::awaitable<void>;
     [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
     [[nodiscard]] auto watch_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto watch_workers(std::shared_ptr<decider> self) -> asio::awaitable<void>;
@@ -234,6 +236,10 @@
     retry_backoff m_load_backoff;
     /** @brief Pages that have been read, but not applied as others are missing. */
     paged_read m_job_pages;
+    /** @brief Jobs are read again; until that ends, none is removed from the store. */
+    bool m_reloading_jobs{false};
+    /** @brief A write that removes jobs from the store is in progress. */
+    bool m_removing_jobs{false};
     paged_read m_progress_pages;
     paged_read m_worker_pages;
     bool m_loaded{false};
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -300,10 +300,12 @@
         for (const auto& id : early) {
             write.m_removals.push_back(cancel_key(id));
         }
-        if (write.m_removals.empty() || !self->m_active) {
+        if (write.m_removals.empty() || !self->m_active || m_reloading_jobs) {
             continue;
         }
+        m_removing_jobs = true;
         const auto written = co_await m_store.write(std::move(write), store_timeout);
+        m_removing_jobs = false;
         if (written.m_status == store_status::ok) {
             for (const auto& id : removed) {
                 m_state.m_jobs.erase(id);
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -132,13 +132,29 @@
 
 auto decider::reload_jobs() -> asio::awaitable<bool>
 {
+    // A page may contain a job that is being removed, which would be added again without its progress.
+    if (m_removing_jobs) {
+        co_return false;
+    }
+    m_reloading_jobs = true;
     const bool read = co_await read_pages(job_prefix, m_job_pages);
     if (read) {
         apply_stored_jobs(false);
+        m_reloading_jobs = false;
     }
     co_return read;
 }
 
+auto decider::pause_after_reload(const bool reloaded) -> asio::awaitable<void>
+{
+    if (reloaded) {
+        m_load_backoff.reset();
+    }
+    else {
+        co_await sleep_for(m_executor, m_load_backoff.next_pause());
+    }
+}
+
 auto decider::load_workers() -> asio::awaitable<bool>
 {
     const bool read = co_await read_pages(worker_prefix, m_worker_pages);
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -43,6 +43,11 @@
 /** @brief Longest pause between two attempts to read the configuration. */
 constexpr milliseconds longest_failure_pause{2'000};
 
+/** @brief Limits of the slack of a watch and of the pause after it: a change has to be in force within the time that the
+ * platform's settings state, even if it comes right after a failure. */
+constexpr milliseconds longest_watch_slack{1'600};
+constexpr milliseconds longest_watch_pause{500};
+
 /** @brief Maximum time without any byte of a response with the configuration, after any number of failures. */
 constexpr milliseconds longest_patience{5'000};
 
@@ -211,7 +216,7 @@
                 status = co_await read_config(seen, backoff.scaled(store_timeout, longest_patience));
             }
             else {
-                status = co_await follow_config(*seen, backoff.scaled(watch_slack, longest_patience));
+                status = co_await follow_config(*seen, backoff.scaled(watch_slack, longest_watch_slack));
             }
             if (status == store_status::ok) {
                 backoff.reset();
@@ -220,7 +225,8 @@
             if (status == store_status::compacted) {
                 seen.reset();
             }
-            co_await sleep_for(m_executor, backoff.next_pause());
+            const auto pause = backoff.next_pause();
+            co_await sleep_for(m_executor, seen ? std::min(pause, longest_watch_pause) : pause);
         }
     }
 
