--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -220,6 +220,8 @@
     bool m_lease_list_complete{false};
     /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
+    /** @brief When the VMs of leased workers were last written. */
+    time_point m_vms_listed_at{};
     /** @brief Dirty jobs whose progress the store refuses, which m_dirty of the state does not list. */
     std::vector<job_entry*> m_refused_jobs;
     time_point m_refused_retried_at{};
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -215,7 +215,12 @@
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
-        write.m_puts.push_back({std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
+        // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor.
+        if (now - m_vms_listed_at > lease_list_interval) {
+            m_vms_listed_at = now;
+            write.m_puts.push_back(
+                {std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
+        }
     }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
@@ -248,12 +253,16 @@
     complete_lease_list(m_state, leased);
     m_lease_list_complete = m_lease_list_complete || lists_leases;
     m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
+    // The jobs of one write are one sample.
+    bool learned{false};
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
         if (is_final(state)) {
             const auto& job = *jobs[position];
-            learn_storing_time(m_state, job, monotonic_now());
+            if (state == job_state::completed && !std::exchange(learned, true)) {
+                learn_storing_time(m_state, job, monotonic_now());
+            }
             LOG(INFO) << log_line{"job_ended"}
                              .with("request", job.m_record.m_id)
                              .with("queue", job.m_record.m_policy.m_queue)
