--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -244,7 +244,7 @@
     const bool in_backoff = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
                                         [&pass](const task_state& member) { return member.m_not_before > pass.m_now; });
     if (step.m_waiting != step.m_tasks.size() || in_backoff) {
-        account_waiting(step, in_backoff ? job_part::back_off : job_part::gang_incomplete, now);
+        account_waiting(step, in_backoff ? job_part::back_off : job_part::gang_incomplete, pass.m_now);
         return;
     }
     if (is_out_of_attempts(job, task_of(waiting, 0))) {
@@ -269,11 +269,11 @@
         if (waiting.m_needs_permit) {
             request_permits(pass, waiting, 0);
         }
-        account_waiting(step, step.m_permits_requested ? job_part::no_permit : job_part::none_fitting, now);
+        account_waiting(step, step.m_permits_requested ? job_part::no_permit : job_part::none_fitting, pass.m_now);
         return;
     }
     if (!step.m_opened) {
-        account_waiting(step, job_part::step_not_opened, now);
+        account_waiting(step, job_part::step_not_opened, pass.m_now);
         if (open_step(pass, job, step)) {
             reserve_for_step(pass, waiting);
         }
