Separate the simulated decider from the simulated platform

The soak had a single class for the platform, the workers and the decider, so that only one decider could exist at a time. Workers and deciders now have files of their own, and commands in flight outlive the decider that sent them.

--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
@@ -29,9 +29,12 @@
 /** @brief Describes why a task waits, for the report of a violation. */
 [[nodiscard]] auto describe_wait(const soak_simulation& simulation, const task_ref& task) -> std::string
 {
-    const auto& state = simulation.m_state;
+    if (simulation.decider() == nullptr) {
+        return "no decider";
+    }
+    const auto& state = simulation.decider()->state();
     const auto* job = find_job(state, task.m_job);
-    if (!simulation.has_decider() || job == nullptr || find_step(*job, task) == nullptr) {
+    if (job == nullptr || find_step(*job, task) == nullptr) {
         return "not known to the decider";
     }
     const auto& found = find_step(*job, task)->m_tasks[static_cast<std::size_t>(task.m_index)];
@@ -202,8 +205,8 @@
     }
     check_single_runs(checks, simulation, runs);
     check_waits(checks, simulation, runs, calm_since);
-    if (!checks.m_inconsistent) {
-        if (const auto contradiction = find_contradiction(simulation.m_state); !contradiction.empty()) {
+    if (!checks.m_inconsistent && simulation.decider() != nullptr) {
+        if (const auto contradiction = find_contradiction(simulation.decider()->state()); !contradiction.empty()) {
             checks.m_inconsistent = true;
             report(checks, simulation, "STATE " + contradiction);
         }
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -0,0 +1,305 @@
+#include "soak_decider.hpp"
+
+#include "soak_simulation.hpp"
+
+#include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/leased_workers.hpp>
+#include <cicadalug/scheduler/reports.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadalug::test {
+
+namespace {
+
+constexpr milliseconds call_time{10};
+constexpr milliseconds term_lease{1'200};
+constexpr milliseconds renewal_wait{900};
+constexpr milliseconds trial_renewal_wait{150};
+constexpr milliseconds renewal_slack{500};
+constexpr milliseconds renewal_gap{60};
+constexpr milliseconds renewal_pause{200};
+constexpr milliseconds write_time{20};
+constexpr milliseconds write_timeout{700};
+constexpr milliseconds lease_list_interval{1'000};
+
+} // namespace
+
+soak_decider::soak_decider(soak_simulation& simulation, const fencing_token token) : m_simulation{simulation}
+{
+    m_state.m_token = token;
+}
+
+auto soak_decider::now() const -> time_point
+{
+    return m_simulation.now();
+}
+
+auto soak_decider::load() -> void
+{
+    m_state.m_began = now();
+    m_state.m_expected_workers = m_simulation.m_stored_leases;
+    m_state.m_expected_listed = !m_state.m_expected_workers.empty();
+    m_last_renewal = now();
+    for (const auto& [id, job] : m_simulation.m_jobs) {
+        add_job(m_state, job.m_record, job.m_progress, true, m_simulation.clock());
+        if (job.m_cancelled) {
+            cancel_job(m_state, id, now());
+        }
+    }
+    std::vector<worker_entry> entries;
+    for (const auto& [id, entry] : m_simulation.m_registry) {
+        entries.push_back(entry);
+    }
+    apply_registry(m_state, entries);
+    m_state.m_jobs_current_at = now();
+    m_state.m_workers_current_at = now();
+}
+
+auto soak_decider::step() -> void
+{
+    watch_store();
+    update_lease_limits(m_state, m_last_renewal, term_lease);
+    renew_leases();
+    expire_runs(m_state, now());
+    dispatch(m_state, now());
+    send_starts();
+    send_stops();
+    m_state.m_events.clear();
+    write_progress();
+}
+
+auto soak_decider::schedule_in_term(const time_point at, std::function<void()> event) -> void
+{
+    m_simulation.schedule(at, [term = weak_from_this(), event = std::move(event)] {
+        if (const auto decider = term.lock()) {
+            event();
+        }
+    });
+}
+
+auto soak_decider::watch_store() -> void
+{
+    if (!m_simulation.m_store_up) {
+        return;
+    }
+    m_last_renewal = now();
+    if (m_simulation.m_worker_watch_up) {
+        for (const auto& id : std::exchange(m_changed_entries, {})) {
+            const auto entry = m_simulation.m_registry.find(id);
+            if (entry != m_simulation.m_registry.end()) {
+                register_worker(m_state, entry->second);
+            }
+            else {
+                unregister_worker(m_state, id);
+            }
+        }
+        m_state.m_workers_current_at = now();
+    }
+    if (m_simulation.m_job_watch_up) {
+        for (const auto& id : std::exchange(m_new_jobs, {})) {
+            add_job(m_state, m_simulation.m_jobs.at(id).m_record, std::nullopt, false, m_simulation.clock());
+        }
+        for (const auto& id : std::exchange(m_new_cancels, {})) {
+            cancel_job(m_state, id, now());
+        }
+        m_state.m_jobs_current_at = now();
+    }
+}
+
+auto soak_decider::renew_lease(const worker_index index) -> void
+{
+    auto& call = m_renewals[index];
+    if (call.m_in_flight) {
+        finish_renewal(index, call);
+        return;
+    }
+    auto& slot = m_state.m_workers[static_cast<std::size_t>(index)];
+    if (now() < call.m_due || (!slot.m_registered && slot.m_runs.empty())) {
+        return;
+    }
+    call = {true, false, now(), now(), 0};
+    std::int64_t lease_until_ms{0};
+    if (slot.m_has_reported) {
+        lease_until_ms = grant_lease(m_state, index, now());
+        call.m_due += m_state.m_trials.empty() ? renewal_wait : trial_renewal_wait;
+    }
+    const auto found = m_simulation.m_workers.find(slot.m_entry.m_id);
+    if (found == m_simulation.m_workers.end() || !found->second.m_alive || !found->second.m_reaches_decider) {
+        call.m_lost = found != m_simulation.m_workers.end() && found->second.m_alive;
+        return;
+    }
+    auto& worker = found->second;
+    call.m_incarnation = worker.m_incarnation;
+    worker.m_token = std::max(worker.m_token, m_state.m_token);
+    const auto acknowledged = slot.m_acknowledged_end;
+    std::erase_if(worker.m_ended, [acknowledged](const ended_report& end) { return end.m_number <= acknowledged; });
+    extend_lease(worker, lease_until_ms, now());
+}
+
+auto soak_decider::finish_renewal(const worker_index index, renewal& call) -> void
+{
+    const auto& id = m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id;
+    const auto found = m_simulation.m_workers.find(id);
+    const bool there = found != m_simulation.m_workers.end() && found->second.m_alive;
+    if (there && found->second.m_incarnation == call.m_incarnation && !call.m_lost) {
+        const auto& worker = found->second;
+        const bool ended = std::any_of(worker.m_ended.begin(), worker.m_ended.end(), [&](const ended_report& end) {
+            return end.m_number > m_state.m_workers[static_cast<std::size_t>(index)].m_last_end;
+        });
+        if (!worker.m_reaches_decider) {
+            call.m_lost = true;
+            return;
+        }
+        if (!ended && now() < call.m_due) {
+            return;
+        }
+        apply_report(m_state, index, report_of(worker, now()), call.m_sent, now());
+        call = {false, false, {}, now() + renewal_gap, 0};
+        return;
+    }
+    if (call.m_lost && now() < call.m_due + renewal_slack) {
+        return;
+    }
+    m_state.m_workers[static_cast<std::size_t>(index)].m_unresponsive = true;
+    call = {false, false, {}, now() + renewal_pause, 0};
+}
+
+auto soak_decider::renew_leases() -> void
+{
+    const auto current = m_state.m_current_workers;
+    for (const auto index : current) {
+        renew_lease(index);
+    }
+}
+
+auto soak_decider::perform(const worker_id& id, std::function<command_result(soak_worker&)> command,
+                           std::function<void(command_result)> on_result) -> void
+{
+    auto& simulation = m_simulation;
+    // A command may be carried out after the term of its sender.
+    const auto respond = [&simulation, term = weak_from_this(),
+                          on_result = std::move(on_result)](const time_point at, const command_result result) {
+        simulation.schedule(at, [term, on_result, result] {
+            if (const auto decider = term.lock()) {
+                on_result(result);
+            }
+        });
+    };
+    const auto found = simulation.m_workers.find(id);
+    const auto timeout = now() + m_state.m_settings.m_command_timeout;
+    if (found == simulation.m_workers.end() || !found->second.m_alive) {
+        respond(now() + call_time, simulation.random(2) == 0 ? command_result::unavailable : command_result::unknown);
+        return;
+    }
+    if (!found->second.m_reaches_decider) {
+        respond(timeout, command_result::unknown);
+        return;
+    }
+    const bool answers = found->second.m_answers_commands;
+    const auto arrival = now() + (answers ? call_time : simulation.random_time(50, 4'000));
+    simulation.schedule(arrival, [&simulation, id, command = std::move(command), respond, answers] {
+        const auto worker = simulation.m_workers.find(id);
+        if (worker == simulation.m_workers.end() || !worker->second.m_alive) {
+            if (answers) {
+                respond(simulation.now() + call_time, command_result::unknown);
+            }
+            return;
+        }
+        const auto result = command(worker->second);
+        if (answers) {
+            respond(simulation.now() + call_time, result);
+        }
+    });
+    if (!answers) {
+        respond(timeout, command_result::unknown);
+    }
+}
+
+auto soak_decider::send_starts() -> void
+{
+    for (const auto& command : std::exchange(m_state.m_starts, {})) {
+        if (!is_start_valid(m_state, command, now())) {
+            apply_start_result(m_state, command, command_result::withdrawn, now());
+            continue;
+        }
+        static_cast<void>(mark_started(m_state, *find_job(m_state, command.m_task.m_job)));
+        const auto lease_until_ms = grant_start_lease(m_state, command.m_worker, now());
+        perform(
+            m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id,
+            [&simulation = m_simulation, command, lease_until_ms, token = m_state.m_token](soak_worker& worker) {
+                return simulation.start_run(worker, command, token, lease_until_ms);
+            },
+            [this, command](const command_result result) { apply_start_result(m_state, command, result, now()); });
+    }
+}
+
+auto soak_decider::send_stops() -> void
+{
+    for (const auto& command : std::exchange(m_state.m_stops, {})) {
+        perform(
+            m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id,
+            [command, token = m_state.m_token](soak_worker& worker) { return execute_stop(worker, command, token); },
+            [this, command](const command_result result) { apply_stop_result(m_state, command, result, now()); });
+    }
+}
+
+auto soak_decider::write_progress() -> void
+{
+    if (m_writing) {
+        return;
+    }
+    const auto ends = capture_ends(m_state);
+    const bool lists_leases = has_unlisted_lease(m_state, now()) || (now() - m_leases_listed_at > lease_list_interval &&
+                                                                     has_ended_lease_in_list(m_state, now()));
+    if (m_state.m_dirty.empty() && !lists_leases) {
+        acknowledge_ends(m_state, ends);
+        return;
+    }
+    m_writing = true;
+    std::map<job_id, job_progress> progress;
+    for (auto* job : std::exchange(m_state.m_dirty, {})) {
+        job->m_dirty = false;
+        progress[job->m_record.m_id] = progress_of(*job);
+    }
+    std::optional<std::vector<worker_index>> leased;
+    std::set<worker_id> list;
+    const bool lists_expected = are_expected_workers_listed(m_state, now());
+    if (lists_leases) {
+        leased = begin_lease_list(m_state, now());
+        m_leases_listed_at = now();
+        for (const auto index : *leased) {
+            list.insert(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
+        }
+        if (lists_expected) {
+            list.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
+        }
+    }
+    const bool succeeds = m_simulation.m_store_up;
+    const auto finish = [this, ends, progress, leased, list, lists_expected, succeeds] {
+        m_writing = false;
+        for (const auto& [id, stored] : progress) {
+            auto& job = *find_job(m_state, id);
+            if (succeeds && m_simulation.m_store_up) {
+                m_simulation.m_jobs.at(id).m_progress = stored;
+                apply_stored_progress(m_state, job, stored);
+            }
+            else {
+                mark_dirty(m_state, job);
+            }
+        }
+        if (succeeds && m_simulation.m_store_up) {
+            acknowledge_ends(m_state, ends);
+            if (leased) {
+                m_simulation.m_stored_leases = list;
+                complete_lease_list(m_state, *leased);
+                m_state.m_expected_listed = lists_expected;
+            }
+        }
+    };
+    schedule_in_term(now() + (succeeds ? write_time : write_timeout), finish);
+}
+
+} // namespace cicadalug::test
--- /dev/null
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -0,0 +1,71 @@
+#ifndef CICADALUG_SCHEDULER_TEST_SOAK_DECIDER_HPP
+#define CICADALUG_SCHEDULER_TEST_SOAK_DECIDER_HPP
+
+#include "soak_worker.hpp"
+
+#include <cicadalug/scheduler/scheduler_state.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace cicadalug::test {
+
+class soak_simulation;
+
+/** @brief A decider in one term: the scheduler's state, its calls to workers and its writes to the store. */
+class soak_decider : public std::enable_shared_from_this<soak_decider> {
+public:
+    soak_decider(soak_simulation& simulation, fencing_token token);
+
+    /** @brief Loads the jobs and the workers from the store. */
+    auto load() -> void;
+    /** @brief Observes the store, renews leases, and sends commands. */
+    auto step() -> void;
+
+    auto job_submitted(const job_id& id) -> void { m_new_jobs.insert(id); }
+    auto job_cancelled(const job_id& id) -> void { m_new_cancels.insert(id); }
+    auto entry_changed(const worker_id& id) -> void { m_changed_entries.insert(id); }
+
+    [[nodiscard]] auto state() const -> const scheduler_state& { return m_state; }
+
+private:
+    struct renewal {
+        bool m_in_flight{false};
+        bool m_lost{false};
+        time_point m_sent{};
+        /** @brief When the response is due or the call times out, if nothing ends before. */
+        time_point m_due{};
+        std::int64_t m_incarnation{0};
+    };
+
+    [[nodiscard]] auto now() const -> time_point;
+    auto watch_store() -> void;
+    auto renew_leases() -> void;
+    auto renew_lease(worker_index index) -> void;
+    auto finish_renewal(worker_index index, renewal& call) -> void;
+    auto send_starts() -> void;
+    auto send_stops() -> void;
+    auto write_progress() -> void;
+    /** @brief Performs a command at a worker. Its result arrives after a while, or not at all. */
+    auto perform(const worker_id& id, std::function<command_result(soak_worker&)> command,
+                 std::function<void(command_result)> on_result) -> void;
+    /** @brief Schedules an event that is dropped if the term ends before. */
+    auto schedule_in_term(time_point at, std::function<void()> event) -> void;
+
+    soak_simulation& m_simulation;
+    scheduler_state m_state;
+    time_point m_last_renewal{};
+    std::map<worker_index, renewal> m_renewals;
+    std::set<worker_id> m_changed_entries;
+    std::set<job_id> m_new_jobs;
+    std::set<job_id> m_new_cancels;
+    bool m_writing{false};
+    time_point m_leases_listed_at{};
+};
+
+} // namespace cicadalug::test
+
+#endif
