Simulate a decider that goes on beside its successor

The soak ended a decider before the next one began, so nothing tested what an old holder does that is cut off from the store: the fencing tokens on the workers, the guarantee of its term and the wait for inherited leases were exercised by one decider at a time only.

The fault decider_cut_off cuts the decider off from the store and from some workers, and its successor from others, while work waits. The old one goes on with its state until a worker refuses its token, it reaches the store again, or its lease has not been renewed for 8 s. A start that it sends after its successor has begun counts as a violation of ONE.

--- a/packages/scheduler/test/cicadalug/scheduler/soak.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak.cpp
@@ -34,6 +34,14 @@
     return faults;
 }
 
+/** @brief Returns the chosen faults that are among the first kinds. */
+[[nodiscard]] auto chosen_first_faults() -> std::set<soak_fault>
+{
+    auto faults = chosen_faults();
+    std::erase_if(faults, [](const soak_fault fault) { return static_cast<std::size_t>(fault) >= first_soak_faults; });
+    return faults;
+}
+
 /** @brief Runs a number of seeds, which CICADALUG_SOAK_SEED and CICADALUG_SOAK_SEEDS change. */
 auto soak_seeds(soak_settings settings, const std::string& name, const std::uint64_t seeds) -> void
 {
@@ -67,8 +75,16 @@
 TEST(soak, faults_of_all_kinds)
 {
     soak_settings settings;
-    settings.m_faults = chosen_faults();
+    settings.m_faults = chosen_first_faults();
     soak_seeds(settings, "all", 10);
 }
 
+// Guards against rules that are broken only while a decider that is cut off goes on beside its successor.
+TEST(soak, faults_of_all_kinds_and_two_deciders)
+{
+    soak_settings settings;
+    settings.m_faults = chosen_faults();
+    soak_seeds(settings, "all with two deciders", 5);
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace cicadalug::test {
 
@@ -195,7 +196,7 @@
 
 } // namespace
 
-auto check_step(soak_checks& checks, const soak_simulation& simulation, const time_point calm_since) -> void
+auto check_step(soak_checks& checks, soak_simulation& simulation, const time_point calm_since) -> void
 {
     std::map<task_ref, std::int64_t> runs;
     for (const auto& [id, worker] : simulation.m_workers) {
@@ -203,6 +204,9 @@
             ++runs[run.m_task];
         }
     }
+    for (const auto& text : std::exchange(simulation.m_broken_rules, {})) {
+        report(checks, simulation, text);
+    }
     check_single_runs(checks, simulation, runs);
     check_waits(checks, simulation, runs, calm_since);
     if (!checks.m_inconsistent && simulation.decider() != nullptr) {
--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.hpp
@@ -31,12 +31,13 @@
 };
 
 /**
- * @brief Checks the platform's rules LOST and TWICE and the consistency of the scheduler's state after a step.
+ * @brief Checks the platform's rules LOST and TWICE, takes over the rules that commands have broken, and checks the
+ * consistency of the scheduler's state after a step.
  * @param checks State of the checks, updated.
  * @param simulation The simulation.
  * @param calm_since When the last disruption ended.
  */
-auto check_step(soak_checks& checks, const soak_simulation& simulation, time_point calm_since) -> void;
+auto check_step(soak_checks& checks, soak_simulation& simulation, time_point calm_since) -> void;
 
 } // namespace cicadalug::test
 
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -25,9 +25,13 @@
 constexpr milliseconds write_timeout{700};
 constexpr milliseconds lease_list_interval{1'000};
 
+/** @brief A decider whose lease has not been renewed for this time ends its term. */
+constexpr milliseconds unrenewed_limit{8'000};
+
 } // namespace
 
-soak_decider::soak_decider(soak_simulation& simulation, const fencing_token token) : m_simulation{simulation}
+soak_decider::soak_decider(soak_simulation& simulation, const fencing_token token)
+    : m_simulation{simulation}, m_random{&simulation.m_random}
 {
     m_state.m_token = token;
 }
@@ -37,6 +41,32 @@
     return m_simulation.now();
 }
 
+auto soak_decider::cut_off(const soak_cut& cut) -> void
+{
+    m_cut = cut;
+    m_random = &m_simulation.m_later_random;
+}
+
+auto soak_decider::has_ended() const -> bool
+{
+    // The lease of the term ends in the store, and is missing when the decider reaches it again.
+    return m_state.m_deposed ||
+           (m_cut && (now() - m_last_renewal > unrenewed_limit || (now() >= m_cut->m_end && m_simulation.m_store_up)));
+}
+
+auto soak_decider::reaches_store() const -> bool
+{
+    return !m_cut && m_simulation.m_store_up;
+}
+
+auto soak_decider::reaches(const soak_worker& worker) const -> bool
+{
+    const auto& id = worker.m_entry.m_id;
+    return m_cut && m_cut->m_kept.contains(id)
+               ? now() < m_cut->m_end
+               : worker.m_reaches_decider && !(m_cut && m_cut->m_unreachable.contains(id));
+}
+
 auto soak_decider::load() -> void
 {
     m_state.m_began = now();
@@ -82,7 +112,7 @@
 
 auto soak_decider::watch_store() -> void
 {
-    if (!m_simulation.m_store_up) {
+    if (!reaches_store()) {
         return;
     }
     m_last_renewal = now();
@@ -120,20 +150,24 @@
     if (now() < call.m_due || (!slot.m_registered && slot.m_runs.empty())) {
         return;
     }
-    call = {true, false, now(), now(), 0};
+    call = {true, false, false, now(), now(), 0};
     std::int64_t lease_until_ms{0};
     if (slot.m_has_reported) {
         lease_until_ms = grant_lease(m_state, index, now());
         call.m_due += m_state.m_trials.empty() ? renewal_wait : trial_renewal_wait;
     }
     const auto found = m_simulation.m_workers.find(slot.m_entry.m_id);
-    if (found == m_simulation.m_workers.end() || !found->second.m_alive || !found->second.m_reaches_decider) {
+    if (found == m_simulation.m_workers.end() || !found->second.m_alive || !reaches(found->second)) {
         call.m_lost = found != m_simulation.m_workers.end() && found->second.m_alive;
         return;
     }
     auto& worker = found->second;
     call.m_incarnation = worker.m_incarnation;
-    worker.m_token = std::max(worker.m_token, m_state.m_token);
+    call.m_fenced = !accept_token(worker, m_state.m_token);
+    if (call.m_fenced) {
+        call.m_due = now() + call_time;
+        return;
+    }
     const auto acknowledged = slot.m_acknowledged_end;
     std::erase_if(worker.m_ended, [acknowledged](const ended_report& end) { return end.m_number <= acknowledged; });
     extend_lease(worker, lease_until_ms, now());
@@ -149,22 +183,26 @@
         const bool ended = std::any_of(worker.m_ended.begin(), worker.m_ended.end(), [&](const ended_report& end) {
             return end.m_number > m_state.m_workers[static_cast<std::size_t>(index)].m_last_end;
         });
-        if (!worker.m_reaches_decider) {
+        if (!reaches(worker)) {
             call.m_lost = true;
             return;
         }
+        if (call.m_fenced) {
+            m_state.m_deposed = true;
+            return;
+        }
         if (!ended && now() < call.m_due) {
             return;
         }
         apply_report(m_state, index, report_of(worker, now()), call.m_sent, now());
-        call = {false, false, {}, now() + renewal_gap, 0};
+        call = {false, false, false, {}, now() + renewal_gap, 0};
         return;
     }
     if (call.m_lost && now() < call.m_due + renewal_slack) {
         return;
     }
     m_state.m_workers[static_cast<std::size_t>(index)].m_unresponsive = true;
-    call = {false, false, {}, now() + renewal_pause, 0};
+    call = {false, false, false, {}, now() + renewal_pause, 0};
 }
 
 auto soak_decider::renew_leases() -> void
@@ -191,15 +229,15 @@
     const auto found = simulation.m_workers.find(id);
     const auto timeout = now() + m_state.m_settings.m_command_timeout;
     if (found == simulation.m_workers.end() || !found->second.m_alive) {
-        respond(now() + call_time, simulation.random(2) == 0 ? command_result::unavailable : command_result::unknown);
+        respond(now() + call_time, m_random->number(2) == 0 ? command_result::unavailable : command_result::unknown);
         return;
     }
-    if (!found->second.m_reaches_decider) {
+    if (!reaches(found->second)) {
         respond(timeout, command_result::unknown);
         return;
     }
     const bool answers = found->second.m_answers_commands;
-    const auto arrival = now() + (answers ? call_time : simulation.random_time(50, 4'000));
+    const auto arrival = now() + (answers ? call_time : m_random->time(50, 4'000));
     simulation.schedule(arrival, [&simulation, id, command = std::move(command), respond, answers] {
         const auto worker = simulation.m_workers.find(id);
         if (worker == simulation.m_workers.end() || !worker->second.m_alive) {
@@ -225,6 +263,11 @@
             apply_start_result(m_state, command, command_result::withdrawn, now());
             continue;
         }
+        if (m_simulation.is_superseded(*this)) {
+            m_simulation.m_broken_rules.push_back("ONE start of " + command.m_task.m_job.str() +
+                                                  " by the decider of term " + std::to_string(m_state.m_token.value()) +
+                                                  ", which has a successor");
+        }
         static_cast<void>(mark_started(m_state, *find_job(m_state, command.m_task.m_job)));
         const auto lease_until_ms = grant_start_lease(m_state, command.m_worker, now());
         perform(
@@ -277,12 +320,12 @@
             list.insert(m_state.m_expected_workers.begin(), m_state.m_expected_workers.end());
         }
     }
-    const bool succeeds = m_simulation.m_store_up;
+    const bool succeeds = reaches_store();
     const auto finish = [this, ends, progress, leased, list, lists_expected, succeeds] {
         m_writing = false;
         for (const auto& [id, stored] : progress) {
             auto& job = *find_job(m_state, id);
-            if (succeeds && m_simulation.m_store_up) {
+            if (succeeds && reaches_store()) {
                 m_simulation.m_jobs.at(id).m_progress = stored;
                 apply_stored_progress(m_state, job, stored);
             }
@@ -290,7 +333,7 @@
                 mark_dirty(m_state, job);
             }
         }
-        if (succeeds && m_simulation.m_store_up) {
+        if (succeeds && reaches_store()) {
             acknowledge_ends(m_state, ends);
             if (leased) {
                 m_simulation.m_stored_leases = list;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -9,11 +9,21 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace cicadalug::test {
 
 class soak_simulation;
+class soak_random;
+
+/** @brief What a decider is cut off from, besides the store. */
+struct soak_cut {
+    std::set<worker_id> m_unreachable;
+    /** @brief Workers that only the old decider reaches. */
+    std::set<worker_id> m_kept;
+    time_point m_end{};
+};
 
 /** @brief A decider in one term: the scheduler's state, its calls to workers and its writes to the store. */
 class soak_decider : public std::enable_shared_from_this<soak_decider> {
@@ -29,12 +39,18 @@
     auto job_cancelled(const job_id& id) -> void { m_new_cancels.insert(id); }
     auto entry_changed(const worker_id& id) -> void { m_changed_entries.insert(id); }
 
+    /** @brief Cuts the decider off from the store and from workers. It is not the current one any more. */
+    auto cut_off(const soak_cut& cut) -> void;
+    [[nodiscard]] auto is_cut_off() const -> bool { return m_cut.has_value(); }
+    /** @brief Checks whether the decider knows that its term has ended. */
+    [[nodiscard]] auto has_ended() const -> bool;
     [[nodiscard]] auto state() const -> const scheduler_state& { return m_state; }
 
 private:
     struct renewal {
         bool m_in_flight{false};
         bool m_lost{false};
+        bool m_fenced{false};
         time_point m_sent{};
         /** @brief When the response is due or the call times out, if nothing ends before. */
         time_point m_due{};
@@ -42,6 +58,8 @@
     };
 
     [[nodiscard]] auto now() const -> time_point;
+    [[nodiscard]] auto reaches_store() const -> bool;
+    [[nodiscard]] auto reaches(const soak_worker& worker) const -> bool;
     auto watch_store() -> void;
     auto renew_leases() -> void;
     auto renew_lease(worker_index index) -> void;
@@ -56,6 +74,8 @@
     auto schedule_in_term(time_point at, std::function<void()> event) -> void;
 
     soak_simulation& m_simulation;
+    soak_random* m_random;
+    std::optional<soak_cut> m_cut;
     scheduler_state m_state;
     time_point m_last_renewal{};
     std::map<worker_index, renewal> m_renewals;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
@@ -20,7 +20,7 @@
     "vm_removed",       "vm_added",          "draining",
     "store_down",       "job_watch_stalled", "worker_watch_stalled",
     "takeover",         "two_takeovers",     "handover",
-    "deadly_tasks",
+    "deadly_tasks",     "decider_cut_off",
 };
 
 constexpr std::array<const char*, 2> pools{"field", "shed"};
@@ -33,10 +33,22 @@
     soak_checks m_checks;
     time_point m_calm_since{};
     time_point m_next_fault{};
+    time_point m_next_later_fault{};
+
+    std::set<soak_fault> m_first_faults;
+    std::set<soak_fault> m_later_faults;
 
     auto disturb_until(const time_point end) -> void { m_calm_since = std::max(m_calm_since, end); }
 };
 
+auto print_fault(const soak& run, const soak_fault fault, const milliseconds time) -> void
+{
+    if (run.m_settings.m_verbose) {
+        const auto at = std::chrono::duration_cast<milliseconds>(run.m_simulation.now().time_since_epoch()).count();
+        std::cout << at - 1'000'000 << " ms: " << name_of(fault) << " for " << time.count() << " ms\n";
+    }
+}
+
 auto submit_long_running(soak& run, const std::string& pool) -> void
 {
     auto& simulation = run.m_simulation;
@@ -218,14 +230,65 @@
     run.disturb_until(simulation.now());
 }
 
+/** @brief Cuts the decider off from the store and from some workers, and its successor from others. */
+auto cut_decider_off(soak& run, const milliseconds time) -> void
+{
+    auto& simulation = run.m_simulation;
+    auto& random = simulation.m_later_random;
+    if (simulation.decider() == nullptr) {
+        return;
+    }
+    constexpr std::array<std::int64_t, 3> shares{0, 40, 100};
+    const auto unreachable_percent = shares[static_cast<std::size_t>(random.number(3))];
+    const auto kept_percent = shares[static_cast<std::size_t>(random.number(3))];
+    soak_cut cut{{}, {}, simulation.now() + time};
+    for (auto& [id, worker] : simulation.m_workers) {
+        if (random.number(100) < unreachable_percent) {
+            cut.m_unreachable.insert(id);
+        }
+        else if (random.number(100) < kept_percent && worker.m_reaches_decider) {
+            cut.m_kept.insert(id);
+            worker.m_reaches_decider = false;
+            simulation.schedule(cut.m_end, [&simulation, id = id] {
+                const auto found = simulation.m_workers.find(id);
+                if (found != simulation.m_workers.end()) {
+                    found->second.m_reaches_decider = true;
+                }
+            });
+        }
+    }
+    simulation.cut_decider_off(random.time(1'200, 2'500), cut);
+    run.disturb_until(simulation.now() + time);
+}
+
+/** @brief Submits more tasks than the workers can run at a time. */
+auto submit_backlog(soak& run) -> void
+{
+    auto& random = run.m_simulation.m_later_random;
+    for (const auto* pool : pools) {
+        for (std::int64_t count = 4 + random.number(12); count > 0; --count) {
+            static_cast<void>(run.m_simulation.submit(make_job(pool, 10, 1'100, random.time(300, 1'200))));
+        }
+    }
+}
+
+auto begin_later_fault(soak& run, const soak_fault fault) -> void
+{
+    const auto time = run.m_simulation.m_later_random.time(1'500, 9'000);
+    print_fault(run, fault, time);
+    if (fault == soak_fault::decider_cut_off) {
+        // The decider has work that it can start for a while.
+        submit_backlog(run);
+        run.m_simulation.schedule(run.m_simulation.now() + run.m_simulation.m_later_random.time(10, 300),
+                                  [&run, time] { cut_decider_off(run, time); });
+    }
+}
+
 auto begin_fault(soak& run, const soak_fault fault) -> void
 {
     auto& simulation = run.m_simulation;
     const auto time = simulation.random_time(200, 6'000);
-    if (run.m_settings.m_verbose) {
-        const auto at = std::chrono::duration_cast<milliseconds>(simulation.now().time_since_epoch()).count();
-        std::cout << at - 1'000'000 << " ms: " << name_of(fault) << " for " << time.count() << " ms\n";
-    }
+    print_fault(run, fault, time);
     switch (fault) {
     case soak_fault::smaller_capacity:
         return change_capacity(run, time, 10 + simulation.random(60), 100);
@@ -285,13 +348,15 @@
         return simulation.take_over(simulation.random_time(20, 200));
     case soak_fault::deadly_tasks:
         return submit_deadly(run);
+    default:
+        return;
     }
 }
 
 auto begin_faults(soak& run) -> void
 {
     auto& simulation = run.m_simulation;
-    const auto& faults = run.m_settings.m_faults;
+    const auto& faults = run.m_first_faults;
     if (faults.empty() || simulation.now() < run.m_next_fault) {
         return;
     }
@@ -303,6 +368,19 @@
     run.m_next_fault = simulation.now() + gap;
 }
 
+auto begin_later_faults(soak& run) -> void
+{
+    auto& simulation = run.m_simulation;
+    auto& random = simulation.m_later_random;
+    const auto& faults = run.m_later_faults;
+    if (faults.empty() || simulation.now() < run.m_next_later_fault) {
+        return;
+    }
+    begin_later_fault(run, *std::next(faults.begin(), random.number(static_cast<std::int64_t>(faults.size()))));
+    run.m_next_later_fault =
+        simulation.now() + (random.number(2) == 0 ? random.time(0, 2'500) : random.time(3'000, 12'000));
+}
+
 } // namespace
 
 auto name_of(const soak_fault fault) noexcept -> std::string_view
@@ -312,14 +390,18 @@
 
 auto run_soak(const soak_settings& settings) -> soak_findings
 {
-    soak run{settings, soak_simulation{settings.m_seed}, {}, {}, {}};
+    soak run{settings, soak_simulation{settings.m_seed}, {}, {}, {}, {}, {}, {}};
     auto& simulation = run.m_simulation;
+    for (const auto fault : settings.m_faults) {
+        (static_cast<std::size_t>(fault) < first_soak_faults ? run.m_first_faults : run.m_later_faults).insert(fault);
+    }
     for (std::int64_t number = 0; number < 14; ++number) {
         add_vm(run, pools[number < 8 ? 0 : 1], "rack" + std::to_string(number / 4));
     }
     run.disturb_until(simulation.now());
     const auto begin = simulation.now();
     run.m_next_fault = begin + milliseconds{3'000};
+    run.m_next_later_fault = begin + simulation.m_later_random.time(2'000, 6'000);
     for (const auto* pool : pools) {
         submit_long_running(run, pool);
         submit_long_running(run, pool);
@@ -328,6 +410,7 @@
         submit_load(run);
         if (simulation.now() < begin + settings.m_faulty) {
             begin_faults(run);
+            begin_later_faults(run);
         }
         simulation.step();
         if (!simulation.m_crashed.empty()) {
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
@@ -36,9 +36,14 @@
     two_takeovers,
     handover,
     deadly_tasks,
+    /** @brief The first of the kinds that were added later, and strike at times of their own. */
+    decider_cut_off,
 };
 
-inline constexpr std::size_t soak_faults{static_cast<std::size_t>(soak_fault::deadly_tasks) + 1};
+inline constexpr std::size_t soak_faults{static_cast<std::size_t>(soak_fault::decider_cut_off) + 1};
+
+/** @brief Number of the first kinds. The seeds of soaks with only these keep their meaning when kinds are added. */
+inline constexpr std::size_t first_soak_faults{static_cast<std::size_t>(soak_fault::deadly_tasks) + 1};
 
 [[nodiscard]] auto name_of(soak_fault fault) noexcept -> std::string_view;
 
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -25,21 +25,11 @@
 
 } // namespace
 
-soak_simulation::soak_simulation(const std::uint64_t seed) : m_random{seed}
+soak_simulation::soak_simulation(const std::uint64_t seed) : m_random{seed}, m_later_random{~seed}
 {
     begin_term();
 }
 
-auto soak_simulation::random(const std::int64_t limit) -> std::int64_t
-{
-    return static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(std::max<std::int64_t>(1, limit)));
-}
-
-auto soak_simulation::random_time(const std::int64_t least_ms, const std::int64_t most_ms) -> milliseconds
-{
-    return milliseconds{least_ms + random(most_ms - least_ms + 1)};
-}
-
 auto soak_simulation::schedule(const time_point at, std::function<void()> event) -> void
 {
     m_events.emplace(at, std::move(event));
@@ -143,6 +133,15 @@
     });
 }
 
+auto soak_simulation::cut_decider_off(const milliseconds delay, const soak_cut& cut) -> void
+{
+    if (m_decider && !m_decider->is_cut_off()) {
+        m_decider->cut_off(cut);
+        m_cut_deciders.push_back(m_decider);
+        take_over(delay);
+    }
+}
+
 auto soak_simulation::begin_term() -> void
 {
     m_decider = std::make_shared<soak_decider>(*this, fencing_token{++m_term});
@@ -261,6 +260,10 @@
     if (m_decider) {
         m_decider->step();
     }
+    for (const auto& decider : m_cut_deciders) {
+        decider->step();
+    }
+    std::erase_if(m_cut_deciders, [](const auto& decider) { return decider->has_ended(); });
 }
 
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_TEST_SOAK_SIMULATION_HPP
 
 #include "soak_decider.hpp"
+#include "soak_random.hpp"
 
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
@@ -11,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +50,9 @@
     auto replace(const worker_id& id) -> void;
     /** @brief Ends the decider; a successor begins its term after a delay. */
     auto take_over(milliseconds delay) -> void;
+    /** @brief Cuts the decider off from the store and from some workers, and lets a successor begin its term. The old
+     * decider goes on until it is fenced, or finds that its term has ended. */
+    auto cut_decider_off(milliseconds delay, const soak_cut& cut) -> void;
 
     /** @brief Carries out a start at a worker, and determines how the run ends. */
     [[nodiscard]] auto start_run(soak_worker& worker, const start_command& command, fencing_token token,
@@ -59,9 +62,17 @@
     [[nodiscard]] auto clock() const -> clock_reading;
     /** @brief Returns the decider; null while there is none. */
     [[nodiscard]] auto decider() const -> const soak_decider* { return m_decider.get(); }
+    /** @brief Checks whether a decider's term has been followed by another one. */
+    [[nodiscard]] auto is_superseded(const soak_decider& decider) const -> bool
+    {
+        return &decider != m_decider.get() && m_decider;
+    }
     /** @brief Returns a number from 0 to below the limit. */
-    [[nodiscard]] auto random(std::int64_t limit) -> std::int64_t;
-    [[nodiscard]] auto random_time(std::int64_t least_ms, std::int64_t most_ms) -> milliseconds;
+    [[nodiscard]] auto random(std::int64_t limit) -> std::int64_t { return m_random.number(limit); }
+    [[nodiscard]] auto random_time(std::int64_t least_ms, std::int64_t most_ms) -> milliseconds
+    {
+        return m_random.time(least_ms, most_ms);
+    }
     auto schedule(time_point at, std::function<void()> event) -> void;
     [[nodiscard]] auto listed_vms() const -> std::vector<vm_status>;
 
@@ -81,6 +92,12 @@
     std::map<job_id, milliseconds> m_deadly;
     /** @brief Workers that deadly tasks have crashed since the last look. */
     std::vector<worker_id> m_crashed;
+    /** @brief Rules that commands have broken since the last look. */
+    std::vector<std::string> m_broken_rules;
+    /** @brief Random numbers of the first kinds of faults and of the commands of deciders that are not cut off. */
+    soak_random m_random;
+    /** @brief Random numbers of all that was added after the first kinds of faults, whose sequence stays as it was. */
+    soak_random m_later_random;
 
 private:
     auto begin_term() -> void;
@@ -89,10 +106,11 @@
     auto note_entry(const worker_id& id) -> void;
     auto advance_worker(const worker_id& id, soak_worker& worker) -> void;
 
-    std::mt19937_64 m_random;
     time_point m_now{milliseconds{1'000'000}};
     std::multimap<time_point, std::function<void()>> m_events;
     std::shared_ptr<soak_decider> m_decider;
+    /** @brief Deciders that are cut off and have not noticed the end of their terms. */
+    std::vector<std::shared_ptr<soak_decider>> m_cut_deciders;
     std::uint64_t m_term{0};
     std::int64_t m_next_worker{0};
     std::int64_t m_next_job{0};
