Simulate gangs in the soak

The soak had only tasks that run for themselves. The start of all members of a gang together, their common end and the restart of a gang that has lost a member were covered by unit tests, without faults.

Gangs of 2 to 7 tasks, some with a limit for each worker and some cancelled, begin their work when all members are present; the others end when one is lost, and after 3 s if one has not come. A run that ends alone without a disruption from 3 s before its start counts as a violation of GANG. At the end of a soak with features, jobs of short tasks that have waited in calm for 10 s beside three workers in use by less than half count as LOST. The features draw from a generator of their own; the findings of the earlier tests are unchanged.

--- a/packages/scheduler/test/cicadalug/scheduler/soak.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak.cpp
@@ -87,4 +87,13 @@
     soak_seeds(settings, "all with two deciders", 5);
 }
 
+// Guards against gangs whose members are started alone, and never end, beside faults of all kinds.
+TEST(soak, gangs)
+{
+    soak_settings settings;
+    settings.m_faults = chosen_faults();
+    settings.m_features = {soak_feature::gangs};
+    soak_seeds(settings, "gangs", 4);
+}
+
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
@@ -14,6 +14,13 @@
 /** @brief The rule LOST: a task that has not run for this long, in calm that began this long before, is lost. */
 constexpr milliseconds lost_time{3'000};
 constexpr milliseconds calm_before{4'000};
+
+/** @brief Jobs of short tasks have to end within this time in calm, beside this many idle workers. */
+constexpr milliseconds settle_time{10'000};
+constexpr std::int64_t idle_workers{3};
+
+/** @brief A VM is in touch after this time without disruption. */
+constexpr milliseconds contact_time{3'000};
 constexpr milliseconds grace_after_run{6'000};
 
 [[nodiscard]] auto text_of(const task_ref& task) -> std::string
@@ -112,6 +119,16 @@
     }
 }
 
+/** @brief Checks that no member of a gang waits in vain if there has been no disruption near its start. */
+auto check_lonely_runs(soak_checks& checks, soak_simulation& simulation, const time_point calm_since) -> void
+{
+    for (const auto& run : std::exchange(simulation.m_gangs.m_lonely, {})) {
+        if (run.m_begin > calm_since + contact_time && !simulation.m_jobs.at(run.m_task.m_job).m_cancelled) {
+            report(checks, simulation, "GANG " + text_of(run.m_task) + " has ended alone");
+        }
+    }
+}
+
 /** @brief Describes the runs of a task, for the report of a violation. */
 [[nodiscard]] auto describe_runs(const soak_simulation& simulation, const task_ref& task) -> std::string
 {
@@ -194,8 +211,50 @@
     return {};
 }
 
+/** @brief Checks whether a worker accepts work of a job, and is not in use by half. */
+[[nodiscard]] auto is_idle(const soak_simulation& simulation, const soak_worker& worker, const job_record& record)
+    -> bool
+{
+    auto doubled = record.m_spec.m_steps.front();
+    doubled.m_required_label.clear();
+    doubled.m_max_per_worker = 0;
+    doubled.m_demand = {millicores{worker.m_entry.m_capacity.m_cpu.value() / 4}, mebibytes{2'000}, 0};
+    return has_room(simulation, worker, record, doubled);
+}
+
 } // namespace
 
+auto check_end(soak_checks& checks, const soak_simulation& simulation, const time_point calm_since) -> void
+{
+    const auto settled = simulation.now() - settle_time;
+    std::map<service_id, std::pair<std::int64_t, task_ref>> waiting;
+    for (const auto& [id, job] : simulation.m_jobs) {
+        const auto& spec = job.m_record.m_spec.m_steps.front();
+        const bool ended = job.m_cancelled || (job.m_progress && is_final(job.m_progress->m_state));
+        if (ended || spec.m_long_running || std::max(job.m_submitted, calm_since) > settled) {
+            continue;
+        }
+        const bool runs =
+            std::any_of(simulation.m_workers.begin(), simulation.m_workers.end(), [&id = id](const auto& entry) {
+                return std::any_of(entry.second.m_runs.begin(), entry.second.m_runs.end(),
+                                   [&id](const soak_run& run) { return run.m_task.m_job == id; });
+            });
+        const auto idle = std::count_if(
+            simulation.m_workers.begin(), simulation.m_workers.end(),
+            [&, &job = job](const auto& worker) { return is_idle(simulation, worker.second, job.m_record); });
+        if (!runs && idle >= idle_workers) {
+            auto& [count, last] = waiting[job.m_record.m_policy.m_service];
+            ++count;
+            last = {id, 0, 0, 0};
+        }
+    }
+    for (const auto& [service, jobs] : waiting) {
+        report(checks, simulation,
+               "LOST " + std::to_string(jobs.first) + " jobs of " + service.str() + ", such as " +
+                   text_of(jobs.second) + ' ' + describe_wait(simulation, jobs.second));
+    }
+}
+
 auto check_step(soak_checks& checks, soak_simulation& simulation, const time_point calm_since) -> void
 {
     std::map<task_ref, std::int64_t> runs;
@@ -208,6 +267,7 @@
         report(checks, simulation, text);
     }
     check_single_runs(checks, simulation, runs);
+    check_lonely_runs(checks, simulation, calm_since);
     check_waits(checks, simulation, runs, calm_since);
     if (!checks.m_inconsistent && simulation.decider() != nullptr) {
         if (const auto contradiction = find_contradiction(simulation.decider()->state()); !contradiction.empty()) {
--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.hpp
@@ -39,6 +39,9 @@
  */
 auto check_step(soak_checks& checks, soak_simulation& simulation, time_point calm_since) -> void;
 
+/** @brief Checks at the end of a soak that no job of short tasks waits beside idle workers. */
+auto check_end(soak_checks& checks, const soak_simulation& simulation, time_point calm_since) -> void;
+
 } // namespace cicadalug::test
 
 #endif
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
@@ -78,6 +78,26 @@
     }
 }
 
+/** @brief Submits jobs whose tasks work only together, at times with a limit for each worker. */
+auto submit_gangs(soak& run) -> void
+{
+    auto& random = run.m_simulation.m_feature_random;
+    for (const auto* pool : pools) {
+        if (random.number(60) == 0) {
+            auto record = make_job(pool, 2 + random.number(6), 1'000 + random.number(4) * 1'500, milliseconds{1'000});
+            auto& step = record.m_spec.m_steps.front();
+            step.m_gang = true;
+            step.m_same_rack = random.number(2) == 0;
+            step.m_max_per_worker = random.number(3) == 0 ? 2 : 0;
+            const auto id = run.m_simulation.submit(std::move(record));
+            if (random.number(6) == 0) {
+                run.m_simulation.schedule(run.m_simulation.now() + random.time(0, 2'000),
+                                          [&run, id] { run.m_simulation.cancel(id); });
+            }
+        }
+    }
+}
+
 /** @brief Selects workers: one, some, or all of a pool. */
 [[nodiscard]] auto choose_workers(soak_simulation& simulation) -> std::vector<worker_id>
 {
@@ -408,6 +428,9 @@
     }
     while (simulation.now() < begin + settings.m_faulty + settings.m_calm) {
         submit_load(run);
+        if (settings.m_features.contains(soak_feature::gangs)) {
+            submit_gangs(run);
+        }
         if (simulation.now() < begin + settings.m_faulty) {
             begin_faults(run);
             begin_later_faults(run);
@@ -418,6 +441,9 @@
         }
         check_step(run.m_checks, simulation, run.m_calm_since);
     }
+    if (!settings.m_features.empty()) {
+        check_end(run.m_checks, simulation, run.m_calm_since);
+    }
     return run.m_checks.m_findings;
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
@@ -45,12 +45,16 @@
 /** @brief Number of the first kinds. The seeds of soaks with only these keep their meaning when kinds are added. */
 inline constexpr std::size_t first_soak_faults{static_cast<std::size_t>(soak_fault::deadly_tasks) + 1};
 
+/** @brief What the jobs of a soak need besides workers. */
+enum class soak_feature : std::uint8_t { gangs };
+
 [[nodiscard]] auto name_of(soak_fault fault) noexcept -> std::string_view;
 
 /** @brief A soak: which faults strike, and for how long. */
 struct soak_settings {
     std::uint64_t m_seed{1};
     std::set<soak_fault> m_faults;
+    std::set<soak_feature> m_features;
     /** @brief Time in which faults begin, and calm after it. */
     milliseconds m_faulty{40'000};
     milliseconds m_calm{20'000};
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-soak_simulation::soak_simulation(const std::uint64_t seed) : m_random{seed}, m_later_random{~seed}
+soak_simulation::soak_simulation(const std::uint64_t seed)
+    : m_random{seed}, m_later_random{~seed}, m_feature_random{seed ^ 0x5eed5eed5eed5eedULL}
 {
     begin_term();
 }
@@ -172,6 +173,10 @@
         const auto mean = m_mean_time_to_failure.count();
         run.m_end = mean == 0 ? time_point::max() : m_now + random_time(1, 2 * mean);
     }
+    if (spec.m_gang) {
+        run.m_gang_size = spec.m_count;
+        run.m_end = time_point::max();
+    }
     if (worker.m_fails_all) {
         run.m_end = m_now + random_time(10, 200);
     }
@@ -256,6 +261,7 @@
     for (auto& [id, worker] : m_workers) {
         advance_worker(id, worker);
     }
+    advance_gangs(m_gangs, m_workers, m_feature_random, m_now);
     update_registry();
     if (m_decider) {
         m_decider->step();
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_TEST_SOAK_SIMULATION_HPP
 
 #include "soak_decider.hpp"
+#include "soak_gangs.hpp"
 #include "soak_random.hpp"
 
 #include <cicadalug/scheduler/jobs.hpp>
@@ -94,10 +95,13 @@
     std::vector<worker_id> m_crashed;
     /** @brief Rules that commands have broken since the last look. */
     std::vector<std::string> m_broken_rules;
+    soak_gangs m_gangs;
     /** @brief Random numbers of the first kinds of faults and of the commands of deciders that are not cut off. */
     soak_random m_random;
     /** @brief Random numbers of all that was added after the first kinds of faults, whose sequence stays as it was. */
     soak_random m_later_random;
+    /** @brief Random numbers of the features. */
+    soak_random m_feature_random;
 
 private:
     auto begin_term() -> void;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_worker.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_worker.hpp
@@ -19,6 +19,8 @@
     time_point m_end{};
     bool m_long_running{false};
     bool m_fails{false};
+    /** @brief Members of the run's gang; 0 if it is in none. */
+    std::int64_t m_gang_size{0};
 };
 
 /** @brief A worker process and its VM, as the platform sees them. */
