Let no simulated term begin before the lease of a cut-off decider ends

A handover that struck while a decider was cut off let the successor begin after 20 to 200 ms, although the lease of the old term in the store lasts 1.2 s and keeps other holders from beginning.

The simulation now waits for the end of that lease, which both terms take from one constant.

--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr milliseconds call_time{10};
-constexpr milliseconds term_lease{1'200};
 constexpr milliseconds renewal_wait{900};
 constexpr milliseconds trial_renewal_wait{150};
 constexpr milliseconds renewal_slack{500};
@@ -91,7 +90,7 @@
 auto soak_decider::step() -> void
 {
     watch_store();
-    update_lease_limits(m_state, m_last_renewal, term_lease);
+    update_lease_limits(m_state, m_last_renewal, soak_term_lease);
     renew_leases();
     expire_runs(m_state, now());
     dispatch(m_state, now());
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -17,6 +17,9 @@
 class soak_simulation;
 class soak_random;
 
+/** @brief Lease of a decider's term in the store. */
+inline constexpr milliseconds soak_term_lease{1'200};
+
 /** @brief What a decider is cut off from, besides the store. */
 struct soak_cut {
     std::set<worker_id> m_unreachable;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -125,7 +125,7 @@
     const auto term = ++m_term;
     schedule(m_now + delay, [this, term] {
         // The term is stored, and the jobs are read.
-        if (term == m_term && m_store_up) {
+        if (term == m_term && m_store_up && m_now >= m_term_taken_until) {
             begin_term();
         }
         else if (term == m_term) {
@@ -139,6 +139,7 @@
     if (m_decider && !m_decider->is_cut_off()) {
         m_decider->cut_off(cut);
         m_cut_deciders.push_back(m_decider);
+        m_term_taken_until = m_now + soak_term_lease;
         take_over(delay);
     }
 }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -116,6 +116,8 @@
     /** @brief Deciders that are cut off and have not noticed the end of their terms. */
     std::vector<std::shared_ptr<soak_decider>> m_cut_deciders;
     std::uint64_t m_term{0};
+    /** @brief Until then the lease of a decider that is cut off keeps others from beginning a term. */
+    time_point m_term_taken_until{};
     std::int64_t m_next_worker{0};
     std::int64_t m_next_job{0};
 };
