Write a job once when it has changed again before its write

A write now takes the job out of the changed ones, and only the first final state is logged and counted.

progress_batch.a_write_covers_the_changes_up_to_it guards it.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -257,8 +257,9 @@
     bool learned{false};
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
+        const bool was_final = is_final(jobs[position]->m_stored_state);
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
-        if (is_final(state)) {
+        if (is_final(state) && !was_final) {
             const auto& job = *jobs[position];
             if (state == job_state::completed && !std::exchange(learned, true)) {
                 learn_storing_time(m_state, job, monotonic_now());
--- a/packages/scheduler/src/cicadalug/scheduler/progress_batch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress_batch.cpp
@@ -1,6 +1,7 @@
 #include <cicadalug/scheduler/progress_batch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalug {
 
@@ -26,6 +27,16 @@
     from.erase(from.begin(), from.begin() + count);
 }
 
+/** @brief Takes the jobs of a batch from a position on out of the changed jobs: their present progress is written. */
+auto clear_dirty(scheduler_state& state, const std::vector<job_entry*>& batch, const std::size_t first) -> void
+{
+    for (auto position = first; position < batch.size(); ++position) {
+        if (std::exchange(batch[position]->m_dirty, false)) {
+            std::erase(state.m_dirty, batch[position]);
+        }
+    }
+}
+
 } // namespace
 
 auto awaits_write(const job_entry& job) -> bool
@@ -48,21 +59,17 @@
     std::vector<job_entry*> batch;
     batch.reserve(limit);
     take_first(remaining, batch, limit / 4);
-    const auto oldest = batch.size();
     take_awaited(remaining, batch, limit);
+    clear_dirty(state, batch, 0);
     const auto known = batch.size();
     take_awaited(state.m_dirty, batch, limit);
     for (auto position = known; position < batch.size(); ++position) {
         batch[position]->m_dirty = false;
         std::erase(remaining, batch[position]);
     }
-    // A job that has changed again is written once, with its present progress.
-    const auto repeated = [&batch, oldest](const job_entry* job) {
-        return std::find(batch.begin(), batch.begin() + static_cast<std::ptrdiff_t>(oldest), job) !=
-               batch.begin() + static_cast<std::ptrdiff_t>(oldest);
-    };
-    batch.erase(std::remove_if(batch.begin() + static_cast<std::ptrdiff_t>(known), batch.end(), repeated), batch.end());
+    const auto awaited = batch.size();
     take_first(remaining, batch, limit);
+    clear_dirty(state, batch, awaited);
     return batch;
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/progress_batch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/progress_batch.cpp
@@ -80,4 +80,18 @@
     EXPECT_TRUE(take_progress_batch(remaining, simulation.m_state, 8).empty());
 }
 
+// Guards against a second write of a job that has changed between the begin of the writes and its own.
+TEST(progress_batch, a_write_covers_the_changes_up_to_it)
+{
+    scheduler_simulation simulation;
+    auto remaining = submit_jobs(simulation, 20);
+    for (auto* job : remaining) {
+        mark_dirty(simulation.m_state, *job);
+    }
+    const auto batch = take_progress_batch(remaining, simulation.m_state, 8);
+    EXPECT_EQ(batch.size(), 8U);
+    EXPECT_EQ(simulation.m_state.m_dirty.size(), 12U);
+    EXPECT_TRUE(std::none_of(batch.begin(), batch.end(), [](const job_entry* job) { return job->m_dirty; }));
+}
+
 } // namespace cicadalug::test
