Give up a takeover that makes no progress for ten seconds

It now ends its term when neither a step nor a page has succeeded for 10 s, says so, and lets others go first in the next election. A slow takeover that still reads pages continues.

--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -324,6 +324,8 @@
 
 auto decider_election::depose() -> void
 {
+    // Whatever has ended the term here, another entry VM should begin the next one.
+    m_campaign_from = monotonic_now() + former_holder_pause;
     end_term();
 }
 
--- a/packages/entry/src/cicadalug/entry/decider_election.hpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.hpp
@@ -63,7 +63,8 @@
     /** @brief Ends the term, if there is one, and stands in no further election. */
     [[nodiscard]] auto resign() -> asio::awaitable<void>;
 
-    /** @brief Ends the term because a worker or a write has shown that another decider has begun. */
+    /** @brief Ends the term because another decider has begun, or because this one cannot decide; another entry VM goes
+     * first in the next election. */
     auto depose() -> void;
 
     /** @brief Returns the last known holder, or nothing if there is none. */
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -89,6 +89,7 @@
         const auto status = co_await m_store.read_pages(std::string{prefix}, read, patience);
         if (read.m_pages > pages) {
             m_load_backoff.reset();
+            record_progress(m_takeover, monotonic_now());
         }
         co_return status == store_status::ok;
     }
@@ -218,6 +219,13 @@
             continue;
         }
         count_failure(m_takeover);
+        if (is_stalled(m_takeover, monotonic_now()) && !m_state.m_deposed) {
+            LOG(ERROR) << log_line{"takeover_given_up"}
+                              .with("token", m_term.m_token)
+                              .with("step", name_of(m_takeover.m_step))
+                              .with("failures", m_takeover.m_step_failures);
+            m_state.m_deposed = true;
+        }
         check_deposed();
         co_await sleep_for(m_executor, m_load_backoff.next_pause());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/takeover.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/takeover.cpp
@@ -26,6 +26,22 @@
     EXPECT_EQ(state.m_step_failures, 0);
 }
 
+// Guards against a decider that keeps its term although it cannot load, while one that reads slowly continues.
+TEST(takeover, is_stalled_without_progress_only)
+{
+    auto state = begin_takeover(start);
+    complete_step(state, start + milliseconds{100});
+    const auto late = start + milliseconds{100} + takeover_stall_limit;
+    EXPECT_FALSE(is_stalled(state, late));
+    EXPECT_TRUE(is_stalled(state, late + milliseconds{1}));
+    record_progress(state, late);
+    EXPECT_FALSE(is_stalled(state, late + milliseconds{1}));
+    while (state.m_step != takeover_step::done) {
+        complete_step(state, late);
+    }
+    EXPECT_FALSE(is_stalled(state, late + takeover_stall_limit * 2)) << "a takeover that has ended";
+}
+
 // Guards against an index out of the table of durations after the last step.
 TEST(takeover, ends_after_the_last_step)
 {
