Poll a decider that is loading less often

After a common restart all relays polled the new decider every 60 ms, about 2,400 requests a second on a fleet with 146 of them, while it needs its processor to load. The pauses now grow to 300 ms, with a random part. Found by the reviewer; the effect was not measured by itself.

--- a/packages/entry/src/cicadalug/entry/worker_relay.cpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.cpp
@@ -20,8 +20,10 @@
 /** @brief Interval at which a relay without a link looks for a decider. */
 constexpr milliseconds search_interval{100};
 
-/** @brief Delay after a poll that failed, and after one to a decider that is still loading. */
+/** @brief Limits of the delay after a poll that failed, and after one to a decider that is still loading: all relays
+ * poll it, and its processor is needed for the load. */
 constexpr milliseconds failure_pause{60};
+constexpr milliseconds longest_failure_pause{300};
 
 /** @brief Delay after a refused offer, with a spread so that the offers of a zone do not arrive together. */
 constexpr milliseconds refused_pause{3'000};
@@ -87,7 +89,8 @@
 
 worker_relay::worker_relay(asio::any_io_executor executor, worker_relay_settings settings,
                            const decider_election& election, worker_calls& calls)
-    : m_executor{std::move(executor)}, m_settings{std::move(settings)}, m_election{election}, m_calls{calls}
+    : m_executor{std::move(executor)}, m_settings{std::move(settings)}, m_election{election}, m_calls{calls},
+      m_poll_backoff{m_settings.m_self.str(), failure_pause, longest_failure_pause}
 {
 }
 
@@ -167,9 +170,10 @@
         co_return;
     }
     if (status != http::status::ok) {
-        co_await sleep_for(m_executor, failure_pause);
+        co_await sleep_for(m_executor, m_poll_backoff.next_pause());
         co_return;
     }
+    m_poll_backoff.reset();
     const auto& body = response.assume_value().body();
     if (body.empty()) {
         co_return;
--- a/packages/entry/src/cicadalug/entry/worker_relay.hpp
+++ b/packages/entry/src/cicadalug/entry/worker_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef CICADALUG_ENTRY_WORKER_RELAY_HPP
 #define CICADALUG_ENTRY_WORKER_RELAY_HPP
 
+#include <cicadalug/async/retry_backoff.hpp>
 #include <cicadalug/entry/decider_election.hpp>
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/worker_calls.hpp>
@@ -92,6 +93,7 @@
     worker_relay_settings m_settings;
     const decider_election& m_election;
     worker_calls& m_calls;
+    retry_backoff m_poll_backoff;
     bool m_stopping{false};
 };
 
