List the VMs of leased workers later when their list was written too soon

With the limit to one write a second, the VMs of workers that were listed within a second of the last write were never written unless another lease followed: scheduler_takeover.the_vms_of_workers_with_leases_are_stored_beside_the_list failed. The list is now due again until the VMs are written, also after a failed write.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -222,6 +222,8 @@
     time_point m_leases_listed_at{};
     /** @brief When the VMs of leased workers were last written. */
     time_point m_vms_listed_at{};
+    /** @brief The stored list of their VMs may lack some. */
+    bool m_vms_unlisted{false};
     /** @brief Dirty jobs whose progress the store refuses, which m_dirty of the state does not list. */
     std::vector<job_entry*> m_refused_jobs;
     time_point m_refused_retried_at{};
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -81,7 +81,7 @@
 
 auto decider::is_lease_list_due(const time_point now) const -> bool
 {
-    return has_unlisted_lease(m_state, now) ||
+    return has_unlisted_lease(m_state, now) || (m_vms_unlisted && now - m_vms_listed_at > lease_list_interval) ||
            (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now));
 }
 
@@ -216,7 +216,8 @@
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
         // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor.
-        if (now - m_vms_listed_at > lease_list_interval) {
+        m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
+        if (!m_vms_unlisted) {
             m_vms_listed_at = now;
             write.m_puts.push_back(
                 {std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
@@ -244,6 +245,7 @@
         check_deposed();
     }
     if (written.m_status != store_status::ok) {
+        m_vms_unlisted = m_vms_unlisted || lists_leases;
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
                             .with("status", static_cast<int>(written.m_status));
