--- a/packages/scheduler/src/cicadalug/scheduler/urgency.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/urgency.cpp
@@ -45,7 +45,7 @@
     }
     const auto shortest = std::chrono::duration_cast<microseconds>(remaining * (1.0 - run_time_tolerance(state, job)));
     if (now + shortest <= job.m_deadline) {
-        return job.m_started ? urgency::in_time : urgency::marginal;
+        return urgency::marginal;
     }
     return now < job.m_arrived + objective * late_factor ? urgency::late : urgency::overdue;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/urgency.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/urgency.hpp
@@ -11,10 +11,9 @@
 enum class urgency : std::uint8_t {
     /** @brief Long-running tasks, which serve their own clients all the time. */
     serving,
-    /** @brief The job meets its objective, even if a step takes somewhat longer than usual; or it has started and can
-     * still meet it. */
+    /** @brief The job meets its objective, even if a step takes somewhat longer than usual. */
     in_time,
-    /** @brief The job has not started, and meets its objective only if its runs take less time than usual. */
+    /** @brief The job meets its objective only if its runs take less time than usual. */
     marginal,
     /** @brief The job will miss its objective, but its result is still of use. */
     late,
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
@@ -53,9 +53,8 @@
             const auto& job = *step.m_job;
             // A marginal job has not lost its claim to its priority.
             const bool marginal = step.m_urgency == urgency::marginal;
-            const bool started = job.m_started && job.m_record.m_spec.m_occurrences <= 1;
             return std::tuple{marginal ? urgency::in_time : step.m_urgency, job.m_record.m_policy.m_priority, marginal,
-                              !started, job.m_deadline};
+                              job.m_deadline};
         };
         return key(left) < key(right);
     });
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.hpp
@@ -29,8 +29,8 @@
 
 /**
  * @brief Collects the steps with waiting tasks whose turn has come, in the order in which they are to be started: by
- * urgency and priority, marginal jobs after those in time, then jobs that have started, whose work would be in vain if
- * they ended late, then by deadline. The time of steps that wait for the recovery of their runs is accounted for.
+ * urgency and priority, marginal jobs after those in time, then by deadline. The time of steps that wait for the
+ * recovery of their runs is accounted for.
  * @param state The scheduler.
  * @param jobs Jobs of one service that are not in a final state.
  * @param recovered Result of is_recovered() for the service.
