--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -56,6 +56,7 @@
 {
     m_load.m_began = monotonic_now();
     m_takeover = begin_takeover(m_load.m_began);
+    m_state.m_elected = m_load.m_began;
     m_relays->start();
     run_in_term(load(shared_from_this()), "load");
     run_in_term(observe_load(shared_from_this()), "observe_load");
@@ -182,7 +183,8 @@
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
             LOG(WARNING) << log_line{"job_history_gone"}.with("revision", m_jobs_revision);
-            static_cast<void>(co_await reload_jobs());
+            const bool reloaded = co_await reload_jobs();
+            co_await pause_after_reload(reloaded);
         }
     }
 }
@@ -301,7 +303,8 @@
         ++m_load.m_failed_watches;
         co_await sleep_for(m_executor, failure_pause);
         if (changes.m_status == store_status::compacted) {
-            static_cast<void>(co_await load_workers());
+            const bool reloaded = co_await load_workers();
+            co_await pause_after_reload(reloaded);
         }
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -117,12 +117,16 @@
     auto apply_stored_jobs(bool recovered) -> void;
     /** @brief Reads all jobs again, after the history of their changes was compacted. */
     [[nodiscard]] auto reload_jobs() -> asio::awaitable<bool>;
+    /** @brief After a failure, waits before the next attempt to read the missing pages, which has longer time limits. */
+    [[nodiscard]] auto pause_after_reload(bool reloaded) -> asio::awaitable<void>;
     [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
     [[nodiscard]] auto watch_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto watch_workers(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto renew_worker_lease(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
     [[nodiscard]] auto store_progress(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto write_dirty_jobs() -> asio::awaitable<bool>;
+    /** @brief Writes the progress of jobs in one write, or in several if the store refuses some of the jobs. */
+    [[nodiscard]] auto write_jobs(std::vector<job_entry*> jobs) -> asio::awaitable<bool>;
     /** @brief Writes the progress of the jobs from position `first` to before `last`, and the list of leased workers if
      * that is due. */
     [[nodiscard]] auto write_progress(const std::vector<job_entry*>& jobs, std::size_t first, std::size_t last)
@@ -216,6 +220,10 @@
     bool m_lease_list_complete{false};
     /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
+    /** @brief When the VMs of leased workers were last written. */
+    time_point m_vms_listed_at{};
+    /** @brief The stored list of their VMs may lack some. */
+    bool m_vms_unlisted{false};
     /** @brief Dirty jobs whose progress the store refuses, which m_dirty of the state does not list. */
     std::vector<job_entry*> m_refused_jobs;
     time_point m_refused_retried_at{};
@@ -232,6 +240,10 @@
     retry_backoff m_load_backoff;
     /** @brief Pages that have been read, but not applied as others are missing. */
     paged_read m_job_pages;
+    /** @brief Jobs are read again; until that ends, none is removed from the store. */
+    bool m_reloading_jobs{false};
+    /** @brief A write that removes jobs from the store is in progress. */
+    bool m_removing_jobs{false};
     paged_read m_progress_pages;
     paged_read m_worker_pages;
     bool m_loaded{false};
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -5,6 +5,7 @@
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
+#include <cicadalug/scheduler/progress_batch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
@@ -80,7 +81,7 @@
 
 auto decider::is_lease_list_due(const time_point now) const -> bool
 {
-    return has_unlisted_lease(m_state, now) ||
+    return has_unlisted_lease(m_state, now) || (m_vms_unlisted && now - m_vms_listed_at > lease_list_interval) ||
            (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now));
 }
 
@@ -117,16 +118,30 @@
 
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
-    const auto jobs = std::exchange(m_state.m_dirty, {});
+    auto remaining = std::exchange(m_state.m_dirty, {});
     const auto ends = capture_ends(m_state);
-    for (auto* job : jobs) {
+    for (auto* job : remaining) {
         job->m_dirty = false;
     }
     // Without jobs, the list of leased workers is written alone.
-    std::vector<job_range> ranges{{0, std::min(jobs.size(), progress_jobs)}};
-    for (auto first = progress_jobs; first < jobs.size(); first += progress_jobs) {
-        ranges.insert(ranges.begin(), {first, std::min(jobs.size(), first + progress_jobs)});
+    do {
+        const bool written = co_await write_jobs(take_progress_batch(remaining, m_state, progress_jobs));
+        if (!written) {
+            for (auto* job : remaining) {
+                mark_dirty(m_state, *job);
+            }
+            co_return false;
+        }
+    } while (!remaining.empty());
+    if (can_acknowledge_ends()) {
+        acknowledge_ends(m_state, ends);
     }
+    co_return true;
+}
+
+auto decider::write_jobs(const std::vector<job_entry*> jobs) -> asio::awaitable<bool>
+{
+    std::vector<job_range> ranges{{0, jobs.size()}};
     while (!ranges.empty()) {
         const auto range = ranges.back();
         ranges.pop_back();
@@ -156,9 +171,6 @@
             co_return false;
         }
     }
-    if (can_acknowledge_ends()) {
-        acknowledge_ends(m_state, ends);
-    }
     co_return true;
 }
 
@@ -203,7 +215,13 @@
         leased = begin_lease_list(m_state, now);
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
-        write.m_puts.push_back({std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
+        // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor.
+        m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
+        if (!m_vms_unlisted) {
+            m_vms_listed_at = now;
+            write.m_puts.push_back(
+                {std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
+        }
     }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
@@ -227,6 +245,7 @@
         check_deposed();
     }
     if (written.m_status != store_status::ok) {
+        m_vms_unlisted = m_vms_unlisted || lists_leases;
         LOG(WARNING) << log_line{"progress_not_stored"}
                             .with("jobs", last - first)
                             .with("status", static_cast<int>(written.m_status));
@@ -236,12 +255,17 @@
     complete_lease_list(m_state, leased);
     m_lease_list_complete = m_lease_list_complete || lists_leases;
     m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
+    // The jobs of one write are one sample.
+    bool learned{false};
     for (auto position = first; position < last; ++position) {
         const auto state = stored[position - first].m_state;
+        const bool was_final = is_final(jobs[position]->m_stored_state);
         apply_stored_progress(m_state, *jobs[position], stored[position - first]);
-        if (is_final(state)) {
+        if (is_final(state) && !was_final) {
             const auto& job = *jobs[position];
-            learn_storing_time(m_state, job, monotonic_now());
+            if (state == job_state::completed && !std::exchange(learned, true)) {
+                learn_storing_time(m_state, job, monotonic_now());
+            }
             LOG(INFO) << log_line{"job_ended"}
                              .with("request", job.m_record.m_id)
                              .with("queue", job.m_record.m_policy.m_queue)
@@ -288,10 +312,12 @@
         for (const auto& id : early) {
             write.m_removals.push_back(cancel_key(id));
         }
-        if (write.m_removals.empty() || !self->m_active) {
+        if (write.m_removals.empty() || !self->m_active || m_reloading_jobs) {
             continue;
         }
+        m_removing_jobs = true;
         const auto written = co_await m_store.write(std::move(write), store_timeout);
+        m_removing_jobs = false;
         if (written.m_status == store_status::ok) {
             for (const auto& id : removed) {
                 m_state.m_jobs.erase(id);
