--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -117,7 +117,8 @@
     auto apply_stored_jobs(bool recovered) -> void;
     /** @brief Reads all jobs again, after the history of their changes was compacted. */
     [[nodiscard]] auto reload_jobs() -> asio::awaitable<bool>;
-    /** @brief After a failure, waits before the next attempt to read the missing pages, which has longer time limits. */
+    /** @brief After a failure, waits before the next attempt to read the missing pages, which has longer time limits.
+     */
     [[nodiscard]] auto pause_after_reload(bool reloaded) -> asio::awaitable<void>;
     [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
     [[nodiscard]] auto watch_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -43,8 +43,8 @@
 /** @brief Longest pause between two attempts to read the configuration. */
 constexpr milliseconds longest_failure_pause{2'000};
 
-/** @brief Limits of the slack of a watch and of the pause after it: a change has to be in force within the time that the
- * platform's settings state, even if it comes right after a failure. */
+/** @brief Limits of the slack of a watch and of the pause after it: a change has to be in force within the time that
+ * the platform's settings state, even if it comes right after a failure. */
 constexpr milliseconds longest_watch_slack{1'600};
 constexpr milliseconds longest_watch_pause{500};
 
