--- a/packages/scheduler/test/cicadalug/scheduler/progress_batch.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/progress_batch.cpp
@@ -14,6 +14,7 @@
 [[nodiscard]] auto submit_jobs(scheduler_simulation& simulation, const int count) -> std::vector<job_entry*>
 {
     std::vector<job_entry*> jobs;
+    jobs.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         jobs.push_back(
             find_job(simulation.m_state, simulation.submit(make_job("quotes", 1, 1'000, milliseconds{500}))));
