--- a/review/standin/simulated_platform.cpp
+++ b/review/standin/simulated_platform.cpp
@@ -66,26 +66,6 @@
     return std::move(text).str();
 }
 
-/** @brief Adds the checkpoints of the runs to a report, one for each interval of work, and limits it to 500 ends. */
-auto complete_report(http_response& report, const std::function<milliseconds(const std::string&)>& run_time) -> void
-{
-    auto body = json::parse(report.body());
-    for (auto& row : body["running"]) {
-        const auto task = row[0].get<std::string>();
-        const auto time = run_time ? run_time(task) : milliseconds{1'000};
-        const auto worked = row[3].get<std::int64_t>() * time.count() / 100;
-        if (worked >= checkpoint_interval.count()) {
-            auto text = std::to_string(worked / checkpoint_interval.count());
-            row[2] = text.insert(0, checkpoint_length - text.size(), '0');
-        }
-    }
-    auto& ends = body["ended_runs"];
-    if (std::ssize(ends) > max_listed_ends) {
-        ends.erase(ends.begin() + max_listed_ends, ends.end());
-    }
-    report = json_response(http::status::ok, body);
-}
-
 [[nodiscard]] auto refusal(const char* reason) -> http_response
 {
     return json_response(http::status::conflict, {{"reason", reason}});
@@ -323,6 +303,30 @@
     co_await exchange.respond(std::move(response));
 }
 
+auto simulated_platform::report_of(const simulated_machine& machine) const -> json
+{
+    auto body = json::parse(machine.m_life->report(monotonic_now()).body());
+    for (auto& row : body["running"]) {
+        const auto task = row[0].get<std::string>();
+        const auto time = m_run_time ? m_run_time(task) : milliseconds{1'000};
+        const auto worked = row[3].get<std::int64_t>() * time.count() / 100;
+        if (worked >= checkpoint_interval.count()) {
+            auto text = std::to_string(worked / checkpoint_interval.count());
+            row[2] = text.insert(0, checkpoint_length - text.size(), '0');
+        }
+    }
+    auto& ends = body["ended_runs"];
+    if (std::ssize(ends) > max_listed_ends) {
+        ends.erase(ends.begin() + max_listed_ends, ends.end());
+    }
+    for (auto& row : ends) {
+        if (row[3] == "done" && m_fails && m_fails(row[1].get<std::string>())) {
+            row[3] = "failed";
+        }
+    }
+    return body;
+}
+
 auto simulated_platform::note_ends(const simulated_machine& machine, const std::int64_t last_seen) -> void
 {
     auto& noted = m_noted_ends[machine.m_worker_id + ' ' + std::to_string(machine.m_lives)];
@@ -330,7 +334,7 @@
         return;
     }
     noted = last_seen;
-    const auto report = json::parse(machine.m_life->report(monotonic_now()).body());
+    const auto report = report_of(machine);
     for (const auto& row : report.at("ended_runs")) {
         if (row[0].get<std::int64_t>() <= last_seen && row[3] == "done") {
             m_noted_tasks.insert(row[1].get<std::string>());
@@ -359,9 +363,7 @@
         exchange.drop();
         co_return;
     }
-    auto report = machine.m_life->report(monotonic_now());
-    complete_report(report, m_run_time);
-    co_await exchange.respond(std::move(report));
+    co_await exchange.respond(json_response(http::status::ok, report_of(machine)));
 }
 
 auto simulated_platform::carry_out_command(const std::size_t index, const std::string path, const json body)
--- a/review/standin/simulated_platform.hpp
+++ b/review/standin/simulated_platform.hpp
@@ -127,6 +127,8 @@
     std::function<void(const machine_order&)> m_on_order;
     /** @brief Run time of a task on a worker. */
     std::function<milliseconds(const std::string&)> m_run_time;
+    /** @brief Checks whether the runs of a task end as failed at the end of their run time; none do by default. */
+    std::function<bool(const std::string&)> m_fails;
 
     std::vector<carried_out_start> m_starts;
     std::vector<machine_order> m_orders;
@@ -151,6 +153,8 @@
     [[nodiscard]] auto machines_json() const -> json;
     [[nodiscard]] auto sleep(milliseconds time) -> asio::awaitable<void>;
     auto begin_life(simulated_machine& machine) -> void;
+    /** @brief Returns what a worker says of its runs, with checkpoints, at most 500 ends, and failures. */
+    [[nodiscard]] auto report_of(const simulated_machine& machine) const -> json;
     auto note_ends(const simulated_machine& machine, std::int64_t last_seen) -> void;
     auto register_worker(simulated_machine& machine) -> void;
     auto serve(std::string& address, http_handler handler) -> void;
