--- a/review/standin/scenario.hpp
+++ b/review/standin/scenario.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadalug::review {
@@ -80,6 +81,8 @@
     /** @brief Sends SIGTERM to an entry VM, and starts it again 0.5 s after its end, as the platform does. */
     auto stop_and_start_again(std::size_t index) -> void;
     auto kill_entry(std::size_t index) -> void;
+    /** @brief Checks whether an entry VM was neither started, stopped nor killed in the contact_ms before a time. */
+    [[nodiscard]] auto is_in_touch(const std::string& name, std::int64_t at_ms) const -> bool;
 
 private:
     [[nodiscard]] auto tell(std::function<asio::awaitable<verdict>()> story) -> asio::awaitable<void>;
@@ -97,6 +100,7 @@
     simulated_platform m_platform;
     std::vector<entry_vm> m_entry_vms;
     std::optional<verdict> m_verdict;
+    std::vector<std::pair<std::string, std::int64_t>> m_disturbed;
 };
 
 /** @brief Path of a job of the queue, or of the queue itself if the id is empty. */
--- a/review/standin/simulated_platform.hpp
+++ b/review/standin/simulated_platform.hpp
@@ -23,6 +23,9 @@
 
 using nlohmann::json;
 
+/** @brief Returns a port of 127.0.0.1 that no program uses, another one with each call. */
+[[nodiscard]] auto free_port() -> int;
+
 /** @brief Writes one line of the record; set by the scenario. */
 using record_function = std::function<void(const std::string&)>;
 
@@ -54,6 +57,8 @@
     /** @brief Waves for which the machine has begun its upkeep. */
     std::vector<std::int64_t> m_begun;
     int m_lives{0};
+    /** @brief Listens while the worker is up. */
+    std::unique_ptr<http_server> m_server;
 };
 
 /** @brief A start that a worker has carried out. */
@@ -157,7 +162,9 @@
     [[nodiscard]] auto report_of(const simulated_machine& machine) const -> json;
     auto note_ends(const simulated_machine& machine, std::int64_t last_seen) -> void;
     auto register_worker(simulated_machine& machine) -> void;
-    auto serve(std::string& address, http_handler handler) -> void;
+    auto end_life(simulated_machine& machine) -> void;
+    /** @brief Opens a server on an address, or on a free port if the address is empty, which it then sets. */
+    [[nodiscard]] auto serve(std::string& address, http_handler handler) -> std::unique_ptr<http_server>;
 
     asio::io_context& m_context;
     record_function m_record;
