Acknowledge an end only when the progress of its own job is stored

Cause: the ends of all workers were captured before a round of writes and acknowledged after it as a whole, unless a job that had started was in the list of refused jobs. A job that the store refused while it had changed again was not put into that list but back among the changed jobs, so that the round looked complete and its ends were acknowledged without being stored.

Change: each change of a job is counted, and its progress carries the number of the changes that it contains. A worker's end is acknowledged when the stored number of its own job reaches the one at which the end was applied; ends without an effect wait, too, since what made them so may not be stored. A job that cannot be stored holds back only the workers that have reported ends of it. A refused job is always set aside, so that it does not split each following write.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -169,8 +169,6 @@
     [[nodiscard]] auto leased_worker_vms_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Keeps a job whose progress the store refuses out of the writes of others. */
     auto set_aside(job_entry& job) -> void;
-    /** @brief Checks whether the effects of all reported ends are stored once no job is dirty. */
-    [[nodiscard]] auto can_acknowledge_ends() const -> bool;
     /** @brief Checks whether the list of leased workers has to be written again. */
     [[nodiscard]] auto is_lease_list_due(time_point now) const -> bool;
     [[nodiscard]] auto read_decision_log() -> asio::awaitable<bool>;
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -96,9 +96,7 @@
             co_await retry_refused_jobs();
         }
         if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now())) {
-            if (can_acknowledge_ends()) {
-                acknowledge_ends(m_state, capture_ends(m_state));
-            }
+            acknowledge_ends(m_state);
             continue;
         }
         const bool written = co_await write_dirty_jobs();
@@ -109,17 +107,9 @@
     }
 }
 
-auto decider::can_acknowledge_ends() const -> bool
-{
-    // No run of a job that has not started can have ended.
-    return std::none_of(m_refused_jobs.begin(), m_refused_jobs.end(),
-                        [](const job_entry* job) { return job->m_started; });
-}
-
 auto decider::write_dirty_jobs() -> asio::awaitable<bool>
 {
     auto remaining = std::exchange(m_state.m_dirty, {});
-    const auto ends = capture_ends(m_state);
     for (auto* job : remaining) {
         job->m_dirty = false;
     }
@@ -130,12 +120,11 @@
             for (auto* job : remaining) {
                 mark_dirty(m_state, *job);
             }
+            acknowledge_ends(m_state);
             co_return false;
         }
     } while (!remaining.empty());
-    if (can_acknowledge_ends()) {
-        acknowledge_ends(m_state, ends);
-    }
+    acknowledge_ends(m_state);
     co_return true;
 }
 
@@ -177,11 +166,10 @@
 auto decider::set_aside(job_entry& job) -> void
 {
     LOG(ERROR) << log_line{"progress_refused"}.with("request", job.m_record.m_id);
-    // A job that has changed since is written again at once.
-    if (!job.m_dirty) {
-        job.m_dirty = true;
-        m_refused_jobs.push_back(&job);
-    }
+    // A job that has changed since would be refused again in the next write, together with others.
+    std::erase(m_state.m_dirty, &job);
+    job.m_dirty = true;
+    m_refused_jobs.push_back(&job);
 }
 
 auto decider::retry_refused_jobs() -> asio::awaitable<void>
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -260,6 +260,7 @@
 
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void
 {
+    ++job.m_changes;
     if (!job.m_dirty) {
         job.m_dirty = true;
         state.m_dirty.push_back(&job);
@@ -468,6 +469,7 @@
 auto apply_stored_progress(scheduler_state& state, job_entry& job, const job_progress& stored) -> void
 {
     job.m_stored_state = stored.m_state;
+    job.m_stored_changes = std::max(job.m_stored_changes, stored.m_changes);
     confirm_trials(state, job, stored);
     for (auto& occurrence : job.m_open) {
         const auto found =
@@ -490,6 +492,7 @@
 auto progress_of(const job_entry& job) -> job_progress
 {
     job_progress progress;
+    progress.m_changes = job.m_changes;
     progress.m_state = job.m_state;
     if (progress.m_state == job_state::queued && job.m_started) {
         progress.m_state = job_state::running;
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.hpp
@@ -86,7 +86,7 @@
 /** @brief Applies the end of a run to its job. Has no effect if the task is done or the job is finished. */
 auto apply_task_end(scheduler_state& state, job_entry& job, const task_end& end, time_point now) -> void;
 
-/** @brief Marks a job whose progress differs from the store. */
+/** @brief Marks a job whose progress differs from the store, and counts the change. */
 auto mark_dirty(scheduler_state& state, job_entry& job) -> void;
 
 /** @brief Records that a start of a job is sent. @return True if it is the first one. */
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -79,6 +79,9 @@
     /** @brief Tasks that may crash their workers. Stored after the other fields: earlier versions neither write nor
      * read it. */
     std::vector<crash_progress> m_crashes;
+    /** @brief Number of the job's changes that the progress contains. Only valid in the process that made it; it is not
+     * stored. */
+    std::int64_t m_changes{0};
 
     template<typename Archive>
     auto serialize(Archive& archive) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -164,13 +164,16 @@
     }
 }
 
-auto apply_ended_report(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now)
-    -> void
+/** @brief Checks whether the store holds the effect of an end. A job that is not known has been removed from it. */
+[[nodiscard]] auto is_stored(const scheduler_state& state, const unstored_end& end) -> bool
+{
+    const auto* job = find_job(state, end.m_job);
+    return job == nullptr || job->m_stored_changes >= end.m_changes;
+}
+
+/** @brief Applies a reported end to its task. */
+auto apply_end(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now) -> void
 {
-    if (report.m_number <= worker.m_last_end) {
-        return;
-    }
-    worker.m_last_end = report.m_number;
     const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
     update_worker_health(state, worker, report, now);
     if (report.m_outcome == run_end::failed) {
@@ -205,6 +208,22 @@
     }
 }
 
+auto apply_ended_report(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now)
+    -> void
+{
+    if (report.m_number <= worker.m_last_end) {
+        return;
+    }
+    worker.m_last_end = report.m_number;
+    apply_end(state, worker, report, now);
+    // An end without an effect may depend on another one: a job that has failed ignores it, and while that state is not
+    // stored, a successor does not know it.
+    const auto* job = find_job(state, report.m_task.m_job);
+    if (job != nullptr && job->m_stored_changes < job->m_changes) {
+        worker.m_unstored_ends.push_back({report.m_number, report.m_task.m_job, job->m_changes});
+    }
+}
+
 [[nodiscard]] auto is_listed(const worker_report& report, const placed_run& run) -> bool
 {
     return std::any_of(report.m_running.begin(), report.m_running.end(), [&run](const running_report& running) {
@@ -294,6 +313,7 @@
         count_crashes(state, index, suspects, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
+        worker.m_unstored_ends.clear();
         // The clock of the new incarnation starts again.
         worker.m_clock_ms = 0;
         // The new incarnation has taken the calls sent to the last one, whose leases are long by its own clock.
@@ -545,23 +565,14 @@
     return worker.m_lease_until_ms;
 }
 
-auto capture_ends(const scheduler_state& state) -> std::vector<captured_end>
-{
-    std::vector<captured_end> captured;
-    captured.reserve(state.m_workers.size());
-    for (const auto& worker : state.m_workers) {
-        captured.push_back({worker.m_incarnation_start_unix_ms, worker.m_last_end});
-    }
-    return captured;
-}
-
-auto acknowledge_ends(scheduler_state& state, const std::vector<captured_end>& captured) -> void
+auto acknowledge_ends(scheduler_state& state) -> void
 {
-    for (std::size_t index = 0; index < captured.size(); ++index) {
-        auto& worker = state.m_workers[index];
-        if (worker.m_incarnation_start_unix_ms == captured[index].m_incarnation_start_unix_ms) {
-            worker.m_acknowledged_end = captured[index].m_number;
+    for (auto& worker : state.m_workers) {
+        auto& ends = worker.m_unstored_ends;
+        while (!ends.empty() && is_stored(state, ends.front())) {
+            ends.pop_front();
         }
+        worker.m_acknowledged_end = ends.empty() ? worker.m_last_end : ends.front().m_number - 1;
     }
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -55,22 +55,11 @@
 /** @brief Abandons runs on workers whose lease has certainly expired, and adds stop commands that are due. */
 auto expire_runs(scheduler_state& state, time_point now) -> void;
 
-/** @brief Last end that a worker has reported, when a write of the progress began. */
-struct captured_end {
-    std::int64_t m_incarnation_start_unix_ms{0};
-    std::int64_t m_number{0};
-};
-
-/** @brief Returns the last reported end of each worker, by its index in the table. */
-[[nodiscard]] auto capture_ends(const scheduler_state& state) -> std::vector<captured_end>;
-
 /**
- * @brief Acknowledges ends whose effect has been stored. Workers that have begun another incarnation since the capture
- * are skipped, as they number their ends from the start.
- * @param state The scheduler.
- * @param captured Result of capture_ends() before the write.
+ * @brief Acknowledges the ends of each worker up to the first one whose job has changes that are not stored. A job that
+ * cannot be stored holds back only the workers that have reported ends of it.
  */
-auto acknowledge_ends(scheduler_state& state, const std::vector<captured_end>& captured) -> void;
+auto acknowledge_ends(scheduler_state& state) -> void;
 
 /**
  * @brief Returns the end of the lease to grant now, on the worker's clock, and records it as granted.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -167,6 +167,10 @@
     /** @brief The state in the store, which may be reported to clients. */
     job_state m_stored_state{job_state::queued};
     bool m_dirty{false};
+    /** @brief Number of changes of the progress in this term. */
+    std::int64_t m_changes{0};
+    /** @brief Number of the changes that the stored progress contains. */
+    std::int64_t m_stored_changes{0};
     bool m_started{false};
     /** @brief The job was found in the store at a takeover. */
     bool m_recovered{false};
@@ -245,6 +249,14 @@
     stored_trial m_stored;
 };
 
+/** @brief An end that a worker has reported, and that must not be acknowledged before the store holds its effect. */
+struct unstored_end {
+    std::int64_t m_number{0};
+    job_id m_job;
+    /** @brief Number of the job's changes when the end had been applied. */
+    std::int64_t m_changes{0};
+};
+
 /** @brief A worker in the scheduler's table. Its index is never reused. */
 struct worker_slot {
     worker_entry m_entry;
@@ -276,6 +288,8 @@
     std::int64_t m_last_end{0};
     /** @brief Highest number of an ended run whose effect is stored. */
     std::int64_t m_acknowledged_end{0};
+    /** @brief Applied ends whose effect may not be stored, in the order of their numbers. */
+    std::deque<unstored_end> m_unstored_ends;
     resources m_used;
     std::vector<placed_run> m_runs;
     /** @brief Runs that may have crashed the worker, which has been lost for a cause not known yet. */
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -242,7 +242,7 @@
             m_completed.try_emplace(job->m_record.m_id, m_now);
         }
     }
-    acknowledge_ends(m_state, capture_ends(m_state));
+    acknowledge_ends(m_state);
     const auto leased = begin_lease_list(m_state, m_now);
     m_stored_leases.clear();
     for (const auto index : leased) {
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -295,11 +295,10 @@
     if (m_writing) {
         return;
     }
-    const auto ends = capture_ends(m_state);
     const bool lists_leases = has_unlisted_lease(m_state, now()) || (now() - m_leases_listed_at > lease_list_interval &&
                                                                      has_ended_lease_in_list(m_state, now()));
     if (m_state.m_dirty.empty() && !lists_leases) {
-        acknowledge_ends(m_state, ends);
+        acknowledge_ends(m_state);
         return;
     }
     m_writing = true;
@@ -324,7 +323,7 @@
         }
     }
     const bool succeeds = reaches_store();
-    const auto finish = [this, ends, progress, leased, list, vms, lists_expected, succeeds] {
+    const auto finish = [this, progress, leased, list, vms, lists_expected, succeeds] {
         m_writing = false;
         for (const auto& [id, stored] : progress) {
             auto& job = *find_job(m_state, id);
@@ -337,7 +336,7 @@
             }
         }
         if (succeeds && reaches_store()) {
-            acknowledge_ends(m_state, ends);
+            acknowledge_ends(m_state);
             if (leased) {
                 m_simulation.m_stored_leases = list;
                 m_simulation.m_stored_vms = vms;
--- a/test/process/scheduler_progress.cpp
+++ b/test/process/scheduler_progress.cpp
@@ -43,6 +43,28 @@
     EXPECT_TRUE(wait_until(is_stored, patience));
 }
 
+// Guards against done tasks that a successor starts again: their ends are acknowledged although the store refuses the
+// progress of their job, which changes during each write.
+TEST_F(scheduler_progress, ends_of_a_job_whose_progress_is_refused_are_not_acknowledged)
+{
+    constexpr std::size_t tasks{300};
+    control({{"run_ms", 60}});
+    submit(first_job, tasks);
+    ASSERT_TRUE(wait_until([this] { return control()["acknowledged_tasks"] > 0; }, patience));
+    // The job changes while the store has not responded.
+    control({{"refused_keys", {std::string{"progress/"} + first_job}}, {"delays_ms", {{"/cicadalug/kv-txn", 100}}}});
+    const auto started = started_tasks(control());
+    ASSERT_TRUE(wait_until([&] { return started_tasks(control()) >= started + 10 * concurrent_tasks; }, patience));
+    ASSERT_LT(started_tasks(control()), tasks);
+    const auto killed = decider();
+    ASSERT_LT(killed, entry_vm_count);
+    kill(killed);
+    control({{"refused_keys", json::array()}, {"delays_ms", {{"/cicadalug/kv-txn", 0}}}});
+    EXPECT_TRUE(wait_until([&] { return state_of(first_job, 1 - killed) == "completed"; }, patience));
+    EXPECT_EQ(control()["repeated_tasks"], 0);
+    EXPECT_EQ(control()["doubled_runs"], 0);
+}
+
 // Guards against a task that waits for as long as workers respond to renewals, but to no start and no stop.
 TEST_F(scheduler_progress, a_task_is_started_again_when_neither_its_start_nor_its_stop_is_answered)
 {
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -74,6 +74,8 @@
     std::string m_overwritten;
     /** @brief Time before writes that put a key are executed. */
     std::map<std::string, milliseconds> m_held_writes;
+    /** @brief Writes that put these keys get 400, as for a value that is too long. */
+    std::set<std::string> m_refused_keys;
     /** @brief How long a run takes that starts from now on. */
     milliseconds m_run_time{1'000};
     /** @brief Bandwidth that the responses of the store share, in bytes per second; 0 for unlimited. */
@@ -285,6 +287,12 @@
         if (started && std::any_of(m_workers.begin(), m_workers.end(), runs_elsewhere)) {
             ++m_doubled_runs;
         }
+        const auto acknowledged = [&](const scheduler_worker& other) {
+            return other.acknowledged_as_done().contains(worker.starts().back().m_task);
+        };
+        if (started && std::any_of(m_workers.begin(), m_workers.end(), acknowledged)) {
+            ++m_repeated_tasks;
+        }
         return response;
     }
 
@@ -304,7 +312,11 @@
             return m_store.list(query_text(target, "prefix"), query_text(target, "after"));
         }
         if (path == "/cicadalug/kv-txn") {
-            return m_store.write(body);
+            const auto& puts = body.at("puts");
+            const bool refused = std::any_of(puts.begin(), puts.end(), [this](const json& put) {
+                return m_faults.m_refused_keys.contains(put.at("key").get<std::string>());
+            });
+            return refused ? scheduler_store_response{http::status::bad_request, json::object()} : m_store.write(body);
         }
         if (path == "/cicadalug/kv-lease") {
             return m_store.open_lease(milliseconds{body.at("ttl_ms").get<std::int64_t>()}, monotonic_now());
@@ -436,6 +448,9 @@
         if (const auto paths = body.find("refused_paths"); paths != body.end()) {
             m_faults.m_refused_paths = paths->get<std::set<std::string>>();
         }
+        if (const auto keys = body.find("refused_keys"); keys != body.end()) {
+            m_faults.m_refused_keys = keys->get<std::set<std::string>>();
+        }
         if (const auto config = body.find("config"); config != body.end()) {
             put("op/config", config->dump(), 0);
         }
@@ -471,11 +486,15 @@
                   {"lists", m_lists},
                   {"held", m_held_commands},
                   {"held_starts", m_held_starts},
-                  {"doubled_runs", m_doubled_runs}};
+                  {"doubled_runs", m_doubled_runs},
+                  {"repeated_tasks", m_repeated_tasks},
+                  {"acknowledged_tasks", 0}};
         seen["starts"] = json::array();
         seen["stops"] = json::array();
         for (const auto& worker : m_workers) {
             seen["running"] = seen["running"].get<std::size_t>() + worker.running();
+            seen["acknowledged_tasks"] =
+                seen["acknowledged_tasks"].get<std::size_t>() + worker.acknowledged_as_done().size();
             for (auto& row : events_json(worker.id(), worker.starts())) {
                 seen["starts"].push_back(std::move(row));
             }
@@ -497,6 +516,8 @@
     std::map<std::string, int> m_lists;
     /** @brief Number of starts of a task that was running on another worker. */
     int m_doubled_runs{0};
+    /** @brief Starts of tasks whose end as done had been acknowledged. */
+    int m_repeated_tasks{0};
     /** @brief Number of commands that were not answered, and are carried out later. */
     int m_held_commands{0};
     /** @brief Tasks of the starts among them. */
--- a/test/standin/scheduler_worker.hpp
+++ b/test/standin/scheduler_worker.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,6 +48,11 @@
     [[nodiscard]] auto started_unix_ms() const noexcept -> std::int64_t { return m_started_unix_ms; }
     [[nodiscard]] auto starts() const noexcept -> const std::vector<worker_event>& { return m_starts; }
     [[nodiscard]] auto stops() const noexcept -> const std::vector<worker_event>& { return m_stops; }
+    /** @brief Returns the tasks whose ends as done have been acknowledged. */
+    [[nodiscard]] auto acknowledged_as_done() const noexcept -> const std::set<std::string>&
+    {
+        return m_acknowledged_as_done;
+    }
     [[nodiscard]] auto running() const noexcept -> std::size_t { return m_runs.size(); }
     [[nodiscard]] auto is_running(const std::string& task) const -> bool { return m_runs.contains(task); }
 
@@ -99,8 +105,12 @@
             return false;
         }
         extend_lease(body, now);
-        std::erase_if(m_ends, [seen = body.value("last_seen", std::int64_t{0})](const nlohmann::json& row) {
-            return row.at(0).get<std::int64_t>() <= seen;
+        std::erase_if(m_ends, [this, seen = body.value("last_seen", std::int64_t{0})](const nlohmann::json& row) {
+            const bool acknowledged = row.at(0).get<std::int64_t>() <= seen;
+            if (acknowledged && row.at(3) == "done") {
+                m_acknowledged_as_done.insert(row.at(1).get<std::string>());
+            }
+            return acknowledged;
         });
         return true;
     }
@@ -201,6 +211,7 @@
     std::map<std::string, std::int64_t> m_ended_runs;
     std::int64_t m_last_end{0};
     std::vector<nlohmann::json> m_ends;
+    std::set<std::string> m_acknowledged_as_done;
     std::vector<worker_event> m_starts;
     std::vector<worker_event> m_stops;
 };
