Store the progress of large jobs, and refuse jobs that cannot be stored

Change: progress that does not fit into one value is written in a compact form, in which tasks without failures and checkpoints take no space, and in up to 16 values of one write. What fits keeps its form, so that earlier releases read it during an upgrade. Jobs that may need several values are written alone. A checkpoint for which there is no room is left out, with a log line; ends and failures never are. The largest size that a job and its progress can take is computed when it comes: if it exceeds what the store holds, the job gets 400 with both sizes. The open occurrences of a schedule are limited likewise. value_bytes is read from the settings file. Relay messages and the compact form share one byte codec.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -5,7 +5,7 @@
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/cancel_time.hpp>
-#include <cicadalug/scheduler/progress.hpp>
+#include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -159,6 +159,11 @@
     record.m_spec = std::move(decoded).assume_value();
     const auto clock = read_clocks();
     record.m_arrived_unix_ms = clock.m_unix_ms;
+    // A job whose progress cannot be stored would be accepted and never end.
+    if (const auto obstacle = find_size_obstacle(record, m_dependencies.m_value_bytes); !obstacle.empty()) {
+        LOG(WARNING) << log_line{"job_too_large"}.with("request", id).with("findings", obstacle.to_string());
+        co_return findings_response(http::status::bad_request, obstacle);
+    }
 
     const auto result =
         co_await m_dependencies.m_intake->submit(std::move(record), deadline_of(request, queue.m_timeout));
@@ -230,9 +235,14 @@
                 co_await m_dependencies.m_store->read(progress_key(id), time_left(deadline, store_timeout));
             auto state = job_state::queued;
             if (read.m_status == store_status::ok) {
-                const auto progress = decode_job_progress(read.m_item.m_value);
-                if (progress) {
-                    state = progress.assume_value().m_state;
+                const auto decoded = decode_stored_state(read.m_item.m_value);
+                if (decoded) {
+                    state = decoded.assume_value();
+                }
+                else {
+                    LOG(ERROR) << log_line{"progress_unreadable"}
+                                      .with("request", id)
+                                      .with("findings", decoded.assume_error().to_string());
                 }
             }
             if (read.m_status == store_status::ok || read.m_status == store_status::missing) {
--- a/packages/entry/src/cicadalug/entry/client_api.hpp
+++ b/packages/entry/src/cicadalug/entry/client_api.hpp
@@ -27,6 +27,8 @@
     const std::shared_ptr<const fleet_config>* m_config{nullptr};
     /** @brief Metrics of this entry VM. */
     scheduler_metrics* m_metrics{nullptr};
+    /** @brief Maximum size of a value in the store, in bytes. */
+    std::size_t m_value_bytes{1'048'576};
 };
 
 /**
--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -104,6 +104,12 @@
     [[nodiscard]] auto flush(milliseconds limit) -> asio::awaitable<void>;
 
 private:
+    /** @brief Jobs of a write, from the first position to before the last one. */
+    struct job_range {
+        std::size_t m_first{0};
+        std::size_t m_last{0};
+    };
+
     /** @brief Runs a coroutine of the term; the term ends if it fails. @param name Has to outlive the coroutine. */
     auto run_in_term(asio::awaitable<void> coroutine, std::string_view name) -> void;
     [[nodiscard]] auto load(std::shared_ptr<decider> self) -> asio::awaitable<void>;
@@ -128,6 +134,10 @@
     [[nodiscard]] auto write_dirty_jobs() -> asio::awaitable<bool>;
     /** @brief Writes the progress of jobs in one write, or in several if the store refuses some of the jobs. */
     [[nodiscard]] auto write_jobs(std::vector<job_entry*> jobs) -> asio::awaitable<bool>;
+    /** @brief Sorts jobs for their writes: those whose progress may take several values are each written alone. */
+    [[nodiscard]] auto ranges_of(std::vector<job_entry*>& jobs) const -> std::vector<job_range>;
+    /** @brief Adds the progress of a job to a write. */
+    auto put_progress(store_write& write, job_entry& job, const job_progress& progress) const -> void;
     /** @brief Writes the progress of the jobs from position `first` to before `last`, and the list of leased workers if
      * that is due. */
     [[nodiscard]] auto write_progress(const std::vector<job_entry*>& jobs, std::size_t first, std::size_t last)
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -7,6 +7,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/progress_batch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -36,15 +37,8 @@
 /** @brief Jobs whose progress the store has refused are written again at this interval, each alone. */
 constexpr milliseconds refused_job_interval{1'000};
 
-/** @brief Jobs of a write, from the first position to before the last one. */
-struct job_range {
-    std::size_t m_first{0};
-    std::size_t m_last{0};
-};
-
 /** @brief Jobs whose final state has been kept long enough are removed at this interval, a few in one write. */
 constexpr milliseconds garbage_interval{2'000};
-constexpr std::size_t garbage_jobs{(store_write_entries - 1) / 3};
 
 } // namespace
 
@@ -128,9 +122,43 @@
     co_return true;
 }
 
-auto decider::write_jobs(const std::vector<job_entry*> jobs) -> asio::awaitable<bool>
+auto decider::ranges_of(std::vector<job_entry*>& jobs) const -> std::vector<job_range>
+{
+    const auto first_large = std::stable_partition(jobs.begin(), jobs.end(), [this](const job_entry* job) {
+        return !may_need_parts(job->m_record, job->m_open.size(), m_state.m_settings.m_value_bytes);
+    });
+    const auto small = static_cast<std::size_t>(first_large - jobs.begin());
+    std::vector<job_range> ranges;
+    for (auto position = small; position < jobs.size(); ++position) {
+        ranges.push_back({position, position + 1});
+    }
+    // The last range is written first. Without jobs, it is the write of the list of leased workers.
+    if (small > 0 || ranges.empty()) {
+        ranges.push_back({0, small});
+    }
+    return ranges;
+}
+
+auto decider::put_progress(store_write& write, job_entry& job, const job_progress& progress) const -> void
 {
-    std::vector<job_range> ranges{{0, jobs.size()}};
+    const auto& id = job.m_record.m_id;
+    auto encoded = encode_parts(progress, m_state.m_settings.m_value_bytes);
+    if (encoded.m_dropped_checkpoints > 0) {
+        LOG(WARNING) << log_line{"checkpoints_not_stored"}
+                            .with("request", id)
+                            .with("checkpoints", encoded.m_dropped_checkpoints);
+    }
+    for (std::size_t part = 0; part < encoded.m_parts.size(); ++part) {
+        write.m_puts.push_back({part == 0 ? progress_key(id) : progress_part_key(id, part),
+                                std::move(encoded.m_parts[part]), no_store_lease});
+    }
+    // Even a write without a response may have been carried out.
+    job.m_progress_keys = std::max(job.m_progress_keys, encoded.m_parts.size());
+}
+
+auto decider::write_jobs(std::vector<job_entry*> jobs) -> asio::awaitable<bool>
+{
+    auto ranges = ranges_of(jobs);
     while (!ranges.empty()) {
         const auto range = ranges.back();
         ranges.pop_back();
@@ -214,7 +242,7 @@
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
         stored.push_back(progress_of(*jobs[position]));
-        write.m_puts.push_back({progress_key(jobs[position]->m_record.m_id), encode(stored.back()), no_store_lease});
+        put_progress(write, *jobs[position], stored.back());
     }
     const auto written = co_await m_store.write(std::move(write), store_timeout);
     if (written.m_status == store_status::conflict) {
@@ -288,11 +316,14 @@
         for (const auto& [id, job] : m_state.m_jobs) {
             const bool old = is_final(job->m_stored_state) && !job->m_dirty &&
                              now - job->m_finished > m_settings.m_status_retention + garbage_interval;
-            if (old && removed.size() < garbage_jobs) {
+            if (old && write.m_removals.size() + 2 + job->m_progress_keys < store_write_entries) {
                 removed.push_back(id);
                 write.m_removals.push_back(job_key(id));
                 write.m_removals.push_back(cancel_key(id));
                 write.m_removals.push_back(progress_key(id));
+                for (std::size_t part = 1; part < job->m_progress_keys; ++part) {
+                    write.m_removals.push_back(progress_part_key(id, part));
+                }
             }
         }
         const auto early = old_early_cancels(m_state, now - m_settings.m_status_retention - garbage_interval,
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -5,6 +5,7 @@
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -27,6 +28,41 @@
 /** @brief Interval of the log lines about a takeover that has not ended. */
 constexpr milliseconds slow_takeover_interval{1'000};
 
+/** @brief Returns the number of values with the progress of a job, of which some may be left from an earlier write. */
+[[nodiscard]] auto count_progress_keys(const std::map<std::string, std::string>& values, const job_id& id)
+    -> std::size_t
+{
+    std::size_t keys{values.contains(progress_key(id)) ? 1U : 0U};
+    while (keys > 0 && values.contains(progress_part_key(id, keys))) {
+        ++keys;
+    }
+    return keys;
+}
+
+/** @brief Joins and decodes the values with the progress of a job. @return The progress, or nothing if there is none
+ * that can be read. */
+[[nodiscard]] auto read_progress(const std::map<std::string, std::string>& values, const job_id& id)
+    -> std::optional<job_progress>
+{
+    const auto first = values.find(progress_key(id));
+    if (first == values.end()) {
+        return std::nullopt;
+    }
+    auto bytes = first->second;
+    for (std::size_t part = 1; part < count_parts(first->second); ++part) {
+        const auto further = values.find(progress_part_key(id, part));
+        bytes += further == values.end() ? std::string{} : further->second;
+    }
+    auto decoded = decode_job_progress(bytes);
+    if (!decoded) {
+        LOG(ERROR) << log_line{"progress_unreadable"}
+                          .with("key", first->first)
+                          .with("findings", decoded.assume_error().to_string());
+        return std::nullopt;
+    }
+    return std::move(decoded).assume_value();
+}
+
 } // namespace
 
 auto decider::read_decision_log() -> asio::awaitable<bool>
@@ -98,17 +134,11 @@
 
 auto decider::apply_stored_jobs(const bool recovered) -> void
 {
-    std::map<std::string, std::optional<job_progress>> stored;
-    for (const auto& item : m_progress_pages.m_items) {
-        auto decoded = decode_job_progress(item.m_value);
-        if (!decoded) {
-            LOG(ERROR) << log_line{"progress_unreadable"}.with("key", item.m_key);
-            continue;
-        }
-        stored.emplace(item.m_key, std::move(decoded).assume_value());
+    std::map<std::string, std::string> values;
+    for (auto& item : std::exchange(m_progress_pages, {}).m_items) {
+        values.emplace(std::move(item.m_key), std::move(item.m_value));
     }
     const auto jobs = std::exchange(m_job_pages, {});
-    m_progress_pages = {};
     m_jobs_revision = std::max(m_jobs_revision, jobs.m_revision);
     const auto clock = read_clocks();
     for (const auto& item : jobs.m_items) {
@@ -120,8 +150,12 @@
             LOG(ERROR) << log_line{"job_unreadable"}.with("key", item.m_key);
             continue;
         }
-        auto& progress = stored[progress_key(record.assume_value().m_id)];
+        const auto id = record.assume_value().m_id;
+        const auto progress = read_progress(values, id);
         add_job(m_state, std::move(record).assume_value(), progress, recovered, clock);
+        if (const auto keys = count_progress_keys(values, id); keys > 0) {
+            find_job(m_state, id)->m_progress_keys = keys;
+        }
     }
     for (const auto& item : jobs.m_items) {
         if (const auto id = cancelled_job(item.m_key)) {
--- a/packages/entry/src/cicadalug/entry/entry_program.cpp
+++ b/packages/entry/src/cicadalug/entry/entry_program.cpp
@@ -85,9 +85,9 @@
                                                     settings.m_cores},
           m_calls{m_executor, worker_connection_limit(settings.m_max_descriptors)},
           m_relay{m_executor, {settings.m_entry_vm, settings.m_zone, settings.m_cores, m_metrics}, m_election, m_calls},
-          m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config, m_metrics.get()}}, m_signals{
-                                                                                                             m_context,
-                                                                                                             SIGTERM}
+          m_api{{m_executor, &m_store, &m_intake, &m_election, &m_decider, &m_config, m_metrics.get(),
+                 settings.m_value_bytes}},
+          m_signals{m_context, SIGTERM}
     {
     }
 
@@ -154,6 +154,7 @@
         scheduler.m_stop_grace = m_settings.m_stop_grace;
         scheduler.m_cancel_time = m_settings.m_cancel_time;
         scheduler.m_drain_time = m_settings.m_drain_time;
+        scheduler.m_value_bytes = m_settings.m_value_bytes;
         settings.m_maintenance.m_maintenance_time = m_settings.m_maintenance_time;
         settings.m_status_retention = m_settings.m_status_retention;
         settings.m_moves.m_move_time = m_settings.m_move_time;
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -3,6 +3,7 @@
 
 #include <cicadalug/scheduler/ids.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,6 +56,12 @@
     return std::string{progress_prefix} + id.str();
 }
 
+/** @brief Returns the key of a further value with the progress of a job. @param part Its number, from 1. */
+[[nodiscard]] inline auto progress_part_key(const job_id& id, const std::size_t part) -> std::string
+{
+    return progress_key(id) + '/' + std::to_string(part);
+}
+
 /** @brief Returns the job that the key of a cancellation names, or nothing if the key is that of a job. */
 [[nodiscard]] inline auto cancelled_job(const std::string_view key) -> std::optional<job_id>
 {
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 
 #include <algorithm>
@@ -78,20 +79,21 @@
 }
 
 /** @brief Returns the number of occurrences of a job that may be open at the same time. */
-[[nodiscard]] auto max_open_occurrences(const job_spec& spec) -> std::size_t
+[[nodiscard]] auto max_open_occurrences(const job_record& record, const std::size_t value_bytes) -> std::size_t
 {
     std::int64_t tasks{0};
-    for (const auto& step : spec.m_steps) {
+    for (const auto& step : record.m_spec.m_steps) {
         tasks += std::clamp<std::int64_t>(step.m_count, 0, max_open_tasks);
     }
-    return static_cast<std::size_t>(std::max<std::int64_t>(1, max_open_tasks / std::max<std::int64_t>(1, tasks)));
+    const auto limit = std::max<std::int64_t>(1, max_open_tasks / std::max<std::int64_t>(1, tasks));
+    return std::min(static_cast<std::size_t>(limit), storable_occurrences(record, value_bytes));
 }
 
 /** @brief Opens the due occurrences of a job. @return True if any was opened. */
-auto open_occurrences(job_entry& job, const std::int64_t unix_ms) -> bool
+auto open_occurrences(job_entry& job, const scheduler_settings& settings, const std::int64_t unix_ms) -> bool
 {
     const auto& spec = job.m_record.m_spec;
-    const auto limit = max_open_occurrences(spec);
+    const auto limit = max_open_occurrences(job.m_record, settings.m_value_bytes);
     bool opened{false};
     for (auto next = next_occurrence(job); next < total_occurrences(job); ++next) {
         if (!is_due(spec, next, unix_ms) || job.m_open.size() >= limit) {
@@ -309,7 +311,7 @@
         return;
     }
     restore_crashes(state, entry, crashes);
-    open_occurrences(entry, clock.m_unix_ms);
+    open_occurrences(entry, state.m_settings, clock.m_unix_ms);
     account_ready_steps(entry, clock.m_now);
     const auto& terms = entry.m_record.m_policy;
     entry.m_deadline = entry.m_arrived + estimate_objective(state, entry);
@@ -367,7 +369,7 @@
 {
     for (auto& [service, jobs] : state.m_active) {
         for (auto* job : jobs) {
-            if (job->m_record.m_spec.m_occurrences > 0 && open_occurrences(*job, clock.m_unix_ms)) {
+            if (job->m_record.m_spec.m_occurrences > 0 && open_occurrences(*job, state.m_settings, clock.m_unix_ms)) {
                 account_ready_steps(*job, clock.m_now);
                 state.m_dispatch_requested = true;
             }
--- a/packages/scheduler/src/cicadalug/scheduler/progress.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/binary_codec.hpp>
+#include <cicadalug/scheduler/compact_progress.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 
 #include <exception>
@@ -35,6 +36,9 @@
 
 auto decode_job_progress(const std::string_view bytes) -> result<job_progress>
 {
+    if (is_compact(bytes)) {
+        return decode_compact_progress(bytes);
+    }
     std::istringstream stream{std::string{bytes}};
     try {
         job_progress progress;
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -107,7 +107,7 @@
  */
 [[nodiscard]] auto decode_job_record(std::string_view bytes) -> result<job_record>;
 
-/** @brief Decodes the progress of a job from the store. */
+/** @brief Decodes the progress of a job from the store, in either form; the values that hold it have been joined. */
 [[nodiscard]] auto decode_job_progress(std::string_view bytes) -> result<job_progress>;
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -66,6 +66,8 @@
     /** @brief Copies of this age are always recent enough: while nothing changes, a copy gets twice as old as a watch
      * waits. */
     milliseconds m_min_copy_age{1'100};
+    /** @brief Maximum size of a value in the store, in bytes; from the platform's settings. */
+    std::size_t m_value_bytes{1'048'576};
 };
 
 /** @brief Phase of a task in the scheduler. */
@@ -171,6 +173,8 @@
     std::int64_t m_changes{0};
     /** @brief Number of the changes that the stored progress contains. */
     std::int64_t m_stored_changes{0};
+    /** @brief Number of keys of the store that may hold the progress. */
+    std::size_t m_progress_keys{1};
     bool m_started{false};
     /** @brief The job was found in the store at a takeover. */
     bool m_recovered{false};
--- a/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_call.cpp
@@ -1,8 +1,8 @@
+#include <cicadalug/scheduler/byte_codec.hpp>
 #include <cicadalug/scheduler/worker_call.hpp>
 
 #include <cstddef>
 #include <limits>
-#include <type_traits>
 #include <utility>
 
 namespace cicadalug {
@@ -16,115 +16,6 @@
  * as workers number their ends from 1, so that the version of the format stays the same. */
 constexpr auto incomplete_mark = std::numeric_limits<std::int64_t>::min();
 
-/** @brief Number of payload bits in a byte of a variable-length integer. */
-constexpr unsigned varint_bits{7};
-constexpr std::uint64_t varint_continues{0x80};
-
-/** @brief Appends values to a message. Integers have a variable length, strings are preceded by theirs. */
-class byte_writer {
-public:
-    auto number(const std::uint64_t value) -> void
-    {
-        auto rest = value;
-        for (; rest >= varint_continues; rest >>= varint_bits) {
-            m_bytes.push_back(static_cast<char>((rest & (varint_continues - 1)) | varint_continues));
-        }
-        m_bytes.push_back(static_cast<char>(rest));
-    }
-
-    auto integer(const std::int64_t value) -> void
-    {
-        // Zigzag: small negative numbers are short, too.
-        number((static_cast<std::uint64_t>(value) << 1U) ^ static_cast<std::uint64_t>(value >> 63));
-    }
-
-    auto text(const std::string_view value) -> void
-    {
-        number(value.size());
-        m_bytes += value;
-    }
-
-    auto version() -> void { m_bytes.push_back(format_version); }
-
-    [[nodiscard]] auto take() -> std::string { return std::move(m_bytes); }
-
-private:
-    std::string m_bytes;
-};
-
-/** @brief Reads what byte_writer has written. After the first error, all values are empty. */
-class byte_reader {
-public:
-    explicit byte_reader(const std::string_view bytes) : m_bytes{bytes}
-    {
-        m_failed = m_bytes.empty() || m_bytes.front() != format_version;
-        m_position = 1;
-    }
-
-    [[nodiscard]] auto number() -> std::uint64_t
-    {
-        std::uint64_t value{0};
-        for (unsigned shift{0}; shift < std::numeric_limits<std::uint64_t>::digits; shift += varint_bits) {
-            if (m_failed || m_position >= m_bytes.size()) {
-                break;
-            }
-            const auto byte = static_cast<unsigned char>(m_bytes[m_position++]);
-            value |= (byte & (varint_continues - 1)) << shift;
-            if (byte < varint_continues) {
-                return value;
-            }
-        }
-        m_failed = true;
-        return 0;
-    }
-
-    [[nodiscard]] auto integer() -> std::int64_t
-    {
-        const auto value = number();
-        return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
-    }
-
-    /** @brief Reads a text. @return A view of the message. */
-    [[nodiscard]] auto view() -> std::string_view
-    {
-        const auto size = number();
-        if (m_failed || size > m_bytes.size() - m_position) {
-            m_failed = true;
-            return {};
-        }
-        const auto value = m_bytes.substr(m_position, size);
-        m_position += size;
-        return value;
-    }
-
-    [[nodiscard]] auto text() -> std::string { return std::string{view()}; }
-
-    /** @brief Reads an enumerator. @param last The highest valid one. */
-    template<typename Enum>
-    [[nodiscard]] auto enumerator(const Enum last) -> Enum
-    {
-        const auto value = number();
-        m_failed = m_failed || value > static_cast<std::uint64_t>(last);
-        return m_failed ? Enum{} : static_cast<Enum>(value);
-    }
-
-    /** @brief Reads the length of a list whose elements take at least one byte each. */
-    [[nodiscard]] auto count() -> std::size_t
-    {
-        const auto value = number();
-        m_failed = m_failed || value > m_bytes.size() - m_position;
-        return m_failed ? 0 : static_cast<std::size_t>(value);
-    }
-
-    /** @brief Checks whether the whole message was read without an error. */
-    [[nodiscard]] auto is_complete() const -> bool { return !m_failed && m_position == m_bytes.size(); }
-
-private:
-    std::string_view m_bytes;
-    std::size_t m_position{0};
-    bool m_failed{false};
-};
-
 auto write_task(byte_writer& bytes, const task_ref& task) -> void
 {
     bytes.text(task.m_job.view());
@@ -258,8 +149,7 @@
 template<typename Element, typename Write>
 [[nodiscard]] auto encode_list(const std::vector<Element>& list, const Write& write) -> std::string
 {
-    byte_writer bytes;
-    bytes.version();
+    byte_writer bytes{format_version};
     bytes.number(list.size());
     for (const auto& element : list) {
         write(bytes, element);
@@ -271,7 +161,7 @@
 [[nodiscard]] auto decode_list(const std::string_view encoded, const char* place, const Read& read)
     -> result<std::vector<Element>>
 {
-    byte_reader bytes{encoded};
+    byte_reader bytes{encoded, format_version};
     std::vector<Element> list(bytes.count());
     for (auto& element : list) {
         element = read(bytes);
--- a/test/process/scheduler_deployment.hpp
+++ b/test/process/scheduler_deployment.hpp
@@ -54,8 +54,12 @@
 /** @brief Entry VMs of one zone as processes, with stand-ins of the platform's store and of workers. */
 class scheduler_deployment : public ::testing::Test {
 protected:
-    /** @param cpu_share CPU capacity that the settings of the entry VMs state, in cores. */
-    explicit scheduler_deployment(const double cpu_share = 1.0) : m_cpu_share{cpu_share}
+    /**
+     * @param cpu_share CPU capacity that the settings of the entry VMs state, in cores.
+     * @param value_bytes Maximum size of a value in the store that the settings state.
+     */
+    explicit scheduler_deployment(const double cpu_share = 1.0, const std::size_t value_bytes = 1'048'576)
+        : m_cpu_share{cpu_share}, m_value_bytes{value_bytes}
     {
         const auto config = config_of(1, 0, 0);
         std::vector<std::string> arguments{"--listen",    m_store, "--config",
@@ -135,7 +139,8 @@
              << "\"\n[limits]\ncpu_share = " << m_cpu_share << "\ncores = 1\n"
              << "[bounds]\nhold_max_ms = 10000\nstop_grace_ms = " << stop_grace.count()
              << "\ncancel_ms = " << cancel_bound.count() << "\ncontact_ms = 3000\ngrace_s = 6\nstatus_s = 120\n"
-             << "lease_ms = 3000\n[platform]\naddress = \"" << m_store << "\"\nttl_min_ms = 1000\n";
+             << "lease_ms = 3000\n[platform]\naddress = \"" << m_store
+             << "\"\nttl_min_ms = 1000\nvalue_bytes = " << m_value_bytes << '\n';
     }
 
     [[nodiscard]] static auto are_ready() -> bool
@@ -261,6 +266,7 @@
 
 private:
     const double m_cpu_share;
+    const std::size_t m_value_bytes;
     const std::string m_store{at_port(store_port, 0)};
     std::unique_ptr<child_process> m_platform;
     std::vector<std::unique_ptr<child_process>> m_entry_vms;
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -448,6 +448,11 @@
         if (const auto paths = body.find("refused_paths"); paths != body.end()) {
             m_faults.m_refused_paths = paths->get<std::set<std::string>>();
         }
+        if (const auto bytes = body.find("checkpoint_bytes"); bytes != body.end()) {
+            for (auto& worker : m_workers) {
+                worker.set_checkpoint_bytes(bytes->get<std::size_t>());
+            }
+        }
         if (const auto keys = body.find("refused_keys"); keys != body.end()) {
             m_faults.m_refused_keys = keys->get<std::set<std::string>>();
         }
--- a/test/standin/scheduler_worker.hpp
+++ b/test/standin/scheduler_worker.hpp
@@ -115,6 +115,9 @@
         return true;
     }
 
+    /** @brief Sets the size of the checkpoints that running tasks report. */
+    auto set_checkpoint_bytes(const std::size_t bytes) noexcept -> void { m_checkpoint_bytes = bytes; }
+
     [[nodiscard]] auto has_ends() const noexcept -> bool { return !m_ends.empty(); }
 
     /** @brief Returns the response to a lease renewal: the runs and the ends that were not acknowledged. */
@@ -124,7 +127,7 @@
         body["running"] = nlohmann::json::array();
         for (const auto& [task, state] : m_runs) {
             const auto percent = 100 * (now - state.m_started) / microseconds{state.m_run_time};
-            body["running"].push_back({task, state.m_run, "", percent, 0});
+            body["running"].push_back({task, state.m_run, std::string(m_checkpoint_bytes, 'c'), percent, 0});
         }
         body["ended_runs"] = m_ends;
         return json_response(http::status::ok, body);
@@ -212,6 +215,7 @@
     std::int64_t m_last_end{0};
     std::vector<nlohmann::json> m_ends;
     std::set<std::string> m_acknowledged_as_done;
+    std::size_t m_checkpoint_bytes{0};
     std::vector<worker_event> m_starts;
     std::vector<worker_event> m_stops;
 };
