Refuse a job at once that the store refuses

Callers saw 503 after the whole time limit for a job that the store answers with 400, and the same for all jobs that came within the same milliseconds: the intake wrote the batch again every 60 ms until the time limits of its jobs.

Change: the jobs of a refused write are written again, each alone; one that is refused alone gets 400 at once, unless an earlier write of it has no response.

--- a/packages/entry/src/cicadalug/entry/client_api.cpp
+++ b/packages/entry/src/cicadalug/entry/client_api.cpp
@@ -83,6 +83,8 @@
         return "not stored";
     case intake_result::cancelled:
         return "cancelled before";
+    case intake_result::refused:
+        return "refused by the store";
     case intake_result::unknown:
         break;
     }
@@ -176,6 +178,9 @@
         co_return make_response(http::status::ok);
     }
     LOG(INFO) << log_line{"job_not_accepted"}.with("request", id).with("outcome", outcome_name(result));
+    if (result == intake_result::refused) {
+        co_return findings_response(http::status::bad_request, findings{"body", "is refused by the store"});
+    }
     co_return make_response(result == intake_result::unknown ? http::status::gateway_timeout
                                                              : http::status::service_unavailable);
 }
--- a/packages/entry/src/cicadalug/entry/job_intake.cpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.cpp
@@ -39,6 +39,8 @@
     time_point m_deadline;
     /** @brief Writes that were sent and whose outcome is unknown: the job may be stored. */
     std::int64_t m_open_writes{0};
+    /** @brief A write with other jobs was refused. */
+    bool m_alone{false};
     std::optional<intake_result> m_result;
     asio::steady_timer m_settled;
 };
@@ -97,9 +99,15 @@
     std::vector<std::shared_ptr<submission>> batch;
     while (!m_waiting.empty() && batch.size() < batch_jobs) {
         if (!m_waiting.front()->m_result) {
+            if (m_waiting.front()->m_alone && !batch.empty()) {
+                break;
+            }
             batch.push_back(std::move(m_waiting.front()));
         }
         m_waiting.pop_front();
+        if (!batch.empty() && batch.back()->m_alone) {
+            break;
+        }
     }
     return batch;
 }
@@ -128,11 +136,20 @@
         else if (has_item(written.m_current, cancel_key(job.m_record.m_id))) {
             settle(job, intake_result::cancelled);
         }
+        else if (written.m_status == store_status::rejected && batch.size() == 1 && job.m_open_writes == 0) {
+            settle(job, intake_result::refused);
+        }
         else if (!job.m_result) {
+            // The store refuses one of the jobs; each is written alone to find it.
+            job.m_alone = job.m_alone || written.m_status == store_status::rejected;
             m_waiting.push_back(batch[position]);
         }
     }
-    if (written.m_status != store_status::ok && written.m_status != store_status::conflict) {
+    if (written.m_status == store_status::rejected) {
+        LOG(WARNING)
+            << log_line{"job_write_refused"}.with("jobs", batch.size()).with("request", batch.front()->m_record.m_id);
+    }
+    else if (written.m_status != store_status::ok && written.m_status != store_status::conflict) {
         LOG_EVERY_N(WARNING, 20) << log_line{"job_write_failed"}
                                         .with("jobs", batch.size())
                                         .with("outcome",
--- a/packages/entry/src/cicadalug/entry/job_intake.hpp
+++ b/packages/entry/src/cicadalug/entry/job_intake.hpp
@@ -21,6 +21,8 @@
     not_stored,
     /** @brief The job was cancelled before it was stored, and is never stored. */
     cancelled,
+    /** @brief The store refuses the job, which is never stored. */
+    refused,
     /** @brief The response of the store is missing; the job may be stored now or later. */
     unknown,
 };
--- a/test/process/scheduler_progress.cpp
+++ b/test/process/scheduler_progress.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -89,6 +90,23 @@
     EXPECT_EQ(call(http::verb::get, client_address(0), path_of(first_job)).m_status, 410U);
 }
 
+// Guards against a job that the store refuses and that is not accepted only after the time limit of its client,
+// together with all jobs that come at the same time.
+TEST_F(scheduler_progress, a_job_that_the_store_refuses_does_not_hold_up_others)
+{
+    control({{"refused_keys", {std::string{"job/"} + first_job}}});
+    const json step{{"count", 1}, {"cpu", task_cpu}, {"mem_mb", 64}, {"est_runtime_ms", 1'000}};
+    const json body{{"spec", "sort waggons"}, {"steps", json::array({step})}};
+    unsigned refused{0};
+    std::thread client{[&] {
+        refused = call(http::verb::post, client_address(0), path_of(first_job), body).m_status;
+    }};
+    const auto accepted = call(http::verb::post, client_address(0), path_of(second_job), body).m_status;
+    client.join();
+    EXPECT_EQ(refused, 400U);
+    EXPECT_EQ(accepted, 200U);
+}
+
 // Guards against done tasks that a successor starts again: their ends are acknowledged although the store refuses the
 // progress of their job, which changes during each write.
 TEST_F(scheduler_progress, ends_of_a_job_whose_progress_is_refused_are_not_acknowledged)
