Tell failures of a task from failures of its worker

Cause: three failures in a row paused a worker, whatever failed. Two jobs of long-running tasks that always fail failed on each worker; after a pause a single failure began the next one, of up to 12 s, and long-running tasks may use paused workers after 1 s and so were the first on each worker whose pause had ended.

Change: a worker is paused when different work has failed on it in a row. Tasks of a step of which no run was good yet count as one work, so one step or task cannot pause a worker, nor pause it again. Work that has failed soon on two other workers since it was last good is blamed itself and counts for no worker.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -177,8 +177,8 @@
     const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
     update_worker_health(state, worker, report, now);
     if (report.m_outcome == run_end::failed) {
-        state.m_events.push_back(
-            {run_event_kind::failed, index, report.m_task, report.m_run, worker.m_failures_in_row});
+        state.m_events.push_back({run_event_kind::failed, index, report.m_task, report.m_run,
+                                  static_cast<std::int64_t>(worker.m_failed_work.size())});
     }
     const auto run = find_run(worker, report.m_task, report.m_run);
     if (run != worker.m_runs.end()) {
@@ -324,7 +324,7 @@
         // The new incarnation has no fencing token, so that an earlier decider may have granted it a lease, too.
         worker.m_has_reported = false;
         worker.m_cordoned = false;
-        worker.m_failures_in_row = 0;
+        worker.m_failed_work.clear();
         state.m_dispatch_requested = true;
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -45,8 +45,10 @@
     milliseconds m_late_start_time{5'000};
     /** @brief Maximum duration of a stop, from the platform's settings. */
     milliseconds m_stop_grace{400};
-    /** @brief A worker with this many consecutive failed runs gets no new work for m_worker_pause. */
-    std::int64_t m_failures_before_pause{3};
+    /** @brief A worker on which this much different work has failed in a row gets no new work for m_worker_pause. */
+    std::size_t m_failures_before_pause{3};
+    /** @brief Work that fails on more than this many workers is the cause of its failures. */
+    std::size_t m_blamed_workers{2};
     /** @brief First pause of a failing worker; doubled with each further pause up to m_worker_pause_limit. */
     milliseconds m_worker_pause{1'500};
     milliseconds m_worker_pause_limit{12'000};
@@ -97,6 +99,8 @@
     std::vector<run_number> m_failed_runs;
     /** @brief Workers on which runs of the task failed in this term; others are tried first. */
     std::vector<worker_index> m_failed_workers;
+    /** @brief Workers on which a run of the task failed soon, since a run of it was last good. */
+    std::vector<worker_index> m_soon_failed_workers;
     /** @brief Runs under which their worker has crashed. */
     std::vector<run_number> m_crashed_runs;
     /** @brief Latest run of a long-running task that a worker survived in this term: crashes under earlier runs had
@@ -145,6 +149,10 @@
     time_point m_last_start{};
     /** @brief A run of the step has failed, was lost or was not accepted. */
     bool m_interrupted{false};
+    /** @brief A run of the step was good in this term: it was done, or lasted for long. */
+    bool m_proven{false};
+    /** @brief Workers on which a run of the step failed soon, since a run of it was last good. */
+    std::vector<worker_index> m_soon_failed_workers;
     /** @brief Decisions on permits by worker, for queues that need permits. */
     std::map<worker_index, step_permit> m_permits;
     bool m_permits_requested{false};
@@ -301,8 +309,11 @@
     /** @brief Requested speed of best-effort tasks on this worker, in percent. */
     std::int64_t m_best_effort_speed_percent{100};
     time_point m_speed_changed{};
-    std::int64_t m_failures_in_row{0};
+    /** @brief Work that failed on the worker since a run was last good there: single tasks, or whole steps with an index
+     * below 0. */
+    std::vector<task_ref> m_failed_work;
     time_point m_paused_until{};
+    /** @brief Duration of the last pause for failures; 0 if a run was good since. */
     milliseconds m_pause{0};
 };
 
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -297,6 +297,18 @@
     worker.m_runs.clear();
 }
 
+auto scheduler_simulation::fail_long_running() -> void
+{
+    for (auto& [id, worker] : m_workers) {
+        std::erase_if(worker.m_runs, [&worker = worker](const simulated_worker::run& run) {
+            if (run.m_long_running) {
+                worker.m_ended.push_back({++worker.m_end_count, run.m_task, run.m_run, run_end::failed, {}});
+            }
+            return run.m_long_running;
+        });
+    }
+}
+
 auto scheduler_simulation::crash(const worker_id& id) -> void
 {
     auto& worker = m_workers[id];
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -62,6 +62,8 @@
     auto set_capacity(const worker_id& id, std::int64_t cpu) -> void;
     /** @brief Ends all runs of a worker as failed. */
     auto fail_runs(const worker_id& id) -> void;
+    /** @brief Ends all runs of long-running tasks as failed. */
+    auto fail_long_running() -> void;
     /** @brief Crashes a worker. It restarts after m_restart_time. */
     auto crash(const worker_id& id) -> void;
     /** @brief Removes a worker and its VM for good. */
