Leave a job alone that has ended when a run of it fails later

Found by reading for the order of writes, not seen by callers: the failure of an earlier run marked its job as changed even if the job had failed or been cancelled. It was written once more, and if that happened while the garbage collection removed the job, the list of changed jobs kept a pointer to it.

Change: such a failure has no effect, as all other ends have none on a job that has ended.

Test: reports.a_failure_after_the_end_of_a_job_does_not_change_it fails without the change and passes.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -203,7 +203,7 @@
     if (current || task->m_phase == task_phase::waiting || report.m_outcome == run_end::done) {
         apply_task_end(state, *job, {report.m_task, report.m_run, report.m_outcome, report.m_checkpoint}, now);
     }
-    else if (report.m_outcome == run_end::failed && count_failure(*task, report.m_run)) {
+    else if (report.m_outcome == run_end::failed && !is_final(job->m_state) && count_failure(*task, report.m_run)) {
         mark_dirty(state, *job);
     }
 }
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -333,6 +333,30 @@
     EXPECT_EQ(state.m_workers[0].m_acknowledged_end, 1);
 }
 
+// Guards against a job that is written, or accessed after its removal, because a run failed after the job had ended.
+TEST(reports, a_failure_after_the_end_of_a_job_does_not_change_it)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 2);
+    const auto id = simulation.submit(make_job("orders", 1, 1'000, milliseconds{60'000}));
+    simulation.run_for(milliseconds{100});
+    auto& state = simulation.m_state;
+    auto& job = *find_job(state, id);
+    ASSERT_EQ(find_task(state, {id, 0, 0, 0})->m_phase, task_phase::running);
+    fail_job(state, job, simulation.now());
+    simulation.run_for(milliseconds{20});
+    ASSERT_FALSE(job.m_dirty);
+    const auto run = find_task(state, {id, 0, 0, 0})->m_run;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = 1;
+    // The end of an earlier run, of another worker than that of the current one.
+    report.m_ended.push_back({1'000, {id, 0, 0, 0}, run_number{run.value() - 1}, run_end::failed, {}});
+    const auto other = find_task(state, {id, 0, 0, 0})->m_worker == 0 ? 1 : 0;
+    apply_report(state, other, report, simulation.now(), simulation.now());
+    EXPECT_FALSE(job.m_dirty);
+    EXPECT_EQ(state.m_workers[static_cast<std::size_t>(other)].m_unstored_ends.size(), 0U);
+}
+
 // Guards against losing an end that is not stored, as the last incarnation of its worker had reported a higher number.
 TEST(reports, ends_of_a_new_incarnation_are_not_acknowledged_with_the_numbers_of_the_last_one)
 {
