Start no task of a job whose progress the store refuses

Follows from the acknowledgement of ends by job: a job that is refused again and again would go on to start tasks, and none of their ends can be acknowledged. A worker lists 500 ends at a time, so that the ends of other jobs would be missing there in the end. Not seen by callers; found by reading.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -197,6 +197,7 @@
     // A job that has changed since would be refused again in the next write, together with others.
     std::erase(m_state.m_dirty, &job);
     job.m_dirty = true;
+    job.m_refused = true;
     m_refused_jobs.push_back(&job);
 }
 
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -472,6 +472,8 @@
 {
     job.m_stored_state = stored.m_state;
     job.m_stored_changes = std::max(job.m_stored_changes, stored.m_changes);
+    state.m_dispatch_requested = state.m_dispatch_requested || job.m_refused;
+    job.m_refused = false;
     confirm_trials(state, job, stored);
     for (auto& occurrence : job.m_open) {
         const auto found =
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -181,6 +181,9 @@
     std::int64_t m_changes{0};
     /** @brief Number of the changes that the stored progress contains. */
     std::int64_t m_stored_changes{0};
+    /** @brief The store has refused the last progress. No task starts, as no end could be acknowledged, and workers
+     * list only the first of many ends. */
+    bool m_refused{false};
     /** @brief Number of keys of the store that may hold the progress. */
     std::size_t m_progress_keys{1};
     bool m_started{false};
@@ -309,8 +312,8 @@
     /** @brief Requested speed of best-effort tasks on this worker, in percent. */
     std::int64_t m_best_effort_speed_percent{100};
     time_point m_speed_changed{};
-    /** @brief Work that failed on the worker since a run was last good there: single tasks, or whole steps with an index
-     * below 0. */
+    /** @brief Work that failed on the worker since a run was last good there: single tasks, or whole steps with an
+     * index below 0. */
     std::vector<task_ref> m_failed_work;
     time_point m_paused_until{};
     /** @brief Duration of the last pause for failures; 0 if a run was good since. */
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
@@ -25,6 +25,10 @@
 {
     std::vector<waiting_step> found;
     for (auto* job : jobs) {
+        if (job->m_refused) {
+            account_waiting({job}, job_part::starts_suspended, now);
+            continue;
+        }
         const bool needs_permit = state.m_permit_queues.contains(job->m_record.m_policy.m_queue);
         bool classified{false};
         auto job_urgency = urgency::in_time;
--- a/packages/scheduler/test/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/waiting_steps.cpp
@@ -48,4 +48,24 @@
     EXPECT_EQ(collect(simulation, true).size(), 1U);
 }
 
+// Guards against more and more ends that cannot be acknowledged: workers list only the first of them, so that those of
+// other jobs would be missing.
+TEST(waiting_steps, a_job_that_the_store_refuses_starts_nothing_until_it_is_stored)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    const auto id = simulation.submit(make_job("quotes", 30, 1'000, milliseconds{100}));
+    simulation.run_for(milliseconds{50});
+    const auto started = simulation.total_starts();
+    ASSERT_GT(started, 0);
+    auto& job = *find_job(simulation.m_state, id);
+    simulation.m_store_up = false;
+    job.m_refused = true;
+    simulation.run_for(milliseconds{500});
+    EXPECT_EQ(simulation.total_starts(), started);
+    simulation.m_store_up = true;
+    simulation.run_for(milliseconds{2'000});
+    EXPECT_EQ(simulation.stored_state(id), job_state::completed);
+}
+
 } // namespace cicadalug::test
