--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/entry/decider.hpp>
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
+#include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
@@ -164,13 +165,6 @@
     }
 }
 
-/** @brief Checks whether the store holds the effect of an end. A job that is not known has been removed from it. */
-[[nodiscard]] auto is_stored(const scheduler_state& state, const unstored_end& end) -> bool
-{
-    const auto* job = find_job(state, end.m_job);
-    return job == nullptr || job->m_stored_changes >= end.m_changes;
-}
-
 /** @brief Applies a reported end to its task. */
 auto apply_end(scheduler_state& state, worker_slot& worker, const ended_report& report, const time_point now) -> void
 {
@@ -216,12 +210,7 @@
     }
     worker.m_last_end = report.m_number;
     apply_end(state, worker, report, now);
-    // An end without an effect may depend on another one: a job that has failed ignores it, and while that state is not
-    // stored, a successor does not know it.
-    const auto* job = find_job(state, report.m_task.m_job);
-    if (job != nullptr && job->m_stored_changes < job->m_changes) {
-        worker.m_unstored_ends.push_back({report.m_number, report.m_task.m_job, job->m_changes});
-    }
+    record_applied_end(state, worker, report);
 }
 
 [[nodiscard]] auto is_listed(const worker_report& report, const placed_run& run) -> bool
@@ -565,17 +554,6 @@
     return worker.m_lease_until_ms;
 }
 
-auto acknowledge_ends(scheduler_state& state) -> void
-{
-    for (auto& worker : state.m_workers) {
-        auto& ends = worker.m_unstored_ends;
-        while (!ends.empty() && is_stored(state, ends.front())) {
-            ends.pop_front();
-        }
-        worker.m_acknowledged_end = ends.empty() ? worker.m_last_end : ends.front().m_number - 1;
-    }
-}
-
 auto expire_runs(scheduler_state& state, const time_point now) -> void
 {
     for (const auto position : state.m_current_workers) {
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -55,12 +55,6 @@
 /** @brief Abandons runs on workers whose lease has certainly expired, and adds stop commands that are due. */
 auto expire_runs(scheduler_state& state, time_point now) -> void;
 
-/**
- * @brief Acknowledges the ends of each worker up to the first one whose job has changes that are not stored. A job that
- * cannot be stored holds back only the workers that have reported ends of it.
- */
-auto acknowledge_ends(scheduler_state& state) -> void;
-
 /**
  * @brief Returns the end of the lease to grant now, on the worker's clock, and records it as granted.
  * @pre The worker's clock has been read.
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_simulation.hpp"
 
+#include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/job_estimates.hpp>
 
 #include <algorithm>
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -3,6 +3,7 @@
 #include "soak_simulation.hpp"
 
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
