--- a/packages/scheduler/src/cicadalug/scheduler/worker_health.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_health.cpp
@@ -2,7 +2,6 @@
 #include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace cicadalug {
 
@@ -113,7 +112,7 @@
     if (std::find(failed.begin(), failed.end(), work) != failed.end()) {
         return;
     }
-    failed.push_back(std::move(work));
+    failed.push_back(work);
     if (failed.size() > max_failed_work) {
         failed.erase(failed.begin());
     }
