--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,6 +2,7 @@
 # TWICE: a start that got no response is carried out late, by a worker that has started again under its id, after the
 # task has been done elsewhere.
 set -euo pipefail
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 case_directory=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=../standin-2/lib.sh
 source "$case_directory/../standin-2/lib.sh"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # MIXED: a wave is said to be completed, and a machine of it has not begun its upkeep, as another wave had it in upkeep.
 set -euo pipefail
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 case_directory=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=../standin-2/lib.sh
 source "$case_directory/../standin-2/lib.sh"
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -1,11 +1,10 @@
-# Functions of the scripts of the second review; to be sourced. Starts the stand-in of the platform and entry VMs with the
+# Functions of the scripts of the second review; to be sourced, with trouble set from TROUBLE. Starts the stand-in of the platform and entry VMs with the
 # commands of the deploy file, on a loopback address of their own, with settings like those of a small deployment.
 # Exit codes of a case: 1 the rule was broken, 0 it held, 2 the case could not run.
 
 repository=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 daemon=target/packages/daemon/cicadalugd
 platform_program=target/review-2/platform_2
-trouble=${TROUBLE:-1}
 host=127.$((20 + RANDOM % 200)).$((RANDOM % 250)).$((1 + RANDOM % 250))
 store=$host:7900
 cloud=$host:7901
--- a/review/standin-2/scheduler_platform_standin.cpp
+++ b/review/standin-2/scheduler_platform_standin.cpp
@@ -120,6 +120,19 @@
         put("op/config", options.m_config, 0);
     }
 
+    /** @brief Opens the port of a worker. */
+    auto listen(const std::size_t index) -> void
+    {
+        findings errors;
+        const auto endpoint = parse_endpoint(m_options.m_workers[index], "--worker", errors);
+        m_listeners[index] = std::make_unique<http_server>(
+            m_context, endpoint, http_server_limits{},
+            [this, index](http_exchange& exchange) { return handle_worker(exchange, index); });
+    }
+
+    /** @brief Closes the port of a worker that goes down; calls in progress find it down and are dropped. */
+    auto close_port(const std::size_t index) -> void { m_listeners.erase(index); }
+
     [[nodiscard]] auto handle_store(http_exchange& exchange) -> asio::awaitable<void>
     {
         const auto target = parse_target(to_view(exchange.request().target()));
@@ -369,6 +382,7 @@
     [[nodiscard]] auto restart(const std::size_t index, const milliseconds down) -> asio::awaitable<void>
     {
         m_workers[index].m_up = false;
+        close_port(index);
         log("crash of " + name(index));
         co_await sleep(down);
         begin_life(index);
@@ -381,6 +395,7 @@
         hosted.m_up = true;
         hosted.m_last_seen = -1;
         hosted.m_tasks.clear();
+        listen(index);
         log("start of " + name(index) + " again, under the same id");
         register_worker(index);
     }
@@ -464,6 +479,7 @@
         found->m_up = false;
         found->m_in_upkeep = true;
         const auto index = static_cast<std::size_t>(found - m_workers.begin());
+        close_port(index);
         static_cast<void>(m_store.write({{"expected_rev", json::array()},
                                          {"puts", json::array()},
                                          {"remove", json::array({"servers/" + found->m_worker.id()})}}));
@@ -485,6 +501,7 @@
         hosted.m_worker = scheduler_worker{hosted.m_worker.id() + "n", unix_ms(), monotonic_now()};
         hosted.m_in_upkeep = false;
         hosted.m_up = true;
+        listen(index);
         log("upkeep of " + hosted.m_machine + " has ended, " + name(index) + " joins");
         register_worker(index);
     }
@@ -626,6 +643,8 @@
     time_point m_began;
     scheduler_store m_store;
     std::vector<hosted_worker> m_workers;
+    /** @brief Open ports of the workers that are up. */
+    std::map<std::size_t, std::unique_ptr<http_server>> m_listeners;
     late_orders m_late;
     std::mt19937 m_random{1};
     milliseconds m_run_time{1'000};
@@ -671,9 +690,7 @@
     const http_server_limits limits;
     std::vector<std::unique_ptr<http_server>> servers;
     for (std::size_t index = 0; index < options.m_workers.size(); ++index) {
-        servers.push_back(std::make_unique<http_server>(
-            context, parse_endpoint(options.m_workers[index], "--worker", errors), limits,
-            [&hosted, index](http_exchange& exchange) { return hosted.handle_worker(exchange, index); }));
+        hosted.listen(index);
     }
     servers.push_back(
         std::make_unique<http_server>(context, parse_endpoint(options.m_cloud, "--cloud", errors), limits,
