Call each incarnation of a worker with a higher fencing token

Its first start had no response; the task was done on another worker, and the first worker carried the start out 8.5 s late, after it had started again under its id.

Cause: a new incarnation has seen no fencing token, the id in X-Expect-Instance is the same, and the lease in the start is a time of the earlier incarnation's clock, which lies ahead of the new one. The decider had forgotten the start when the lease had ended by the first incarnation's clock. All calls share this cause: late stops, paces and renewals are taken, too.

Change: the token of calls to a worker is raised when its entry or its report shows a new incarnation, and a call without a lease tells the worker at once. Tokens come from the revisions of the writes of the term, which a successor's token is above. A run whose start is neither answered nor listed is abandoned as soon as the worker has answered a call with the higher token, without a stop and a second poll. A refusal of a call that was sent before the token was raised does not end the term. While the entry is of another incarnation, renewals carry neither its lease nor its acknowledged ends.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -129,6 +129,8 @@
     [[nodiscard]] auto load_workers() -> asio::awaitable<bool>;
     [[nodiscard]] auto watch_jobs(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto watch_workers(std::shared_ptr<decider> self) -> asio::awaitable<void>;
+    /** @brief Tells a restarted worker its token, which makes it refuse calls to its earlier incarnations. */
+    [[nodiscard]] auto announce_fence(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
     [[nodiscard]] auto renew_worker_lease(std::shared_ptr<decider> self, worker_index index) -> asio::awaitable<void>;
     [[nodiscard]] auto store_progress(std::shared_ptr<decider> self) -> asio::awaitable<void>;
     [[nodiscard]] auto write_dirty_jobs() -> asio::awaitable<bool>;
--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -4,6 +4,8 @@
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -58,8 +60,8 @@
 [[nodiscard]] auto add_loss(log_line line, const run_event& event, const fencing_token token, const time_point now)
     -> log_line
 {
-    constexpr const char* causes[]{"lease_over", "missing_in_report", "new_incarnation", "vm_command",
-                                   "start_not_accepted"};
+    constexpr const char* causes[]{"lease_over", "missing_in_report",  "new_incarnation",
+                                   "vm_command", "start_not_accepted", "start_fenced"};
     return std::move(line)
         .with("cause", causes[static_cast<std::size_t>(event.m_cause)])
         .with("adopted", event.m_adopted)
@@ -73,12 +75,13 @@
 auto decider::make_call(const worker_index index, const worker_call_kind kind, const milliseconds timeout) const
     -> worker_call
 {
-    const auto& entry = m_state.m_workers[static_cast<std::size_t>(index)].m_entry;
+    const auto& worker = m_state.m_workers[static_cast<std::size_t>(index)];
+    const auto& entry = worker.m_entry;
     worker_call call;
     call.m_kind = kind;
     call.m_worker = entry.m_id;
     call.m_address = entry.m_address;
-    call.m_token = m_term.m_token;
+    call.m_token = fence_of(m_state, worker);
     call.m_timeout = timeout;
     return call;
 }
@@ -114,18 +117,25 @@
         }
         const auto& worker = m_state.m_workers[position];
         auto renewal = make_call(index, worker_call_kind::renew, renewal_slack);
-        renewal.m_acknowledged_end = worker.m_acknowledged_end;
-        if (worker.m_has_reported) {
+        const auto token = renewal.m_token;
+        // Acknowledgement and lease are for the incarnation that has reported.
+        if (worker.m_has_reported && !is_of_other_incarnation(worker)) {
+            renewal.m_acknowledged_end = worker.m_acknowledged_end;
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = !m_state.m_trials.empty() ? trial_renewal_wait : renewal_wait;
             renewal.m_timeout += renewal.m_wait;
         }
         const auto sent = monotonic_now();
-        const auto response = co_await call_worker(index, std::move(renewal), nullptr);
+        auto response = co_await call_worker(index, std::move(renewal), nullptr);
         if (!m_active) {
             co_return;
         }
+        if (response.m_result == command_result::fenced &&
+            settle_fenced(m_state, index, token, response.m_result) != command_result::fenced) {
+            continue;
+        }
+        response.m_report.m_token = token;
         if (response.m_result == command_result::accepted) {
             const bool first = !m_state.m_workers[position].m_has_reported;
             apply_report(m_state, index, response.m_report, sent, monotonic_now());
@@ -231,6 +241,9 @@
     for (auto& command : std::exchange(m_state.m_starts, {})) {
         run_in_term(send_start(shared_from_this(), std::move(command)), "send_start");
     }
+    for (const auto index : std::exchange(m_state.m_fence_announcements, {})) {
+        run_in_term(announce_fence(shared_from_this(), index), "announce_fence");
+    }
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
         run_in_term(send_stop(shared_from_this(), command), "send_stop");
     }
@@ -260,7 +273,8 @@
     start.m_run = command.m_run;
     start.m_text = job->m_record.m_spec.m_text;
     start.m_lease_until_ms = grant_start_lease(m_state, command.m_worker, now);
-    record_start_lease(m_state, command, start.m_lease_until_ms);
+    const auto token = start.m_token;
+    record_start(m_state, command, token, start.m_lease_until_ms);
     start.m_checkpoint = command.m_checkpoint;
     start.m_permit = command.m_permit;
     ++m_load.m_starts;
@@ -277,7 +291,7 @@
         return true;
     };
     const auto response = co_await call_worker(command.m_worker, std::move(start), may_send);
-    const auto result = response.m_result;
+    const auto result = settle_fenced(m_state, command.m_worker, token, response.m_result);
     end_command(m_load);
     const auto age = monotonic_now() - command.m_decided;
     m_load.m_max_start_answer_age = std::max(m_load.m_max_start_answer_age, age);
@@ -357,17 +371,58 @@
     auto stop = make_call(command.m_worker, worker_call_kind::stop, m_state.m_settings.m_command_timeout);
     stop.m_task = command.m_task;
     stop.m_run = command.m_run;
+    const auto token = stop.m_token;
     ++m_load.m_stops;
     m_settings.m_metrics->stop_sent();
     begin_command(m_load);
     const auto response = co_await call_worker(command.m_worker, std::move(stop), nullptr);
     end_command(m_load);
     if (m_active) {
-        apply_stop_result(m_state, command, response.m_result, monotonic_now());
+        const auto result = settle_fenced(m_state, command.m_worker, token, response.m_result);
+        apply_stop_result(m_state, command, result, monotonic_now());
         check_deposed();
     }
 }
 
+auto decider::announce_fence(const std::shared_ptr<decider> self, const worker_index index) -> asio::awaitable<void>
+{
+    // The renewal in flight may wait for an answer of the earlier incarnation.
+    const auto position = static_cast<std::size_t>(index);
+    const auto token = fence_of(m_state, m_state.m_workers[position]);
+    const auto began = monotonic_now();
+    int attempts{0};
+    auto result = command_result::unknown;
+    while (self->m_active && result != command_result::accepted) {
+        const auto& worker = m_state.m_workers[position];
+        if (!worker.m_registered || fence_of(m_state, worker) != token) {
+            break;
+        }
+        ++attempts;
+        auto call = make_call(index, worker_call_kind::renew, renewal_slack);
+        const auto response = co_await call_worker(index, std::move(call), nullptr);
+        if (!m_active) {
+            co_return;
+        }
+        result = settle_fenced(m_state, index, token, response.m_result);
+        if (result == command_result::fenced) {
+            m_state.m_deposed = true;
+            check_deposed();
+            co_return;
+        }
+        if (result != command_result::accepted) {
+            co_await sleep_for(m_executor, renewal_pause);
+        }
+    }
+    const auto& worker = m_state.m_workers[position];
+    LOG(INFO) << log_line{"worker_restarted"}
+                     .with("worker", worker.m_entry.m_id)
+                     .with("incarnation", worker.m_fenced_incarnation_unix_ms)
+                     .with("token", token)
+                     .with("fenced", result == command_result::accepted)
+                     .with("attempts", attempts)
+                     .with("took_ms", to_ms(monotonic_now() - began));
+}
+
 auto decider::send_throttle(const std::shared_ptr<decider> self, throttle_command command) -> asio::awaitable<void>
 {
     if (!self->m_active) {
@@ -377,11 +432,12 @@
     throttle.m_task = command.m_task;
     throttle.m_run = command.m_run;
     throttle.m_speed_percent = command.m_speed_percent;
+    const auto token = throttle.m_token;
     begin_command(m_load);
     const auto response = co_await call_worker(command.m_worker, std::move(throttle), nullptr);
     end_command(m_load);
     if (m_active) {
-        apply_throttle_result(m_state, command, response.m_result);
+        apply_throttle_result(m_state, command, settle_fenced(m_state, command.m_worker, token, response.m_result));
         check_deposed();
     }
 }
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -9,6 +9,7 @@
 #include <cicadalug/scheduler/progress_batch.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/stored_progress.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -90,7 +91,7 @@
         if (!m_refused_jobs.empty() && monotonic_now() - m_refused_retried_at > refused_job_interval) {
             co_await retry_refused_jobs();
         }
-        if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now())) {
+        if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now()) && !has_worker_without_fence(m_state)) {
             acknowledge_ends(m_state);
             continue;
         }
@@ -270,6 +271,7 @@
         co_return written.m_status;
     }
     m_decision_log_revision = written.m_revision;
+    record_term_write(m_state, written.m_revision);
     complete_lease_list(m_state, leased);
     m_lease_list_complete = m_lease_list_complete || lists_leases;
     m_state.m_expected_listed = lists_leases ? lists_expected : m_state.m_expected_listed;
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -6,6 +6,7 @@
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/stored_progress.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -113,6 +114,7 @@
     }
     if (written.m_status == store_status::ok) {
         m_decision_log_revision = written.m_revision;
+        record_term_write(m_state, written.m_revision);
     }
     co_return written.m_status == store_status::ok;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -7,6 +7,7 @@
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/unanswered_start.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 #include <cicadalug/scheduler/worker_health.hpp>
 
 #include <algorithm>
@@ -238,6 +239,9 @@
             worker.m_paused_until = std::max(worker.m_paused_until, now + rejection_pause);
             abandon_run(state, worker, place, lost_cause::start_not_accepted, now);
         }
+        else if (!listed && is_start_fenced(run, report)) {
+            abandon_run(state, worker, place, lost_cause::start_fenced, now);
+        }
         else if (!listed && settled) {
             abandon_run(state, worker, place, lost_cause::missing_in_report, now);
         }
@@ -254,8 +258,8 @@
     return is_listed(report, run) || (run.m_confirmed && run.m_sent >= sent);
 }
 
-/** @brief Abandons the runs of an earlier incarnation. A start without a response may still be carried out by the new
- * one, which knows nothing of the runs before it: such a run is stopped first, so that the worker rejects its start. */
+/** @brief Abandons the runs of an earlier incarnation. The new one may carry out a start without a response until it
+ * has answered a call with a higher fencing token or with a stop of that run. */
 auto end_runs_of_incarnation(scheduler_state& state, worker_slot& worker, const worker_report& report,
                              const time_point sent, const time_point now) -> void
 {
@@ -291,6 +295,7 @@
     worker.m_incarnation_start_unix_ms = report.m_incarnation_start_unix_ms;
     if (worker.m_has_reported && known != 0 && report.m_incarnation_start_unix_ms != known) {
         const auto index = state.m_worker_by_id.at(worker.m_entry.m_id);
+        raise_fence(state, index, report.m_incarnation_start_unix_ms);
         auto suspects = find_crash_suspects(state, index);
         std::erase_if(suspects, [&](const lost_run& suspect) {
             const auto run = find_run(worker, suspect.m_task, suspect.m_run);
@@ -375,9 +380,14 @@
         state.m_workers.emplace_back();
     }
     auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
+    const auto start = entry.m_incarnation_start_unix_ms;
+    const auto last_start = std::exchange(worker.m_entry, entry).m_incarnation_start_unix_ms;
     worker.m_registered = true;
-    worker.m_entry = entry;
     make_current(state, worker, known->second);
+    // An entry may be older than the last report; it shows a new incarnation only if it differs from the last entry.
+    if (last_start != 0 && start != 0 && start != last_start && start != worker.m_incarnation_start_unix_ms) {
+        raise_fence(state, known->second, start);
+    }
     state.m_dispatch_requested = true;
 }
 
@@ -435,11 +445,13 @@
     }
 }
 
-auto record_start_lease(scheduler_state& state, const start_command& command, const std::int64_t lease_until_ms) -> void
+auto record_start(scheduler_state& state, const start_command& command, const fencing_token token,
+                  const std::int64_t lease_until_ms) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
     const auto run = find_run(worker, command.m_task, command.m_run);
     if (run != worker.m_runs.end()) {
+        run->m_token = token;
         run->m_start_until_ms = lease_until_ms;
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/reports.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.hpp
@@ -38,8 +38,10 @@
 auto apply_report(scheduler_state& state, worker_index index, const worker_report& report, time_point sent,
                   time_point now) -> void;
 
-/** @brief Records the lease in a start that is about to be sent. A run that has been abandoned is ignored. */
-auto record_start_lease(scheduler_state& state, const start_command& command, std::int64_t lease_until_ms) -> void;
+/** @brief Records the fencing token and the lease in a start that is about to be sent. A run that has been abandoned is
+ * ignored. */
+auto record_start(scheduler_state& state, const start_command& command, fencing_token token,
+                  std::int64_t lease_until_ms) -> void;
 
 /** @brief Applies the result of a start command. */
 auto apply_start_result(scheduler_state& state, const start_command& command, command_result result, time_point now)
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -220,6 +220,8 @@
     bool m_confirmed{false};
     /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
     bool m_adopted{false};
+    /** @brief Fencing token in the start; meaningful once the start was sent. */
+    fencing_token m_token;
     /** @brief Lease in the start, on the worker's clock, after which the worker refuses the start; 0 if it was not
      * sent.
      */
@@ -288,6 +290,12 @@
     /** @brief The worker gets no new work, as its VM is about to be maintained or moved. */
     bool m_cordoned{false};
     std::int64_t m_incarnation_start_unix_ms{0};
+    /** @brief Token of calls to the current incarnation if it is above that of the term, see fence_of(). */
+    fencing_token m_fence;
+    /** @brief Start of the incarnation for which the token was last raised. */
+    std::int64_t m_fenced_incarnation_unix_ms{0};
+    /** @brief The token cannot be raised before the next write of the term. Until then, the worker gets no new work. */
+    bool m_awaits_fence{false};
     /** @brief Last reading of the worker's clock, and the latest local time at which it can have been taken. */
     std::int64_t m_clock_ms{0};
     time_point m_clock_read{};
@@ -361,6 +369,8 @@
     new_incarnation,
     vm_command,
     start_not_accepted,
+    /** @brief The worker refuses the late start, as it has received a higher fencing token. */
+    start_fenced,
 };
 
 /** @brief An event of a run. */
@@ -392,6 +402,8 @@
 struct scheduler_state {
     scheduler_settings m_settings;
     fencing_token m_token;
+    /** @brief No worker is called with a higher token, see record_term_write(). */
+    fencing_token m_fence_limit;
     time_point m_began{};
     /** @brief When this decider learned that its term is stored, if known. No earlier decider renews its term after it;
      * the jobs are read between this time and m_began. */
@@ -436,6 +448,8 @@
     std::vector<recovered_trial> m_recovered_trials;
     std::vector<start_command> m_starts;
     std::vector<stop_command> m_stops;
+    /** @brief Workers that have restarted and are to be told their new token. */
+    std::vector<worker_index> m_fence_announcements;
     /** @brief Queues whose steps need permits. */
     std::set<queue_id> m_permit_queues;
     std::vector<permit_request> m_permit_requests;
--- a/packages/scheduler/src/cicadalug/scheduler/worker.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker.hpp
@@ -50,6 +50,8 @@
     std::int64_t m_incarnation_start_unix_ms{0};
     /** @brief Reading of the worker's clock in milliseconds since an arbitrary origin. */
     std::int64_t m_clock_ms{0};
+    /** @brief Fencing token of the call that the report answers; 0 if it is not known. */
+    fencing_token m_token;
     std::vector<running_report> m_running;
     std::vector<ended_report> m_ended;
     /** @brief Runs may be missing in both lists, as the worker lists a limited number of ends, or a row could not be
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
@@ -10,28 +10,22 @@
 constexpr milliseconds report_age_limit{2'000};
 
 constexpr std::array<std::string_view, worker_obstacles> names{
-    "none",         "not_registered",   "other_incarnation", "draining",       "cordoned",
-    "not_reported", "lease_not_stored", "unresponsive",      "report_too_old", "paused",
-    "in_trial",     "no_capacity",      "no_label",          "step_limit",     "no_permit",
+    "none",         "not_registered",   "other_incarnation", "fence_not_stored", "draining", "cordoned",
+    "not_reported", "lease_not_stored", "unresponsive",      "report_too_old",   "paused",   "in_trial",
+    "no_capacity",  "no_label",         "step_limit",        "no_permit",
 };
 
-/** @brief Checks whether the worker's entry and its reports are of the same incarnation. An unknown start matches any.
- */
-[[nodiscard]] auto is_entry_current(const worker_slot& worker) -> bool
-{
-    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
-    const auto reported = worker.m_incarnation_start_unix_ms;
-    return registered == 0 || reported == 0 || registered == reported;
-}
-
 [[nodiscard]] auto find_entry_obstacle(const worker_slot& worker) -> worker_obstacle
 {
     if (!worker.m_registered) {
         return worker_obstacle::not_registered;
     }
-    if (!is_entry_current(worker)) {
+    if (is_of_other_incarnation(worker)) {
         return worker_obstacle::other_incarnation;
     }
+    if (worker.m_awaits_fence) {
+        return worker_obstacle::fence_not_stored;
+    }
     return worker.m_entry.m_state == worker_state::ready ? worker_obstacle::none : worker_obstacle::draining;
 }
 
@@ -54,6 +48,13 @@
 
 } // namespace
 
+auto is_of_other_incarnation(const worker_slot& worker) -> bool
+{
+    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+    const auto reported = worker.m_incarnation_start_unix_ms;
+    return registered != 0 && reported != 0 && registered != reported;
+}
+
 auto name_of(const worker_obstacle obstacle) noexcept -> std::string_view
 {
     return names[static_cast<std::size_t>(obstacle)];
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.hpp
@@ -15,6 +15,8 @@
     not_registered,
     /** @brief The entry and the reports are of different incarnations, whose capacity and labels may differ. */
     other_incarnation,
+    /** @brief The worker has restarted, and its higher fencing token depends on a write to the store. */
+    fence_not_stored,
     draining,
     /** @brief The worker's VM is about to be moved or maintained. */
     cordoned,
@@ -37,6 +39,10 @@
 
 inline constexpr std::size_t worker_obstacles{static_cast<std::size_t>(worker_obstacle::no_permit) + 1};
 
+/** @brief Checks whether a worker's entry is of another incarnation than its last report. An unknown start matches any.
+ */
+[[nodiscard]] auto is_of_other_incarnation(const worker_slot& worker) -> bool;
+
 /** @brief Returns the name of an obstacle in log lines. */
 [[nodiscard]] auto name_of(worker_obstacle obstacle) noexcept -> std::string_view;
 
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -147,7 +147,7 @@
     worker_report report;
     report.m_incarnation_start_unix_ms = 1;
     report.m_clock_ms = worker.m_clock_ms;
-    record_start_lease(state, start, worker.m_clock_ms + 1'000);
+    record_start(state, start, state.m_token, worker.m_clock_ms + 1'000);
     const auto now = simulation.now() + milliseconds{800};
     apply_start_result(state, start, command_result::unknown, now);
     report.m_clock_ms += 1'090;
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/job_estimates.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -42,7 +43,7 @@
 
 scheduler_simulation::scheduler_simulation()
 {
-    m_state.m_token = fencing_token{m_token};
+    m_state.m_token = fencing_token{m_revision};
     m_state.m_began = m_now;
 }
 
@@ -147,6 +148,7 @@
     std::erase_if(worker.m_ended, [&slot](const ended_report& end) { return end.m_number <= slot.m_acknowledged_end; });
     worker_report sent_report;
     sent_report.m_incarnation_start_unix_ms = worker.m_incarnation;
+    sent_report.m_token = fence_of(m_state, slot);
     sent_report.m_clock_ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
     for (const auto& run : worker.m_runs) {
         sent_report.m_running.push_back({run.m_task, run.m_run, {}, run.m_long_running ? 100 : 0, 0});
@@ -243,6 +245,7 @@
             m_completed.try_emplace(job->m_record.m_id, m_now);
         }
     }
+    record_term_write(m_state, store_revision{++m_revision});
     acknowledge_ends(m_state);
     const auto leased = begin_lease_list(m_state, m_now);
     m_stored_leases.clear();
@@ -427,7 +430,7 @@
     m_starts_in_flight.clear();
     m_state = scheduler_state{};
     m_state.m_settings = settings;
-    m_state.m_token = fencing_token{++m_token};
+    m_state.m_token = fencing_token{++m_revision};
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
     m_state.m_expected_vms = m_stored_vms;
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -163,7 +163,8 @@
     std::mt19937 m_random;
     std::int64_t m_next_job{0};
     std::int64_t m_next_worker{0};
-    std::uint64_t m_token{1};
+    /** @brief Revision of the store. */
+    std::uint64_t m_revision{1};
 };
 
 /** @brief Makes a job with one step. */
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -7,6 +7,7 @@
 #include <cicadalug/scheduler/jobs.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -31,9 +32,10 @@
 } // namespace
 
 soak_decider::soak_decider(soak_simulation& simulation, const fencing_token token)
-    : m_simulation{simulation}, m_random{&simulation.m_random}
+    : m_simulation{simulation}, m_random{&simulation.m_random}, m_revision{token.value()}
 {
     m_state.m_token = token;
+    record_term_write(m_state, store_revision{++m_revision});
 }
 
 auto soak_decider::now() const -> time_point
@@ -98,6 +100,7 @@
     dispatch(m_state, now());
     send_starts();
     send_stops();
+    announce_fences();
     m_state.m_events.clear();
     write_progress();
 }
@@ -151,7 +154,10 @@
     if (now() < call.m_due || (!slot.m_registered && slot.m_runs.empty())) {
         return;
     }
-    call = {true, false, false, now(), now(), 0};
+    call = {};
+    call.m_in_flight = true;
+    call.m_sent = now();
+    call.m_due = now();
     std::int64_t lease_until_ms{0};
     if (slot.m_has_reported) {
         lease_until_ms = grant_lease(m_state, index, now());
@@ -164,7 +170,8 @@
     }
     auto& worker = found->second;
     call.m_incarnation = worker.m_incarnation;
-    call.m_fenced = !accept_token(worker, m_state.m_token);
+    call.m_token = fence_of(m_state, slot);
+    call.m_fenced = !accept_token(worker, call.m_token);
     if (call.m_fenced) {
         call.m_due = now() + call_time;
         return;
@@ -189,21 +196,27 @@
             return;
         }
         if (call.m_fenced) {
-            m_state.m_deposed = true;
+            const auto result = settle_fenced(m_state, index, call.m_token, command_result::fenced);
+            m_state.m_deposed = m_state.m_deposed || result == command_result::fenced;
+            call = {};
             return;
         }
         if (!ended && now() < call.m_due) {
             return;
         }
-        apply_report(m_state, index, report_of(worker, now()), call.m_sent, now());
-        call = {false, false, false, {}, now() + renewal_gap, 0};
+        auto report = report_of(worker, now());
+        report.m_token = call.m_token;
+        apply_report(m_state, index, report, call.m_sent, now());
+        call = {};
+        call.m_due = now() + renewal_gap;
         return;
     }
     if (call.m_lost && now() < call.m_due + renewal_slack) {
         return;
     }
     m_state.m_workers[static_cast<std::size_t>(index)].m_unresponsive = true;
-    call = {false, false, false, {}, now() + renewal_pause, 0};
+    call = {};
+    call.m_due = now() + renewal_pause;
 }
 
 auto soak_decider::renew_leases() -> void
@@ -271,23 +284,44 @@
         }
         static_cast<void>(mark_started(m_state, *find_job(m_state, command.m_task.m_job)));
         const auto lease_until_ms = grant_start_lease(m_state, command.m_worker, now());
-        record_start_lease(m_state, command, lease_until_ms);
+        const auto token = fence_of(m_state, m_state.m_workers[static_cast<std::size_t>(command.m_worker)]);
+        record_start(m_state, command, token, lease_until_ms);
         perform(
             m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id,
-            [&simulation = m_simulation, command, lease_until_ms, token = m_state.m_token](soak_worker& worker) {
+            [&simulation = m_simulation, command, lease_until_ms, token](soak_worker& worker) {
                 return simulation.start_run(worker, command, token, lease_until_ms);
             },
-            [this, command](const command_result result) { apply_start_result(m_state, command, result, now()); });
+            [this, command, token](const command_result result) {
+                const auto settled = settle_fenced(m_state, command.m_worker, token, result);
+                apply_start_result(m_state, command, settled, now());
+            });
     }
 }
 
 auto soak_decider::send_stops() -> void
 {
     for (const auto& command : std::exchange(m_state.m_stops, {})) {
+        const auto& slot = m_state.m_workers[static_cast<std::size_t>(command.m_worker)];
+        const auto token = fence_of(m_state, slot);
         perform(
-            m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_entry.m_id,
-            [command, token = m_state.m_token](soak_worker& worker) { return execute_stop(worker, command, token); },
-            [this, command](const command_result result) { apply_stop_result(m_state, command, result, now()); });
+            slot.m_entry.m_id, [command, token](soak_worker& worker) { return execute_stop(worker, command, token); },
+            [this, command, token](const command_result result) {
+                const auto settled = settle_fenced(m_state, command.m_worker, token, result);
+                apply_stop_result(m_state, command, settled, now());
+            });
+    }
+}
+
+auto soak_decider::announce_fences() -> void
+{
+    for (const auto index : std::exchange(m_state.m_fence_announcements, {})) {
+        const auto& slot = m_state.m_workers[static_cast<std::size_t>(index)];
+        perform(
+            slot.m_entry.m_id,
+            [token = fence_of(m_state, slot)](soak_worker& worker) {
+                return accept_token(worker, token) ? command_result::accepted : command_result::fenced;
+            },
+            [](const command_result) {});
     }
 }
 
@@ -298,7 +332,7 @@
     }
     const bool lists_leases = has_unlisted_lease(m_state, now()) || (now() - m_leases_listed_at > lease_list_interval &&
                                                                      has_ended_lease_in_list(m_state, now()));
-    if (m_state.m_dirty.empty() && !lists_leases) {
+    if (m_state.m_dirty.empty() && !lists_leases && !has_worker_without_fence(m_state)) {
         acknowledge_ends(m_state);
         return;
     }
@@ -337,6 +371,7 @@
             }
         }
         if (succeeds && reaches_store()) {
+            record_term_write(m_state, store_revision{++m_revision});
             acknowledge_ends(m_state);
             if (leased) {
                 m_simulation.m_stored_leases = list;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -58,6 +58,7 @@
         /** @brief When the response is due or the call times out, if nothing ends before. */
         time_point m_due{};
         std::int64_t m_incarnation{0};
+        fencing_token m_token;
     };
 
     [[nodiscard]] auto now() const -> time_point;
@@ -69,6 +70,7 @@
     auto finish_renewal(worker_index index, renewal& call) -> void;
     auto send_starts() -> void;
     auto send_stops() -> void;
+    auto announce_fences() -> void;
     auto write_progress() -> void;
     /** @brief Performs a command at a worker. Its result arrives after a while, or not at all. */
     auto perform(const worker_id& id, std::function<command_result(soak_worker&)> command,
@@ -85,6 +87,8 @@
     std::set<worker_id> m_changed_entries;
     std::set<job_id> m_new_jobs;
     std::set<job_id> m_new_cancels;
+    /** @brief Revision of the last write of the term. */
+    std::uint64_t m_revision;
     bool m_writing{false};
     time_point m_leases_listed_at{};
 };
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds simulation_step{10};
 constexpr std::int64_t unix_origin_ms{1'700'000'000'000};
+/** @brief Number of revisions of the store in a term; the fencing tokens of a term are among them. */
+constexpr std::uint64_t revisions_per_term{100'000};
 constexpr std::int64_t worker_millicores{16'000};
 constexpr std::int64_t worker_mebibytes{32'768};
 
@@ -146,7 +148,7 @@
 
 auto soak_simulation::begin_term() -> void
 {
-    m_decider = std::make_shared<soak_decider>(*this, fencing_token{++m_term});
+    m_decider = std::make_shared<soak_decider>(*this, fencing_token{++m_term * revisions_per_term});
     m_decider->load();
 }
 
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -84,6 +84,11 @@
     milliseconds m_command_delay{0};
 };
 
+[[nodiscard]] auto unix_ms_now() -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 [[nodiscard]] auto encode_base64(const std::string& bytes) -> std::string
 {
     std::string text(beast::detail::base64::encoded_size(bytes.size()), '\0');
@@ -124,8 +129,7 @@
     scheduler_platform(asio::io_context& context, const standin_options& options)
         : m_context{context}, m_options{options}
     {
-        const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
-        const auto unix_ms = std::chrono::duration_cast<milliseconds>(unix_time).count();
+        const auto unix_ms = unix_ms_now();
         for (std::size_t index = 0; index < options.m_workers.size(); ++index) {
             m_workers.emplace_back("worker-" + std::to_string(index), unix_ms, monotonic_now());
         }
@@ -464,6 +468,11 @@
         }
         m_faults.m_silent_watch = body.value("silent_watch", m_faults.m_silent_watch);
         m_faults.m_run_time = milliseconds{body.value("run_ms", m_faults.m_run_time.count())};
+        if (body.value("restart_workers", false)) {
+            for (auto& worker : m_workers) {
+                worker.restart(unix_ms_now(), monotonic_now());
+            }
+        }
         m_faults.m_overwritten = body.value("overwritten", m_faults.m_overwritten);
         m_faults.m_unregistered = body.value("unregistered", m_faults.m_unregistered);
         if (!m_faults.m_unregistered.empty()) {
--- a/test/standin/scheduler_worker.hpp
+++ b/test/standin/scheduler_worker.hpp
@@ -56,6 +56,17 @@
     [[nodiscard]] auto running() const noexcept -> std::size_t { return m_runs.size(); }
     [[nodiscard]] auto is_running(const std::string& task) const -> bool { return m_runs.contains(task); }
 
+    /** @brief Starts the worker again under its id: it forgets all but what the tests observe. */
+    auto restart(const std::int64_t unix_ms, const time_point now) -> void
+    {
+        scheduler_worker restarted{m_id, unix_ms, now};
+        restarted.m_checkpoint_bytes = m_checkpoint_bytes;
+        restarted.m_starts = std::move(m_starts);
+        restarted.m_stops = std::move(m_stops);
+        restarted.m_acknowledged_as_done = std::move(m_acknowledged_as_done);
+        *this = std::move(restarted);
+    }
+
     /** @brief Starts a run. @param run_time How long the run takes. */
     [[nodiscard]] auto start(const nlohmann::json& body, const milliseconds run_time, const time_point now)
         -> http_response
