Count only a wave's own maintenance as its progress

Cause: update_wave_progress() took each VM that the list shows in maintenance for one that an earlier decider had begun for this wave. The list does not name the wave.

Change: a VM's maintenance for a wave has begun when the platform has accepted the command of that wave. Only in a wave that an earlier decider has begun, a VM in maintenance is in doubt: it counts as down, and the command is sent again, which returns 200 if it was carried out and 409 (busy) if the VM is down for another reason. VMs that are missing are part of the wave again when they are listed, and refused ones when the operator changes the request. Waves do not cordon VMs that another wave has cordoned or taken down. A wave that the operator writes anew gets the new VMs, limit and time, continues if it was completed, and releases VMs that are no longer part of it; a wave that is removed ends. A VM that is up after an accepted command had been maintained before and takes no place any more.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -40,6 +40,9 @@
 /** @brief Prefix of the keys that hold the progress of maintenance waves. */
 constexpr std::string_view wave_progress_prefix{"upkeep/"};
 
+/** @brief Stands before the VMs that the platform has refused to maintain, among those in the progress of a wave. */
+constexpr char excluded_mark{'!'};
+
 [[nodiscard]] auto wave_progress_key(const std::int64_t wave) -> std::string
 {
     return std::string{wave_progress_prefix} + std::to_string(wave);
@@ -83,7 +86,35 @@
     }
     const auto number = request.assume_value().m_wave;
     auto& wave = m_waves[number];
-    wave.m_progress.m_request = std::move(request).assume_value();
+    wave.m_withdrawn = false;
+    if (!wave.m_loaded) {
+        wave.m_progress.m_request = std::move(request).assume_value();
+    }
+    else if (wave.m_progress.m_request != request.assume_value()) {
+        const auto clock = read_clocks();
+        change_request(wave.m_progress, std::move(request).assume_value(), clock.m_now);
+        wave.m_began_unix_ms = clock.m_unix_ms;
+        wave.m_dirty = true;
+        LOG(INFO) << log_line{"wave_changed"}
+                         .with("wave", number)
+                         .with("vms", wave.m_progress.m_request.m_vms.size())
+                         .with("concurrency", wave.m_progress.m_request.m_concurrency);
+    }
+}
+
+auto fleet_controller::withdraw_waves(const std::vector<store_item>& waves) -> void
+{
+    for (auto& [number, wave] : m_waves) {
+        const auto key = std::string{wave_prefix} + std::to_string(number);
+        const bool requested =
+            std::any_of(waves.begin(), waves.end(), [&key](const store_item& item) { return item.m_key == key; });
+        if (requested || wave.m_withdrawn) {
+            continue;
+        }
+        LOG(INFO) << log_line{"wave_withdrawn"}.with("wave", number);
+        wave.m_withdrawn = true;
+        change_request(wave.m_progress, {number, {}, {}, 1}, monotonic_now());
+    }
 }
 
 auto fleet_controller::read_progress(const std::int64_t wave) -> asio::awaitable<bool>
@@ -105,8 +136,14 @@
         text >> state >> open.m_began_unix_ms;
         open.m_completed = state == "completed";
         open.m_status_written = true;
+        open.m_progress.m_recovered = true;
         for (std::string vm; text >> vm;) {
-            open.m_progress.m_begun.emplace(vm);
+            if (vm.front() == excluded_mark) {
+                open.m_progress.m_excluded.emplace(vm.substr(1));
+            }
+            else {
+                open.m_progress.m_begun.emplace(vm);
+            }
         }
     }
     else {
@@ -128,6 +165,7 @@
     for (const auto& item : pages.m_items) {
         apply_wave(item.m_value);
     }
+    withdraw_waves(pages.m_items);
     std::vector<std::int64_t> unloaded;
     for (const auto& [number, wave] : m_waves) {
         if (!wave.m_loaded) {
@@ -151,6 +189,9 @@
     for (const auto& vm : wave.m_progress.m_begun) {
         text << ' ' << vm;
     }
+    for (const auto& vm : wave.m_progress.m_excluded) {
+        text << ' ' << excluded_mark << vm;
+    }
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_dependencies.m_term.m_revision});
     write.m_puts.push_back({wave_progress_key(number), std::move(text).str(), no_store_lease});
@@ -158,10 +199,11 @@
         write.m_puts.push_back({wave_status_key(number), encode_wave_status(wave.m_completed), no_store_lease});
     }
     wave.m_dirty = false;
+    wave.m_status_written = true;
     const auto written = co_await m_dependencies.m_store->write(std::move(write), call_timeout);
     auto& stored = m_waves[number];
     stored.m_dirty = stored.m_dirty || written.m_status != store_status::ok;
-    stored.m_status_written = stored.m_status_written || written.m_status == store_status::ok;
+    stored.m_status_written = stored.m_status_written && written.m_status == store_status::ok;
 }
 
 auto fleet_controller::send_maintenance(const std::shared_ptr<fleet_controller> self, const maintenance_command command)
@@ -184,12 +226,12 @@
     const auto answered = monotonic_now();
     auto& wave = m_waves[number];
     apply_maintenance_result(*m_dependencies.m_state, wave.m_progress, vm, command.m_worker, result, answered);
-    wave.m_dirty = wave.m_dirty || wave.m_progress.m_begun.contains(vm);
+    wave.m_dirty = wave.m_dirty || wave.m_progress.m_begun.contains(vm) || wave.m_progress.m_excluded.contains(vm);
     m_dependencies.m_on_change();
     if (result == vm_command_result::accepted) {
         // The command is also accepted if the maintenance was done before; the list shows whether this worker has
         // ended.
-        m_unconfirmed_ends[vm] = {command.m_worker, answered};
+        m_unconfirmed_ends[vm] = {number, command.m_worker, answered};
         // In a wave, commands are accepted in quick succession; they share a list, which has several pages.
         m_list_requested = true;
     }
@@ -200,13 +242,16 @@
     auto& state = *m_dependencies.m_state;
     bool changed{false};
     for (auto end = m_unconfirmed_ends.begin(); end != m_unconfirmed_ends.end();) {
-        const auto& [worker, accepted] = end->second;
+        const auto& [number, worker, accepted] = end->second;
         const auto presence = worker_presence_after(m_vms, end->first, worker, accepted);
         if (presence == worker_presence::unknown) {
             ++end;
             continue;
         }
         const auto index = find_worker(state, worker);
+        if (presence == worker_presence::up) {
+            end_maintenance(m_waves[number].m_progress, end->first);
+        }
         if (index != no_worker && presence == worker_presence::up) {
             set_runs_ending(state, worker, false);
             state.m_workers[static_cast<std::size_t>(index)].m_cordoned = false;
@@ -413,32 +458,57 @@
     }
 }
 
+auto fleet_controller::claims_of_other_waves(const std::int64_t number) const -> claimed_vms
+{
+    claimed_vms claims;
+    for (const auto& [other, wave] : m_waves) {
+        if (other != number) {
+            add_claims(claims, wave.m_progress);
+        }
+    }
+    return claims;
+}
+
+auto fleet_controller::update_completion(const std::int64_t number, open_wave& wave) -> void
+{
+    if (wave.m_withdrawn) {
+        return;
+    }
+    if (wave.m_completed && is_current(m_vms, monotonic_now()) && has_open_vm(wave.m_progress, m_vms)) {
+        wave.m_completed = false;
+        wave.m_status_written = false;
+        wave.m_dirty = true;
+        LOG(INFO) << log_line{"wave_continued"}.with("wave", number);
+    }
+    else if (!wave.m_completed && is_wave_completed(wave.m_progress)) {
+        wave.m_completed = true;
+        wave.m_dirty = true;
+        LOG(INFO) << log_line{"wave_completed"}.with("wave", number);
+    }
+}
+
 auto fleet_controller::advance_waves() -> void
 {
     const auto clock = read_clocks();
     const auto recent = recently_commanded(clock);
     for (auto& [number, wave] : m_waves) {
-        if (!wave.m_loaded || wave.m_completed) {
+        if (!wave.m_loaded) {
             continue;
         }
-        if (m_dependencies.m_can_send_commands()) {
+        if (!wave.m_completed && m_dependencies.m_can_send_commands()) {
             static_cast<void>(plan_maintenance(*m_dependencies.m_state, m_dependencies.m_maintenance, wave.m_progress,
-                                               m_vms, recent, clock.m_now));
+                                               m_vms, recent, clock.m_now, claims_of_other_waves(number)));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
-                if (is_current(m_vms, clock.m_now) && !wave.m_progress.m_begun.contains(vm) &&
+                if (is_current(m_vms, clock.m_now) && !wave.m_withdrawn && is_command_due(wave.m_progress, vm, m_vms) &&
                     m_pending_maintenance.insert(vm).second) {
                     const auto* listed = find_vm(m_vms.m_vms, vm);
                     m_planned_maintenance.push_back({number, vm, listed == nullptr ? worker_id{} : listed->m_worker});
                 }
             }
+            log_blocked(number, wave.m_progress);
         }
-        log_blocked(number, wave.m_progress);
-        if (is_wave_completed(wave.m_progress)) {
-            wave.m_completed = true;
-            wave.m_dirty = true;
-            LOG(INFO) << log_line{"wave_completed"}.with("wave", number);
-        }
+        update_completion(number, wave);
     }
 }
 
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -72,6 +72,18 @@
         worker_id m_worker;
     };
 
+    /** @brief A maintenance wave with what is known of its stored state. */
+    struct open_wave {
+        wave_progress_state m_progress;
+        std::int64_t m_began_unix_ms{0};
+        bool m_loaded{false};
+        bool m_status_written{false};
+        bool m_dirty{false};
+        bool m_completed{false};
+        /** @brief The operator has removed the request. */
+        bool m_withdrawn{false};
+    };
+
     /** @brief Runs a coroutine of the term; the term ends if it fails. @param name Has to outlive the coroutine. */
     auto run_in_term(asio::awaitable<void> coroutine, std::string_view name) -> void;
     [[nodiscard]] auto run(std::shared_ptr<fleet_controller> self) -> asio::awaitable<void>;
@@ -93,19 +105,15 @@
     [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
     auto log_blocked(std::int64_t number, const wave_progress_state& wave) const -> void;
     auto apply_wave(const std::string& value) -> void;
-
-    /** @brief A maintenance wave with what is known of its stored state. */
-    struct open_wave {
-        wave_progress_state m_progress;
-        std::int64_t m_began_unix_ms{0};
-        bool m_loaded{false};
-        bool m_status_written{false};
-        bool m_dirty{false};
-        bool m_completed{false};
-    };
+    /** @brief Ends the waves that are not among those of the operator any more. */
+    auto withdraw_waves(const std::vector<store_item>& waves) -> void;
+    [[nodiscard]] auto claims_of_other_waves(std::int64_t number) const -> claimed_vms;
+    /** @brief Completes a wave, or lets a completed one continue. */
+    auto update_completion(std::int64_t number, open_wave& wave) -> void;
 
     /** @brief A worker that has ended if its VM was not maintained earlier, as the next list shows. */
     struct unconfirmed_end {
+        std::int64_t m_wave{0};
         worker_id m_worker;
         time_point m_accepted{};
     };
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -124,13 +124,25 @@
     }
 }
 
+[[nodiscard]] auto is_requested(const wave_progress_state& wave, const vm_id& id) -> bool
+{
+    const auto& vms = wave.m_request.m_vms;
+    return std::find(vms.begin(), vms.end(), id) != vms.end();
+}
+
+/** @brief Checks whether the wave does not wait for a VM any more. */
+[[nodiscard]] auto is_settled(const wave_progress_state& wave, const vm_id& id) -> bool
+{
+    return wave.m_begun.contains(id) || wave.m_excluded.contains(id) || wave.m_removed.contains(id);
+}
+
 /** @brief Spreads steps with more tasks on a VM of the wave than their disruption budget, before that VM is due. */
 auto evacuate_overcrowded_vms(scheduler_state& state, const wave_progress_state& wave,
                               const std::vector<vm_status>& vms, const time_point now) -> void
 {
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
-        const auto index = vm == nullptr || wave.m_begun.contains(id) ? no_worker : find_worker(state, vm->m_worker);
+        const auto index = vm == nullptr || is_settled(wave, id) ? no_worker : find_worker(state, vm->m_worker);
         if (index == no_worker) {
             continue;
         }
@@ -151,48 +163,82 @@
     }
 }
 
-/** @brief Records which VMs are up again after their maintenance, and which have been removed. */
-auto update_wave_progress(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
-                          const vm_list& list) -> void
+/** @brief Records which VMs have been removed. One that is listed again is part of the wave again. */
+auto update_removed_vms(const maintenance_settings& settings, wave_progress_state& wave, const vm_list& list) -> void
 {
-    const auto& vms = list.m_vms;
+    wave.m_removed.clear();
     for (const auto& id : wave.m_request.m_vms) {
-        if (find_vm(vms, id) == nullptr) {
-            wave.m_missing.try_emplace(id, list.m_requested);
-        }
-        else {
+        if (find_vm(list.m_vms, id) != nullptr) {
             wave.m_missing.erase(id);
+            continue;
+        }
+        const auto missing_since = wave.m_missing.try_emplace(id, list.m_requested).first->second;
+        if (list.m_requested - missing_since >= settings.m_missing_timeout) {
+            wave.m_removed.insert(id);
+            wave.m_excluded.erase(id);
         }
     }
-    const auto is_removed = [&](const vm_id& id) {
-        const auto missing = wave.m_missing.find(id);
-        return missing != wave.m_missing.end() && list.m_requested - missing->second >= settings.m_missing_timeout;
-    };
+}
+
+/** @brief Removes the VMs that are up again from those that are down. */
+auto update_returned_vms(const maintenance_settings& settings, wave_progress_state& wave, const vm_list& list) -> void
+{
     for (auto down = wave.m_down.begin(); down != wave.m_down.end();) {
-        const auto* vm = find_vm(vms, down->first);
+        const auto* vm = find_vm(list.m_vms, down->first);
         const bool maintained = list.m_requested - down->second > settings.m_maintenance_time;
-        const bool back = is_removed(down->first) || (vm != nullptr && vm->m_phase == vm_phase::up && maintained);
-        down = back ? wave.m_down.erase(down) : std::next(down);
+        const bool back =
+            wave.m_removed.contains(down->first) || (vm != nullptr && vm->m_phase == vm_phase::up && maintained);
+        if (!back) {
+            ++down;
+            continue;
+        }
+        wave.m_in_doubt.erase(down->first);
+        down = wave.m_down.erase(down);
     }
+}
+
+/** @brief Counts VMs in maintenance as down if an earlier decider may have sent the command for this wave. */
+auto update_doubtful_vms(const maintenance_settings& settings, wave_progress_state& wave, const vm_list& list,
+                         const claimed_vms& others) -> void
+{
     for (const auto& id : wave.m_request.m_vms) {
-        const auto* vm = find_vm(vms, id);
-        if (is_removed(id)) {
-            wave.m_begun.insert(id);
+        const auto* vm = find_vm(list.m_vms, id);
+        if (vm == nullptr || vm->m_phase != vm_phase::in_maintenance) {
+            if (vm != nullptr) {
+                wave.m_busy.erase(id);
+            }
+            continue;
+        }
+        if (!wave.m_recovered || wave.m_busy.contains(id) || others.m_in_maintenance.contains(id)) {
+            continue;
         }
-        else if (vm != nullptr && vm->m_phase == vm_phase::in_maintenance) {
-            // The command was sent by the previous decider.
-            wave.m_begun.insert(id);
-            wave.m_down.try_emplace(id, list.m_requested - settings.m_maintenance_time);
+        // Without a response to the command, the VM may have come up and begun its maintenance just now.
+        const auto since =
+            wave.m_begun.contains(id) ? list.m_requested - settings.m_maintenance_time : list.m_requested;
+        if (wave.m_down.try_emplace(id, since).second) {
+            wave.m_in_doubt.insert(id);
         }
     }
+}
+
+/** @brief Updates a wave by the platform's list, and releases the workers of VMs that are not to be maintained now. */
+auto update_wave_progress(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
+                          const vm_list& list, const claimed_vms& others) -> void
+{
+    update_removed_vms(settings, wave, list);
+    update_returned_vms(settings, wave, list);
+    update_doubtful_vms(settings, wave, list, others);
     for (auto cordoned = wave.m_cordoned.begin(); cordoned != wave.m_cordoned.end();) {
-        const auto* vm = find_vm(vms, cordoned->first);
-        const bool begun = wave.m_begun.contains(cordoned->first);
+        const auto& id = cordoned->first;
+        const auto* vm = find_vm(list.m_vms, id);
+        const bool begun = wave.m_begun.contains(id);
+        const bool down = wave.m_down.contains(id);
         // The command for a VM that counts as down may be carried out, even if a list lacks the VM.
-        const bool leaves = vm == nullptr ? !wave.m_down.contains(cordoned->first) : vm->m_phase != vm_phase::up;
-        if (begun || leaves) {
+        const bool leaves = vm == nullptr ? !down : vm->m_phase != vm_phase::up;
+        const bool withdrawn = !down && !is_requested(wave, id);
+        if (begun || leaves || withdrawn) {
             // Once maintenance has begun, the VM's worker has terminated. It stays cordoned until its entry is removed.
-            if (!begun || is_removed(cordoned->first)) {
+            if (!begun || wave.m_removed.contains(id)) {
                 release_worker(state, cordoned->second.m_worker);
             }
             cordoned = wave.m_cordoned.erase(cordoned);
@@ -262,12 +308,13 @@
 }
 
 auto cordon_next(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
-                 const std::vector<vm_status>& vms, const time_point now) -> void
+                 const std::vector<vm_status>& vms, const claimed_vms& others, const time_point now) -> void
 {
     std::vector<std::pair<std::tuple<std::int64_t, std::int64_t>, const vm_status*>> open;
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
-        if (wave.m_begun.contains(id) || wave.m_cordoned.contains(id) || vm == nullptr || vm->m_phase != vm_phase::up) {
+        if (is_settled(wave, id) || wave.m_cordoned.contains(id) || others.m_claimed.contains(id) || vm == nullptr ||
+            vm->m_phase != vm_phase::up) {
             continue;
         }
         const auto index = find_worker(state, vm->m_worker);
@@ -299,6 +346,48 @@
 
 } // namespace
 
+auto add_claims(claimed_vms& claims, const wave_progress_state& wave) -> void
+{
+    for (const auto& [vm, cordon] : wave.m_cordoned) {
+        claims.m_claimed.insert(vm);
+    }
+    for (const auto& [vm, since] : wave.m_down) {
+        claims.m_claimed.insert(vm);
+        if (wave.m_begun.contains(vm) && !wave.m_in_doubt.contains(vm)) {
+            claims.m_in_maintenance.insert(vm);
+        }
+    }
+}
+
+auto change_request(wave_progress_state& wave, wave_request request, const time_point now) -> void
+{
+    wave.m_request = std::move(request);
+    wave.m_began = now;
+    wave.m_excluded.clear();
+}
+
+auto next_maintenance_end(const maintenance_settings& settings, const wave_progress_state& wave, const time_point after)
+    -> std::optional<time_point>
+{
+    std::optional<time_point> next;
+    for (const auto& [vm, since] : wave.m_down) {
+        const auto end = since + settings.m_maintenance_time;
+        if (end > after && (!next || end < *next)) {
+            next = end;
+        }
+    }
+    return next;
+}
+
+auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool
+{
+    if (wave.m_begun.contains(vm)) {
+        return false;
+    }
+    const auto* listed = find_vm(vms.m_vms, vm);
+    return !wave.m_in_doubt.contains(vm) || (listed != nullptr && listed->m_phase == vm_phase::in_maintenance);
+}
+
 auto set_runs_ending(scheduler_state& state, const worker_id& worker, const bool ending) -> void
 {
     const auto index = find_worker(state, worker);
@@ -334,21 +423,22 @@
 }
 
 auto plan_maintenance(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
-                      const vm_list& list, const std::set<vm_id>& reserved, const time_point now) -> std::vector<vm_id>
+                      const vm_list& list, const std::set<vm_id>& reserved, const time_point now,
+                      const claimed_vms& others) -> std::vector<vm_id>
 {
     if (!is_current(list, now)) {
         release_without_command(state, wave);
         return {};
     }
     const auto& vms = list.m_vms;
-    update_wave_progress(state, settings, wave, list);
+    update_wave_progress(state, settings, wave, list, others);
     // Commands of the previous decider may still be carried out.
     const auto unconfirmed =
         std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
                       [&](const vm_id& id) { return reserved.contains(id) && !wave.m_down.contains(id); });
     release_needed(state, wave, vms, now);
     evacuate_overcrowded_vms(state, wave, vms, now);
-    cordon_next(state, settings, wave, vms, now);
+    cordon_next(state, settings, wave, vms, others, now);
     std::vector<vm_id> begin;
     for (const auto& [id, cordon] : wave.m_cordoned) {
         if (static_cast<std::int64_t>(wave.m_down.size()) + unconfirmed >= wave.m_request.m_concurrency) {
@@ -382,6 +472,7 @@
     -> void
 {
     wave.m_down.erase(vm);
+    wave.m_in_doubt.erase(vm);
     set_runs_ending(state, worker, false);
 }
 
@@ -391,11 +482,18 @@
     switch (result) {
     case vm_command_result::accepted:
         wave.m_begun.insert(vm);
+        wave.m_in_doubt.erase(vm);
         wave.m_down[vm] = now;
         return;
     case vm_command_result::fenced:
         state.m_deposed = true;
         return;
+    case vm_command_result::busy:
+        if (wave.m_in_doubt.contains(vm)) {
+            wave.m_busy.insert(vm);
+        }
+        withdraw_maintenance(state, wave, vm, worker);
+        return;
     case vm_command_result::not_done:
         withdraw_maintenance(state, wave, vm, worker);
         return;
@@ -403,7 +501,7 @@
     case vm_command_result::no_such_vm:
         withdraw_maintenance(state, wave, vm, worker);
         wave.m_cordoned.erase(vm);
-        wave.m_begun.insert(vm);
+        wave.m_excluded.insert(vm);
         release_worker(state, worker);
         return;
     case vm_command_result::unknown:
@@ -422,10 +520,24 @@
     return up ? worker_presence::up : worker_presence::ended;
 }
 
+auto end_maintenance(wave_progress_state& wave, const vm_id& vm) -> void
+{
+    if (wave.m_begun.contains(vm)) {
+        wave.m_down.erase(vm);
+    }
+}
+
 auto is_wave_completed(const wave_progress_state& wave) -> bool
 {
     return wave.m_down.empty() && std::all_of(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
-                                              [&wave](const vm_id& vm) { return wave.m_begun.contains(vm); });
+                                              [&wave](const vm_id& vm) { return is_settled(wave, vm); });
+}
+
+auto has_open_vm(const wave_progress_state& wave, const vm_list& vms) -> bool
+{
+    return std::any_of(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(), [&](const vm_id& vm) {
+        return !wave.m_begun.contains(vm) && !wave.m_excluded.contains(vm) && find_vm(vms.m_vms, vm) != nullptr;
+    });
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -19,6 +19,8 @@
     accepted,
     fenced,
     not_done,
+    /** @brief Rejected, as the VM is not up. */
+    busy,
     not_in_wave,
     no_such_vm,
     /** @brief No response: the command may have been carried out, or may still be. */
@@ -32,16 +34,35 @@
     milliseconds m_duration{0};
     /** @brief Maximum number of the wave's VMs that may be down for maintenance at the same time. */
     std::int64_t m_concurrency{1};
+
+    friend auto operator==(const wave_request&, const wave_request&) -> bool = default;
 };
 
-/** @brief Progress of a wave. */
+/**
+ * @brief Progress of a wave.
+ *
+ * The platform's list shows that a VM is in maintenance, but not for which wave. Only the response to a command of this
+ * wave tells that the VM's maintenance for it has begun.
+ */
 struct wave_progress_state {
     wave_request m_request;
     time_point m_began{};
-    /** @brief VMs whose maintenance has been accepted, or that are no longer present. */
+    /** @brief An earlier decider may have sent commands for the wave. */
+    bool m_recovered{false};
+    /** @brief VMs whose maintenance for this wave has been accepted. */
     std::set<vm_id> m_begun;
-    /** @brief VMs that are down for maintenance, with the time of the command. */
+    /** @brief VMs that the platform has refused to maintain for this wave, until the operator changes the request. */
+    std::set<vm_id> m_excluded;
+    /** @brief VMs that are no longer present, by the last list. */
+    std::set<vm_id> m_removed;
+    /** @brief VMs that are or may be down for this wave, with the time of the command. */
     std::map<vm_id, time_point> m_down;
+    /** @brief VMs in m_down because they are listed in maintenance, which an earlier decider may have begun for this
+     * wave. If the maintenance of such a VM is not known to have begun, the command is sent again: it has no effect if
+     * it was carried out, and is rejected if the VM is down for another reason. */
+    std::set<vm_id> m_in_doubt;
+    /** @brief VMs in maintenance that is not for this wave, as the response to a command tells. */
+    std::set<vm_id> m_busy;
     /** @brief A VM whose worker gets no new work until its runs have ended. */
     struct cordon {
         time_point m_since{};
@@ -66,6 +87,26 @@
     std::int64_t m_target_time_percent{75};
 };
 
+/** @brief VMs of which other waves dispose. */
+struct claimed_vms {
+    /** @brief VMs that are cordoned or down for another wave. */
+    std::set<vm_id> m_claimed;
+    /** @brief VMs whose maintenance for another wave was accepted, and which are not back yet. */
+    std::set<vm_id> m_in_maintenance;
+};
+
+/** @brief Adds the VMs of which a wave disposes. */
+auto add_claims(claimed_vms& claims, const wave_progress_state& wave) -> void;
+
+/** @brief Replaces the request of a wave that the operator has changed. VMs that are no longer part of it are released
+ * by the next plan_maintenance(). */
+auto change_request(wave_progress_state& wave, wave_request request, time_point now) -> void;
+
+/** @brief Returns when the list of VMs is to be requested next, as the maintenance of a VM ends; nothing if no VM is
+ * down. */
+[[nodiscard]] auto next_maintenance_end(const maintenance_settings& settings, const wave_progress_state& wave,
+                                        time_point after) -> std::optional<time_point>;
+
 /**
  * @brief Marks the runs of a worker as about to be ended by a command for its VM, or unmarks them if the command was
  * rejected. The tasks of marked runs count as unavailable at once, so that no second command makes further tasks of the
@@ -93,11 +134,16 @@
  * @param vms The platform's list of VMs; if it is not current, VMs are released for which no command was sent.
  * @param reserved VMs for which no command may be sent now.
  * @param now Current time.
+ * @param others VMs of which other waves dispose.
  * @return VMs whose maintenance begins now. They count as down from now on.
  */
 [[nodiscard]] auto plan_maintenance(scheduler_state& state, const maintenance_settings& settings,
                                     wave_progress_state& wave, const vm_list& vms, const std::set<vm_id>& reserved,
-                                    time_point now) -> std::vector<vm_id>;
+                                    time_point now, const claimed_vms& others = {}) -> std::vector<vm_id>;
+
+/** @brief Checks whether the command for a VM that is down has to be sent: its response is missing, and the VM is not
+ * one whose doubtful maintenance has ended meanwhile. */
+[[nodiscard]] auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool;
 
 /**
  * @brief Reverts the decision to take a VM down, as the command for it has not been carried out. The VM stays cordoned,
@@ -110,7 +156,8 @@
  * @brief Applies the result of a maintenance command.
  *
  * A rejected command has no effect. If it may be accepted later, the VM stays cordoned; if the VM is not part of the
- * wave or does not exist, its worker accepts work again and the wave does not wait for it. Without a response the VM
+ * wave or does not exist, its worker accepts work again and the wave does not wait for it, until the operator changes
+ * the request. Without a response the VM
  * counts as down, since the command may still be carried out.
  * @param state The scheduler.
  * @param wave The wave.
@@ -141,9 +188,16 @@
 [[nodiscard]] auto worker_presence_after(const vm_list& list, const vm_id& vm, const worker_id& worker,
                                          time_point accepted) -> worker_presence;
 
-/** @brief Checks whether each VM of a wave that is still present has been maintained and is up again. */
+/** @brief Records that a VM for which a command was accepted is up: its maintenance had ended before the command. */
+auto end_maintenance(wave_progress_state& wave, const vm_id& vm) -> void;
+
+/** @brief Checks whether each VM of a wave that is still present has been maintained for it and is up again. */
 [[nodiscard]] auto is_wave_completed(const wave_progress_state& wave) -> bool;
 
+/** @brief Checks whether a completed wave has to continue, as a VM that is present has not been maintained for it: the
+ * operator has changed the request, or the VM has returned. */
+[[nodiscard]] auto has_open_vm(const wave_progress_state& wave, const vm_list& vms) -> bool;
+
 } // namespace cicadalug
 
 #endif
