Drain the next VMs of a wave while as many as allowed are down

Operators saw: a wave whose limit has to be filled all the time ended late.

Cause: the time between two maintenances went into draining, which began only when the last VM was up and took up to 2.9 s between two commands, and into the wait for the next list (0.3 s) and plan (0.1 s).

Change: if a wave needs more VMs out of service than may be down at once, the next ones drain meanwhile, in the ratio of the drain timeout to the duration of a maintenance. VMs are listed when the maintenance of one should have ended.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -37,6 +37,9 @@
 /** @brief Interval at which moves and maintenance are planned. */
 constexpr milliseconds plan_interval{100};
 
+/** @brief The VMs are listed this long after the maintenance of one should have ended. */
+constexpr milliseconds maintenance_end_slack{20};
+
 /** @brief Prefix of the keys that hold the progress of maintenance waves. */
 constexpr std::string_view wave_progress_prefix{"upkeep/"};
 
@@ -512,6 +515,30 @@
     }
 }
 
+auto fleet_controller::is_list_due(const time_point now) const -> bool
+{
+    if (now - m_last_listing >= list_interval) {
+        return true;
+    }
+    // The next VM of a wave waits for the one that comes up.
+    return std::any_of(m_waves.begin(), m_waves.end(), [this, now](const auto& wave) {
+        const auto end = next_maintenance_end(m_dependencies.m_maintenance, wave.second.m_progress, m_vms.m_requested);
+        return end && *end < now;
+    });
+}
+
+auto fleet_controller::pause_until_next_plan() -> asio::awaitable<void>
+{
+    const auto now = monotonic_now();
+    auto until = now + plan_interval;
+    for (const auto& [number, wave] : m_waves) {
+        if (const auto end = next_maintenance_end(m_dependencies.m_maintenance, wave.m_progress, now)) {
+            until = std::min(until, *end + maintenance_end_slack);
+        }
+    }
+    co_await sleep_for(m_dependencies.m_executor, until - now);
+}
+
 auto fleet_controller::log_blocked(const std::int64_t number, const wave_progress_state& wave) const -> void
 {
     for (const auto& id : wave.m_request.m_vms) {
@@ -555,7 +582,7 @@
             waves_read = monotonic_now();
         }
 
-        if (m_list_requested || monotonic_now() - m_last_listing >= list_interval) {
+        if (m_list_requested || is_list_due(monotonic_now())) {
             m_list_requested = false;
             co_await list_vms();
         }
@@ -573,7 +600,7 @@
         for (const auto number : dirty) {
             co_await store_wave(number);
         }
-        co_await sleep_for(m_dependencies.m_executor, plan_interval);
+        co_await pause_until_next_plan();
     }
 }
 
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -103,6 +103,9 @@
     [[nodiscard]] auto send_maintenance(std::shared_ptr<fleet_controller> self, maintenance_command command)
         -> asio::awaitable<void>;
     [[nodiscard]] auto store_wave(std::int64_t wave) -> asio::awaitable<void>;
+    [[nodiscard]] auto is_list_due(time_point now) const -> bool;
+    /** @brief Waits for the plan interval, or until a VM should come up, if that is earlier. */
+    [[nodiscard]] auto pause_until_next_plan() -> asio::awaitable<void>;
     auto log_blocked(std::int64_t number, const wave_progress_state& wave) const -> void;
     auto apply_wave(const std::string& value) -> void;
     /** @brief Ends the waves that are not among those of the operator any more. */
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -71,7 +71,8 @@
     return capacity == 0 ? 0 : used * 1'000 / capacity;
 }
 
-/** @brief Returns the number of VMs that have to be cordoned or down now for the wave to end in time. */
+/** @brief Returns the number of VMs that have to be cordoned or down now for the wave to end in time. They may be more
+ * than may be down at once, so that the next ones have drained when the last ones come up. */
 [[nodiscard]] auto required_concurrency(const maintenance_settings& settings, const wave_progress_state& wave,
                                         const std::int64_t open, const time_point now) -> std::int64_t
 {
@@ -80,7 +81,9 @@
         std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(target_end - now).count());
     const auto cycle_ms = (settings.m_maintenance_time + settings.m_drain_timeout).count();
     const auto needed = (open * cycle_ms + remaining_ms - 1) / remaining_ms;
-    return std::clamp<std::int64_t>(needed, 1, std::max<std::int64_t>(1, wave.m_request.m_concurrency));
+    const auto down = std::max<std::int64_t>(1, wave.m_request.m_concurrency);
+    const auto limit = down * cycle_ms / std::max<std::int64_t>(1, settings.m_maintenance_time.count());
+    return std::clamp<std::int64_t>(needed, 1, std::max(down, limit));
 }
 
 /** @brief Checks whether a task would be restarted on another worker if it was stopped. A worker that is not cordoned
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -102,8 +102,8 @@
  * by the next plan_maintenance(). */
 auto change_request(wave_progress_state& wave, wave_request request, time_point now) -> void;
 
-/** @brief Returns when the list of VMs is to be requested next, as the maintenance of a VM ends; nothing if no VM is
- * down. */
+/** @brief Returns when the first of the VMs that are down should be up, of those after a given time; nothing if there
+ * is none. */
 [[nodiscard]] auto next_maintenance_end(const maintenance_settings& settings, const wave_progress_state& wave,
                                         time_point after) -> std::optional<time_point>;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -40,8 +40,8 @@
     milliseconds m_lease_margin{100};
     /** @brief A start without a response is resolved after this time by a status poll or by a stop. */
     milliseconds m_start_timeout{1'000};
-    /** @brief A start without a response may be carried out this long after it was sent, if its worker has started
-     * again meanwhile. The platform carries out calls seconds late. */
+    /** @brief If the lease of a worker ends while a start has no response, the task waits until this long after the
+     * start was sent: a new incarnation of the worker may carry the start out before it receives its fencing token. */
     milliseconds m_late_start_time{5'000};
     /** @brief Maximum duration of a stop, from the platform's settings. */
     milliseconds m_stop_grace{400};
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -550,6 +550,35 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against a wave that ends late because its next VM drains only after the last one has come up.
+TEST(maintenance, the_next_vm_drains_while_as_many_as_allowed_are_down)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    auto wave = make_wave(simulation, 1);
+    wave.m_request.m_duration = milliseconds{8'000};
+    EXPECT_EQ(begin_next(simulation, wave).size(), 1U);
+    EXPECT_EQ(wave.m_down.size(), 1U);
+    EXPECT_GT(wave.m_cordoned.size(), 1U);
+    const auto down = wave.m_down.begin()->first;
+    apply_maintenance_result(simulation.m_state, wave, down, worker_id{"w1"}, vm_command_result::accepted,
+                             simulation.now());
+    EXPECT_EQ(next_maintenance_end(simulation.m_maintenance_settings, wave, simulation.now()),
+              simulation.now() + simulation.m_maintenance_settings.m_maintenance_time);
+    EXPECT_TRUE(begin_next(simulation, wave).empty());
+}
+
+// Guards against a wave with time to spare that takes more VMs out of service than it needs.
+TEST(maintenance, no_further_vm_drains_in_a_wave_with_time_to_spare)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 4);
+    auto wave = make_wave(simulation, 2);
+    wave.m_request.m_duration = milliseconds{60'000};
+    EXPECT_EQ(begin_next(simulation, wave).size(), 1U);
+    EXPECT_EQ(wave.m_cordoned.size(), 1U);
+}
+
 // Guards against VMs that stay cordoned, and VMs that are never maintained, after the operator has changed a wave.
 TEST(maintenance, a_changed_request_replaces_the_vms_of_the_wave)
 {
