Limit how often VMs are listed at the end of maintenances

With many VMs down at once, each of them ends at another time. The lists that are requested then are at least a plan interval apart, as those after accepted commands. A test guards the fencing of restarted workers through a relay.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -517,14 +517,15 @@
 
 auto fleet_controller::is_list_due(const time_point now) const -> bool
 {
-    if (now - m_last_listing >= list_interval) {
-        return true;
+    if (now - m_last_listing < plan_interval) {
+        return false;
     }
     // The next VM of a wave waits for the one that comes up.
-    return std::any_of(m_waves.begin(), m_waves.end(), [this, now](const auto& wave) {
+    const auto has_ended = [this, now](const auto& wave) {
         const auto end = next_maintenance_end(m_dependencies.m_maintenance, wave.second.m_progress, m_vms.m_requested);
         return end && *end < now;
-    });
+    };
+    return now - m_last_listing >= list_interval || std::any_of(m_waves.begin(), m_waves.end(), has_ended);
 }
 
 auto fleet_controller::pause_until_next_plan() -> asio::awaitable<void>
@@ -533,7 +534,7 @@
     auto until = now + plan_interval;
     for (const auto& [number, wave] : m_waves) {
         if (const auto end = next_maintenance_end(m_dependencies.m_maintenance, wave.m_progress, now)) {
-            until = std::min(until, *end + maintenance_end_slack);
+            until = std::min(until, std::max(*end + maintenance_end_slack, m_last_listing + plan_interval));
         }
     }
     co_await sleep_for(m_dependencies.m_executor, until - now);
--- a/test/process/scheduler_worker_restart.cpp
+++ b/test/process/scheduler_worker_restart.cpp
@@ -16,8 +16,13 @@
 constexpr milliseconds uptime{5'000};
 constexpr milliseconds restart_delay{5'500};
 
+/** @brief With this CPU capacity, a decider calls its workers through the other entry VM. */
+constexpr double few_cores{0.005};
+
 class scheduler_worker_restart : public scheduler_deployment {
 protected:
+    explicit scheduler_worker_restart(const double cpu_share = 1.0) : scheduler_deployment{cpu_share} {}
+
     /** @brief Submits a job with one task whose first start gets no response and is carried out late, and waits for the
      * job's end on another worker. */
     auto complete_job_with_late_start() const -> void
@@ -40,6 +45,11 @@
     }
 };
 
+class scheduler_relayed_worker_restart : public scheduler_worker_restart {
+protected:
+    scheduler_relayed_worker_restart() : scheduler_worker_restart{few_cores} {}
+};
+
 // Guards against a completed task that runs again: a late start reaches a worker that has started again under its id,
 // and has seen no fencing token that would make it refuse the start.
 TEST_F(scheduler_worker_restart, a_late_start_to_an_earlier_incarnation_is_refused)
@@ -51,6 +61,17 @@
     EXPECT_EQ(control()["repeated_tasks"], 0);
 }
 
+// Guards against relays that call a restarted worker with the token of the term.
+TEST_F(scheduler_relayed_worker_restart, a_late_start_to_an_earlier_incarnation_is_refused)
+{
+    complete_job_with_late_start();
+    EXPECT_GT(metric(1 - decider(), "cicadalug_scheduler_relayed_calls_total"), 0.0);
+    control({{"restart_workers", true}});
+    wait_for_late_start();
+    EXPECT_EQ(control()["starts"].size(), 1U);
+    EXPECT_EQ(control()["repeated_tasks"], 0);
+}
+
 // Guards against a token that is raised for the first restart of a worker only.
 TEST_F(scheduler_worker_restart, a_late_start_is_refused_after_two_restarts)
 {
