Store which commands of a wave have no known response

Cause: the successor knew of recent commands for a VM, but not for which wave they were, and forgot them after the handover interval of 3.3 s; a command without a response may be carried out up to 12 s late.

Change: the progress of a wave names the VMs whose command has no known response, in the write that precedes the command. The next decider counts them as down, and sends its own command for them first: with its higher fencing token the earlier one is refused, or it has no effect. After 12 s they take no place any more. A decider that continues a wave writes its status again, as the progress may have been stored before the first status.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -43,8 +43,42 @@
 /** @brief Prefix of the keys that hold the progress of maintenance waves. */
 constexpr std::string_view wave_progress_prefix{"upkeep/"};
 
-/** @brief Stands before the VMs that the platform has refused to maintain, among those in the progress of a wave. */
+/** @brief Stand before VMs in the stored progress of a wave: the platform has refused to maintain the VM, or a command
+ * for it has no known response. */
 constexpr char excluded_mark{'!'};
+constexpr char commanded_mark{'?'};
+
+/** @brief Encodes the progress of a wave for the store. */
+[[nodiscard]] auto encode_progress(const wave_progress_state& progress, const bool completed,
+                                   const std::int64_t began_unix_ms) -> std::string
+{
+    std::ostringstream text;
+    text << (completed ? "completed " : "running ") << began_unix_ms;
+    for (const auto& vm : progress.m_begun) {
+        text << ' ' << vm;
+    }
+    for (const auto& vm : progress.m_excluded) {
+        text << ' ' << excluded_mark << vm;
+    }
+    for (const auto& vm : unanswered_vms(progress)) {
+        text << ' ' << commanded_mark << vm;
+    }
+    return std::move(text).str();
+}
+
+/** @brief Reads a VM of the stored progress of a wave. */
+auto read_vm(wave_progress_state& progress, const std::string& text) -> void
+{
+    if (text.front() == excluded_mark) {
+        progress.m_excluded.emplace(text.substr(1));
+    }
+    else if (text.front() == commanded_mark) {
+        progress.m_commanded_before.emplace(text.substr(1));
+    }
+    else {
+        progress.m_begun.emplace(text);
+    }
+}
 
 [[nodiscard]] auto wave_progress_key(const std::int64_t wave) -> std::string
 {
@@ -130,6 +164,7 @@
     auto& open = m_waves[wave];
     open.m_loaded = true;
     const auto clock = read_clocks();
+    open.m_progress.m_read = clock.m_now;
     const auto now_unix_ms = clock.m_unix_ms;
 
     open.m_began_unix_ms = now_unix_ms;
@@ -138,15 +173,12 @@
         std::string state;
         text >> state >> open.m_began_unix_ms;
         open.m_completed = state == "completed";
-        open.m_status_written = true;
+        // The progress is also stored with commands, before the first status.
+        open.m_status_written = open.m_completed;
+        open.m_dirty = !open.m_completed;
         open.m_progress.m_recovered = true;
         for (std::string vm; text >> vm;) {
-            if (vm.front() == excluded_mark) {
-                open.m_progress.m_excluded.emplace(vm.substr(1));
-            }
-            else {
-                open.m_progress.m_begun.emplace(vm);
-            }
+            read_vm(open.m_progress, vm);
         }
     }
     else {
@@ -187,17 +219,10 @@
 auto fleet_controller::store_wave(const std::int64_t number) -> asio::awaitable<void>
 {
     auto& wave = m_waves[number];
-    std::ostringstream text;
-    text << (wave.m_completed ? "completed " : "running ") << wave.m_began_unix_ms;
-    for (const auto& vm : wave.m_progress.m_begun) {
-        text << ' ' << vm;
-    }
-    for (const auto& vm : wave.m_progress.m_excluded) {
-        text << ' ' << excluded_mark << vm;
-    }
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_dependencies.m_term.m_revision});
-    write.m_puts.push_back({wave_progress_key(number), std::move(text).str(), no_store_lease});
+    write.m_puts.push_back({wave_progress_key(number),
+                            encode_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms), no_store_lease});
     if (!wave.m_status_written || wave.m_completed) {
         write.m_puts.push_back({wave_status_key(number), encode_wave_status(wave.m_completed), no_store_lease});
     }
@@ -367,7 +392,7 @@
     co_return true;
 }
 
-auto fleet_controller::save_state() -> asio::awaitable<bool>
+auto fleet_controller::save_state(const std::set<std::int64_t>& commanded_waves) -> asio::awaitable<bool>
 {
     const auto clock = read_clocks();
     std::erase_if(m_saved_state.m_commands, [this, &clock](const saved_vm_command& command) {
@@ -378,6 +403,12 @@
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_dependencies.m_term.m_revision});
     write.m_puts.push_back({std::string{saved_state_key}, encode(m_saved_state), no_store_lease});
+    for (const auto number : commanded_waves) {
+        const auto& wave = m_waves.at(number);
+        write.m_puts.push_back({wave_progress_key(number),
+                                encode_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms),
+                                no_store_lease});
+    }
     const auto written = co_await m_dependencies.m_store->write(std::move(write), call_timeout);
     co_return written.m_status == store_status::ok;
 }
@@ -423,12 +454,14 @@
     for (const auto& command : moves) {
         record_command(command.m_vm);
     }
+    std::set<std::int64_t> commanded_waves;
     for (const auto& command : maintenance) {
         record_command(command.m_vm);
+        commanded_waves.insert(command.m_wave);
     }
     // The commands are stored before they are sent: a decider that takes over then sends none for these VMs, and one
     // that has lost its term fails to store them and sends none at all.
-    const bool stored = co_await save_state();
+    const bool stored = co_await save_state(commanded_waves);
     if (!m_active) {
         co_return;
     }
--- a/packages/entry/src/cicadalug/entry/fleet_controller.hpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.hpp
@@ -91,7 +91,8 @@
     [[nodiscard]] auto read_progress(std::int64_t wave) -> asio::awaitable<bool>;
     [[nodiscard]] auto list_vms() -> asio::awaitable<void>;
     [[nodiscard]] auto restore_state() -> asio::awaitable<bool>;
-    [[nodiscard]] auto save_state() -> asio::awaitable<bool>;
+    /** @param commanded_waves Waves with commands that are about to be sent. */
+    [[nodiscard]] auto save_state(const std::set<std::int64_t>& commanded_waves) -> asio::awaitable<bool>;
     [[nodiscard]] auto send_commands() -> asio::awaitable<void>;
     [[nodiscard]] auto recently_commanded(const clock_reading& clock) const -> std::set<vm_id>;
     [[nodiscard]] auto reserved_vms(const clock_reading& clock) const -> std::set<vm_id>;
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -224,6 +224,14 @@
     }
 }
 
+/** @brief Checks whether a command of an earlier decider for a VM that does not count as down may still be carried out.
+ */
+[[nodiscard]] auto may_be_commanded(const wave_progress_state& wave, const std::set<vm_id>& reserved, const vm_id& id)
+    -> bool
+{
+    return !wave.m_down.contains(id) && (reserved.contains(id) || wave.m_commanded_before.contains(id));
+}
+
 /** @brief Updates a wave by the platform's list, and releases the workers of VMs that are not to be maintained now. */
 auto update_wave_progress(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
                           const vm_list& list, const claimed_vms& others) -> void
@@ -313,7 +321,8 @@
 auto cordon_next(scheduler_state& state, const maintenance_settings& settings, wave_progress_state& wave,
                  const std::vector<vm_status>& vms, const claimed_vms& others, const time_point now) -> void
 {
-    std::vector<std::pair<std::tuple<std::int64_t, std::int64_t>, const vm_status*>> open;
+    // A VM with a command of an earlier decider takes a place until its own command is sent.
+    std::vector<std::pair<std::tuple<bool, std::int64_t, std::int64_t>, const vm_status*>> open;
     for (const auto& id : wave.m_request.m_vms) {
         const auto* vm = find_vm(vms, id);
         if (is_settled(wave, id) || wave.m_cordoned.contains(id) || others.m_claimed.contains(id) || vm == nullptr ||
@@ -323,7 +332,7 @@
         const auto index = find_worker(state, vm->m_worker);
         const auto used =
             index == no_worker ? 0 : state.m_workers[static_cast<std::size_t>(index)].m_used.m_cpu.value();
-        open.push_back({{pool_load(state, vm->m_pool), used}, vm});
+        open.push_back({{!wave.m_commanded_before.contains(id), pool_load(state, vm->m_pool), used}, vm});
     }
     std::sort(open.begin(), open.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     const auto unfinished = static_cast<std::int64_t>(open.size() + wave.m_cordoned.size());
@@ -382,6 +391,17 @@
     return next;
 }
 
+auto unanswered_vms(const wave_progress_state& wave) -> std::set<vm_id>
+{
+    auto vms = wave.m_commanded_before;
+    for (const auto& [vm, since] : wave.m_down) {
+        if (!wave.m_begun.contains(vm)) {
+            vms.insert(vm);
+        }
+    }
+    return vms;
+}
+
 auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool
 {
     if (wave.m_begun.contains(vm)) {
@@ -436,18 +456,19 @@
     const auto& vms = list.m_vms;
     update_wave_progress(state, settings, wave, list, others);
     // Commands of the previous decider may still be carried out.
-    const auto unconfirmed =
-        std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
-                      [&](const vm_id& id) { return reserved.contains(id) && !wave.m_down.contains(id); });
+    if (now - wave.m_read > settings.m_late_command_time) {
+        wave.m_commanded_before.clear();
+    }
+    auto unconfirmed = std::count_if(wave.m_request.m_vms.begin(), wave.m_request.m_vms.end(),
+                                     [&](const vm_id& id) { return may_be_commanded(wave, reserved, id); });
     release_needed(state, wave, vms, now);
     evacuate_overcrowded_vms(state, wave, vms, now);
     cordon_next(state, settings, wave, vms, others, now);
     std::vector<vm_id> begin;
     for (const auto& [id, cordon] : wave.m_cordoned) {
-        if (static_cast<std::int64_t>(wave.m_down.size()) + unconfirmed >= wave.m_request.m_concurrency) {
-            break;
-        }
-        if (wave.m_down.contains(id)) {
+        const auto own_place = may_be_commanded(wave, reserved, id) ? 1 : 0;
+        const auto others_down = static_cast<std::int64_t>(wave.m_down.size()) + unconfirmed - own_place;
+        if (wave.m_down.contains(id) || others_down >= wave.m_request.m_concurrency) {
             continue;
         }
         const auto* vm = find_vm(vms, id);
@@ -465,6 +486,7 @@
             continue;
         }
         wave.m_down.emplace(id, now);
+        unconfirmed -= own_place;
         begin.push_back(id);
         set_runs_ending(state, vm->m_worker, true);
     }
@@ -485,6 +507,7 @@
     switch (result) {
     case vm_command_result::accepted:
         wave.m_begun.insert(vm);
+        wave.m_commanded_before.erase(vm);
         wave.m_in_doubt.erase(vm);
         wave.m_down[vm] = now;
         return;
@@ -505,6 +528,7 @@
         withdraw_maintenance(state, wave, vm, worker);
         wave.m_cordoned.erase(vm);
         wave.m_excluded.insert(vm);
+        wave.m_commanded_before.erase(vm);
         release_worker(state, worker);
         return;
     case vm_command_result::unknown:
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -51,6 +51,11 @@
     bool m_recovered{false};
     /** @brief VMs whose maintenance for this wave has been accepted. */
     std::set<vm_id> m_begun;
+    /** @brief VMs for which an earlier decider has sent a command of this wave, without a known response. Such a
+     * command may be carried out late, until this decider has sent its own with a higher fencing token. */
+    std::set<vm_id> m_commanded_before;
+    /** @brief When this decider has read the stored progress of the wave. */
+    time_point m_read{};
     /** @brief VMs that the platform has refused to maintain for this wave, until the operator changes the request. */
     std::set<vm_id> m_excluded;
     /** @brief VMs that are no longer present, by the last list. */
@@ -83,6 +88,8 @@
     /** @brief A VM that is missing in all lists for this time has been removed. A list has several pages, and one may
      * lack a VM while VMs are added and removed. */
     milliseconds m_missing_timeout{3'000};
+    /** @brief The platform carries out a command without a response up to this long after it was sent. */
+    milliseconds m_late_command_time{12'000};
     /** @brief Target duration of a wave in percent of its allowed duration; the rest is a reserve for faults. */
     std::int64_t m_target_time_percent{75};
 };
@@ -141,6 +148,9 @@
                                     wave_progress_state& wave, const vm_list& vms, const std::set<vm_id>& reserved,
                                     time_point now, const claimed_vms& others = {}) -> std::vector<vm_id>;
 
+/** @brief Returns the VMs for which a command of the wave may be on its way; the next decider has to know them. */
+[[nodiscard]] auto unanswered_vms(const wave_progress_state& wave) -> std::set<vm_id>;
+
 /** @brief Checks whether the command for a VM that is down has to be sent: its response is missing, and the VM is not
  * one whose doubtful maintenance has ended meanwhile. */
 [[nodiscard]] auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool;
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -550,6 +550,44 @@
     EXPECT_FALSE(is_wave_completed(wave));
 }
 
+// Guards against more VMs down at once than the operator allows, because a command of the last decider is carried out
+// late, after its VM has been left alone for the handover interval.
+TEST(maintenance, a_vm_with_an_unanswered_command_of_the_last_decider_goes_first)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 3);
+    auto wave = make_wave(simulation, 1);
+    wave.m_recovered = true;
+    wave.m_read = simulation.now();
+    const auto commanded = simulation.m_vms[1].m_vm;
+    wave.m_commanded_before.insert(commanded);
+    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(),
+                                 {commanded}, simulation.now())
+                    .empty());
+    EXPECT_EQ(begin_next(simulation, wave), std::vector{commanded});
+    EXPECT_EQ(unanswered_vms(wave), std::set{commanded});
+    apply_maintenance_result(simulation.m_state, wave, commanded, simulation.m_vms[1].m_worker,
+                             vm_command_result::accepted, simulation.now());
+    EXPECT_TRUE(unanswered_vms(wave).empty());
+    EXPECT_TRUE(begin_next(simulation, wave).empty());
+}
+
+// Guards against a wave that waits for good for a command that can no longer be carried out.
+TEST(maintenance, an_unanswered_command_of_the_last_decider_takes_a_place_for_a_limited_time)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("ledger", 2);
+    auto wave = make_wave(simulation, 1);
+    wave.m_recovered = true;
+    wave.m_read = simulation.now();
+    const auto commanded = simulation.m_vms[1].m_vm;
+    wave.m_commanded_before.insert(commanded);
+    simulation.m_vms[1].m_phase = vm_phase::moving;
+    EXPECT_TRUE(begin_next(simulation, wave).empty());
+    simulation.run_for(simulation.m_maintenance_settings.m_late_command_time + milliseconds{10});
+    EXPECT_EQ(begin_next(simulation, wave), std::vector{simulation.m_vms[0].m_vm});
+}
+
 // Guards against a wave that ends late because its next VM drains only after the last one has come up.
 TEST(maintenance, the_next_vm_drains_while_as_many_as_allowed_are_down)
 {
