Ask about a doubtful VM only after the handover interval

The command that tells for which wave a VM is down was sent as soon as the next decider had read the list: in a trial with a killed decider, 1.16 s after the command of that decider for the same VM. Two deciders must not take turns within the handover interval (3 s), which other commands for a VM already waited for.

--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -536,8 +536,8 @@
                                                m_vms, recent, clock.m_now, claims_of_other_waves(number)));
             for (const auto& [vm, since] : wave.m_progress.m_down) {
                 // A command without a response is sent again; it is carried out only once.
-                if (is_current(m_vms, clock.m_now) && !wave.m_withdrawn && is_command_due(wave.m_progress, vm, m_vms) &&
-                    m_pending_maintenance.insert(vm).second) {
+                if (is_current(m_vms, clock.m_now) && !wave.m_withdrawn &&
+                    is_command_due(wave.m_progress, vm, m_vms, recent) && m_pending_maintenance.insert(vm).second) {
                     const auto* listed = find_vm(m_vms.m_vms, vm);
                     m_planned_maintenance.push_back({number, vm, listed == nullptr ? worker_id{} : listed->m_worker});
                 }
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.cpp
@@ -402,13 +402,17 @@
     return vms;
 }
 
-auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool
+auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms,
+                    const std::set<vm_id>& reserved) -> bool
 {
     if (wave.m_begun.contains(vm)) {
         return false;
     }
+    if (!wave.m_in_doubt.contains(vm)) {
+        return true;
+    }
     const auto* listed = find_vm(vms.m_vms, vm);
-    return !wave.m_in_doubt.contains(vm) || (listed != nullptr && listed->m_phase == vm_phase::in_maintenance);
+    return listed != nullptr && listed->m_phase == vm_phase::in_maintenance && !reserved.contains(vm);
 }
 
 auto set_runs_ending(scheduler_state& state, const worker_id& worker, const bool ending) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/maintenance.hpp
@@ -151,9 +151,16 @@
 /** @brief Returns the VMs for which a command of the wave may be on its way; the next decider has to know them. */
 [[nodiscard]] auto unanswered_vms(const wave_progress_state& wave) -> std::set<vm_id>;
 
-/** @brief Checks whether the command for a VM that is down has to be sent: its response is missing, and the VM is not
- * one whose doubtful maintenance has ended meanwhile. */
-[[nodiscard]] auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms) -> bool;
+/**
+ * @brief Checks whether the command for a VM that is down has to be sent: its response is missing. The command for a VM
+ * whose maintenance is in doubt is sent only while the VM is in maintenance, and not soon after one of another decider.
+ * @param wave The wave.
+ * @param vm A VM that is down.
+ * @param vms The platform's list of VMs.
+ * @param reserved VMs for which no command may be sent now.
+ */
+[[nodiscard]] auto is_command_due(const wave_progress_state& wave, const vm_id& vm, const vm_list& vms,
+                                  const std::set<vm_id>& reserved) -> bool;
 
 /**
  * @brief Reverts the decision to take a VM down, as the command for it has not been carried out. The VM stays cordoned,
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -466,7 +466,9 @@
         auto& doubtful = simulation.m_vms.front();
         doubtful.m_phase = vm_phase::in_maintenance;
         EXPECT_TRUE(begin_next(simulation, wave).empty()) << "the VM counts as down";
-        EXPECT_TRUE(is_command_due(wave, doubtful.m_vm, simulation.listed_vms()));
+        EXPECT_FALSE(is_command_due(wave, doubtful.m_vm, simulation.listed_vms(), {doubtful.m_vm}))
+            << "the earlier decider has just sent a command for the VM";
+        EXPECT_TRUE(is_command_due(wave, doubtful.m_vm, simulation.listed_vms(), {}));
         apply_maintenance_result(simulation.m_state, wave, doubtful.m_vm, doubtful.m_worker, result, simulation.now());
         const bool accepted = result == vm_command_result::accepted;
         EXPECT_EQ(wave.m_begun.contains(doubtful.m_vm), accepted);
@@ -487,10 +489,10 @@
     vm.m_phase = vm_phase::in_maintenance;
     EXPECT_TRUE(begin_next(simulation, wave).empty());
     vm.m_phase = vm_phase::up;
-    EXPECT_FALSE(is_command_due(wave, vm.m_vm, simulation.listed_vms()));
+    EXPECT_FALSE(is_command_due(wave, vm.m_vm, simulation.listed_vms(), {}));
     simulation.run_for(simulation.m_maintenance_settings.m_maintenance_time + milliseconds{10});
     EXPECT_EQ(begin_next(simulation, wave).size(), 1U) << "the VM has not been maintained for the wave";
-    EXPECT_TRUE(is_command_due(wave, vm.m_vm, simulation.listed_vms()));
+    EXPECT_TRUE(is_command_due(wave, vm.m_vm, simulation.listed_vms(), {}));
 }
 
 // Guards against a wave whose limit is taken by a VM that is in maintenance for another wave.
