Move the stored progress of a wave to a type of its own

The encoding of begun, refused and commanded VMs was part of the fleet controller, where no test reached it. No change of behaviour.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -131,8 +131,9 @@
         if (!m_active) {
             co_return;
         }
-        if (response.m_result == command_result::fenced &&
-            settle_fenced(m_state, index, token, response.m_result) != command_result::fenced) {
+        const bool refused = response.m_result == command_result::fenced;
+        if (refused && settle_fenced(m_state, index, token, response.m_result) != command_result::fenced) {
+            // The token was raised while the renewal was in flight.
             continue;
         }
         response.m_report.m_token = token;
@@ -386,7 +387,7 @@
 
 auto decider::announce_fence(const std::shared_ptr<decider> self, const worker_index index) -> asio::awaitable<void>
 {
-    // The renewal in flight may wait for an answer of the earlier incarnation.
+    // Not left to the next renewal: the one in flight may wait for a response of the earlier incarnation.
     const auto position = static_cast<std::size_t>(index);
     const auto token = fence_of(m_state, m_state.m_workers[position]);
     const auto began = monotonic_now();
--- a/packages/entry/src/cicadalug/entry/fleet_controller.cpp
+++ b/packages/entry/src/cicadalug/entry/fleet_controller.cpp
@@ -7,6 +7,7 @@
 #include <cicadalug/entry/signal_event.hpp>
 #include <cicadalug/entry/store_keys.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/stored_wave_progress.hpp>
 #include <cicadalug/telemetry/log_line.hpp>
 
 #include <glog/logging.h>
@@ -43,43 +44,6 @@
 /** @brief Prefix of the keys that hold the progress of maintenance waves. */
 constexpr std::string_view wave_progress_prefix{"upkeep/"};
 
-/** @brief Stand before VMs in the stored progress of a wave: the platform has refused to maintain the VM, or a command
- * for it has no known response. */
-constexpr char excluded_mark{'!'};
-constexpr char commanded_mark{'?'};
-
-/** @brief Encodes the progress of a wave for the store. */
-[[nodiscard]] auto encode_progress(const wave_progress_state& progress, const bool completed,
-                                   const std::int64_t began_unix_ms) -> std::string
-{
-    std::ostringstream text;
-    text << (completed ? "completed " : "running ") << began_unix_ms;
-    for (const auto& vm : progress.m_begun) {
-        text << ' ' << vm;
-    }
-    for (const auto& vm : progress.m_excluded) {
-        text << ' ' << excluded_mark << vm;
-    }
-    for (const auto& vm : unanswered_vms(progress)) {
-        text << ' ' << commanded_mark << vm;
-    }
-    return std::move(text).str();
-}
-
-/** @brief Reads a VM of the stored progress of a wave. */
-auto read_vm(wave_progress_state& progress, const std::string& text) -> void
-{
-    if (text.front() == excluded_mark) {
-        progress.m_excluded.emplace(text.substr(1));
-    }
-    else if (text.front() == commanded_mark) {
-        progress.m_commanded_before.emplace(text.substr(1));
-    }
-    else {
-        progress.m_begun.emplace(text);
-    }
-}
-
 [[nodiscard]] auto wave_progress_key(const std::int64_t wave) -> std::string
 {
     return std::string{wave_progress_prefix} + std::to_string(wave);
@@ -169,17 +133,13 @@
 
     open.m_began_unix_ms = now_unix_ms;
     if (read.m_status == store_status::ok) {
-        std::istringstream text{read.m_item.m_value};
-        std::string state;
-        text >> state >> open.m_began_unix_ms;
-        open.m_completed = state == "completed";
+        const auto stored = decode_wave_progress(read.m_item.m_value);
+        restore_progress(open.m_progress, stored);
+        open.m_began_unix_ms = stored.m_began_unix_ms;
+        open.m_completed = stored.m_completed;
         // The progress is also stored with commands, before the first status.
         open.m_status_written = open.m_completed;
         open.m_dirty = !open.m_completed;
-        open.m_progress.m_recovered = true;
-        for (std::string vm; text >> vm;) {
-            read_vm(open.m_progress, vm);
-        }
     }
     else {
         open.m_dirty = true;
@@ -222,7 +182,8 @@
     store_write write;
     write.m_conditions.push_back({std::string{holder_key}, m_dependencies.m_term.m_revision});
     write.m_puts.push_back({wave_progress_key(number),
-                            encode_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms), no_store_lease});
+                            encode(save_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms)),
+                            no_store_lease});
     if (!wave.m_status_written || wave.m_completed) {
         write.m_puts.push_back({wave_status_key(number), encode_wave_status(wave.m_completed), no_store_lease});
     }
@@ -406,7 +367,7 @@
     for (const auto number : commanded_waves) {
         const auto& wave = m_waves.at(number);
         write.m_puts.push_back({wave_progress_key(number),
-                                encode_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms),
+                                encode(save_progress(wave.m_progress, wave.m_completed, wave.m_began_unix_ms)),
                                 no_store_lease});
     }
     const auto written = co_await m_dependencies.m_store->write(std::move(write), call_timeout);
