Split the progress of a wave from the planning of maintenance

maintenance.hpp held what a wave is and what is done next; wave_progress.hpp now holds the former, with a test file of its own.

--- a/packages/entry/src/cicadalug/entry/decider_times.hpp
+++ b/packages/entry/src/cicadalug/entry/decider_times.hpp
@@ -10,6 +10,9 @@
 /** @brief Timeout of a read or a write; a store that is 60 times slower than usual still responds within it. */
 inline constexpr milliseconds store_timeout{700};
 
+/** @brief Timeout of one call of the fleet controller to the store or to the platform's interface to the VMs. */
+inline constexpr milliseconds fleet_call_timeout{700};
+
 /** @brief Delay after a failed call to the store. */
 inline constexpr milliseconds failure_pause{60};
 
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/ids.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,12 @@
 /** @brief Suffix of a cancellation's key. */
 inline constexpr std::string_view cancel_suffix{"/cancel"};
 
+/** @brief Returns the key of the progress of a maintenance wave. */
+[[nodiscard]] inline auto wave_progress_key(const std::int64_t wave) -> std::string
+{
+    return "upkeep/" + std::to_string(wave);
+}
+
 [[nodiscard]] inline auto job_key(const job_id& id) -> std::string
 {
     return std::string{job_prefix} + id.str();
--- a/packages/scheduler/src/cicadalug/scheduler/stored_wave_progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stored_wave_progress.hpp
@@ -2,7 +2,7 @@
 #define CICADALUG_SCHEDULER_STORED_WAVE_PROGRESS_HPP
 
 #include <cicadalug/scheduler/ids.hpp>
-#include <cicadalug/scheduler/maintenance.hpp>
+#include <cicadalug/scheduler/wave_progress.hpp>
 
 #include <cstdint>
 #include <set>
--- a/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/maintenance.cpp
@@ -1,4 +1,4 @@
-#include "scheduler_simulation.hpp"
+#include "wave_simulation.hpp"
 
 #include <cicadalug/scheduler/maintenance.hpp>
 
@@ -13,18 +13,6 @@
 
 namespace {
 
-[[nodiscard]] auto make_wave(const scheduler_simulation& simulation, const std::int64_t concurrency)
-    -> wave_progress_state
-{
-    wave_progress_state wave;
-    wave.m_request = {1, {}, milliseconds{20'000}, concurrency};
-    for (const auto& vm : simulation.m_vms) {
-        wave.m_request.m_vms.push_back(vm.m_vm);
-    }
-    wave.m_began = simulation.now();
-    return wave;
-}
-
 /** @brief Carries out a wave: the workers of VMs that are taken down crash, and start again under another id. */
 class wave_simulation {
 public:
@@ -75,22 +63,6 @@
     wave_progress_state& m_wave;
 };
 
-/** @brief Plans once by the current list. @return The VMs whose maintenance begins. */
-[[nodiscard]] auto begin_next(scheduler_simulation& simulation, wave_progress_state& wave) -> std::vector<vm_id>
-{
-    return plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, wave, simulation.listed_vms(), {},
-                            simulation.now());
-}
-
-/** @brief Fills each worker with a short task that a later plan has to wait for. */
-auto add_short_tasks(scheduler_simulation& simulation, const std::int64_t count) -> void
-{
-    auto job = make_job("ledger", count, 1'000, milliseconds{2'500});
-    job.m_spec.m_steps.front().m_max_per_worker = 1;
-    static_cast<void>(simulation.submit(job));
-    simulation.run_for(milliseconds{50});
-}
-
 } // namespace
 
 // Guards against a long-running task that never starts, as all workers of its pool are cordoned and none of them may be
@@ -433,125 +405,6 @@
     EXPECT_FALSE(wave.m_begun.contains(simulation.m_vms[0].m_vm)) << "the list does not show for which wave it is down";
 }
 
-// Guards against a wave that is said to be completed although a VM of it was in maintenance for another wave alone.
-TEST(maintenance, the_maintenance_of_another_wave_does_not_count)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 1);
-    auto& vm = simulation.m_vms.front();
-    const auto up_worker = vm.m_worker;
-    auto wave = make_wave(simulation, 1);
-    vm.m_phase = vm_phase::in_maintenance;
-    EXPECT_TRUE(begin_next(simulation, wave).empty());
-    EXPECT_TRUE(wave.m_down.empty()) << "this decider has sent no command for the wave";
-    simulation.run_for(simulation.m_maintenance_settings.m_maintenance_time);
-    vm.m_phase = vm_phase::up;
-    vm.m_worker = up_worker;
-    EXPECT_EQ(begin_next(simulation, wave).size(), 1U);
-    EXPECT_FALSE(is_wave_completed(wave));
-    apply_maintenance_result(simulation.m_state, wave, vm.m_vm, vm.m_worker, vm_command_result::accepted,
-                             simulation.now());
-    EXPECT_TRUE(wave.m_begun.contains(vm.m_vm));
-}
-
-// Guards against a successor that takes any maintenance for that of its wave, or exceeds the wave's limit of VMs that
-// are down: the response to the repeated command tells.
-TEST(maintenance, a_successor_learns_from_the_response_for_which_wave_a_vm_is_down)
-{
-    for (const auto result : {vm_command_result::accepted, vm_command_result::busy}) {
-        scheduler_simulation simulation;
-        simulation.begin_with("ledger", 2);
-        auto wave = make_wave(simulation, 1);
-        wave.m_recovered = true;
-        auto& doubtful = simulation.m_vms.front();
-        doubtful.m_phase = vm_phase::in_maintenance;
-        EXPECT_TRUE(begin_next(simulation, wave).empty()) << "the VM counts as down";
-        EXPECT_FALSE(is_command_due(wave, doubtful.m_vm, simulation.listed_vms(), {doubtful.m_vm}))
-            << "the earlier decider has just sent a command for the VM";
-        EXPECT_TRUE(is_command_due(wave, doubtful.m_vm, simulation.listed_vms(), {}));
-        apply_maintenance_result(simulation.m_state, wave, doubtful.m_vm, doubtful.m_worker, result, simulation.now());
-        const bool accepted = result == vm_command_result::accepted;
-        EXPECT_EQ(wave.m_begun.contains(doubtful.m_vm), accepted);
-        EXPECT_EQ(wave.m_down.contains(doubtful.m_vm), accepted);
-        EXPECT_EQ(begin_next(simulation, wave).size(), accepted ? 0U : 1U);
-        EXPECT_FALSE(wave.m_in_doubt.contains(doubtful.m_vm));
-    }
-}
-
-// Guards against a second command for a VM that has come up, where it would begin the maintenance without notice.
-TEST(maintenance, the_command_for_a_doubtful_vm_is_not_sent_once_it_is_up)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 1);
-    auto wave = make_wave(simulation, 1);
-    wave.m_recovered = true;
-    auto& vm = simulation.m_vms.front();
-    vm.m_phase = vm_phase::in_maintenance;
-    EXPECT_TRUE(begin_next(simulation, wave).empty());
-    vm.m_phase = vm_phase::up;
-    EXPECT_FALSE(is_command_due(wave, vm.m_vm, simulation.listed_vms(), {}));
-    simulation.run_for(simulation.m_maintenance_settings.m_maintenance_time + milliseconds{10});
-    EXPECT_EQ(begin_next(simulation, wave).size(), 1U) << "the VM has not been maintained for the wave";
-    EXPECT_TRUE(is_command_due(wave, vm.m_vm, simulation.listed_vms(), {}));
-}
-
-// Guards against a wave whose limit is taken by a VM that is in maintenance for another wave.
-TEST(maintenance, a_vm_of_another_wave_takes_no_place_in_this_one)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 2);
-    auto first = make_wave(simulation, 1);
-    auto second = make_wave(simulation, 1);
-    second.m_recovered = true;
-    auto& vm = simulation.m_vms.front();
-    first.m_begun.insert(vm.m_vm);
-    first.m_down.emplace(vm.m_vm, simulation.now());
-    vm.m_phase = vm_phase::in_maintenance;
-    claimed_vms others;
-    add_claims(others, first);
-    const auto begun = plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, second,
-                                        simulation.listed_vms(), {}, simulation.now(), others);
-    EXPECT_EQ(begun, std::vector{simulation.m_vms.back().m_vm});
-    EXPECT_FALSE(second.m_down.contains(vm.m_vm));
-}
-
-// Guards against two commands for a VM that two waves want at the same time.
-TEST(maintenance, a_vm_that_another_wave_has_cordoned_is_not_begun)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 1);
-    auto first = make_wave(simulation, 1);
-    ASSERT_EQ(begin_next(simulation, first).size(), 1U);
-    auto second = make_wave(simulation, 1);
-    claimed_vms others;
-    add_claims(others, first);
-    EXPECT_TRUE(plan_maintenance(simulation.m_state, simulation.m_maintenance_settings, second, simulation.listed_vms(),
-                                 {}, simulation.now(), others)
-                    .empty());
-    EXPECT_TRUE(second.m_cordoned.empty());
-}
-
-// Guards against a wave that is said to be completed without a VM that the platform's lists lacked for some time.
-TEST(maintenance, a_vm_that_is_listed_again_is_part_of_the_wave_again)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 2);
-    auto wave = make_wave(simulation, 1);
-    wave.m_request.m_vms.erase(wave.m_request.m_vms.begin());
-    const auto missing = simulation.m_vms.back();
-    simulation.m_vms.pop_back();
-    EXPECT_TRUE(begin_next(simulation, wave).empty());
-    EXPECT_FALSE(is_wave_completed(wave));
-    simulation.run_for(simulation.m_maintenance_settings.m_missing_timeout);
-    EXPECT_TRUE(begin_next(simulation, wave).empty());
-    EXPECT_TRUE(is_wave_completed(wave));
-    EXPECT_FALSE(has_open_vm(wave, simulation.listed_vms()));
-    simulation.m_vms.push_back(missing);
-    EXPECT_TRUE(has_open_vm(wave, simulation.listed_vms()));
-    EXPECT_EQ(begin_next(simulation, wave).size(), 1U);
-    EXPECT_FALSE(is_wave_completed(wave));
-}
-
 // Guards against more VMs down at once than the operator allows, because a command of the last decider is carried out
 // late, after its VM has been left alone for the handover interval.
 TEST(maintenance, a_vm_with_an_unanswered_command_of_the_last_decider_goes_first)
@@ -603,7 +456,7 @@
     const auto down = wave.m_down.begin()->first;
     apply_maintenance_result(simulation.m_state, wave, down, worker_id{"w1"}, vm_command_result::accepted,
                              simulation.now());
-    EXPECT_EQ(next_maintenance_end(simulation.m_maintenance_settings, wave, simulation.now()),
+    EXPECT_EQ(next_maintenance_end(wave, simulation.m_maintenance_settings.m_maintenance_time, simulation.now()),
               simulation.now() + simulation.m_maintenance_settings.m_maintenance_time);
     EXPECT_TRUE(begin_next(simulation, wave).empty());
 }
@@ -619,30 +472,6 @@
     EXPECT_EQ(wave.m_cordoned.size(), 1U);
 }
 
-// Guards against VMs that stay cordoned, and VMs that are never maintained, after the operator has changed a wave.
-TEST(maintenance, a_changed_request_replaces_the_vms_of_the_wave)
-{
-    scheduler_simulation simulation;
-    simulation.begin_with("ledger", 2);
-    add_short_tasks(simulation, 2);
-    auto wave = make_wave(simulation, 1);
-    const auto [kept, dropped] = std::pair{simulation.m_vms.front().m_vm, simulation.m_vms.back().m_vm};
-    wave.m_request.m_vms = {dropped};
-    wave.m_excluded.insert(kept);
-    EXPECT_TRUE(begin_next(simulation, wave).empty()) << "the short tasks have not ended";
-    ASSERT_TRUE(wave.m_cordoned.contains(dropped));
-    auto request = wave.m_request;
-    request.m_vms = {kept};
-    change_request(wave, request, simulation.now());
-    EXPECT_TRUE(has_open_vm(wave, simulation.listed_vms()));
-    EXPECT_TRUE(begin_next(simulation, wave).empty());
-    EXPECT_FALSE(wave.m_cordoned.contains(dropped));
-    EXPECT_TRUE(wave.m_cordoned.contains(kept));
-    const auto cordoned = std::count_if(simulation.m_state.m_workers.begin(), simulation.m_state.m_workers.end(),
-                                        [](const worker_slot& worker) { return worker.m_cordoned; });
-    EXPECT_EQ(cordoned, 1);
-}
-
 // Guards against taking down a worker whose runs are unknown because it has not reported since a takeover.
 TEST(maintenance, a_worker_that_has_not_reported_is_not_taken_down)
 {
