Bound the wait for a start that a registered incarnation may carry out

What callers saw: a task that must run does not, for as long as its worker is cut off (LOST). Its start had no response, the worker restarted, and the registry shows the new incarnation, which no entry VM reaches.

Cause: may_start_in_next_incarnation() had no bound while another incarnation was registered.

Change: one bound, end_of_late_lease(), for each worker that is known to have restarted.

--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/unanswered_start.hpp>
+#include <cicadalug/scheduler/worker_lease.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
 
 namespace cicadalug {
@@ -13,11 +14,11 @@
                                    const time_point now) -> bool
 {
     const auto& settings = state.m_settings;
-    const bool other_incarnation = is_of_other_incarnation(worker);
-    const auto last_end = run.m_sent + settings.m_late_call_time + settings.m_longest_lease;
-    return !run.m_confirmed &&
-           (now < run.m_sent + settings.m_late_start_time || (other_incarnation && worker.m_registered) ||
-            ((other_incarnation || worker.m_takes_stale_leases) && now < last_end));
+    const bool has_restarted = is_of_other_incarnation(worker) || worker.m_takes_stale_leases;
+    const auto last_sent = run.m_no_response_since.value_or(run.m_sent + settings.m_command_timeout);
+    const auto last_end =
+        has_restarted ? end_of_late_lease(settings, last_sent) : run.m_sent + settings.m_late_start_time;
+    return !run.m_confirmed && now < last_end;
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -23,6 +23,12 @@
                                                            state.m_settings.m_lease_margin);
 }
 
+auto end_of_late_lease(const scheduler_settings& settings, const time_point last_sent) -> time_point
+{
+    return last_sent + settings.m_late_call_time + settings.m_longest_lease +
+           settings.m_longest_lease * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
+}
+
 auto has_lease(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
 {
     return known_lease_of(worker).m_until_ms > 0 && lease_end(state, worker) > now;
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
@@ -30,6 +30,11 @@
  * not report before. */
 [[nodiscard]] auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point;
 
+/** @brief Returns the local time at which all leases have certainly ended that the next incarnation of a worker can
+ * have taken from calls to the last one. Such a call is carried out late, and the lease in it can be the longest one by
+ * the clock of the next incarnation. @param last_sent No such call was sent later. */
+[[nodiscard]] auto end_of_late_lease(const scheduler_settings& settings, time_point last_sent) -> time_point;
+
 /** @brief Checks whether a lease of this decider, or of an earlier one, may still run on a worker that has reported. */
 [[nodiscard]] auto has_lease(const scheduler_state& state, const worker_slot& worker, time_point now) -> bool;
 
--- a/test/process/scheduler_stale_lease.cpp
+++ b/test/process/scheduler_stale_lease.cpp
@@ -247,6 +247,19 @@
     expect_second_run_after_lease();
 }
 
+// Guards against a task that does not run for as long as the next incarnation of its worker is cut off: its start had
+// no response, and the registry shows that incarnation all the while.
+TEST_F(scheduler_stale_lease, from_a_late_start_ends_on_a_registered_incarnation_that_stays_cut_off)
+{
+    hold_next_call("/cicadalug/run-start");
+    submit(first_job, 1);
+    wait_for_held_call();
+    cut_off_worker();
+    restart_with_late_call();
+    end_draining();
+    expect_second_run_after_lease();
+}
+
 // Guards against a decider that counts only its own leases while a new incarnation has taken on one that it granted to
 // the earlier incarnation.
 TEST_F(scheduler_stale_lease, of_the_same_decider_is_assumed_after_a_restart)
