Let a successor wait for an incarnation that no decider has called

What callers saw: a task that must run once ran twice (TWICE). A start had no response, the decider was killed, and the worker restarted and carried the start out late, cut off from the successor, which started the task elsewhere 5.6 s after its election.

Cause: the stored list names the workers with leases, not which incarnations were called. The successor took the lease of the last term for the longest that a listed worker can hold.

Change: leased-worker-incarnations, written with the list, names the called incarnations. If the registry shows another one, the successor waits for the late calls of the last term and the longest lease, or until the worker answers; it passes the time left on in restarted-workers. Workers whose incarnation has not changed are waited for as before, so that those that are lost for good cost nothing (LOST). A write of progress holds one job less; a write of the list has about 27 bytes more a worker.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -179,6 +179,8 @@
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Returns the ids to be written for restarted workers. */
     [[nodiscard]] auto restarted_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Returns the incarnations to be written for workers with leases. */
+    [[nodiscard]] auto leased_worker_incarnations_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Returns the VMs to be written for workers with leases. */
     [[nodiscard]] auto leased_worker_vms_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Keeps a job whose progress the store refuses out of the writes of others. */
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -30,8 +30,9 @@
 constexpr milliseconds progress_gap{12};
 
 /** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision
- * log, and the puts of the decision log, of the leased workers and their VMs, and of the restarted workers. */
-constexpr std::size_t progress_jobs{store_write_entries - 6};
+ * log, and the puts of the decision log, of the leased workers, their incarnations and their VMs, and of the restarted
+ * workers. */
+constexpr std::size_t progress_jobs{store_write_entries - 7};
 
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
@@ -72,6 +73,15 @@
     return text;
 }
 
+auto decider::leased_worker_incarnations_value(const std::vector<worker_index>& leased) const -> std::string
+{
+    std::string text;
+    for (const auto& [worker, start_unix_ms] : incarnations_of_listed_workers(m_state, leased, monotonic_now())) {
+        text += worker.str() + ' ' + std::to_string(start_unix_ms) + ' ';
+    }
+    return text;
+}
+
 auto decider::leased_worker_vms_value(const std::vector<worker_index>& leased) const -> std::string
 {
     std::string text;
@@ -242,6 +252,8 @@
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
         write.m_puts.push_back({std::string{restarted_workers_key}, restarted_workers_value(leased), no_store_lease});
+        write.m_puts.push_back(
+            {std::string{leased_worker_incarnations_key}, leased_worker_incarnations_value(leased), no_store_lease});
         // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor.
         m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
         if (!m_vms_unlisted) {
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -72,6 +72,7 @@
     const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
     const auto vms = co_await m_store.read(std::string{leased_worker_vms_key}, store_timeout);
     const auto restarted = co_await m_store.read(std::string{restarted_workers_key}, store_timeout);
+    const auto incarnations = co_await m_store.read(std::string{leased_worker_incarnations_key}, store_timeout);
     const auto is_read = [](const store_read& result) {
         return result.m_status == store_status::ok || result.m_status == store_status::missing;
     };
@@ -106,8 +107,15 @@
         const auto longest = 2 * (m_state.m_settings.m_late_call_time + m_state.m_settings.m_longest_lease).count();
         m_state.m_expected_restarted[worker_id{word}] = milliseconds{std::clamp<std::int64_t>(left_ms, 0, longest)};
     }
+    std::istringstream incarnation_list{incarnations.m_item.m_value};
+    std::int64_t start_unix_ms{0};
+    while (incarnation_list >> word >> start_unix_ms) {
+        if (m_state.m_expected_workers.contains(worker_id{word})) {
+            m_state.m_expected_incarnations[worker_id{word}] = start_unix_ms;
+        }
+    }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
-    co_return is_read(read) && is_read(leases) && is_read(vms) && is_read(restarted);
+    co_return is_read(read) && is_read(leases) && is_read(vms) && is_read(restarted) && is_read(incarnations);
 }
 
 auto decider::begin_decision_log() -> asio::awaitable<bool>
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -106,8 +106,8 @@
         restarted[id] = std::chrono::ceil<milliseconds>(std::max(end - now, microseconds{0}));
     };
     for (const auto& id : awaited_workers(state, now)) {
-        if (state.m_expected_restarted.contains(id)) {
-            add(id, expected_lease_end(state, id));
+        if (const auto end = expected_lease_end(state, id); end > inherited_leases_end(state)) {
+            add(id, end);
         }
     }
     for (const auto index : leased) {
@@ -119,6 +119,24 @@
     return restarted;
 }
 
+auto incarnations_of_listed_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
+                                    const time_point now) -> std::map<worker_id, std::int64_t>
+{
+    std::map<worker_id, std::int64_t> incarnations;
+    for (const auto& id : awaited_workers(state, now)) {
+        if (const auto called = state.m_expected_incarnations.find(id); called != state.m_expected_incarnations.end()) {
+            incarnations.insert(*called);
+        }
+    }
+    for (const auto index : leased) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        if (worker.m_incarnation_start_unix_ms != 0) {
+            incarnations[worker.m_entry.m_id] = worker.m_incarnation_start_unix_ms;
+        }
+    }
+    return incarnations;
+}
+
 auto vms_of_listed_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
                            const bool lists_expected) -> std::map<worker_id, vm_id>
 {
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -58,6 +58,16 @@
 [[nodiscard]] auto restarted_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
                                      time_point now) -> std::map<worker_id, milliseconds>;
 
+/**
+ * @brief Returns the incarnations that have been called of the workers that a write of the list names, by their start
+ * in Unix milliseconds. A successor sees in the registry which of these workers have restarted since.
+ * @param state The scheduler.
+ * @param leased Result of begin_lease_list() for the write.
+ * @param now Current time.
+ */
+[[nodiscard]] auto incarnations_of_listed_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
+                                                  time_point now) -> std::map<worker_id, std::int64_t>;
+
 /**
  * @brief Returns the VMs of the workers that a write of the list names.
  * @param state The scheduler.
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -472,6 +472,9 @@
     std::set<worker_id> m_expected_workers;
     /** @brief VMs of workers in m_expected_workers, as far as they are stored. */
     std::map<worker_id, vm_id> m_expected_vms;
+    /** @brief Incarnations of workers in m_expected_workers that earlier deciders have called, by their start in Unix
+     * milliseconds, as far as they are stored. */
+    std::map<worker_id, std::int64_t> m_expected_incarnations;
     /** @brief Workers in m_expected_workers that may have stale leases, with the time that was left of these when the
      * last decider wrote its list. */
     std::map<worker_id, milliseconds> m_expected_restarted;
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -105,6 +105,54 @@
     EXPECT_TRUE(is_recovered(state, service, end + milliseconds{1}));
 }
 
+// Guards against a second run of a task that an incarnation carries out of which no decider has heard: it is
+// registered, and its worker is cut off. Workers whose incarnation has not changed are not waited for any longer.
+TEST(leased_workers, a_successor_waits_longer_for_a_worker_that_is_registered_with_another_incarnation)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    simulation.list_leases();
+    simulation.take_over();
+    auto& state = simulation.m_state;
+    ASSERT_EQ(state.m_expected_incarnations.size(), 2U);
+    const auto id = state.m_workers[0].m_entry.m_id;
+    const auto other_id = state.m_workers[1].m_entry.m_id;
+    auto entry = state.m_workers[0].m_entry;
+    entry.m_incarnation_start_unix_ms = state.m_expected_incarnations[id];
+    register_worker(state, entry);
+    EXPECT_EQ(expected_lease_end(state, id), inherited_leases_end(state));
+    ++entry.m_incarnation_start_unix_ms;
+    register_worker(state, entry);
+    const auto end = expected_lease_end(state, id);
+    EXPECT_GE(end, state.m_began + state.m_settings.m_late_call_time + state.m_settings.m_longest_lease);
+    EXPECT_EQ(expected_lease_end(state, other_id), inherited_leases_end(state));
+    unregister_worker(state, id);
+    EXPECT_EQ(expected_lease_end(state, id), end) << "the worker may only be cut off from the store";
+
+    const service_id service{"quotes"};
+    state.m_term_guaranteed_until = end + milliseconds{1'000};
+    EXPECT_FALSE(is_recovered(state, service, end));
+    EXPECT_TRUE(is_recovered(state, service, end + milliseconds{1}));
+    const auto passed_on = restarted_workers(state, {}, end - milliseconds{500});
+    ASSERT_EQ(passed_on.size(), 1U) << "the next decider has to wait, too";
+    EXPECT_EQ(passed_on.begin()->first, id);
+}
+
+// Guards against a successor of a successor that takes the incarnation of a worker which neither has reached for the
+// one that was called.
+TEST(leased_workers, the_called_incarnations_of_expected_workers_are_listed_with_them)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 2);
+    simulation.list_leases();
+    simulation.take_over();
+    auto& state = simulation.m_state;
+    const auto called = state.m_expected_incarnations;
+    ASSERT_EQ(called.size(), 2U);
+    EXPECT_EQ(incarnations_of_listed_workers(state, {}, simulation.now()), called);
+    EXPECT_TRUE(incarnations_of_listed_workers(state, {}, inherited_leases_end(state)).empty());
+}
+
 // Guards against counting a worker as listed after a write without it, which may be carried out without a response.
 TEST(leased_workers, a_worker_left_out_of_a_list_does_not_count_as_listed)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -265,6 +265,7 @@
     }
     m_stored_vms = vms_of_listed_workers(m_state, leased, are_expected_workers_listed(m_state, m_now));
     m_stored_restarted = restarted_workers(m_state, leased, m_now);
+    m_stored_incarnations = incarnations_of_listed_workers(m_state, leased, m_now);
     complete_lease_list(m_state, leased);
 }
 
@@ -444,6 +445,7 @@
     m_state.m_expected_workers = m_stored_leases;
     m_state.m_expected_vms = m_stored_vms;
     m_state.m_expected_restarted = m_stored_restarted;
+    m_state.m_expected_incarnations = m_stored_incarnations;
     for (const auto& [id, stored] : m_store) {
         add_job(m_state, stored.m_record, stored.m_progress, true, clock());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -159,6 +159,7 @@
     std::set<worker_id> m_stored_leases;
     std::map<worker_id, vm_id> m_stored_vms;
     std::map<worker_id, milliseconds> m_stored_restarted;
+    std::map<worker_id, std::int64_t> m_stored_incarnations;
     std::map<job_id, time_point> m_deadlines;
     std::map<job_id, time_point> m_completed;
     std::map<task_ref, std::int64_t> m_starts;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -82,6 +82,7 @@
     m_state.m_expected_workers = m_simulation.m_stored_leases;
     m_state.m_expected_vms = m_simulation.m_stored_vms;
     m_state.m_expected_restarted = m_simulation.m_stored_restarted;
+    m_state.m_expected_incarnations = m_simulation.m_stored_incarnations;
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
     m_last_renewal = now();
     for (const auto& [id, job] : m_simulation.m_jobs) {
@@ -391,6 +392,7 @@
     std::set<worker_id> list;
     std::map<worker_id, vm_id> vms;
     std::map<worker_id, milliseconds> restarted;
+    std::map<worker_id, std::int64_t> incarnations;
     const bool lists_expected = are_expected_workers_listed(m_state, now());
     if (lists_leases) {
         leased = begin_lease_list(m_state, now());
@@ -400,12 +402,13 @@
         }
         vms = vms_of_listed_workers(m_state, *leased, lists_expected);
         restarted = restarted_workers(m_state, *leased, now());
+        incarnations = incarnations_of_listed_workers(m_state, *leased, now());
         for (const auto& id : awaited_workers(m_state, now())) {
             list.insert(id);
         }
     }
     const bool succeeds = reaches_store();
-    const auto finish = [this, progress, leased, list, vms, restarted, lists_expected, succeeds] {
+    const auto finish = [this, progress, leased, list, vms, restarted, incarnations, lists_expected, succeeds] {
         m_writing = false;
         for (const auto& [id, stored] : progress) {
             auto& job = *find_job(m_state, id);
@@ -424,6 +427,7 @@
                 m_simulation.m_stored_leases = list;
                 m_simulation.m_stored_vms = vms;
                 m_simulation.m_stored_restarted = restarted;
+                m_simulation.m_stored_incarnations = incarnations;
                 complete_lease_list(m_state, *leased);
                 m_state.m_expected_listed = lists_expected;
             }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -86,6 +86,7 @@
     std::set<worker_id> m_stored_leases;
     std::map<worker_id, vm_id> m_stored_vms;
     std::map<worker_id, milliseconds> m_stored_restarted;
+    std::map<worker_id, std::int64_t> m_stored_incarnations;
     std::map<job_id, soak_job> m_jobs;
     /** @brief Jobs with long-running tasks. */
     std::vector<job_id> m_long_running;
