Acknowledge ends only until a response confirms it

Cause: each renewal carried the highest acknowledged end, also long after the worker had forgotten all ends up to it. The next incarnation numbers its ends from 1. A renewal to the last incarnation that reaches it late makes it forget ends that no decider has seen, so that their runs count as lost. The fencing token helps only once the restart is known.

Change: a renewal carries the acknowledgement until one with it has been answered by the same incarnation, and none afterwards. What remains is a renewal with an acknowledgement that is not confirmed yet.

The stand-in can restart a worker with a clock that goes on.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -3,6 +3,7 @@
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/end_acknowledgement.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/stale_lease.hpp>
 #include <cicadalug/scheduler/worker_fence.hpp>
@@ -145,12 +146,14 @@
         // restarted: it is only asked for its report.
         const bool is_known = worker.m_has_reported && !worker.m_unresponsive;
         if (is_known && !is_of_other_incarnation(worker)) {
-            renewal.m_acknowledged_end = worker.m_acknowledged_end;
+            renewal.m_acknowledged_end = unconfirmed_acknowledgement(worker);
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
             renewal.m_lease_until_ms = grant_lease(m_state, index, monotonic_now());
             renewal.m_wait = !m_state.m_trials.empty() ? trial_renewal_wait : renewal_wait;
             renewal.m_timeout += renewal.m_wait;
         }
+        const auto incarnation = worker.m_incarnation_start_unix_ms;
+        const auto acknowledged = renewal.m_acknowledged_end;
         const auto sent = monotonic_now();
         auto response = co_await call_worker(index, std::move(renewal), nullptr);
         if (!m_active) {
@@ -164,6 +167,7 @@
         complete_report(response.m_report, token);
         if (response.m_result == command_result::accepted) {
             apply_report(m_state, index, response.m_report, sent, monotonic_now());
+            confirm_acknowledgement(m_state.m_workers[position], incarnation, acknowledged);
             schedule_pass();
             m_progress_event.notify();
             if (is_known) {
--- a/packages/scheduler/src/cicadalug/scheduler/end_acknowledgement.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/end_acknowledgement.cpp
@@ -1,5 +1,7 @@
 #include <cicadalug/scheduler/end_acknowledgement.hpp>
 
+#include <algorithm>
+
 namespace cicadalug {
 
 namespace {
@@ -34,4 +36,17 @@
     }
 }
 
+auto unconfirmed_acknowledgement(const worker_slot& worker) -> std::int64_t
+{
+    return worker.m_acknowledged_end > worker.m_confirmed_end ? worker.m_acknowledged_end : 0;
+}
+
+auto confirm_acknowledgement(worker_slot& worker, const std::int64_t called_incarnation_unix_ms,
+                             const std::int64_t acknowledged) -> void
+{
+    if (worker.m_incarnation_start_unix_ms == called_incarnation_unix_ms) {
+        worker.m_confirmed_end = std::max(worker.m_confirmed_end, acknowledged);
+    }
+}
+
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/end_acknowledgement.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/end_acknowledgement.hpp
@@ -3,6 +3,8 @@
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
+#include <cstdint>
+
 namespace cicadalug {
 
 /**
@@ -17,6 +19,24 @@
  */
 auto acknowledge_ends(scheduler_state& state) -> void;
 
+/**
+ * @brief Returns the number up to which the next renewal acknowledges ends; 0 if a response has confirmed that the
+ * worker has forgotten these.
+ *
+ * The next incarnation numbers its ends from 1. A renewal that reaches it late makes it forget ends that no decider has
+ * seen, so that no renewal carries an acknowledgement that is not needed.
+ */
+[[nodiscard]] auto unconfirmed_acknowledgement(const worker_slot& worker) -> std::int64_t;
+
+/**
+ * @brief Records that a renewal with an acknowledgement was answered.
+ * @param worker The worker, to which the report has been applied.
+ * @param called_incarnation_unix_ms Incarnation of the worker when the renewal was sent, by its start.
+ * @param acknowledged Acknowledgement in the renewal.
+ */
+auto confirm_acknowledgement(worker_slot& worker, std::int64_t called_incarnation_unix_ms, std::int64_t acknowledged)
+    -> void;
+
 } // namespace cicadalug
 
 #endif
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -309,6 +309,7 @@
         count_crashes(state, index, suspects, now);
         worker.m_last_end = 0;
         worker.m_acknowledged_end = 0;
+        worker.m_confirmed_end = 0;
         worker.m_unstored_ends.clear();
         // The clock of the new incarnation starts again.
         worker.m_clock_ms = 0;
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -329,6 +329,9 @@
     std::int64_t m_last_end{0};
     /** @brief Highest number of an ended run whose effect is stored. */
     std::int64_t m_acknowledged_end{0};
+    /** @brief Highest number of an ended run that the worker has forgotten, as its response to the acknowledgement
+     * shows. */
+    std::int64_t m_confirmed_end{0};
     /** @brief Applied ends whose effect may not be stored, in the order of their numbers. */
     std::deque<unstored_end> m_unstored_ends;
     resources m_used;
--- a/packages/scheduler/test/cicadalug/scheduler/end_acknowledgement.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/end_acknowledgement.cpp
@@ -111,4 +111,36 @@
     EXPECT_EQ(state.m_workers[0].m_acknowledged_end, 1);
 }
 
+// Guards against renewals that acknowledge ends which the worker has forgotten: the next incarnation, which one of them
+// reaches late, forgets ends with the same numbers.
+TEST(end_acknowledgement, an_end_is_acknowledged_until_the_response_confirms_it)
+{
+    worker_slot worker;
+    worker.m_incarnation_start_unix_ms = 1;
+    EXPECT_EQ(unconfirmed_acknowledgement(worker), 0);
+    worker.m_acknowledged_end = 57;
+    EXPECT_EQ(unconfirmed_acknowledgement(worker), 57);
+    confirm_acknowledgement(worker, 1, 55);
+    EXPECT_EQ(unconfirmed_acknowledgement(worker), 57);
+    confirm_acknowledgement(worker, 1, 57);
+    EXPECT_EQ(unconfirmed_acknowledgement(worker), 0);
+}
+
+// Guards against ends that are never acknowledged: the response to the acknowledgement came from the next incarnation.
+TEST(end_acknowledgement, another_incarnation_confirms_nothing)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("orders", 1);
+    auto& state = simulation.m_state;
+    auto& worker = state.m_workers[0];
+    const auto called = worker.m_incarnation_start_unix_ms;
+    worker.m_confirmed_end = 57;
+    worker_report report;
+    report.m_incarnation_start_unix_ms = called + 1;
+    apply_report(state, 0, report, simulation.now(), simulation.now());
+    confirm_acknowledgement(worker, called, 57);
+    worker.m_acknowledged_end = 3;
+    EXPECT_EQ(unconfirmed_acknowledgement(worker), 3);
+}
+
 } // namespace cicadalug::test
--- a/test/process/scheduler_stale_lease.cpp
+++ b/test/process/scheduler_stale_lease.cpp
@@ -247,6 +247,28 @@
     expect_second_run_after_lease();
 }
 
+// Guards against a second run of a completed task: a renewal that acknowledges ends of one incarnation reaches the next
+// one late, which then forgets ends with the same numbers that no decider has seen. The clock does not tell the
+// restart.
+TEST_F(scheduler_stale_lease, brings_the_next_incarnation_no_acknowledgement_of_ends)
+{
+    constexpr std::size_t tasks{2};
+    control({{"run_ms", 300}});
+    submit(first_job, tasks);
+    ASSERT_TRUE(wait_until([this] { return control()["acknowledged_tasks"] == tasks; }, patience));
+    wait_for_renewal();
+    hold_renewal();
+    control({{"overwritten", restarted_worker}, {"restart_worker", restarted_worker}, {"keeps_clock", true}});
+    submit(second_job, tasks);
+    ASSERT_TRUE(wait_until([this] { return control()["starts"].size() == 2 * tasks; }, patience));
+    ASSERT_TRUE(wait_until([this] { return control()["running"] == 0; }, patience));
+    control({{"release_held", true}, {"overwritten", ""}});
+    ASSERT_TRUE(wait_until([] { return state_of(second_job) == "completed"; }, patience));
+    const auto seen = control();
+    EXPECT_EQ(seen["starts"].size(), 2 * tasks);
+    EXPECT_EQ(seen["repeated_tasks"], 0);
+}
+
 // Guards against a task that does not run for as long as the next incarnation of its worker is cut off: its start had
 // no response, and the registry shows that incarnation all the while.
 TEST_F(scheduler_stale_lease, from_a_late_start_ends_on_a_registered_incarnation_that_stays_cut_off)
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -467,7 +467,8 @@
             }
         }
         if (const auto id = body.find("restart_worker"); id != body.end()) {
-            find_worker(id->get<std::string>()).restart(unix_ms_now(), monotonic_now());
+            auto& worker = find_worker(id->get<std::string>());
+            worker.restart(unix_ms_now(), body.value("keeps_clock", false) ? worker.clock_started() : monotonic_now());
         }
         if (body.value("release_held", false)) {
             release_held_calls();
--- a/test/standin/scheduler_worker.hpp
+++ b/test/standin/scheduler_worker.hpp
@@ -62,6 +62,7 @@
 
     [[nodiscard]] auto id() const noexcept -> const std::string& { return m_id; }
     [[nodiscard]] auto started_unix_ms() const noexcept -> std::int64_t { return m_started_unix_ms; }
+    [[nodiscard]] auto clock_started() const noexcept -> time_point { return m_started; }
     [[nodiscard]] auto starts() const noexcept -> const std::vector<worker_event>& { return m_starts; }
     [[nodiscard]] auto stops() const noexcept -> const std::vector<worker_event>& { return m_stops; }
     /** @brief Returns the tasks whose ends as done have been acknowledged. */
@@ -77,7 +78,11 @@
         return std::max<std::int64_t>(0, m_lease_until_ms - clock_ms(now));
     }
 
-    /** @brief Starts the worker again under its id: it forgets all but what the tests observe. */
+    /**
+     * @brief Starts the worker again under its id: it forgets all but what the tests observe.
+     * @param unix_ms Time of the restart, in Unix milliseconds.
+     * @param now Start of the worker's clock.
+     */
     auto restart(const std::int64_t unix_ms, const time_point now) -> void
     {
         scheduler_worker restarted{m_id, unix_ms, now};
