Detect a restart by a clock that is slightly behind

What callers can see: two runs of a task at once, on a worker that restarts within a second of its start.

Cause: detect_restart() took a clock that is behind by less than 1 s for that of the last incarnation. A lease by the last clock then lasts up to 1 s longer than is known. The tolerance is needed for a clock that is ahead only: the last reading was taken before its report arrived, so that it can only be older than assumed.

Evidence: stale_lease.of_a_young_worker_is_detected_by_a_clock_that_is_slightly_behind fails with the former bound.

--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
@@ -17,8 +17,8 @@
 /** @brief The times of day of two machines differ by less than this, also while they are set. */
 constexpr milliseconds time_of_day_error{5'000};
 
-/** @brief A reading of a worker's clock that is further than this from what is expected is one of another incarnation.
- */
+/** @brief A reading of a worker's clock that is ahead of what is expected by more than this is one of another
+ * incarnation: the last report may have been under way for so long. */
 constexpr milliseconds clock_tolerance{1'000};
 
 /** @brief A decider that is cut off from the store goes on for up to this long after its term has ended. */
@@ -114,7 +114,9 @@
         return std::chrono::duration_cast<milliseconds>(time - worker.m_clock_read);
     };
     const auto drift = since(now) * state.m_settings.m_clock_drift_permille / 1'000;
-    const auto earliest = worker.m_clock_ms + (since(sent) - drift - clock_tolerance).count();
+    // The last reading was taken before its report arrived. A clock that is behind by less gives a stale lease that is
+    // not longer than what is granted by more than the margin.
+    const auto earliest = worker.m_clock_ms + (since(sent) - drift - state.m_settings.m_lease_margin).count();
     const auto latest = worker.m_clock_ms + (since(now) + clock_tolerance + state.m_settings.m_command_timeout).count();
     if (reading_ms >= earliest && reading_ms <= latest) {
         return false;
--- a/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
@@ -192,6 +192,17 @@
     EXPECT_EQ(restarted_workers(state(), listed, now()).size(), 1U);
 }
 
+// Guards against a lease that lasts longer than is known, on a worker that restarts soon after its start: the clock of
+// the new incarnation is behind that of the last one by less than a second.
+TEST_F(stale_lease, of_a_young_worker_is_detected_by_a_clock_that_is_slightly_behind)
+{
+    const auto expected = worker().m_clock_ms;
+    const auto margin = state().m_settings.m_lease_margin;
+    const auto sent = worker().m_clock_read;
+    EXPECT_FALSE(detect_restart(state(), 0, expected - margin.count(), sent, sent + milliseconds{5}));
+    EXPECT_TRUE(detect_restart(state(), 0, expected - margin.count() - 1, sent, sent + milliseconds{5}));
+}
+
 // Guards against a second run of a task that a late call keeps alive: the new incarnation reports once, in response to
 // a call with the old token, and is cut off before it has answered one with the raised token. A call to the last
 // incarnation may still reach it, with the longest lease.
