Keep a wait for an unheard restart from starting anew with each decider

What callers can see: a task that must run does not, while deciders change (LOST). Each of them waits 22 s from its own election for the same restarted worker, which is cut off.

Cause: the bound followed from the incarnation that was called at first, which each decider passed on.

Change: the decider that finds the other incarnation in the registry records the worker as restarted, with the time left, and its incarnation as known, and writes both at once. The next one takes the time left over.

--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -20,6 +20,23 @@
 
 } // namespace
 
+auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void
+{
+    const auto known = state.m_expected_incarnations.find(entry.m_id);
+    const auto start = entry.m_incarnation_start_unix_ms;
+    if (!state.m_expected_workers.contains(entry.m_id) || known == state.m_expected_incarnations.end() || start == 0 ||
+        start == known->second) {
+        return;
+    }
+    known->second = start;
+    // An earlier decider has started nothing after the term was stored.
+    const auto elected = state.m_elected.value_or(state.m_began);
+    const auto left = std::chrono::ceil<milliseconds>(end_of_late_lease(state.m_settings, elected) - elected);
+    auto& listed = state.m_expected_restarted[entry.m_id];
+    listed = std::max(listed, left);
+    state.m_expected_restart_listed = false;
+}
+
 auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t
 {
     return std::count_if(state.m_expected_workers.begin(), state.m_expected_workers.end(),
@@ -36,11 +53,12 @@
 
 auto has_unlisted_lease(const scheduler_state& state, const time_point now) -> bool
 {
-    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
-        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        return (!worker.m_lease_listed && has_lease(state, worker, now)) ||
-               (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
-    });
+    return !state.m_expected_restart_listed ||
+           std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+               const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+               return (!worker.m_lease_listed && has_lease(state, worker, now)) ||
+                      (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
+           });
 }
 
 auto awaited_workers(const scheduler_state& state, const time_point now) -> std::vector<worker_id>
@@ -67,6 +85,7 @@
 
 auto begin_lease_list(scheduler_state& state, const time_point now) -> std::vector<worker_index>
 {
+    state.m_expected_restart_listed = true;
     std::vector<worker_index> leased;
     for (const auto index : state.m_current_workers) {
         if (has_lease(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
@@ -106,8 +125,8 @@
         restarted[id] = std::chrono::ceil<milliseconds>(std::max(end - now, microseconds{0}));
     };
     for (const auto& id : awaited_workers(state, now)) {
-        if (const auto end = expected_lease_end(state, id); end > inherited_leases_end(state)) {
-            add(id, end);
+        if (state.m_expected_restarted.contains(id)) {
+            add(id, expected_lease_end(state, id));
         }
     }
     for (const auto index : leased) {
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -11,10 +11,17 @@
 /**
  * @brief Checks whether a worker has a lease and is not in the stored list of workers with leases, or a stale one and
  * is not in that of restarted workers. It gets no new work until the lists are written: the next decider would not wait
- * for the end of its lease if it could not reach the worker.
+ * for the end of its lease if it could not reach the worker. An expected worker that has restarted counts, too.
  */
 [[nodiscard]] auto has_unlisted_lease(const scheduler_state& state, time_point now) -> bool;
 
+/**
+ * @brief Records the entry of an expected worker. If the entry is of an incarnation that no earlier decider has called,
+ * that one may carry out their calls to the last one late, and the worker counts as restarted. The stored lists then
+ * have to be written, so that the next decider does not wait anew.
+ */
+auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void;
+
 /** @brief Counts the workers that may hold runs of earlier terms and have not reported: those in the stored list of
  * leases, as nothing starts on others. Those whose entry names another service are left out. */
 [[nodiscard]] auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t;
@@ -59,8 +66,8 @@
                                      time_point now) -> std::map<worker_id, milliseconds>;
 
 /**
- * @brief Returns the incarnations that have been called of the workers that a write of the list names, by their start
- * in Unix milliseconds. A successor sees in the registry which of these workers have restarted since.
+ * @brief Returns the known incarnations of the workers that a write of the list names, by their start in Unix
+ * milliseconds. A successor sees in the registry which of these workers have restarted since.
  * @param state The scheduler.
  * @param leased Result of begin_lease_list() for the write.
  * @param now Current time.
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -367,6 +367,7 @@
         state.m_workers.emplace_back();
     }
     auto& worker = state.m_workers[static_cast<std::size_t>(known->second)];
+    expect_late_calls(state, entry);
     const auto start = entry.m_incarnation_start_unix_ms;
     const auto last_start = std::exchange(worker.m_entry, entry).m_incarnation_start_unix_ms;
     worker.m_registered = true;
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -475,12 +475,14 @@
     std::set<worker_id> m_expected_workers;
     /** @brief VMs of workers in m_expected_workers, as far as they are stored. */
     std::map<worker_id, vm_id> m_expected_vms;
-    /** @brief Incarnations of workers in m_expected_workers that earlier deciders have called, by their start in Unix
-     * milliseconds, as far as they are stored. */
+    /** @brief Last known incarnations of workers in m_expected_workers, by their start in Unix milliseconds, as far as
+     * they are stored. */
     std::map<worker_id, std::int64_t> m_expected_incarnations;
     /** @brief Workers in m_expected_workers that may have stale leases, with the time that was left of these when the
      * last decider wrote its list. */
     std::map<worker_id, milliseconds> m_expected_restarted;
+    /** @brief A write of the list of restarted workers includes all of m_expected_restarted. */
+    bool m_expected_restart_listed{true};
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -6,23 +6,6 @@
 
 namespace cicadalug {
 
-namespace {
-
-/** @brief Checks whether an expected worker is registered with another incarnation than the one that earlier deciders
- * have called. */
-[[nodiscard]] auto has_restarted_unheard(const scheduler_state& state, const worker_id& id) -> bool
-{
-    const auto called = state.m_expected_incarnations.find(id);
-    const auto index = find_worker(state, id);
-    if (called == state.m_expected_incarnations.end() || index == no_worker) {
-        return false;
-    }
-    const auto registered = state.m_workers[static_cast<std::size_t>(index)].m_entry.m_incarnation_start_unix_ms;
-    return registered != 0 && registered != called->second;
-}
-
-} // namespace
-
 auto inherited_leases_end(const scheduler_state& state) -> time_point
 {
     const auto& settings = state.m_settings;
@@ -32,17 +15,12 @@
 
 auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
 {
-    const auto elected = state.m_elected.value_or(state.m_began);
-    auto end = inherited_leases_end(state);
-    if (const auto restarted = state.m_expected_restarted.find(id); restarted != state.m_expected_restarted.end()) {
-        // The list was written before the term was stored.
-        end = std::max(end, elected + restarted->second + state.m_settings.m_lease_margin);
-    }
-    if (has_restarted_unheard(state, id)) {
-        // An earlier decider has started nothing after the term was stored.
-        end = std::max(end, end_of_late_lease(state.m_settings, elected));
-    }
-    return end;
+    const auto restarted = state.m_expected_restarted.find(id);
+    // The list was written before the term was stored.
+    return restarted == state.m_expected_restarted.end()
+               ? inherited_leases_end(state)
+               : std::max(inherited_leases_end(state), state.m_elected.value_or(state.m_began) + restarted->second +
+                                                           state.m_settings.m_lease_margin);
 }
 
 auto end_of_late_lease(const scheduler_settings& settings, const time_point last_sent) -> time_point
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -133,9 +133,32 @@
     state.m_term_guaranteed_until = end + milliseconds{1'000};
     EXPECT_FALSE(is_recovered(state, service, end));
     EXPECT_TRUE(is_recovered(state, service, end + milliseconds{1}));
-    const auto passed_on = restarted_workers(state, {}, end - milliseconds{500});
-    ASSERT_EQ(passed_on.size(), 1U) << "the next decider has to wait, too";
-    EXPECT_EQ(passed_on.begin()->first, id);
+}
+
+// Guards against a task that does not run while deciders change (LOST): each of them waits anew for a restart that the
+// first one has seen. It lists the worker as restarted, with the time left, and its incarnation as known.
+TEST(leased_workers, the_wait_for_a_restarted_worker_is_not_prolonged_by_a_takeover)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    simulation.list_leases();
+    simulation.take_over();
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers[0].m_entry;
+    entry.m_incarnation_start_unix_ms = state.m_expected_incarnations[entry.m_id] + 1;
+    EXPECT_FALSE(has_unlisted_lease(state, simulation.now()));
+    register_worker(state, entry);
+    EXPECT_TRUE(has_unlisted_lease(state, simulation.now()));
+    const auto end = expected_lease_end(state, entry.m_id);
+    simulation.worker(entry.m_id.str()).m_reachable = false;
+    simulation.run_for(milliseconds{3'000});
+    simulation.list_leases();
+    EXPECT_FALSE(has_unlisted_lease(state, simulation.now()));
+    simulation.take_over();
+    register_worker(state, entry);
+    const auto& margin = state.m_settings.m_lease_margin;
+    EXPECT_GE(expected_lease_end(state, entry.m_id), end);
+    EXPECT_LE(expected_lease_end(state, entry.m_id), end + margin + milliseconds{1});
 }
 
 // Guards against a successor of a successor that takes the incarnation of a worker which neither has reached for the
