List workers whose starts without a response may still be carried out

What callers can see: a task that must run once runs twice (TWICE). The decider waits for a start without a response, longer than its worker has a lease. It is killed, and its successor does not wait for that worker, whose next incarnation carries the start out late.

Cause: the stored list followed from the leases alone.

Change: the list names such a worker, too. If it is known to have restarted, restarted-workers gives the time left, and the list is written at least every 2 s while there is such a worker: a successor counts the time left from its own election.

Evidence: scheduler_stale_lease.from_a_late_start_outlasts_a_takeover_after_the_end_of_earlier_leases.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -37,6 +37,10 @@
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
 
+/** @brief Maximum time between two writes of the list while it names restarted workers. A successor counts the time
+ * left of their leases from its own election. */
+constexpr milliseconds restarted_list_interval{2'000};
+
 /** @brief Jobs whose progress the store has refused are written again at this interval, each alone. */
 constexpr milliseconds refused_job_interval{1'000};
 
@@ -95,7 +99,9 @@
 auto decider::is_lease_list_due(const time_point now) const -> bool
 {
     return has_unlisted_lease(m_state, now) || (m_vms_unlisted && now - m_vms_listed_at > lease_list_interval) ||
-           (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now));
+           (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now)) ||
+           (now - m_leases_listed_at > restarted_list_interval &&
+            !restarted_workers(m_state, m_state.m_current_workers, now).empty());
 }
 
 auto decider::store_progress(const std::shared_ptr<decider> self) -> asio::awaitable<void>
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -1,5 +1,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
+#include <cicadalug/scheduler/unanswered_start.hpp>
 #include <cicadalug/scheduler/worker_lease.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <cstddef>
@@ -18,6 +20,15 @@
     return index == no_worker || state.m_workers[static_cast<std::size_t>(index)].m_entry.m_service == service;
 }
 
+/** @brief Checks whether a worker has a lease, or its next incarnation may still carry out a start without a response.
+ */
+[[nodiscard]] auto may_hold_runs(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
+{
+    return has_lease(state, worker, now) ||
+           std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
+                       [&](const placed_run& run) { return may_start_in_next_incarnation(state, worker, run, now); });
+}
+
 } // namespace
 
 auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void
@@ -56,7 +67,7 @@
     return !state.m_expected_restart_listed ||
            std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-               return (!worker.m_lease_listed && has_lease(state, worker, now)) ||
+               return (!worker.m_lease_listed && may_hold_runs(state, worker, now)) ||
                       (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
            });
 }
@@ -78,7 +89,7 @@
 {
     return (state.m_expected_listed && !are_expected_workers_listed(state, now)) ||
            std::any_of(state.m_workers.begin(), state.m_workers.end(), [&](const worker_slot& worker) {
-               return (worker.m_lease_listed && !has_lease(state, worker, now)) ||
+               return (worker.m_lease_listed && !may_hold_runs(state, worker, now)) ||
                       (worker.m_restart_listed && worker.m_stale_until_ms == 0);
            });
 }
@@ -88,7 +99,7 @@
     state.m_expected_restart_listed = true;
     std::vector<worker_index> leased;
     for (const auto index : state.m_current_workers) {
-        if (has_lease(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
+        if (may_hold_runs(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
             leased.push_back(index);
         }
     }
@@ -131,8 +142,14 @@
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        if (worker.m_restart_being_listed) {
-            add(worker.m_entry.m_id, end_of_lease(state, worker, worker.m_stale_until_ms));
+        auto end = worker.m_restart_being_listed ? end_of_lease(state, worker, worker.m_stale_until_ms) : now;
+        if (is_of_other_incarnation(worker)) {
+            for (const auto& run : worker.m_runs) {
+                end = std::max(end, run.m_confirmed ? now : end_of_unanswered_start(state, worker, run));
+            }
+        }
+        if (end > now) {
+            add(worker.m_entry.m_id, end);
         }
     }
     return restarted;
@@ -149,8 +166,10 @@
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        if (worker.m_incarnation_start_unix_ms != 0) {
-            incarnations[worker.m_entry.m_id] = worker.m_incarnation_start_unix_ms;
+        const auto start = is_of_other_incarnation(worker) ? worker.m_entry.m_incarnation_start_unix_ms
+                                                           : worker.m_incarnation_start_unix_ms;
+        if (start != 0) {
+            incarnations[worker.m_entry.m_id] = start;
         }
     }
     return incarnations;
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -57,7 +57,8 @@
 auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void;
 
 /**
- * @brief Returns the restarted workers that a write of the list names, each with the time left of its stale lease.
+ * @brief Returns the restarted workers that a write of the list names, each with the time left of its stale lease, or
+ * until which its new incarnation may hold a run from a start without a response.
  * @param state The scheduler.
  * @param leased Result of begin_lease_list() for the write.
  * @param now Current time.
--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -10,15 +10,19 @@
            report.m_clock_ms > run.m_start_until_ms + state.m_settings.m_lease_margin.count();
 }
 
-auto may_start_in_next_incarnation(const scheduler_state& state, const worker_slot& worker, const placed_run& run,
-                                   const time_point now) -> bool
+auto end_of_unanswered_start(const scheduler_state& state, const worker_slot& worker, const placed_run& run)
+    -> time_point
 {
     const auto& settings = state.m_settings;
     const bool has_restarted = is_of_other_incarnation(worker) || worker.m_takes_stale_leases;
     const auto last_sent = run.m_no_response_since.value_or(run.m_sent + settings.m_command_timeout);
-    const auto last_end =
-        has_restarted ? end_of_late_lease(settings, last_sent) : run.m_sent + settings.m_late_start_time;
-    return !run.m_confirmed && now < last_end;
+    return has_restarted ? end_of_late_lease(settings, last_sent) : run.m_sent + settings.m_late_start_time;
+}
+
+auto may_start_in_next_incarnation(const scheduler_state& state, const worker_slot& worker, const placed_run& run,
+                                   const time_point now) -> bool
+{
+    return !run.m_confirmed && now < end_of_unanswered_start(state, worker, run);
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.hpp
@@ -14,12 +14,18 @@
     -> bool;
 
 /**
- * @brief Checks whether the next incarnation of a worker may still carry out a start without a response.
+ * @brief Returns until when a start without a response keeps its task from being started again.
  *
  * The lease of the start ends at a time on the clock of the incarnation to which it was sent. By the clock of the next
- * one, which starts anew, that end can be far ahead. Such a run has not ended with the lease of its worker; the first
- * report of the next incarnation tells whether it exists. If that incarnation is known and does not respond, the start
- * may be carried out as late as possible, and run for the longest lease.
+ * one, which starts anew, that end can be far ahead. If the worker is known to have restarted and does not respond, the
+ * start may be carried out as late as possible, and run for the longest lease.
+ */
+[[nodiscard]] auto end_of_unanswered_start(const scheduler_state& state, const worker_slot& worker,
+                                           const placed_run& run) -> time_point;
+
+/**
+ * @brief Checks whether the next incarnation of a worker may still carry out a start without a response. Such a run has
+ * not ended with the lease of its worker; the first report of the next incarnation tells whether it exists.
  * @param state The scheduler.
  * @param worker The worker of the run.
  * @param run The run.
--- a/test/process/scheduler_stale_lease.cpp
+++ b/test/process/scheduler_stale_lease.cpp
@@ -23,6 +23,9 @@
 /** @brief Least time left of a stale lease after it was taken on, so that a test can tell it from a lease of 3.5 s. */
 constexpr std::int64_t least_stale_lease_ms{9'000};
 
+/** @brief After this time, the granted leases of a worker that is cut off have ended, and the list names it no more. */
+constexpr milliseconds ended_lease_time{5'500};
+
 /** @brief Limit for the start of a task on another worker: the longest lease, with room for a takeover. */
 constexpr milliseconds restart_patience{22'000};
 
@@ -269,6 +272,23 @@
     EXPECT_EQ(seen["repeated_tasks"], 0);
 }
 
+// Guards against a successor that does not wait for a worker whose lease had ended in the last term: the decider of
+// that term waited for a start without a response, which the next incarnation carries out late.
+TEST_F(scheduler_stale_lease, from_a_late_start_outlasts_a_takeover_after_the_end_of_earlier_leases)
+{
+    hold_next_call("/cicadalug/run-start");
+    submit(first_job, 1);
+    wait_for_held_call();
+    cut_off_worker();
+    control({{"restart_worker", restarted_worker}});
+    std::this_thread::sleep_for(ended_lease_time);
+    replace_decider();
+    control({{"release_held", true}});
+    ASSERT_EQ(control()["starts"].size(), 1U);
+    end_draining();
+    expect_second_run_after_lease();
+}
+
 // Guards against a task that does not run for as long as the next incarnation of its worker is cut off: its start had
 // no response, and the registry shows that incarnation all the while.
 TEST_F(scheduler_stale_lease, from_a_late_start_ends_on_a_registered_incarnation_that_stays_cut_off)
