--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -167,14 +167,16 @@
     call.m_in_flight = true;
     call.m_sent = now();
     call.m_due = now();
+    call.m_called_incarnation = slot.m_incarnation_start_unix_ms;
     std::int64_t acknowledged_end{0};
     std::int64_t lease_until_ms{0};
     // Acknowledgement and lease are for the incarnation that has reported.
     if (slot.m_has_reported && !slot.m_unresponsive && !is_of_other_incarnation(slot)) {
-        acknowledged_end = slot.m_acknowledged_end;
+        acknowledged_end = unconfirmed_acknowledgement(slot);
         lease_until_ms = grant_lease(m_state, index, now());
         call.m_due += m_state.m_trials.empty() ? renewal_wait : trial_renewal_wait;
     }
+    call.m_acknowledged = acknowledged_end;
     const auto found = m_simulation.m_workers.find(slot.m_entry.m_id);
     if (found == m_simulation.m_workers.end() || !found->second.m_alive || !reaches(found->second)) {
         call.m_lost = found != m_simulation.m_workers.end() && found->second.m_alive;
@@ -224,6 +226,8 @@
         auto report = report_of(worker, now());
         report.m_token = call.m_token;
         apply_report(m_state, index, report, call.m_sent, now());
+        confirm_acknowledgement(m_state.m_workers[static_cast<std::size_t>(index)], call.m_called_incarnation,
+                                call.m_acknowledged);
         call = {};
         call.m_due = now() + renewal_gap;
         return;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -59,6 +59,9 @@
         time_point m_due{};
         std::int64_t m_incarnation{0};
         fencing_token m_token;
+        /** @brief Incarnation that had reported when the call was sent. */
+        std::int64_t m_called_incarnation{0};
+        std::int64_t m_acknowledged{0};
     };
 
     [[nodiscard]] auto now() const -> time_point;
