Log renewals of leases that have no response

Change: renewal_not_answered names worker, incarnation, token, lease, acknowledged end and the time waited, within the budget of the lines about runs.

Evidence: seen in scheduler_hung_renewal.no_end_of_the_next_incarnation_is_acknowledged_unseen, for the renewal that hangs there.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -154,6 +154,7 @@
         }
         const auto incarnation = worker.m_incarnation_start_unix_ms;
         const auto acknowledged = renewal.m_acknowledged_end;
+        const auto lease_until_ms = renewal.m_lease_until_ms;
         const auto sent = monotonic_now();
         auto response = co_await call_worker(index, std::move(renewal), nullptr);
         if (!m_active) {
@@ -183,6 +184,17 @@
             check_deposed();
             co_return;
         }
+        // Its lease and its acknowledgement may still reach the next incarnation.
+        if (lease_until_ms >= 0 && admit_line(m_run_log_budget)) {
+            LOG(INFO) << log_line{"renewal_not_answered"}
+                             .with("worker", m_state.m_workers[position].m_entry.m_id)
+                             .with("incarnation", incarnation)
+                             .with("token", token)
+                             .with("result", static_cast<int>(response.m_result))
+                             .with("lease_until_ms", lease_until_ms)
+                             .with("acknowledged_end", acknowledged)
+                             .with("waited_ms", to_ms(monotonic_now() - sent));
+        }
         m_state.m_workers[position].m_unresponsive = true;
         // A renewal that was not sent says nothing about the worker, but its lease has not been extended either.
         const bool sent_to_worker = response.m_result != command_result::withdrawn;
