List the incarnation of a worker that was heard of last

What callers can see: tasks that wait for up to 22 s after a takeover although the decider before it has taken account of the restart.

Cause: the list named the registered incarnation whenever it differed from the reported one. An entry can be older than a report.

Change: the list names the incarnation for which the token was raised last, which is the one that was heard of last.

Evidence: leased_workers.the_list_names_the_incarnation_that_was_heard_of_last fails without the change and passes with it.

--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -166,9 +166,10 @@
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        const auto start = is_of_other_incarnation(worker) ? worker.m_entry.m_incarnation_start_unix_ms
-                                                           : worker.m_incarnation_start_unix_ms;
-        if (start != 0) {
+        // The entry may be older than the last report.
+        const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+        const bool registered_last = registered != 0 && worker.m_fenced_incarnation_unix_ms == registered;
+        if (const auto start = registered_last ? registered : worker.m_incarnation_start_unix_ms; start != 0) {
             incarnations[worker.m_entry.m_id] = start;
         }
     }
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -176,6 +176,25 @@
     EXPECT_TRUE(incarnations_of_listed_workers(state, {}, inherited_leases_end(state)).empty());
 }
 
+// Guards against a successor that waits for late calls of which this decider has taken account already: the list names
+// the incarnation of which the decider has heard last, by an entry or by a report that is newer than the entry.
+TEST(leased_workers, the_list_names_the_incarnation_that_was_heard_of_last)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto& worker = state.m_workers[0];
+    auto entry = worker.m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    restart(simulation);
+    const std::vector<worker_index> leased{0};
+    EXPECT_EQ(incarnations_of_listed_workers(state, leased, simulation.now()).at(entry.m_id), 2);
+    entry.m_incarnation_start_unix_ms = 3;
+    register_worker(state, entry);
+    EXPECT_EQ(incarnations_of_listed_workers(state, leased, simulation.now()).at(entry.m_id), 3);
+}
+
 // Guards against counting a worker as listed after a write without it, which may be carried out without a response.
 TEST(leased_workers, a_worker_left_out_of_a_list_does_not_count_as_listed)
 {
