Detect a restart although a report came between a start and its response

What callers saw: a task that must run once ran twice (TWICE), with one decider and no late call. The worker restarted between a report and its response to a start that had been sent before that report, and was cut off.

Cause: detect_restart() looked at no response to a start that is older than the last report, since that may come from an incarnation that is known to have ended. The bounds of the clock hold for it, too.

Change: the response is ignored only if another incarnation has reported, or a restart was detected, since the start was sent.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -328,6 +328,7 @@
     start.m_text = job->m_record.m_spec.m_text;
     start.m_lease_until_ms = grant_start_lease(m_state, command.m_worker, now);
     const auto token = start.m_token;
+    const auto incarnation = m_state.m_workers[static_cast<std::size_t>(command.m_worker)].m_incarnation_start_unix_ms;
     record_start(m_state, command, token, start.m_lease_until_ms);
     start.m_checkpoint = command.m_checkpoint;
     start.m_permit = command.m_permit;
@@ -354,7 +355,7 @@
         co_return;
     }
     const auto reading_ms = result == command_result::other_worker ? 0 : response.m_report.m_clock_ms;
-    if (reading_ms > 0 && detect_restart(m_state, command.m_worker, reading_ms, now, monotonic_now())) {
+    if (reading_ms > 0 && detect_restart(m_state, command.m_worker, incarnation, reading_ms, now, monotonic_now())) {
         m_progress_event.notify();
         schedule_pass();
     }
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
@@ -102,21 +102,21 @@
     worker.m_sent_until_ms = may_be_stale ? std::nullopt : std::optional{sent_until_ms};
 }
 
-auto detect_restart(scheduler_state& state, const worker_index index, const std::int64_t reading_ms,
-                    const time_point sent, const time_point now) -> bool
+auto detect_restart(scheduler_state& state, const worker_index index, const std::int64_t called_incarnation_unix_ms,
+                    const std::int64_t reading_ms, const time_point sent, const time_point now) -> bool
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    // A report that came after the start was sent tells more.
-    if (sent < worker.m_clock_read) {
+    // The response may be one of an incarnation that is known to have ended.
+    if (worker.m_incarnation_start_unix_ms != called_incarnation_unix_ms || sent < worker.m_restart_detected) {
         return false;
     }
     const auto since = [&worker](const time_point time) {
         return std::chrono::duration_cast<milliseconds>(time - worker.m_clock_read);
     };
     const auto drift = since(now) * state.m_settings.m_clock_drift_permille / 1'000;
-    // The last reading was taken before its report arrived. A clock that is behind by less gives a stale lease that is
-    // not longer than what is granted by more than the margin.
-    const auto earliest = worker.m_clock_ms + (since(sent) - drift - state.m_settings.m_lease_margin).count();
+    const auto margin = state.m_settings.m_lease_margin;
+    // The last reading was taken before its report arrived.
+    const auto earliest = worker.m_clock_ms + (since(sent) - drift - margin).count();
     const auto latest = worker.m_clock_ms + (since(now) + clock_tolerance + state.m_settings.m_command_timeout).count();
     if (reading_ms >= earliest && reading_ms <= latest) {
         return false;
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
@@ -55,13 +55,14 @@
  * @pre The worker has reported.
  * @param state The scheduler.
  * @param index The worker.
+ * @param called_incarnation_unix_ms Incarnation of the worker when the start was sent, by its start.
  * @param reading_ms Reading of the worker's clock.
  * @param sent When the start was sent.
  * @param now Current time.
  * @return True if the worker has restarted.
  */
-auto detect_restart(scheduler_state& state, worker_index index, std::int64_t reading_ms, time_point sent,
-                    time_point now) -> bool;
+auto detect_restart(scheduler_state& state, worker_index index, std::int64_t called_incarnation_unix_ms,
+                    std::int64_t reading_ms, time_point sent, time_point now) -> bool;
 
 /** @brief Ends the time in which a worker takes on stale leases, if a report answers a call with its raised token: the
  * report lists what late starts have begun. */
--- a/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
@@ -181,9 +181,11 @@
     m_simulation.run_for(milliseconds{8'000});
     const auto token = fence_of(state(), worker());
     const auto expected = worker().m_clock_ms;
-    EXPECT_FALSE(detect_restart(state(), 0, expected + 90, now() + milliseconds{50}, now() + milliseconds{100}));
+    EXPECT_FALSE(detect_restart(state(), 0, worker().m_incarnation_start_unix_ms, expected + 90,
+                                now() + milliseconds{50}, now() + milliseconds{100}));
     EXPECT_FALSE(worker().m_takes_stale_leases);
-    EXPECT_TRUE(detect_restart(state(), 0, 700, now() + milliseconds{50}, now() + milliseconds{100}));
+    EXPECT_TRUE(detect_restart(state(), 0, worker().m_incarnation_start_unix_ms, 700, now() + milliseconds{50},
+                               now() + milliseconds{100}));
     EXPECT_GT(fence_of(state(), worker()), token);
     EXPECT_TRUE(worker().m_unresponsive) << "ends that the last incarnation reported would be acknowledged";
     EXPECT_EQ(find_obstacle(worker(), now()), worker_obstacle::fence_not_answered);
@@ -196,11 +198,24 @@
 // the new incarnation is behind that of the last one by less than a second.
 TEST_F(stale_lease, of_a_young_worker_is_detected_by_a_clock_that_is_slightly_behind)
 {
+    const auto incarnation = worker().m_incarnation_start_unix_ms;
     const auto expected = worker().m_clock_ms;
     const auto margin = state().m_settings.m_lease_margin;
     const auto sent = worker().m_clock_read;
-    EXPECT_FALSE(detect_restart(state(), 0, expected - margin.count(), sent, sent + milliseconds{5}));
-    EXPECT_TRUE(detect_restart(state(), 0, expected - margin.count() - 1, sent, sent + milliseconds{5}));
+    EXPECT_FALSE(detect_restart(state(), 0, incarnation, expected - margin.count(), sent, sent));
+    EXPECT_TRUE(detect_restart(state(), 0, incarnation, expected - margin.count() - 1, sent, sent));
+}
+
+// Guards against a second run of a task whose start was carried out by the next incarnation: a report of the last one
+// was applied after the start had been sent.
+TEST_F(stale_lease, is_detected_although_a_report_came_between_a_start_and_its_response)
+{
+    m_simulation.run_for(milliseconds{8'000});
+    const auto incarnation = worker().m_incarnation_start_unix_ms;
+    const auto sent = worker().m_clock_read - milliseconds{300};
+    const auto received = worker().m_clock_read + milliseconds{200};
+    EXPECT_FALSE(detect_restart(state(), 0, incarnation, worker().m_clock_ms - 300, sent, received));
+    EXPECT_TRUE(detect_restart(state(), 0, incarnation, 700, sent, received));
 }
 
 // Guards against a second run of a task that a late call keeps alive: the new incarnation reports once, in response to
@@ -222,7 +237,7 @@
     const auto token = fence_of(state(), worker());
     const auto last_clock_ms = worker().m_clock_ms;
     const auto incarnation = worker().m_incarnation_start_unix_ms;
-    ASSERT_TRUE(detect_restart(state(), 0, 700, now(), now()));
+    ASSERT_TRUE(detect_restart(state(), 0, worker().m_incarnation_start_unix_ms, 700, now(), now()));
     report(incarnation, last_clock_ms + 10, token);
     EXPECT_GE(lease_end(state(), worker()), now() + state().m_settings.m_longest_lease);
 }
@@ -233,9 +248,10 @@
 {
     m_simulation.run_for(milliseconds{8'000});
     const auto last_clock_ms = worker().m_clock_ms;
+    const auto called = worker().m_incarnation_start_unix_ms;
     report(2, 700, fence_of(state(), worker()));
     report(2, 710, fence_of(state(), worker()));
-    static_cast<void>(detect_restart(state(), 0, last_clock_ms + 100, now() - milliseconds{700}, now()));
+    static_cast<void>(detect_restart(state(), 0, called, last_clock_ms + 100, now() - milliseconds{700}, now()));
     report(2, 720, fence_of(state(), worker()));
     EXPECT_EQ(worker().m_clock_ms, 720);
     state().m_grant_limit = now() + milliseconds{5'000};
--- a/test/process/scheduler_hung_renewal.cpp
+++ b/test/process/scheduler_hung_renewal.cpp
@@ -95,4 +95,26 @@
     EXPECT_EQ(seen["repeated_tasks"], 0);
 }
 
+// Guards against a second run of a task whose start was carried out by the next incarnation: a report of the earlier
+// one came after the start had been sent, and before its response.
+TEST_F(scheduler_hung_renewal, a_start_that_is_older_than_the_last_report_holds_the_longest_lease)
+{
+    control({{"start_delay_ms", 550}});
+    const auto renewals = [this] {
+        return control()["renewals"][restarted_worker].get<std::int64_t>();
+    };
+    const auto before = renewals();
+    ASSERT_TRUE(wait_until([&] { return renewals() > before; }, patience));
+    const auto renewed = std::chrono::steady_clock::now();
+    std::this_thread::sleep_until(renewed + milliseconds{650});
+    submit(first_job, 1);
+    std::this_thread::sleep_until(renewed + milliseconds{1'020});
+    restart_without_entry();
+    ASSERT_TRUE(wait_until([this] { return control()["starts"].size() == 1; }, patience));
+    control({{"start_delay_ms", 0}, {"draining", json::array()}});
+    std::this_thread::sleep_for(milliseconds{30});
+    cut_off_worker();
+    expect_second_run_after_lease();
+}
+
 } // namespace
--- a/test/standin/scheduler_faults.hpp
+++ b/test/standin/scheduler_faults.hpp
@@ -43,6 +43,8 @@
     std::int64_t m_link_bytes_per_s{0};
     /** @brief If positive, workers respond to no start and no stop, and carry each out after this time. */
     milliseconds m_command_delay{0};
+    /** @brief Time before a start is carried out and answered, by the incarnation that is there then. */
+    milliseconds m_start_delay{0};
     /** @brief Workers that the entry VMs cannot reach; their runs, leases and entries go on. */
     std::set<std::string> m_cut_off;
     /** @brief Workers whose entries state that they are draining. */
@@ -63,6 +65,7 @@
 {
     using nlohmann::json;
     faults.m_command_delay = milliseconds{body.value("command_delay_ms", faults.m_command_delay.count())};
+    faults.m_start_delay = milliseconds{body.value("start_delay_ms", faults.m_start_delay.count())};
     const auto held_writes = body.value("held_writes_ms", json::object());
     for (const auto& [key, time] : held_writes.items()) {
         faults.m_held_writes[key] = milliseconds{time.get<std::int64_t>()};
--- a/test/standin/scheduler_platform_standin.cpp
+++ b/test/standin/scheduler_platform_standin.cpp
@@ -144,6 +144,9 @@
             co_await drop_after_peer(exchange);
         }
         else if (path == "/cicadalug/run-start") {
+            if (m_faults.m_start_delay > milliseconds{0}) {
+                co_await sleep(m_faults.m_start_delay);
+            }
             co_await exchange.respond(start_run(worker, body));
         }
         else if (path == "/cicadalug/run-stop") {
