Measure leases by the clock in a slow response to a start

What callers can see: two runs of a task at once, as a lease lasts up to 0.8 s longer than is known.

Change: a reading that is behind what is expected at its arrival becomes the last reading, so that the end of the lease follows from it until the next report.

--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
@@ -119,6 +119,10 @@
     const auto earliest = worker.m_clock_ms + (since(sent) - drift - margin).count();
     const auto latest = worker.m_clock_ms + (since(now) + clock_tolerance + state.m_settings.m_command_timeout).count();
     if (reading_ms >= earliest && reading_ms <= latest) {
+        if (reading_ms < worker.m_clock_ms + (since(now) - margin).count()) {
+            worker.m_clock_ms = reading_ms;
+            worker.m_clock_read = now;
+        }
         return false;
     }
     raise_fence(state, index, unknown_incarnation);
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
@@ -51,7 +51,8 @@
 /**
  * @brief Detects by the clock in the response to a start that the worker has restarted since its last report: the start
  * was carried out by a new incarnation, with a lease by the clock of the last one. The worker's token is raised, and it
- * may hold a stale lease. Its next report tells which runs it has.
+ * may hold a stale lease. Its next report tells which runs it has. A clock that is slightly behind may be that of a
+ * response which was under way for long: leases are then measured by it until the next report.
  * @pre The worker has reported.
  * @param state The scheduler.
  * @param index The worker.
--- a/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/stale_lease.cpp
@@ -218,6 +218,19 @@
     EXPECT_TRUE(detect_restart(state(), 0, incarnation, 700, sent, received));
 }
 
+// Guards against a lease that lasts longer than is known: the response to a start was under way for so long that its
+// clock may be that of the last incarnation.
+TEST_F(stale_lease, is_measured_by_the_clock_of_a_slow_response_to_a_start)
+{
+    const auto incarnation = worker().m_incarnation_start_unix_ms;
+    const auto sent = worker().m_clock_read;
+    const auto received = sent + milliseconds{700};
+    const auto reading_ms = worker().m_clock_ms;
+    EXPECT_FALSE(detect_restart(state(), 0, incarnation, reading_ms, sent, received));
+    const auto left = milliseconds{worker().m_lease_until_ms - reading_ms};
+    EXPECT_GE(lease_end(state(), worker()), received + left);
+}
+
 // Guards against a second run of a task that a late call keeps alive: the new incarnation reports once, in response to
 // a call with the old token, and is cut off before it has answered one with the raised token. A call to the last
 // incarnation may still reach it, with the longest lease.
