Keep the knowledge of a restart when an older entry arrives

What callers can see: two runs of a task at once.

Cause: whether a worker has restarted followed from its present entry, which an older one may have replaced.

Change: the incarnation for which the token was raised counts, too.

--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -4,6 +4,19 @@
 
 namespace cicadalug {
 
+namespace {
+
+/** @brief Checks whether a worker is known to have restarted since its last report, or to take on calls to its last
+ * incarnation. The token was raised for an incarnation that an entry has shown; a later entry may be an older one. */
+[[nodiscard]] auto has_restarted_unheard(const worker_slot& worker) -> bool
+{
+    const bool other_was_registered = worker.m_fenced_incarnation_unix_ms != 0 &&
+                                      worker.m_fenced_incarnation_unix_ms != worker.m_incarnation_start_unix_ms;
+    return other_was_registered || is_of_other_incarnation(worker) || worker.m_takes_stale_leases;
+}
+
+} // namespace
+
 auto has_start_lapsed(const scheduler_state& state, const placed_run& run, const worker_report& report) -> bool
 {
     return !run.m_confirmed && run.m_no_response_since && run.m_start_until_ms > 0 &&
@@ -14,9 +27,11 @@
     -> time_point
 {
     const auto& settings = state.m_settings;
-    const bool has_restarted = is_of_other_incarnation(worker) || worker.m_takes_stale_leases;
+    if (!has_restarted_unheard(worker)) {
+        return run.m_sent + settings.m_late_start_time;
+    }
     const auto last_sent = run.m_no_response_since.value_or(run.m_sent + settings.m_command_timeout);
-    return has_restarted ? end_of_late_lease(settings, last_sent) : run.m_sent + settings.m_late_start_time;
+    return end_of_late_lease(settings, last_sent);
 }
 
 auto may_start_in_next_incarnation(const scheduler_state& state, const worker_slot& worker, const placed_run& run,
--- a/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
@@ -2,6 +2,7 @@
 
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/unanswered_start.hpp>
+#include <cicadalug/scheduler/worker_fence.hpp>
 #include <cicadalug/scheduler/worker_lease.hpp>
 
 #include <gtest/gtest.h>
@@ -90,6 +91,27 @@
     EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::waiting);
 }
 
+// Guards against a bound that is dropped, as an older entry arrives after that of the next incarnation.
+TEST(unanswered_start, a_start_without_a_response_outlasts_an_older_entry)
+{
+    scheduler_simulation simulation;
+    const auto job = begin_with_unanswered_start(simulation);
+    auto& state = simulation.m_state;
+    record_term_write(state, store_revision{state.m_token.value() + 10});
+    auto entry = state.m_workers.front().m_entry;
+    const auto last_start = state.m_workers.front().m_incarnation_start_unix_ms;
+    entry.m_incarnation_start_unix_ms = last_start;
+    register_worker(state, entry);
+    ++entry.m_incarnation_start_unix_ms;
+    register_worker(state, entry);
+    const auto last_end =
+        end_of_unanswered_start(state, state.m_workers.front(), state.m_workers.front().m_runs.front());
+    entry.m_incarnation_start_unix_ms = last_start;
+    register_worker(state, entry);
+    expire_at(state, last_end - milliseconds{1});
+    EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::starting);
+}
+
 // Guards against a second run of a task while the first one, from a start that was carried out as late as possible,
 // holds the longest lease on the next incarnation, which is cut off before it has reported.
 TEST(unanswered_start, a_late_start_on_the_next_incarnation_may_hold_the_longest_lease)
