Bound a late run by the last call that may extend its lease

What callers can see: two runs of a task at once, as the first one outlasts its bound by the time between two starts to its worker.

Cause: the bound of a start without a response followed from that start alone. A later call to the same worker, carried out late, extends the lease of all that runs there.

Change: the bound counts from the last start without a response to the worker, and from its last report.

--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -2,6 +2,8 @@
 #include <cicadalug/scheduler/worker_lease.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
 
+#include <algorithm>
+
 namespace cicadalug {
 
 namespace {
@@ -30,7 +32,14 @@
     if (!has_restarted_unheard(worker)) {
         return run.m_sent + settings.m_late_start_time;
     }
-    const auto last_sent = run.m_no_response_since.value_or(run.m_sent + settings.m_command_timeout);
+    // Each late call extends the lease of all that runs on the worker.
+    auto last_sent = worker.m_last_report;
+    for (const auto& other : worker.m_runs) {
+        if (!other.m_confirmed) {
+            last_sent =
+                std::max(last_sent, other.m_no_response_since.value_or(other.m_sent + settings.m_command_timeout));
+        }
+    }
     return end_of_late_lease(settings, last_sent);
 }
 
--- a/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
@@ -112,6 +112,25 @@
     EXPECT_EQ(find_task(state, {job, 0, 0, 0})->m_phase, task_phase::starting);
 }
 
+// Guards against a bound that follows from the start of the run alone: a later call to the worker extends the lease of
+// all that runs there.
+TEST(unanswered_start, a_start_without_a_response_outlasts_a_later_one_to_the_same_worker)
+{
+    scheduler_simulation simulation;
+    static_cast<void>(begin_with_unanswered_start(simulation));
+    auto& state = simulation.m_state;
+    auto& worker = state.m_workers.front();
+    auto later = worker.m_runs.front();
+    ++later.m_task.m_index;
+    later.m_no_response_since = *later.m_no_response_since + milliseconds{1'300};
+    worker.m_runs.push_back(later);
+    auto entry = worker.m_entry;
+    entry.m_incarnation_start_unix_ms = 1'000'000;
+    register_worker(state, entry);
+    EXPECT_EQ(end_of_unanswered_start(state, worker, worker.m_runs.front()),
+              end_of_late_lease(state.m_settings, *later.m_no_response_since));
+}
+
 // Guards against a second run of a task while the first one, from a start that was carried out as late as possible,
 // holds the longest lease on the next incarnation, which is cut off before it has reported.
 TEST(unanswered_start, a_late_start_on_the_next_incarnation_may_hold_the_longest_lease)
