Wait no longer for a restarted worker whose entry has ended

Change: it lasts as long as the worker is registered.

Evidence: leased_workers.a_successor_does_not_wait_longer_for_a_restarted_worker_whose_entry_has_ended.

--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -40,11 +40,7 @@
         return;
     }
     known->second = start;
-    // An earlier decider has started nothing after the term was stored.
-    const auto elected = state.m_elected.value_or(state.m_began);
-    const auto left = std::chrono::ceil<milliseconds>(end_of_late_lease(state.m_settings, elected) - elected);
-    auto& listed = state.m_expected_restarted[entry.m_id];
-    listed = std::max(listed, left);
+    state.m_expected_unheard.insert(entry.m_id);
     state.m_expected_restart_listed = false;
 }
 
@@ -136,8 +132,8 @@
         restarted[id] = std::chrono::ceil<milliseconds>(std::max(end - now, microseconds{0}));
     };
     for (const auto& id : awaited_workers(state, now)) {
-        if (state.m_expected_restarted.contains(id)) {
-            add(id, expected_lease_end(state, id));
+        if (const auto end = expected_lease_end(state, id); end > inherited_leases_end(state)) {
+            add(id, end);
         }
     }
     for (const auto index : leased) {
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -17,8 +17,8 @@
 
 /**
  * @brief Records the entry of an expected worker. If the entry is of an incarnation that no earlier decider has called,
- * that one may carry out their calls to the last one late, and the worker counts as restarted. The stored lists then
- * have to be written, so that the next decider does not wait anew.
+ * that one may carry out their calls to the last one late. The stored lists then have to be written with the time left,
+ * so that the next decider does not wait anew.
  */
 auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -481,7 +481,10 @@
     /** @brief Workers in m_expected_workers that may have stale leases, with the time that was left of these when the
      * last decider wrote its list. */
     std::map<worker_id, milliseconds> m_expected_restarted;
-    /** @brief A write of the list of restarted workers includes all of m_expected_restarted. */
+    /** @brief Workers in m_expected_workers that were registered with an incarnation which no earlier decider has
+     * called. */
+    std::set<worker_id> m_expected_unheard;
+    /** @brief A write of the list of restarted workers includes all of m_expected_unheard. */
     bool m_expected_restart_listed{true};
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -15,12 +15,19 @@
 
 auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
 {
-    const auto restarted = state.m_expected_restarted.find(id);
-    // The list was written before the term was stored.
-    return restarted == state.m_expected_restarted.end()
-               ? inherited_leases_end(state)
-               : std::max(inherited_leases_end(state), state.m_elected.value_or(state.m_began) + restarted->second +
-                                                           state.m_settings.m_lease_margin);
+    const auto elected = state.m_elected.value_or(state.m_began);
+    auto end = inherited_leases_end(state);
+    if (const auto restarted = state.m_expected_restarted.find(id); restarted != state.m_expected_restarted.end()) {
+        // The list was written before the term was stored.
+        end = std::max(end, elected + restarted->second + state.m_settings.m_lease_margin);
+    }
+    const auto index = find_worker(state, id);
+    const bool registered = index != no_worker && state.m_workers[static_cast<std::size_t>(index)].m_registered;
+    if (registered && state.m_expected_unheard.contains(id)) {
+        // An earlier decider has started nothing after the term was stored.
+        end = std::max(end, end_of_late_lease(state.m_settings, elected));
+    }
+    return end;
 }
 
 auto end_of_late_lease(const scheduler_settings& settings, const time_point last_sent) -> time_point
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
@@ -26,8 +26,13 @@
  * the term was stored: an earlier decider has not renewed its own later. */
 [[nodiscard]] auto inherited_leases_end(const scheduler_state& state) -> time_point;
 
-/** @brief Returns the local time at which the leases of earlier deciders on an expected worker have ended, if it does
- * not report before. */
+/**
+ * @brief Returns the local time at which the leases of earlier deciders on an expected worker have ended, if it does
+ * not report before.
+ *
+ * An incarnation that no earlier decider has called may carry out their calls to the last one late, as long as it is
+ * registered: a worker whose entry is missing counts as gone.
+ */
 [[nodiscard]] auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point;
 
 /** @brief Returns the local time at which all leases have certainly ended that the next incarnation of a worker can
