--- a/test/process/scheduler_stale_lease.cpp
+++ b/test/process/scheduler_stale_lease.cpp
@@ -180,4 +180,18 @@
     expect_second_run_after_lease();
 }
 
+// Guards against a second run of a task whose start had no response: the earlier incarnation shows by its clock that it
+// will not carry it out, the task starts elsewhere, and the next incarnation carries it out late.
+TEST_F(scheduler_stale_lease, from_a_start_that_the_earlier_incarnation_has_settled)
+{
+    hold_next_call("/cicadalug/run-start");
+    submit(first_job, 1);
+    wait_for_held_call();
+    end_draining();
+    ASSERT_TRUE(wait_until([this] { return control()["starts"].size() == 1; }, patience));
+    restart_with_late_call();
+    std::this_thread::sleep_for(milliseconds{1'000});
+    EXPECT_EQ(control()["doubled_runs"], 0);
+}
+
 } // namespace
