Do not count a restart beside others as a crash of an inherited trial

Cause: a successor counted each stored trial whose worker has another incarnation as a confirmed crash, and with an earlier crash the job failed.

Change: if another worker, without an inherited trial, is listed as restarted and its incarnation started within 1 s of that of the trial's worker, the trial is lost without evidence: the task stays a suspect, and lost trials in a row count as before. The stored trial is removed, as a later decider may not know of the other restarts. Workers that return under another id are judged as before. In the simulation, restarted workers have the time of their restart as start; the numbers 1 and 2 lie within 1 s of each other.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/scheduler/jobs.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace cicadalug {
@@ -37,6 +38,9 @@
  * within 1 s after the end of its lease in most cases. */
 constexpr milliseconds evidence_time{2'000};
 
+/** @brief Workers whose incarnations started within this time of each other have restarted for the same cause. */
+constexpr milliseconds common_restart_time{1'000};
+
 /** @brief At most one in this many workers of a pool is in a trial, so that trials cannot take the pool down. With
  * four, 70 suspects in a pool that had shrunk to 5 workers were not all started within 30 s. */
 constexpr std::size_t workers_per_trial{2};
@@ -163,8 +167,26 @@
     return found == state.m_trials.end() ? nullptr : &*found;
 }
 
+/** @brief Checks whether another worker restarted along with one that the last decider had a trial on, although no
+ * trial was on the other: the task is then not the likely cause. */
+[[nodiscard]] auto has_restarted_with_others(const scheduler_state& state, const worker_slot& worker) -> bool
+{
+    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& other = slot_of(state, index);
+        const auto& id = other.m_entry.m_id;
+        if (id == worker.m_entry.m_id || !state.m_expected_restarted.contains(id) ||
+            state.m_recovered_trial_workers.contains(id)) {
+            return false;
+        }
+        const auto start =
+            other.m_has_reported ? other.m_incarnation_start_unix_ms : other.m_entry.m_incarnation_start_unix_ms;
+        const milliseconds apart{start - worker.m_incarnation_start_unix_ms};
+        return std::chrono::abs(apart) <= common_restart_time;
+    });
+}
+
 /** @brief Result of a look at a trial that the last decider began. */
-enum class trial_evidence : std::uint8_t { none, crashed, continues, settled };
+enum class trial_evidence : std::uint8_t { none, crashed, lost, continues, settled };
 
 [[nodiscard]] auto judge_recovered(const scheduler_state& state, const task_state& task, const recovered_trial& trial,
                                    const worker_index index) -> trial_evidence
@@ -175,9 +197,10 @@
     if (index != no_worker) {
         const auto& worker = slot_of(state, index);
         if (worker.m_has_reported) {
-            return worker.m_incarnation_start_unix_ms != trial.m_stored.m_incarnation_start_unix_ms
-                       ? trial_evidence::crashed
-                       : trial_evidence::settled;
+            if (worker.m_incarnation_start_unix_ms == trial.m_stored.m_incarnation_start_unix_ms) {
+                return trial_evidence::settled;
+            }
+            return has_restarted_with_others(state, worker) ? trial_evidence::lost : trial_evidence::crashed;
         }
         return is_replaced(state, worker) ? trial_evidence::crashed : trial_evidence::none;
     }
@@ -203,6 +226,11 @@
         if (evidence == trial_evidence::crashed) {
             count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, true, true, false}}, now);
         }
+        else if (evidence == trial_evidence::lost) {
+            count_crashes(state, index, {{trial.m_task, trial.m_stored.m_run, false, true, false}}, now);
+            // The next decider may not know of the other restarts any more.
+            remove_stored_trial(state, trial.m_task, trial.m_stored);
+        }
         else if (evidence == trial_evidence::continues) {
             state.m_trials.push_back({trial.m_task, task->m_worker, trial.m_stored, true, true});
         }
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -119,6 +119,7 @@
             task->m_trial = stored.m_trial.front();
             task->m_highest_run = task->m_trial->m_run;
             state.m_recovered_trials.push_back({ref, *task->m_trial});
+            state.m_recovered_trial_workers.insert(task->m_trial->m_worker);
         }
     }
 }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -508,6 +508,8 @@
     duration_estimate m_storing_time;
     std::vector<task_trial> m_trials;
     std::vector<recovered_trial> m_recovered_trials;
+    /** @brief Workers on which the last decider may have started trials, also those that are resolved. */
+    std::set<worker_id> m_recovered_trial_workers;
     std::vector<start_command> m_starts;
     std::vector<stop_command> m_stops;
     /** @brief Workers that have restarted and are to be told their new token. */
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -363,7 +363,7 @@
         auto entry = m_registry.at(restart->first);
         if (m_restart_keeps_id) {
             m_workers[entry.m_id].m_alive = true;
-            ++m_workers[entry.m_id].m_incarnation;
+            m_workers[entry.m_id].m_incarnation = clock().m_unix_ms;
         }
         else {
             m_registry.erase(entry.m_id);
