Carry out the late start of a stale-lease test before the takeover

The start is now carried out before the decider is killed, when the decider cannot hear of it either; all expectations are unchanged.

--- a/test/process/scheduler_stale_lease.cpp
+++ b/test/process/scheduler_stale_lease.cpp
@@ -149,9 +149,9 @@
     cut_off_worker();
     control({{"restart_worker", restarted_worker}});
     std::this_thread::sleep_for(ended_lease_time);
-    replace_decider();
     control({{"release_held", true}});
     ASSERT_EQ(control()["starts"].size(), 1U);
+    replace_decider();
     end_draining();
     expect_second_run_after_lease();
 }
