Write the incarnations of leased workers at most once a second

Cause, suspected and not profiled: with 1,100 workers the list of leased workers is written often while VMs move, and added 27 bytes a worker to each of these writes.

Change: the incarnations are written with the VMs of the workers, at most once a second. Until then, a restart of a worker that is not named is not seen by a successor, and one of a worker that is named with its last incarnation lengthens its wait.

--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -258,14 +258,15 @@
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
         write.m_puts.push_back({std::string{restarted_workers_key}, restarted_workers_value(leased), no_store_lease});
-        write.m_puts.push_back(
-            {std::string{leased_worker_incarnations_key}, leased_worker_incarnations_value(leased), no_store_lease});
-        // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor.
+        // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor. An
+        // incarnation rarely changes, and each takes 27 bytes.
         m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
         if (!m_vms_unlisted) {
             m_vms_listed_at = now;
             write.m_puts.push_back(
                 {std::string{leased_worker_vms_key}, leased_worker_vms_value(leased), no_store_lease});
+            write.m_puts.push_back({std::string{leased_worker_incarnations_key},
+                                    leased_worker_incarnations_value(leased), no_store_lease});
         }
     }
     std::vector<job_progress> stored;
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -39,8 +39,7 @@
 inline constexpr std::string_view restarted_workers_key{"restarted-workers"};
 
 /** @brief Key that holds the start of the incarnation of each worker with a lease, in Unix milliseconds: a worker that
- * is registered with another one has restarted since. Written with the list of leased workers; earlier versions do not
- * know it. */
+ * is registered with another one has restarted since. Written with their VMs; earlier versions do not know it. */
 inline constexpr std::string_view leased_worker_incarnations_key{"leased-worker-incarnations"};
 
 /** @brief Prefix of accepted jobs and of their cancellations. */
