Log for which worker a recovering task waits, and until when

Change: the line names the worker that is awaited longest, the time left, and what determines it: the election, a restart, or late calls. No decision changes.

--- a/packages/entry/src/cicadalug/entry/wait_line.cpp
+++ b/packages/entry/src/cicadalug/entry/wait_line.cpp
@@ -15,6 +15,14 @@
     return count == 0 ? std::move(line) : std::move(line).with(name, count);
 }
 
+[[nodiscard]] auto with_awaited(log_line line, const task_wait& wait) -> log_line
+{
+    return std::move(line)
+        .with("awaited", *wait.m_awaited)
+        .with("awaited_left_ms", to_ms(wait.m_awaited_left))
+        .with("awaited_for", name_of(wait.m_awaited_bound));
+}
+
 } // namespace
 
 auto make_wait_line(const task_wait& wait, const fencing_token token) -> log_line
@@ -34,6 +42,9 @@
     line = with_count(std::move(line), "overcommitted", wait.m_overcommitted);
     line = with_count(std::move(line), "unreported", wait.m_unreported);
     line = with_count(std::move(line), "expected", wait.m_expected);
+    if (wait.m_awaited) {
+        line = with_awaited(std::move(line), wait);
+    }
     if (wait.m_pause_left) {
         line = with_count(std::move(line), "pause_left_ms", to_ms(*wait.m_pause_left));
     }
--- a/packages/entry/test/cicadalug/entry/wait_line.cpp
+++ b/packages/entry/test/cicadalug/entry/wait_line.cpp
@@ -31,4 +31,17 @@
     EXPECT_NE(line.find(" token=2 able=3 expected=1 opening_ms=180"), std::string::npos) << line;
 }
 
+// Guards against a line from which one cannot tell for which worker a task waits, until when, and why.
+TEST(wait_line, it_names_the_worker_that_is_awaited_longest)
+{
+    task_wait wait;
+    wait.m_expected = 3;
+    wait.m_awaited = worker_id{"i-aa64588d46"};
+    wait.m_awaited_left = milliseconds{9'744};
+    wait.m_awaited_bound = expected_bound::restart;
+    const auto line = make_wait_line(wait, fencing_token{2}).str();
+    EXPECT_NE(line.find(" expected=3 awaited=i-aa64588d46 awaited_left_ms=9744 awaited_for=restart"), std::string::npos)
+        << line;
+}
+
 } // namespace
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -76,6 +76,18 @@
     return awaited;
 }
 
+auto last_awaited_worker(const scheduler_state& state, const service_id& service, const time_point now)
+    -> std::optional<worker_id>
+{
+    auto awaited = awaited_workers(state, now);
+    std::erase_if(awaited, [&](const worker_id& id) { return !may_serve(state, id, service); });
+    const auto last =
+        std::max_element(awaited.begin(), awaited.end(), [&state](const worker_id& left, const worker_id& right) {
+            return expected_lease_end(state, left) < expected_lease_end(state, right);
+        });
+    return last == awaited.end() ? std::nullopt : std::optional{*last};
+}
+
 auto are_expected_workers_listed(const scheduler_state& state, const time_point now) -> bool
 {
     return !awaited_workers(state, now).empty();
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace cicadalug {
@@ -35,6 +36,11 @@
 /** @brief Returns the workers that are expected, and whose leases of earlier terms may still run. */
 [[nodiscard]] auto awaited_workers(const scheduler_state& state, time_point now) -> std::vector<worker_id>;
 
+/** @brief Returns the expected worker for which the tasks of a service wait longest, or nothing if there is none whose
+ * leases of earlier terms may still run. */
+[[nodiscard]] auto last_awaited_worker(const scheduler_state& state, const service_id& service, time_point now)
+    -> std::optional<worker_id>;
+
 /** @brief Checks whether the stored list has to name the workers that are expected: their leases of earlier terms may
  * still run, and this term can end before they have reported. */
 [[nodiscard]] auto are_expected_workers_listed(const scheduler_state& state, time_point now) -> bool;
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
@@ -48,6 +48,11 @@
         ++wait.m_workers[static_cast<std::size_t>(obstacle)];
     }
     wait.m_expected = count_expected_workers(state, service);
+    wait.m_awaited = last_awaited_worker(state, service, now);
+    if (wait.m_awaited) {
+        wait.m_awaited_left = expected_lease_end(state, *wait.m_awaited) - now;
+        wait.m_awaited_bound = bound_of_expected_lease(state, *wait.m_awaited);
+    }
 }
 
 [[nodiscard]] auto count_of(const task_wait& wait, const worker_obstacle obstacle) -> std::int64_t
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.hpp
@@ -2,6 +2,7 @@
 #define CICADALUG_SCHEDULER_WAIT_CAUSE_HPP
 
 #include <cicadalug/scheduler/scheduler_state.hpp>
+#include <cicadalug/scheduler/worker_lease.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <array>
@@ -59,6 +60,11 @@
     std::int64_t m_unreported{0};
     /** @brief Result of count_expected_workers(). */
     std::int64_t m_expected{0};
+    /** @brief The expected worker that is awaited longest, how long its leases of earlier terms may still run, and what
+     * determines that. */
+    std::optional<worker_id> m_awaited;
+    microseconds m_awaited_left{0};
+    expected_bound m_awaited_bound{expected_bound::election};
     /** @brief When the first pause of a worker of the service ends. */
     std::optional<microseconds> m_pause_left;
     /** @brief How long the write that opens the step has been in progress. */
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -1,33 +1,61 @@
 #include <cicadalug/scheduler/worker_lease.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <utility>
 
 namespace cicadalug {
 
-auto inherited_leases_end(const scheduler_state& state) -> time_point
-{
-    const auto& settings = state.m_settings;
-    return state.m_elected.value_or(state.m_began) + settings.m_grant_horizon +
-           settings.m_grant_horizon * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
-}
+namespace {
 
-auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
+/** @brief Returns the results of expected_lease_end() and of bound_of_expected_lease(). */
+[[nodiscard]] auto find_expected_end(const scheduler_state& state, const worker_id& id)
+    -> std::pair<time_point, expected_bound>
 {
     const auto elected = state.m_elected.value_or(state.m_began);
-    auto end = inherited_leases_end(state);
+    std::pair found{inherited_leases_end(state), expected_bound::election};
+    const auto extend = [&found](const time_point end, const expected_bound bound) {
+        if (end > found.first) {
+            found = {end, bound};
+        }
+    };
     if (const auto restarted = state.m_expected_restarted.find(id); restarted != state.m_expected_restarted.end()) {
         // The list was written before the term was stored.
-        end = std::max(end, elected + restarted->second + state.m_settings.m_lease_margin);
+        extend(elected + restarted->second + state.m_settings.m_lease_margin, expected_bound::restart);
     }
     const auto index = find_worker(state, id);
     const bool registered = index != no_worker && state.m_workers[static_cast<std::size_t>(index)].m_registered;
     if (registered && state.m_expected_unheard.contains(id)) {
         // An earlier decider has started nothing after the term was stored.
-        end = std::max(end, end_of_late_lease(state.m_settings, elected));
+        extend(end_of_late_lease(state.m_settings, elected), expected_bound::late_calls);
     }
-    return end;
+    return found;
+}
+
+} // namespace
+
+auto inherited_leases_end(const scheduler_state& state) -> time_point
+{
+    const auto& settings = state.m_settings;
+    return state.m_elected.value_or(state.m_began) + settings.m_grant_horizon +
+           settings.m_grant_horizon * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
+}
+
+auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
+{
+    return find_expected_end(state, id).first;
+}
+
+auto bound_of_expected_lease(const scheduler_state& state, const worker_id& id) -> expected_bound
+{
+    return find_expected_end(state, id).second;
+}
+
+auto name_of(const expected_bound bound) noexcept -> std::string_view
+{
+    constexpr std::array<std::string_view, 3> names{"election", "restart", "late_calls"};
+    return names.at(static_cast<std::size_t>(bound));
 }
 
 auto end_of_late_lease(const scheduler_settings& settings, const time_point last_sent) -> time_point
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <cstdint>
+#include <string_view>
 
 namespace cicadalug {
 
@@ -35,6 +36,22 @@
  */
 [[nodiscard]] auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point;
 
+/** @brief What determines the result of expected_lease_end(). */
+enum class expected_bound : std::uint8_t {
+    /** @brief Any lease that a decider may have granted before the election of this one. */
+    election,
+    /** @brief The stored time left of a worker that has restarted. */
+    restart,
+    /** @brief Late calls to an incarnation that no earlier decider has called. */
+    late_calls,
+};
+
+/** @brief Returns the name of a bound in log lines. */
+[[nodiscard]] auto name_of(expected_bound bound) noexcept -> std::string_view;
+
+/** @brief Returns what determines the end of the leases of earlier deciders on an expected worker. */
+[[nodiscard]] auto bound_of_expected_lease(const scheduler_state& state, const worker_id& id) -> expected_bound;
+
 /** @brief Returns the local time at which all leases have certainly ended that the next incarnation of a worker can
  * have taken from calls to the last one. Such a call is carried out late, and the lease in it can be the longest one by
  * the clock of the next incarnation. @param last_sent No such call was sent later. */
