--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -14,8 +14,6 @@
 constexpr milliseconds simulation_step{10};
 constexpr std::int64_t vm_millicores{32'000};
 constexpr std::int64_t vm_mebibytes{65'536};
-/** @brief Age of the workers. */
-constexpr milliseconds worker_age{3'600'000};
 /** @brief Unix time at the origin of the simulated clock. */
 constexpr std::int64_t unix_origin_ms{1'700'000'000'000};
 
@@ -150,7 +148,7 @@
     std::erase_if(worker.m_ended, [&slot](const ended_report& end) { return end.m_number <= slot.m_acknowledged_end; });
     worker_report sent_report;
     sent_report.m_incarnation_start_unix_ms = worker.m_incarnation;
-    sent_report.m_incarnation_age = worker_age;
+    sent_report.m_incarnation_age = m_worker_age;
     sent_report.m_token = fence_of(m_state, slot);
     sent_report.m_clock_ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
     for (const auto& run : worker.m_runs) {
@@ -434,6 +432,11 @@
     }
 }
 
+auto scheduler_simulation::stop_decider(const milliseconds time) -> void
+{
+    m_now += time;
+}
+
 auto scheduler_simulation::take_over() -> void
 {
     const auto settings = m_state.m_settings;
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -71,6 +71,8 @@
     auto lose(const worker_id& id) -> void;
     /** @brief Writes the lists of workers with leases. */
     auto list_leases() -> void;
+    /** @brief Lets time pass without a decider. */
+    auto stop_decider(milliseconds time) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
     auto take_over() -> void;
 
@@ -106,6 +108,8 @@
     milliseconds m_term_lease{1'000};
     /** @brief Time from the decision to start a task until its worker begins and responds. */
     milliseconds m_start_delay{0};
+    /** @brief Age of the workers' incarnations when they report. */
+    milliseconds m_worker_age{3'600'000};
     /** @brief Interval between two reports of a worker. */
     milliseconds m_report_interval{10};
     /** @brief Interval between two writes of progress. */
