Store until when the leases of awaited workers last

Cause: the stored list names the workers with leases, but not until when these last. Each decider waits for a worker that does not report until 5.7 s after its own election, and names it to its successor, which begins anew. The time left of a stale lease was stored, counted anew by each successor, too.

Change: lease-bounds, written with the list, has the end of the leases of each worker that the decider awaits itself, of each that has ceased to respond, and of each stale lease, in times after the election of the decider that wrote it. A successor dates that election by the first response in which it saw its revision, so that no clock of another VM is used. An end is never moved: a worker whose end is stored gets no new work, and a longer lease only for 1 s after the election and up to that end, until the list names it without one.

leased_workers.the_wait_for_a_restarted_worker_is_not_prolonged_by_a_takeover expected a write of the list when a restart is heard of; the end of that wait is now listed before, so that the test expects the write at the takeover. Its bounds on the wait are unchanged.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -179,6 +179,9 @@
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Returns the ids to be written for restarted workers. */
     [[nodiscard]] auto restarted_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Reads what the last decider has stored about the ends of leases. @param listed Revision of its list of
+     * leased workers. @return False if the store could not be read. */
+    [[nodiscard]] auto read_lease_bounds(store_revision listed) -> asio::awaitable<bool>;
     /** @brief Returns the incarnations to be written for workers with leases. */
     [[nodiscard]] auto leased_worker_incarnations_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Returns the VMs to be written for workers with leases. */
--- a/packages/entry/src/cicadalug/entry/decider_election.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.cpp
@@ -275,7 +275,7 @@
         co_await refresh_until_read();
         co_return;
     }
-    m_term = decider_term{fencing_token{revision.value()}, revision};
+    m_term = decider_term{fencing_token{revision.value()}, revision, m_lease_opened};
     m_holder = decider_holder{m_self, m_peers, revision, m_cores};
     m_seen_revision = std::max(m_seen_revision, revision);
     // The write of the key does not renew its lease.
--- a/packages/entry/src/cicadalug/entry/decider_election.hpp
+++ b/packages/entry/src/cicadalug/entry/decider_election.hpp
@@ -27,6 +27,8 @@
     fencing_token m_token;
     /** @brief Revision of the holder's key; a condition of every write of the term. */
     store_revision m_revision;
+    /** @brief A time before the holder's key was written. */
+    time_point m_candidate_since{};
 };
 
 /**
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -30,13 +30,17 @@
 constexpr milliseconds progress_gap{12};
 
 /** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision
- * log, and the puts of the decision log, of the leased workers, their incarnations and their VMs, and of the restarted
- * workers. */
-constexpr std::size_t progress_jobs{store_write_entries - 7};
+ * log, and the puts of the decision log, of the leased workers, their incarnations, their VMs and the ends of their
+ * leases, and of the restarted workers. */
+constexpr std::size_t progress_jobs{store_write_entries - 8};
 
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
 
+/** @brief Minimum time between two writes of the list for workers that have ceased to respond: short, as a successor
+ * waits longer without the ends of their leases. */
+constexpr milliseconds lease_end_interval{200};
+
 /** @brief Maximum time between two writes of the list while it names restarted workers. A successor counts the time
  * left of their leases from its own election. */
 constexpr milliseconds restarted_list_interval{2'000};
@@ -100,8 +104,9 @@
 {
     return has_unlisted_lease(m_state, now) || (m_vms_unlisted && now - m_vms_listed_at > lease_list_interval) ||
            (now - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now)) ||
+           (now - m_leases_listed_at > lease_end_interval && has_unlisted_end(m_state, now)) ||
            (now - m_leases_listed_at > restarted_list_interval &&
-            !restarted_workers(m_state, m_state.m_current_workers, now).empty());
+            !lease_bounds_of(m_state, m_state.m_current_workers, now).m_leases.empty());
 }
 
 auto decider::store_progress(const std::shared_ptr<decider> self) -> asio::awaitable<void>
@@ -258,6 +263,8 @@
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
         write.m_puts.push_back({std::string{restarted_workers_key}, restarted_workers_value(leased), no_store_lease});
+        write.m_puts.push_back(
+            {std::string{lease_bounds_key}, encode(lease_bounds_of(m_state, leased, now)), no_store_lease});
         // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor. An
         // incarnation rarely changes, and each takes 27 bytes.
         m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -4,6 +4,8 @@
 #include <cicadalug/entry/decider_times.hpp>
 #include <cicadalug/entry/read_clocks.hpp>
 #include <cicadalug/entry/store_keys.hpp>
+#include <cicadalug/scheduler/lease_bounds.hpp>
+#include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/scheduler/worker_fence.hpp>
@@ -64,6 +66,11 @@
     return std::move(decoded).assume_value();
 }
 
+[[nodiscard]] auto is_read(const store_read& result) -> bool
+{
+    return result.m_status == store_status::ok || result.m_status == store_status::missing;
+}
+
 } // namespace
 
 auto decider::read_decision_log() -> asio::awaitable<bool>
@@ -71,11 +78,7 @@
     const auto read = co_await m_store.read(std::string{decision_log_key}, store_timeout);
     const auto leases = co_await m_store.read(std::string{leased_workers_key}, store_timeout);
     const auto vms = co_await m_store.read(std::string{leased_worker_vms_key}, store_timeout);
-    const auto restarted = co_await m_store.read(std::string{restarted_workers_key}, store_timeout);
     const auto incarnations = co_await m_store.read(std::string{leased_worker_incarnations_key}, store_timeout);
-    const auto is_read = [](const store_read& result) {
-        return result.m_status == store_status::ok || result.m_status == store_status::missing;
-    };
     // Deciders of earlier versions list the workers in the decision log itself, after token and sequence number. They
     // also start tasks on workers that no list names.
     m_lease_list_complete = read.m_status == store_status::missing;
@@ -101,12 +104,6 @@
             m_state.m_expected_vms[worker_id{word}] = vm_id{vm};
         }
     }
-    std::istringstream restarted_list{restarted.m_item.m_value};
-    std::int64_t left_ms{0};
-    while (restarted_list >> word >> left_ms) {
-        const auto longest = 2 * (m_state.m_settings.m_late_call_time + m_state.m_settings.m_longest_lease).count();
-        m_state.m_expected_restarted[worker_id{word}] = milliseconds{std::clamp<std::int64_t>(left_ms, 0, longest)};
-    }
     std::istringstream incarnation_list{incarnations.m_item.m_value};
     std::int64_t start_unix_ms{0};
     while (incarnation_list >> word >> start_unix_ms) {
@@ -115,7 +112,42 @@
         }
     }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
-    co_return is_read(read) && is_read(leases) && is_read(vms) && is_read(restarted) && is_read(incarnations);
+    m_state.m_expected_ends_listed = m_state.m_expected_workers.empty();
+    co_return is_read(read) && is_read(leases) && is_read(vms) && is_read(incarnations) &&
+        co_await read_lease_bounds(leases.m_item.m_revision);
+}
+
+auto decider::read_lease_bounds(const store_revision listed) -> asio::awaitable<bool>
+{
+    const auto stored = co_await m_store.read(std::string{lease_bounds_key}, store_timeout);
+    const auto restarted = co_await m_store.read(std::string{restarted_workers_key}, store_timeout);
+    if (!is_read(stored) || !is_read(restarted)) {
+        co_return false;
+    }
+    const auto elected = *m_state.m_elected;
+    if (stored.m_status == store_status::ok && stored.m_item.m_revision == listed) {
+        if (const auto bounds = decode_lease_bounds(stored.m_item.m_value)) {
+            const auto election = latest_election(*bounds, listed, m_store.revisions(), elected);
+            inherit_lease_bounds(m_state, *bounds, election);
+            LOG(INFO) << log_line{"lease_bounds_inherited"}
+                             .with("token", m_term.m_token)
+                             .with("written_by", bounds->m_token)
+                             .with("workers", bounds->m_leases.size())
+                             .with("election_age_ms", to_ms(elected - election));
+            co_return true;
+        }
+        LOG(ERROR) << log_line{"lease_bounds_unreadable"}.with("bytes", stored.m_item.m_value.size());
+    }
+    // The last decider was of an earlier version. It has written how long stale leases would last at most.
+    std::istringstream list{restarted.m_item.m_value};
+    std::string worker;
+    std::int64_t left_ms{0};
+    const auto longest = 2 * (m_state.m_settings.m_late_call_time + m_state.m_settings.m_longest_lease).count();
+    while (list >> worker >> left_ms) {
+        const milliseconds left{std::clamp<std::int64_t>(left_ms, 0, longest)};
+        m_state.m_expected_leases[worker_id{worker}].m_stale_end = elected + left + m_state.m_settings.m_lease_margin;
+    }
+    co_return true;
 }
 
 auto decider::begin_decision_log() -> asio::awaitable<bool>
@@ -290,7 +322,9 @@
                      .with("jobs", m_state.m_jobs.size())
                      .with("workers", m_state.m_workers.size())
                      .with("expected", m_state.m_expected_workers.size())
-                     .with("restarted", m_state.m_expected_restarted.size())
+                     .with("restarted",
+                           std::count_if(m_state.m_expected_leases.begin(), m_state.m_expected_leases.end(),
+                                         [](const auto& lease) { return lease.second.m_stale_end.has_value(); }))
                      .with("renewal_age_ms", to_ms(monotonic_now() - m_last_renewal()))
                      .with("failures", m_takeover.m_failures)
                      .with("jobs_ms", to_ms(duration_of(m_takeover, takeover_step::read_jobs)))
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -174,7 +174,9 @@
     return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
         const auto& other = slot_of(state, index);
         const auto& id = other.m_entry.m_id;
-        const bool restarted = state.m_expected_restarted.contains(id) || state.m_expected_unheard.contains(id);
+        const auto lease = state.m_expected_leases.find(id);
+        const bool restarted = (lease != state.m_expected_leases.end() && lease->second.m_stale_end) ||
+                               state.m_expected_unheard.contains(id);
         if (id == worker.m_entry.m_id || !restarted || state.m_recovered_trial_workers.contains(id)) {
             return false;
         }
--- /dev/null
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
@@ -0,0 +1,60 @@
+#ifndef CICADALUG_SCHEDULER_LEASE_BOUNDS_HPP
+#define CICADALUG_SCHEDULER_LEASE_BOUNDS_HPP
+
+#include <cicadalug/base/time.hpp>
+#include <cicadalug/scheduler/ids.hpp>
+#include <cicadalug/scheduler/store_revisions.hpp>
+#include <cicadalug/scheduler/store_types.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cicadalug {
+
+/** @brief Until when a worker may run what it holds, as a decider stores it for its successors: in times after its own
+ * election, which the successors do not begin anew. */
+struct stored_lease {
+    /** @brief End of all leases of earlier deciders; nothing if the decider renews the worker's lease. */
+    std::optional<milliseconds> m_end;
+    /** @brief End of a stale lease, or of a run that the next incarnation may begin by a start without a response. */
+    std::optional<milliseconds> m_stale_end;
+    /** @brief End of all that late calls can bring an incarnation which no decider has called; nothing if the decider
+     * calls the worker. */
+    std::optional<milliseconds> m_late_end;
+    /** @brief No call to an earlier incarnation is carried out by the listed one any more, and m_stale_end bounds what
+     * such calls have brought it. */
+    bool m_settled{true};
+};
+
+/** @brief What a decider knows about the ends of leases. */
+struct lease_bounds {
+    /** @brief Token of its term, which is the revision of the store at its election. */
+    fencing_token m_token;
+    /** @brief The bounds were written at least this long after the election. */
+    milliseconds m_written{0};
+    /** @brief Workers with a lease are left out if the decider renews it and knows of no other one. */
+    std::map<worker_id, stored_lease> m_leases;
+};
+
+/** @brief Encodes bounds for the store, in 15 to 45 bytes for each worker. */
+[[nodiscard]] auto encode(const lease_bounds& bounds) -> std::string;
+
+/** @brief Decodes bounds from the store. @return The bounds, or nothing if they cannot be read. */
+[[nodiscard]] auto decode_lease_bounds(std::string_view text) -> std::optional<lease_bounds>;
+
+/**
+ * @brief Returns the latest local time at which the decider that wrote bounds may have been elected. The store's
+ * revisions serve as a clock: no clock of another VM is used.
+ * @param bounds The bounds.
+ * @param written Revision of the write of the bounds.
+ * @param revisions Revisions that this process has seen in responses of the store.
+ * @param now A time after the write of the bounds.
+ */
+[[nodiscard]] auto latest_election(const lease_bounds& bounds, store_revision written, const store_revisions& revisions,
+                                   time_point now) -> time_point;
+
+} // namespace cicadalug
+
+#endif
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -20,28 +20,70 @@
     return index == no_worker || state.m_workers[static_cast<std::size_t>(index)].m_entry.m_service == service;
 }
 
-/** @brief Checks whether a worker has a lease, or its next incarnation may still carry out a start without a response.
- */
+/** @brief Checks whether a worker has a lease or waits for one, or its next incarnation may still carry out a start
+ * without a response. */
 [[nodiscard]] auto may_hold_runs(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
 {
-    return has_lease(state, worker, now) ||
+    return worker.m_listed_end || has_lease(state, worker, now) ||
            std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
                        [&](const placed_run& run) { return may_start_in_next_incarnation(state, worker, run, now); });
 }
 
+/** @brief Returns the end of the stale lease of a worker that a write of the list names, or of what its new incarnation
+ * may run by a start without a response; the current time if there is neither. */
+[[nodiscard]] auto stale_end_of(const scheduler_state& state, const worker_slot& worker, const time_point now)
+    -> time_point
+{
+    auto end = worker.m_restart_being_listed ? end_of_lease(state, worker, worker.m_stale_until_ms) : now;
+    if (is_of_other_incarnation(worker)) {
+        for (const auto& run : worker.m_runs) {
+            end = std::max(end, run.m_confirmed ? now : end_of_unanswered_start(state, worker, run));
+        }
+    }
+    return end;
+}
+
+/** @brief Returns the end of all that a worker which does not respond may run, unless it restarts. */
+[[nodiscard]] auto end_of_runs(const scheduler_state& state, const worker_slot& worker) -> time_point
+{
+    auto end = lease_end(state, worker);
+    for (const auto& run : worker.m_runs) {
+        end = std::max(end, run.m_confirmed ? end : end_of_unanswered_start(state, worker, run));
+    }
+    return end;
+}
+
+/** @brief Returns the stored end of the stale lease of an expected worker, if it has not passed. */
+[[nodiscard]] auto stale_end_of(const scheduler_state& state, const worker_id& id, const time_point now)
+    -> std::optional<time_point>
+{
+    const auto found = state.m_expected_leases.find(id);
+    const bool runs = found != state.m_expected_leases.end() && found->second.m_stale_end.value_or(now) > now;
+    return runs ? found->second.m_stale_end : std::nullopt;
+}
+
 } // namespace
 
+auto is_settled(const scheduler_state& state, const worker_id& id) -> bool
+{
+    const auto found = state.m_expected_leases.find(id);
+    return state.m_lease_bounds_known && (found == state.m_expected_leases.end() || found->second.m_settled);
+}
+
+auto expect_listed_end(const scheduler_state& state, worker_slot& worker) -> void
+{
+    const auto found = state.m_expected_leases.find(worker.m_entry.m_id);
+    worker.m_listed_end = found == state.m_expected_leases.end() ? std::nullopt : found->second.m_end;
+}
+
 auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void
 {
     const auto known = state.m_expected_incarnations.find(entry.m_id);
     const auto start = entry.m_incarnation_start_unix_ms;
-    if (!state.m_expected_workers.contains(entry.m_id) || known == state.m_expected_incarnations.end() || start == 0 ||
-        start == known->second) {
-        return;
+    if (state.m_expected_workers.contains(entry.m_id) && known != state.m_expected_incarnations.end() && start != 0 &&
+        start != known->second) {
+        state.m_expected_unheard.insert(entry.m_id);
     }
-    known->second = start;
-    state.m_expected_unheard.insert(entry.m_id);
-    state.m_expected_restart_listed = false;
 }
 
 auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t
@@ -60,10 +102,11 @@
 
 auto has_unlisted_lease(const scheduler_state& state, const time_point now) -> bool
 {
-    return !state.m_expected_restart_listed ||
+    return (!state.m_expected_ends_listed && !awaited_workers(state, now).empty()) ||
            std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
                return (!worker.m_lease_listed && may_hold_runs(state, worker, now)) ||
+                      (worker.m_listed_end && !worker.m_unresponsive) ||
                       (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
            });
 }
@@ -93,6 +136,15 @@
     return !awaited_workers(state, now).empty();
 }
 
+auto has_unlisted_end(const scheduler_state& state, const time_point now) -> bool
+{
+    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        return worker.m_has_reported && worker.m_unresponsive && !worker.m_end_being_listed &&
+               has_lease(state, worker, now);
+    });
+}
+
 auto has_ended_lease_in_list(const scheduler_state& state, const time_point now) -> bool
 {
     return (state.m_expected_listed && !are_expected_workers_listed(state, now)) ||
@@ -104,7 +156,13 @@
 
 auto begin_lease_list(scheduler_state& state, const time_point now) -> std::vector<worker_index>
 {
-    state.m_expected_restart_listed = true;
+    for (const auto& id : awaited_workers(state, now)) {
+        const bool settled = is_settled(state, id);
+        auto& lease = state.m_expected_leases[id];
+        lease.m_settled = settled;
+        lease.m_end = expected_end_of_grants(state, id);
+        lease.m_late_end = expected_end_of_late_calls(state, id);
+    }
     std::vector<worker_index> leased;
     for (const auto index : state.m_current_workers) {
         if (may_hold_runs(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
@@ -119,6 +177,10 @@
     for (std::size_t index = 0; index < state.m_workers.size(); ++index) {
         auto& worker = state.m_workers[index];
         worker.m_lease_listed = worker.m_lease_listed && in_list[index];
+        worker.m_end_being_listed = in_list[index] && worker.m_has_reported && worker.m_unresponsive;
+        if (worker.m_end_being_listed) {
+            worker.m_listed_end = worker.m_listed_end.value_or(end_of_runs(state, worker));
+        }
         worker.m_restart_being_listed = in_list[index] && worker.m_stale_until_ms > 0;
         worker.m_restart_listed = worker.m_restart_listed && worker.m_restart_being_listed;
     }
@@ -127,15 +189,65 @@
 
 auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void
 {
+    state.m_expected_ends_listed = true;
     for (const auto index : listed) {
         auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         state.m_dispatch_requested =
             state.m_dispatch_requested || !worker.m_lease_listed || worker.m_restart_being_listed;
         worker.m_lease_listed = true;
+        if (!worker.m_end_being_listed) {
+            worker.m_listed_end.reset();
+        }
         worker.m_restart_listed = worker.m_restart_being_listed;
     }
 }
 
+auto lease_bounds_of(const scheduler_state& state, const std::vector<worker_index>& leased, const time_point now)
+    -> lease_bounds
+{
+    const auto elected = state.m_elected.value_or(state.m_began);
+    const auto since_election = [since = state.m_candidate_since.value_or(elected)](const time_point time) {
+        return std::chrono::ceil<milliseconds>(time - since);
+    };
+    lease_bounds bounds;
+    bounds.m_token = state.m_token;
+    bounds.m_written = std::chrono::floor<milliseconds>(now - elected);
+    for (const auto& id : awaited_workers(state, now)) {
+        const auto stale_end = stale_end_of(state, id, now);
+        bounds.m_leases[id] = {since_election(expected_end_of_grants(state, id)),
+                               stale_end ? std::optional{since_election(*stale_end)} : std::nullopt,
+                               since_election(expected_end_of_late_calls(state, id)), is_settled(state, id)};
+    }
+    for (const auto index : leased) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        const auto stale_end = stale_end_of(state, worker, now);
+        if (stale_end > now || worker.m_takes_stale_leases || worker.m_end_being_listed) {
+            auto& lease = bounds.m_leases[worker.m_entry.m_id];
+            if (worker.m_end_being_listed && worker.m_listed_end) {
+                lease.m_end = since_election(*worker.m_listed_end);
+                lease.m_late_end = since_election(end_of_late_calls(state, worker));
+            }
+            if (stale_end > now) {
+                lease.m_stale_end = since_election(stale_end);
+            }
+            lease.m_settled = !worker.m_takes_stale_leases;
+        }
+    }
+    return bounds;
+}
+
+auto inherit_lease_bounds(scheduler_state& state, const lease_bounds& bounds, const time_point elected) -> void
+{
+    const auto local = [elected](const std::optional<milliseconds> time) {
+        return time ? std::optional{elected + *time} : std::nullopt;
+    };
+    for (const auto& [id, lease] : bounds.m_leases) {
+        state.m_expected_leases[id] = {local(lease.m_end), local(lease.m_stale_end), local(lease.m_late_end),
+                                       lease.m_settled};
+    }
+    state.m_lease_bounds_known = true;
+}
+
 auto restarted_workers(const scheduler_state& state, const std::vector<worker_index>& leased, const time_point now)
     -> std::map<worker_id, milliseconds>
 {
@@ -150,13 +262,7 @@
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        auto end = worker.m_restart_being_listed ? end_of_lease(state, worker, worker.m_stale_until_ms) : now;
-        if (is_of_other_incarnation(worker)) {
-            for (const auto& run : worker.m_runs) {
-                end = std::max(end, run.m_confirmed ? now : end_of_unanswered_start(state, worker, run));
-            }
-        }
-        if (end > now) {
+        if (const auto end = stale_end_of(state, worker, now); end > now) {
             add(worker.m_entry.m_id, end);
         }
     }
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -1,6 +1,7 @@
 #ifndef CICADALUG_SCHEDULER_LEASED_WORKERS_HPP
 #define CICADALUG_SCHEDULER_LEASED_WORKERS_HPP
 
+#include <cicadalug/scheduler/lease_bounds.hpp>
 #include <cicadalug/scheduler/scheduler_state.hpp>
 
 #include <map>
@@ -12,15 +13,13 @@
 /**
  * @brief Checks whether a worker has a lease and is not in the stored list of workers with leases, or a stale one and
  * is not in that of restarted workers. It gets no new work until the lists are written: the next decider would not wait
- * for the end of its lease if it could not reach the worker. An expected worker that has restarted counts, too.
+ * for the end of its lease if it could not reach the worker. An expected worker counts, too, if no end of its lease is
+ * listed: the next decider would begin to wait for it anew.
  */
 [[nodiscard]] auto has_unlisted_lease(const scheduler_state& state, time_point now) -> bool;
 
-/**
- * @brief Records the entry of an expected worker. If the entry is of an incarnation that no earlier decider has called,
- * that one may carry out their calls to the last one late. The stored lists then have to be written with the time left,
- * so that the next decider does not wait anew.
- */
+/** @brief Records the entry of an expected worker. If the entry is of an incarnation that no earlier decider has
+ * called, that one may carry out their calls to the last one late. */
 auto expect_late_calls(scheduler_state& state, const worker_entry& entry) -> void;
 
 /** @brief Counts the workers that may hold runs of earlier terms and have not reported: those in the stored list of
@@ -45,13 +44,18 @@
  * still run, and this term can end before they have reported. */
 [[nodiscard]] auto are_expected_workers_listed(const scheduler_state& state, time_point now) -> bool;
 
+/** @brief Checks whether a worker that does not respond is listed without the end of its lease. The next decider would
+ * wait longer for it than this one. */
+[[nodiscard]] auto has_unlisted_end(const scheduler_state& state, time_point now) -> bool;
+
 /** @brief Checks whether a stored list names workers whose leases have ended. The next decider would wait for them,
  * which may be gone for good, before it starts a task again that has been started before. */
 [[nodiscard]] auto has_ended_lease_in_list(const scheduler_state& state, time_point now) -> bool;
 
 /**
  * @brief Returns the workers with leases, for a write of the list. Workers without one no longer count as listed, as
- * the write may be carried out although it gets no response.
+ * the write may be carried out although it gets no response. The ends of the leases of expected workers are final from
+ * then on.
  */
 [[nodiscard]] auto begin_lease_list(scheduler_state& state, time_point now) -> std::vector<worker_index>;
 
@@ -72,6 +76,27 @@
 [[nodiscard]] auto restarted_workers(const scheduler_state& state, const std::vector<worker_index>& leased,
                                      time_point now) -> std::map<worker_id, milliseconds>;
 
+/**
+ * @brief Returns what a write of the list tells about the ends of leases. A successor continues to wait for them, and
+ * does not begin anew.
+ * @param state The scheduler.
+ * @param leased Result of begin_lease_list() for the write.
+ * @param now Current time.
+ */
+[[nodiscard]] auto lease_bounds_of(const scheduler_state& state, const std::vector<worker_index>& leased,
+                                   time_point now) -> lease_bounds;
+
+/** @brief Checks whether the listed incarnation of an expected worker has no other stale lease than a stored one. */
+[[nodiscard]] auto is_settled(const scheduler_state& state, const worker_id& id) -> bool;
+
+/** @brief Records that a worker makes its first report in this term. If an end of its lease is stored, it has to be
+ * listed without one. */
+auto expect_listed_end(const scheduler_state& state, worker_slot& worker) -> void;
+
+/** @brief Takes over what the last decider has stored about the ends of leases. @param elected Latest local time at
+ * which that decider may have been elected. */
+auto inherit_lease_bounds(scheduler_state& state, const lease_bounds& bounds, time_point elected) -> void;
+
 /**
  * @brief Returns the known incarnations of the workers that a write of the list names, by their start in Unix
  * milliseconds. A successor sees in the registry which of these workers have restarted since.
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -419,6 +419,7 @@
         }
         else {
             expect_earlier_calls(state, index, report, now);
+            expect_listed_end(state, worker);
         }
         state.m_dispatch_requested = true;
     }
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -276,6 +276,15 @@
     std::int64_t m_changes{0};
 };
 
+/** @brief Until when a worker that has not reported may run what earlier deciders let it run, in local time; see
+ * stored_lease. */
+struct expected_lease {
+    std::optional<time_point> m_end;
+    std::optional<time_point> m_stale_end;
+    std::optional<time_point> m_late_end;
+    bool m_settled{false};
+};
+
 /** @brief A worker in the scheduler's table. Its index is never reused. */
 struct worker_slot {
     worker_entry m_entry;
@@ -321,6 +330,11 @@
     bool m_stale_lease_bounded{false};
     /** @brief The worker is in the stored list of workers with leases, for which the next decider waits. */
     bool m_lease_listed{false};
+    /** @brief The stored list may give this end of its lease, as the worker did not respond when it was written. A
+     * successor would not wait for a longer lease. */
+    std::optional<time_point> m_listed_end;
+    /** @brief A write in progress gives that end. */
+    bool m_end_being_listed{false};
     /** @brief The stored list of restarted workers names the worker, for whose stale lease the next decider waits. */
     bool m_restart_listed{false};
     /** @brief A write in progress names the worker in that list. */
@@ -460,6 +474,8 @@
     /** @brief When this decider learned that its term is stored, if known. No earlier decider renews its term after it;
      * the jobs are read between this time and m_began. */
     std::optional<time_point> m_elected;
+    /** @brief A time before the term was stored, as late as is known. */
+    std::optional<time_point> m_candidate_since;
     /** @brief An earlier decider may have called workers. */
     bool m_has_predecessor{true};
     /** @brief No granted lease ends after this time. */
@@ -478,14 +494,16 @@
     /** @brief Last known incarnations of workers in m_expected_workers, by their start in Unix milliseconds, as far as
      * they are stored. */
     std::map<worker_id, std::int64_t> m_expected_incarnations;
-    /** @brief Workers in m_expected_workers that may have stale leases, with the time that was left of these when the
-     * last decider wrote its list. */
-    std::map<worker_id, milliseconds> m_expected_restarted;
+    /** @brief What is stored about the ends of the leases of workers that are or were in m_expected_workers. Others
+     * have leases that their last decider renewed, and no stale ones if m_lease_bounds_known. */
+    std::map<worker_id, expected_lease> m_expected_leases;
+    /** @brief The last decider has stored the ends of leases that it knew. */
+    bool m_lease_bounds_known{false};
     /** @brief Workers in m_expected_workers that were registered with an incarnation which no earlier decider has
      * called. */
     std::set<worker_id> m_expected_unheard;
-    /** @brief A write of the list of restarted workers includes all of m_expected_unheard. */
-    bool m_expected_restart_listed{true};
+    /** @brief The stored list gives an end of the lease of each worker in m_expected_workers. */
+    bool m_expected_ends_listed{true};
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-/** @brief Calls are sent to an incarnation that has ended for up to this long, until a renewal has had no response.
- * Later renewals carry no lease. */
-constexpr milliseconds unaware_time{3'000};
-
 /** @brief The times of day of two machines differ by less than this, also while they are set. */
 constexpr milliseconds time_of_day_error{5'000};
 
@@ -91,15 +87,15 @@
                           const time_point now) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    const bool may_be_stale = may_hold_stale_lease(state, report, now);
-    if (may_be_stale) {
+    const bool is_young = may_hold_stale_lease(state, report, now);
+    if (is_young) {
         open_to_stale_leases(worker);
     }
     inherit_lease(state, index, report, now);
     // An earlier decider granted leases by the clock of the incarnation until now at the latest.
     const auto sent_until_ms =
         std::max(worker.m_inherited_until_ms, report.m_clock_ms + state.m_settings.m_worker_lease.count());
-    worker.m_sent_until_ms = may_be_stale ? std::nullopt : std::optional{sent_until_ms};
+    worker.m_sent_until_ms = is_young ? std::nullopt : std::optional{sent_until_ms};
 }
 
 auto detect_restart(scheduler_state& state, const worker_index index, const std::int64_t called_incarnation_unix_ms,
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -9,39 +9,84 @@
 
 namespace {
 
+/** @brief Leases are granted to a worker whose lease has a stored end until this long after the election: the worker is
+ * not listed without an end yet, and a slow write must not let its runs lapse. */
+constexpr milliseconds unlisted_grant_time{1'000};
+
+[[nodiscard]] auto elected_at(const scheduler_state& state) -> time_point
+{
+    return state.m_elected.value_or(state.m_began);
+}
+
+[[nodiscard]] auto find_expected(const scheduler_state& state, const worker_id& id) -> expected_lease
+{
+    const auto found = state.m_expected_leases.find(id);
+    return found == state.m_expected_leases.end() ? expected_lease{} : found->second;
+}
+
 /** @brief Returns the results of expected_lease_end() and of bound_of_expected_lease(). */
 [[nodiscard]] auto find_expected_end(const scheduler_state& state, const worker_id& id)
     -> std::pair<time_point, expected_bound>
 {
-    const auto elected = state.m_elected.value_or(state.m_began);
-    std::pair found{inherited_leases_end(state), expected_bound::election};
+    const auto lease = find_expected(state, id);
+    std::pair found{expected_end_of_grants(state, id),
+                    lease.m_end ? expected_bound::stored_end : expected_bound::election};
     const auto extend = [&found](const time_point end, const expected_bound bound) {
         if (end > found.first) {
             found = {end, bound};
         }
     };
-    if (const auto restarted = state.m_expected_restarted.find(id); restarted != state.m_expected_restarted.end()) {
-        // The list was written before the term was stored.
-        extend(elected + restarted->second + state.m_settings.m_lease_margin, expected_bound::restart);
-    }
+    extend(lease.m_stale_end.value_or(time_point{}), expected_bound::restart);
     const auto index = find_worker(state, id);
     const bool registered = index != no_worker && state.m_workers[static_cast<std::size_t>(index)].m_registered;
     if (registered && state.m_expected_unheard.contains(id)) {
-        // An earlier decider has started nothing after the term was stored.
-        extend(end_of_late_lease(state.m_settings, elected), expected_bound::late_calls);
+        extend(expected_end_of_late_calls(state, id), expected_bound::late_calls);
     }
     return found;
 }
 
+/** @brief Returns the time until which a lease may last that is granted before the stored list names the worker without
+ * an end: a successor expects none to last longer than the stored end. */
+[[nodiscard]] auto unlisted_lease_limit(const scheduler_state& state, const worker_slot& worker, const time_point now)
+    -> time_point
+{
+    if (now > elected_at(state) + unlisted_grant_time) {
+        return now;
+    }
+    const auto& settings = state.m_settings;
+    const auto left = *worker.m_listed_end - settings.m_lease_margin - worker.m_clock_read;
+    return worker.m_clock_read + left * 1'000 / (1'000 + settings.m_clock_drift_permille);
+}
+
 } // namespace
 
 auto inherited_leases_end(const scheduler_state& state) -> time_point
 {
     const auto& settings = state.m_settings;
-    return state.m_elected.value_or(state.m_began) + settings.m_grant_horizon +
+    return elected_at(state) + settings.m_grant_horizon +
            settings.m_grant_horizon * settings.m_clock_drift_permille / 1'000 + settings.m_lease_margin;
 }
 
+auto expected_end_of_grants(const scheduler_state& state, const worker_id& id) -> time_point
+{
+    const auto inherited = inherited_leases_end(state);
+    return std::min(inherited, find_expected(state, id).m_end.value_or(inherited));
+}
+
+auto expected_end_of_late_calls(const scheduler_state& state, const worker_id& id) -> time_point
+{
+    // An earlier decider has started nothing after the term was stored. This one grants leases to workers whose ends
+    // are listed for a short time only.
+    const auto end = end_of_late_lease(state.m_settings, elected_at(state) + unlisted_grant_time);
+    return std::min(end, find_expected(state, id).m_late_end.value_or(end));
+}
+
+auto end_of_late_calls(const scheduler_state& state, const worker_slot& worker) -> time_point
+{
+    const auto last_sent = std::max(worker.m_last_report + unaware_time, elected_at(state) + unlisted_grant_time);
+    return end_of_late_lease(state.m_settings, last_sent);
+}
+
 auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
 {
     return find_expected_end(state, id).first;
@@ -54,7 +99,7 @@
 
 auto name_of(const expected_bound bound) noexcept -> std::string_view
 {
-    constexpr std::array<std::string_view, 3> names{"election", "restart", "late_calls"};
+    constexpr std::array<std::string_view, 4> names{"election", "stored_end", "restart", "late_calls"};
     return names.at(static_cast<std::size_t>(bound));
 }
 
@@ -94,7 +139,10 @@
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
     if (!worker.m_unresponsive) {
-        const auto end = std::min(now + state.m_settings.m_worker_lease, state.m_grant_limit);
+        auto end = std::min(now + state.m_settings.m_worker_lease, state.m_grant_limit);
+        if (worker.m_listed_end) {
+            end = std::min(end, unlisted_lease_limit(state, worker, now));
+        }
         const auto granted = std::chrono::duration_cast<milliseconds>(end - worker.m_clock_read);
         worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, worker.m_clock_ms + granted.count());
     }
@@ -114,7 +162,8 @@
     -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    const auto left = std::chrono::ceil<milliseconds>(inherited_leases_end(state) - now);
+    const auto granted_until = expected_end_of_grants(state, worker.m_entry.m_id);
+    const auto left = std::chrono::ceil<milliseconds>(granted_until - now);
     const auto longest = std::min(left, state.m_settings.m_worker_lease);
     if (longest > milliseconds{0}) {
         worker.m_inherited_until_ms = std::max(worker.m_inherited_until_ms, report.m_clock_ms + longest.count());
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.hpp
@@ -36,11 +36,28 @@
  */
 [[nodiscard]] auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point;
 
+/** @brief Returns the part of expected_lease_end() that applies whatever the worker's registered incarnation is. */
+[[nodiscard]] auto expected_end_of_grants(const scheduler_state& state, const worker_id& id) -> time_point;
+
+/** @brief Returns the end of all that late calls of earlier deciders can bring an incarnation of an expected worker
+ * that none of them has called. */
+[[nodiscard]] auto expected_end_of_late_calls(const scheduler_state& state, const worker_id& id) -> time_point;
+
+/** @brief Calls are sent to an incarnation that has ended for up to this long, until a renewal has had no response.
+ * Later renewals carry no lease. */
+inline constexpr milliseconds unaware_time{3'000};
+
+/** @brief Returns the end of all that late calls of this decider and of earlier ones can bring the next incarnation of
+ * a worker that does not respond. */
+[[nodiscard]] auto end_of_late_calls(const scheduler_state& state, const worker_slot& worker) -> time_point;
+
 /** @brief What determines the result of expected_lease_end(). */
 enum class expected_bound : std::uint8_t {
     /** @brief Any lease that a decider may have granted before the election of this one. */
     election,
-    /** @brief The stored time left of a worker that has restarted. */
+    /** @brief The stored end of the leases that an earlier decider waited for itself. */
+    stored_end,
+    /** @brief The stored end of a stale lease. */
     restart,
     /** @brief Late calls to an incarnation that no earlier decider has called. */
     late_calls,
--- a/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_obstacle.cpp
@@ -37,7 +37,7 @@
     if (worker.m_takes_stale_leases) {
         return worker_obstacle::fence_not_answered;
     }
-    if (!worker.m_lease_listed || (worker.m_stale_until_ms > 0 && !worker.m_restart_listed)) {
+    if (!worker.m_lease_listed || worker.m_listed_end || (worker.m_stale_until_ms > 0 && !worker.m_restart_listed)) {
         return worker_obstacle::lease_not_stored;
     }
     if (worker.m_unresponsive) {
--- a/packages/scheduler/test/cicadalug/scheduler/crash_suspicion_takeover.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/crash_suspicion_takeover.cpp
@@ -44,7 +44,7 @@
     {
         auto& worker = state().m_workers[position];
         worker.m_incarnation_start_unix_ms = unix_ms;
-        state().m_expected_restarted[worker.m_entry.m_id] = milliseconds{10'000};
+        state().m_expected_leases[worker.m_entry.m_id].m_stale_end = m_simulation.now() + milliseconds{10'000};
     }
 
     auto resolve() -> void { update_trials(state(), m_simulation.now()); }
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -88,10 +88,10 @@
     simulation.begin_with("quotes", 1);
     auto& state = simulation.m_state;
     state.m_expected_workers = {worker_id{"gone"}, worker_id{"restarted"}};
-    state.m_expected_restarted = {{worker_id{"restarted"}, milliseconds{8'000}}};
     const service_id service{"quotes"};
     const auto end = inherited_leases_end(state);
     const auto restarted_end = state.m_began + milliseconds{8'000};
+    state.m_expected_leases[worker_id{"restarted"}].m_stale_end = restarted_end;
     state.m_term_guaranteed_until = restarted_end + milliseconds{1'000};
     EXPECT_EQ(awaited_workers(state, end - milliseconds{1}).size(), 2U);
     EXPECT_EQ(awaited_workers(state, end), std::vector{worker_id{"restarted"}});
@@ -154,7 +154,7 @@
 }
 
 // Guards against a task that does not run while deciders change (LOST): each of them waits anew for a restart that the
-// first one has seen. It lists the worker as restarted, with the time left, and its incarnation as known.
+// first one has seen. It lists the end of the wait before it hears of the restart.
 TEST(leased_workers, the_wait_for_a_restarted_worker_is_not_prolonged_by_a_takeover)
 {
     scheduler_simulation simulation;
@@ -164,9 +164,10 @@
     auto& state = simulation.m_state;
     auto entry = state.m_workers[0].m_entry;
     entry.m_incarnation_start_unix_ms = state.m_expected_incarnations[entry.m_id] + 1;
+    EXPECT_TRUE(has_unlisted_lease(state, simulation.now())) << "no end is listed";
+    simulation.list_leases();
     EXPECT_FALSE(has_unlisted_lease(state, simulation.now()));
     register_worker(state, entry);
-    EXPECT_TRUE(has_unlisted_lease(state, simulation.now()));
     const auto end = expected_lease_end(state, entry.m_id);
     simulation.worker(entry.m_id.str()).m_reachable = false;
     simulation.run_for(milliseconds{3'000});
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -262,7 +262,8 @@
         m_stored_leases.insert(id);
     }
     m_stored_vms = vms_of_listed_workers(m_state, leased, are_expected_workers_listed(m_state, m_now));
-    m_stored_restarted = restarted_workers(m_state, leased, m_now);
+    m_stored_bounds = encode(lease_bounds_of(m_state, leased, m_now));
+    m_bounds_elected = m_state.m_began;
     m_stored_incarnations = incarnations_of_listed_workers(m_state, leased, m_now);
     complete_lease_list(m_state, leased);
 }
@@ -447,7 +448,10 @@
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
     m_state.m_expected_vms = m_stored_vms;
-    m_state.m_expected_restarted = m_stored_restarted;
+    m_state.m_expected_ends_listed = m_stored_leases.empty();
+    if (const auto bounds = decode_lease_bounds(m_stored_bounds)) {
+        inherit_lease_bounds(m_state, *bounds, m_bounds_elected);
+    }
     m_state.m_expected_incarnations = m_stored_incarnations;
     for (const auto& [id, stored] : m_store) {
         add_job(m_state, stored.m_record, stored.m_progress, true, clock());
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds write_time{20};
 constexpr milliseconds write_timeout{700};
 constexpr milliseconds lease_list_interval{1'000};
+constexpr milliseconds lease_end_interval{200};
 
 /** @brief The platform's bounds on the delay of a call that is carried out late. */
 constexpr std::int64_t least_lateness_ms{2'000};
@@ -81,7 +82,10 @@
     m_state.m_began = now();
     m_state.m_expected_workers = m_simulation.m_stored_leases;
     m_state.m_expected_vms = m_simulation.m_stored_vms;
-    m_state.m_expected_restarted = m_simulation.m_stored_restarted;
+    m_state.m_expected_ends_listed = m_state.m_expected_workers.empty();
+    if (const auto bounds = decode_lease_bounds(m_simulation.m_stored_bounds)) {
+        inherit_lease_bounds(m_state, *bounds, m_simulation.m_bounds_elected);
+    }
     m_state.m_expected_incarnations = m_simulation.m_stored_incarnations;
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
     m_last_renewal = now();
@@ -380,8 +384,10 @@
     if (m_writing) {
         return;
     }
-    const bool lists_leases = has_unlisted_lease(m_state, now()) || (now() - m_leases_listed_at > lease_list_interval &&
-                                                                     has_ended_lease_in_list(m_state, now()));
+    const bool lists_leases =
+        has_unlisted_lease(m_state, now()) ||
+        (now() - m_leases_listed_at > lease_list_interval && has_ended_lease_in_list(m_state, now())) ||
+        (now() - m_leases_listed_at > lease_end_interval && has_unlisted_end(m_state, now()));
     if (m_state.m_dirty.empty() && !lists_leases && !has_worker_without_fence(m_state)) {
         acknowledge_ends(m_state);
         return;
@@ -395,7 +401,7 @@
     std::optional<std::vector<worker_index>> leased;
     std::set<worker_id> list;
     std::map<worker_id, vm_id> vms;
-    std::map<worker_id, milliseconds> restarted;
+    std::string bounds;
     std::map<worker_id, std::int64_t> incarnations;
     const bool lists_expected = are_expected_workers_listed(m_state, now());
     if (lists_leases) {
@@ -405,14 +411,14 @@
             list.insert(m_state.m_workers[static_cast<std::size_t>(index)].m_entry.m_id);
         }
         vms = vms_of_listed_workers(m_state, *leased, lists_expected);
-        restarted = restarted_workers(m_state, *leased, now());
+        bounds = encode(lease_bounds_of(m_state, *leased, now()));
         incarnations = incarnations_of_listed_workers(m_state, *leased, now());
         for (const auto& id : awaited_workers(m_state, now())) {
             list.insert(id);
         }
     }
     const bool succeeds = reaches_store();
-    const auto finish = [this, progress, leased, list, vms, restarted, incarnations, lists_expected, succeeds] {
+    const auto finish = [this, progress, leased, list, vms, bounds, incarnations, lists_expected, succeeds] {
         m_writing = false;
         for (const auto& [id, stored] : progress) {
             auto& job = *find_job(m_state, id);
@@ -430,7 +436,8 @@
             if (leased) {
                 m_simulation.m_stored_leases = list;
                 m_simulation.m_stored_vms = vms;
-                m_simulation.m_stored_restarted = restarted;
+                m_simulation.m_stored_bounds = bounds;
+                m_simulation.m_bounds_elected = m_state.m_began;
                 m_simulation.m_stored_incarnations = incarnations;
                 complete_lease_list(m_state, *leased);
                 m_state.m_expected_listed = lists_expected;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -85,7 +85,9 @@
     /** @brief The stored list of workers with leases. */
     std::set<worker_id> m_stored_leases;
     std::map<worker_id, vm_id> m_stored_vms;
-    std::map<worker_id, milliseconds> m_stored_restarted;
+    /** @brief The stored ends of leases, and the election after which they are counted. */
+    std::string m_stored_bounds;
+    time_point m_bounds_elected{};
     std::map<worker_id, std::int64_t> m_stored_incarnations;
     std::map<job_id, soak_job> m_jobs;
     /** @brief Jobs with long-running tasks. */
--- a/packages/scheduler/test/cicadalug/scheduler/store_revisions.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/store_revisions.cpp
@@ -106,4 +106,37 @@
     EXPECT_EQ(proven_time(revisions, store_revision{15}), std::nullopt) << "too old to be known";
 }
 
+// Guards against a revision that is dated earlier than it was reached, and against one that is dated by a later
+// response as the first one came soon after another.
+TEST(store_revisions, a_revision_is_dated_by_the_first_response_that_shows_it)
+{
+    store_revisions revisions;
+    EXPECT_FALSE(time_reached(revisions, store_revision{1}));
+    record_arrival(revisions, store_revision{0}, start);
+    EXPECT_FALSE(time_reached(revisions, store_revision{1}));
+    record_arrival(revisions, store_revision{10}, start);
+    record_arrival(revisions, store_revision{11}, start + milliseconds{10});
+    record_arrival(revisions, store_revision{12}, start + milliseconds{20});
+    record_arrival(revisions, store_revision{12}, start + milliseconds{900});
+    record_arrival(revisions, store_revision{20}, start + milliseconds{1'500});
+    EXPECT_EQ(time_reached(revisions, store_revision{9}), start);
+    EXPECT_EQ(time_reached(revisions, store_revision{10}), start);
+    EXPECT_GE(*time_reached(revisions, store_revision{11}), start + milliseconds{10});
+    EXPECT_LE(*time_reached(revisions, store_revision{11}), start + milliseconds{10} + arrival_interval);
+    EXPECT_EQ(time_reached(revisions, store_revision{12}), start + milliseconds{20});
+    EXPECT_EQ(time_reached(revisions, store_revision{13}), start + milliseconds{1'500});
+    EXPECT_FALSE(time_reached(revisions, store_revision{21}));
+}
+
+// Guards against memory that grows with the number of responses.
+TEST(store_revisions, only_the_last_arrivals_are_kept)
+{
+    store_revisions revisions;
+    for (std::uint64_t number = 1; number <= 2 * max_arrivals; ++number) {
+        record_arrival(revisions, store_revision{number}, start + arrival_interval * static_cast<int>(number));
+    }
+    EXPECT_EQ(revisions.m_reached.size(), max_arrivals);
+    EXPECT_EQ(time_reached(revisions, store_revision{1}), revisions.m_reached.front().m_by);
+}
+
 } // namespace cicadalug::test
