Do not take a young worker that the last decider has called for a restarted one

Cause: after a takeover, each worker whose incarnation was younger than 30 s counted as possibly restarted, and held the longest lease, 10 s, for its successor. Nothing told a restart from a worker that is new, as after a release or at the start of the fleet.

Change: the stored incarnations say which one the last decider had called, and lease-bounds whether calls to an earlier one may still be carried out there. A first report of that incarnation brings no new stale lease, only the stored one. Whatever was sent to an earlier incarnation stays unknown, so that the next restart of a young worker is bounded as before.

--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -418,7 +418,7 @@
             inherit_lease(state, index, report, now);
         }
         else {
-            expect_earlier_calls(state, index, report, now);
+            expect_earlier_calls(state, index, report, sent, now);
             expect_listed_end(state, worker);
         }
         state.m_dispatch_requested = true;
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.cpp
@@ -1,3 +1,4 @@
+#include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/stale_lease.hpp>
 #include <cicadalug/scheduler/worker_fence.hpp>
 #include <cicadalug/scheduler/worker_lease.hpp>
@@ -37,6 +38,35 @@
     return state.m_has_predecessor && young && now < state.m_elected.value_or(state.m_began) + deposed_time + longest;
 }
 
+/** @brief Checks whether a worker's first report in this term is one of the incarnation that the last decider had
+ * called, and which carries out no calls to an earlier one any more. */
+[[nodiscard]] auto is_settled_incarnation(const scheduler_state& state, const worker_slot& worker,
+                                          const worker_report& report) -> bool
+{
+    const auto& id = worker.m_entry.m_id;
+    const auto called = state.m_expected_incarnations.find(id);
+    return called != state.m_expected_incarnations.end() && called->second == report.m_incarnation_start_unix_ms &&
+           is_settled(state, id);
+}
+
+/** @brief Assumes the stale lease that the last decider has stored, if it still runs. */
+auto inherit_stale_lease(scheduler_state& state, const worker_index index, const worker_report& report,
+                         const time_point sent) -> void
+{
+    auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    const auto found = state.m_expected_leases.find(worker.m_entry.m_id);
+    if (found == state.m_expected_leases.end() || found->second.m_stale_end.value_or(sent) <= sent) {
+        return;
+    }
+    // The worker read its clock after the call was sent.
+    const auto left = std::chrono::ceil<milliseconds>(*found->second.m_stale_end - sent);
+    worker.m_stale_until_ms = report.m_clock_ms + left.count();
+    worker.m_stale_lease_bounded = true;
+    worker.m_restart_listed = false;
+    worker.m_restart_being_listed = false;
+    record_lease(state, index, lease_source::stale, worker.m_stale_until_ms, report);
+}
+
 } // namespace
 
 auto open_to_stale_leases(worker_slot& worker) -> void
@@ -84,11 +114,14 @@
 }
 
 auto expect_earlier_calls(scheduler_state& state, const worker_index index, const worker_report& report,
-                          const time_point now) -> void
+                          const time_point sent, const time_point now) -> void
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
     const bool is_young = may_hold_stale_lease(state, report, now);
-    if (is_young) {
+    if (is_settled_incarnation(state, worker, report)) {
+        inherit_stale_lease(state, index, report, sent);
+    }
+    else if (is_young) {
         open_to_stale_leases(worker);
     }
     inherit_lease(state, index, report, now);
--- a/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/stale_lease.hpp
@@ -34,10 +34,12 @@
  *
  * Nothing that was stored is needed to find a young incarnation: it tells when it started, and calls of earlier
  * deciders only arrive for some time after their terms. The worker's clock starts anew with the incarnation, but not at
- * zero, so that it does not tell the age.
+ * zero, so that it does not tell the age. If the last decider had called this very incarnation and bounded its stale
+ * lease, that bound applies: the worker has not restarted since, however young it is.
+ * @param sent When the call was sent that the report answers.
  */
-auto expect_earlier_calls(scheduler_state& state, worker_index index, const worker_report& report, time_point now)
-    -> void;
+auto expect_earlier_calls(scheduler_state& state, worker_index index, const worker_report& report, time_point sent,
+                          time_point now) -> void;
 
 /**
  * @brief Bounds the stale lease of a worker by its response to a call. Nothing is done if the worker takes on none.
