Store ends only of leases whose workers are silent

Cause: at a takeover, each worker that had not reported got a stored end, so that a lease was granted to it for 1 s after the election before the list named it without one, and late calls were awaited for that second, too.

Change: an end is stored for workers that are not registered, do not respond, or have restarted; the others report within milliseconds. A worker with a stored end gets no lease at all until it is listed without one.

--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -112,7 +112,6 @@
         }
     }
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
-    m_state.m_expected_ends_listed = m_state.m_expected_workers.empty();
     co_return is_read(read) && is_read(leases) && is_read(vms) && is_read(incarnations) &&
         co_await read_lease_bounds(leases.m_item.m_revision);
 }
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -53,13 +53,16 @@
     return end;
 }
 
-/** @brief Returns the stored end of the stale lease of an expected worker, if it has not passed. */
-[[nodiscard]] auto stale_end_of(const scheduler_state& state, const worker_id& id, const time_point now)
-    -> std::optional<time_point>
+/** @brief Checks whether an expected worker is not likely to report: it is not registered, does not respond, or has
+ * restarted. Its lease gets an end, until which a report brings it no other lease. */
+[[nodiscard]] auto is_silent(const scheduler_state& state, const worker_id& id) -> bool
 {
-    const auto found = state.m_expected_leases.find(id);
-    const bool runs = found != state.m_expected_leases.end() && found->second.m_stale_end.value_or(now) > now;
-    return runs ? found->second.m_stale_end : std::nullopt;
+    const auto index = find_worker(state, id);
+    if (index == no_worker || state.m_expected_unheard.contains(id)) {
+        return true;
+    }
+    const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+    return !worker.m_registered || worker.m_unresponsive;
 }
 
 } // namespace
@@ -102,13 +105,12 @@
 
 auto has_unlisted_lease(const scheduler_state& state, const time_point now) -> bool
 {
-    return (!state.m_expected_ends_listed && !awaited_workers(state, now).empty()) ||
-           std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
-               const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-               return (!worker.m_lease_listed && may_hold_runs(state, worker, now)) ||
-                      (worker.m_listed_end && !worker.m_unresponsive) ||
-                      (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
-           });
+    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+        return (!worker.m_lease_listed && may_hold_runs(state, worker, now)) ||
+               (worker.m_listed_end && !worker.m_unresponsive) ||
+               (!worker.m_restart_listed && worker.m_stale_until_ms > 0);
+    });
 }
 
 auto awaited_workers(const scheduler_state& state, const time_point now) -> std::vector<worker_id>
@@ -138,11 +140,17 @@
 
 auto has_unlisted_end(const scheduler_state& state, const time_point now) -> bool
 {
-    return std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
-        const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        return worker.m_has_reported && worker.m_unresponsive && !worker.m_end_being_listed &&
-               has_lease(state, worker, now);
+    const auto awaited = awaited_workers(state, now);
+    const bool awaits_unlisted = std::any_of(awaited.begin(), awaited.end(), [&state](const worker_id& id) {
+        const auto lease = state.m_expected_leases.find(id);
+        return is_silent(state, id) && (lease == state.m_expected_leases.end() || !lease->second.m_end);
     });
+    return awaits_unlisted ||
+           std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
+               const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
+               return worker.m_has_reported && worker.m_unresponsive && !worker.m_end_being_listed &&
+                      has_lease(state, worker, now);
+           });
 }
 
 auto has_ended_lease_in_list(const scheduler_state& state, const time_point now) -> bool
@@ -157,11 +165,13 @@
 auto begin_lease_list(scheduler_state& state, const time_point now) -> std::vector<worker_index>
 {
     for (const auto& id : awaited_workers(state, now)) {
-        const bool settled = is_settled(state, id);
-        auto& lease = state.m_expected_leases[id];
-        lease.m_settled = settled;
-        lease.m_end = expected_end_of_grants(state, id);
-        lease.m_late_end = expected_end_of_late_calls(state, id);
+        if (is_silent(state, id)) {
+            const bool settled = is_settled(state, id);
+            auto& lease = state.m_expected_leases[id];
+            lease.m_settled = settled;
+            lease.m_end = expected_end_of_grants(state, id);
+            lease.m_late_end = expected_end_of_late_calls(state, id);
+        }
     }
     std::vector<worker_index> leased;
     for (const auto index : state.m_current_workers) {
@@ -189,7 +199,6 @@
 
 auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void
 {
-    state.m_expected_ends_listed = true;
     for (const auto index : listed) {
         auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         state.m_dispatch_requested =
@@ -213,10 +222,20 @@
     bounds.m_token = state.m_token;
     bounds.m_written = std::chrono::floor<milliseconds>(now - elected);
     for (const auto& id : awaited_workers(state, now)) {
-        const auto stale_end = stale_end_of(state, id, now);
-        bounds.m_leases[id] = {since_election(expected_end_of_grants(state, id)),
-                               stale_end ? std::optional{since_election(*stale_end)} : std::nullopt,
-                               since_election(expected_end_of_late_calls(state, id)), is_settled(state, id)};
+        stored_lease lease;
+        lease.m_settled = is_settled(state, id);
+        if (const auto found = state.m_expected_leases.find(id); found != state.m_expected_leases.end()) {
+            if (found->second.m_end) {
+                lease.m_end = since_election(*found->second.m_end);
+                lease.m_late_end = since_election(expected_end_of_late_calls(state, id));
+            }
+            if (found->second.m_stale_end.value_or(now) > now) {
+                lease.m_stale_end = since_election(*found->second.m_stale_end);
+            }
+        }
+        if (lease.m_end || lease.m_stale_end || !lease.m_settled) {
+            bounds.m_leases[id] = lease;
+        }
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -13,8 +13,7 @@
 /**
  * @brief Checks whether a worker has a lease and is not in the stored list of workers with leases, or a stale one and
  * is not in that of restarted workers. It gets no new work until the lists are written: the next decider would not wait
- * for the end of its lease if it could not reach the worker. An expected worker counts, too, if no end of its lease is
- * listed: the next decider would begin to wait for it anew.
+ * for the end of its lease if it could not reach the worker.
  */
 [[nodiscard]] auto has_unlisted_lease(const scheduler_state& state, time_point now) -> bool;
 
@@ -44,8 +43,8 @@
  * still run, and this term can end before they have reported. */
 [[nodiscard]] auto are_expected_workers_listed(const scheduler_state& state, time_point now) -> bool;
 
-/** @brief Checks whether a worker that does not respond is listed without the end of its lease. The next decider would
- * wait longer for it than this one. */
+/** @brief Checks whether a worker that does not respond, or is not registered, is listed without the end of its lease.
+ * The next decider would wait longer for it than this one. */
 [[nodiscard]] auto has_unlisted_end(const scheduler_state& state, time_point now) -> bool;
 
 /** @brief Checks whether a stored list names workers whose leases have ended. The next decider would wait for them,
@@ -54,8 +53,8 @@
 
 /**
  * @brief Returns the workers with leases, for a write of the list. Workers without one no longer count as listed, as
- * the write may be carried out although it gets no response. The ends of the leases of expected workers are final from
- * then on.
+ * the write may be carried out although it gets no response. The ends of the leases of workers that do not
+ * respond are final from then on.
  */
 [[nodiscard]] auto begin_lease_list(scheduler_state& state, time_point now) -> std::vector<worker_index>;
 
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -502,8 +502,6 @@
     /** @brief Workers in m_expected_workers that were registered with an incarnation which no earlier decider has
      * called. */
     std::set<worker_id> m_expected_unheard;
-    /** @brief The stored list gives an end of the lease of each worker in m_expected_workers. */
-    bool m_expected_ends_listed{true};
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
--- a/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/worker_lease.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/** @brief Leases are granted to a worker whose lease has a stored end until this long after the election: the worker is
- * not listed without an end yet, and a slow write must not let its runs lapse. */
-constexpr milliseconds unlisted_grant_time{1'000};
-
 [[nodiscard]] auto elected_at(const scheduler_state& state) -> time_point
 {
     return state.m_elected.value_or(state.m_began);
@@ -45,19 +41,6 @@
     return found;
 }
 
-/** @brief Returns the time until which a lease may last that is granted before the stored list names the worker without
- * an end: a successor expects none to last longer than the stored end. */
-[[nodiscard]] auto unlisted_lease_limit(const scheduler_state& state, const worker_slot& worker, const time_point now)
-    -> time_point
-{
-    if (now > elected_at(state) + unlisted_grant_time) {
-        return now;
-    }
-    const auto& settings = state.m_settings;
-    const auto left = *worker.m_listed_end - settings.m_lease_margin - worker.m_clock_read;
-    return worker.m_clock_read + left * 1'000 / (1'000 + settings.m_clock_drift_permille);
-}
-
 } // namespace
 
 auto inherited_leases_end(const scheduler_state& state) -> time_point
@@ -75,16 +58,14 @@
 
 auto expected_end_of_late_calls(const scheduler_state& state, const worker_id& id) -> time_point
 {
-    // An earlier decider has started nothing after the term was stored. This one grants leases to workers whose ends
-    // are listed for a short time only.
-    const auto end = end_of_late_lease(state.m_settings, elected_at(state) + unlisted_grant_time);
+    // An earlier decider has started nothing after the term was stored.
+    const auto end = end_of_late_lease(state.m_settings, elected_at(state));
     return std::min(end, find_expected(state, id).m_late_end.value_or(end));
 }
 
 auto end_of_late_calls(const scheduler_state& state, const worker_slot& worker) -> time_point
 {
-    const auto last_sent = std::max(worker.m_last_report + unaware_time, elected_at(state) + unlisted_grant_time);
-    return end_of_late_lease(state.m_settings, last_sent);
+    return end_of_late_lease(state.m_settings, worker.m_last_report + unaware_time);
 }
 
 auto expected_lease_end(const scheduler_state& state, const worker_id& id) -> time_point
@@ -138,11 +119,9 @@
 auto grant_lease(scheduler_state& state, const worker_index index, const time_point now) -> std::int64_t
 {
     auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-    if (!worker.m_unresponsive) {
-        auto end = std::min(now + state.m_settings.m_worker_lease, state.m_grant_limit);
-        if (worker.m_listed_end) {
-            end = std::min(end, unlisted_lease_limit(state, worker, now));
-        }
+    // A successor would not wait for a lease after the end that is stored.
+    if (!worker.m_unresponsive && !worker.m_listed_end) {
+        const auto end = std::min(now + state.m_settings.m_worker_lease, state.m_grant_limit);
         const auto granted = std::chrono::duration_cast<milliseconds>(end - worker.m_clock_read);
         worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, worker.m_clock_ms + granted.count());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -154,7 +154,7 @@
 }
 
 // Guards against a task that does not run while deciders change (LOST): each of them waits anew for a restart that the
-// first one has seen. It lists the end of the wait before it hears of the restart.
+// first one has seen. It lists the end of the wait.
 TEST(leased_workers, the_wait_for_a_restarted_worker_is_not_prolonged_by_a_takeover)
 {
     scheduler_simulation simulation;
@@ -164,15 +164,14 @@
     auto& state = simulation.m_state;
     auto entry = state.m_workers[0].m_entry;
     entry.m_incarnation_start_unix_ms = state.m_expected_incarnations[entry.m_id] + 1;
-    EXPECT_TRUE(has_unlisted_lease(state, simulation.now())) << "no end is listed";
-    simulation.list_leases();
-    EXPECT_FALSE(has_unlisted_lease(state, simulation.now()));
+    EXPECT_FALSE(has_unlisted_end(state, simulation.now()));
     register_worker(state, entry);
+    EXPECT_TRUE(has_unlisted_end(state, simulation.now()));
     const auto end = expected_lease_end(state, entry.m_id);
     simulation.worker(entry.m_id.str()).m_reachable = false;
     simulation.run_for(milliseconds{3'000});
     simulation.list_leases();
-    EXPECT_FALSE(has_unlisted_lease(state, simulation.now()));
+    EXPECT_FALSE(has_unlisted_end(state, simulation.now()));
     simulation.take_over();
     register_worker(state, entry);
     const auto& margin = state.m_settings.m_lease_margin;
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -448,7 +448,6 @@
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
     m_state.m_expected_vms = m_stored_vms;
-    m_state.m_expected_ends_listed = m_stored_leases.empty();
     if (const auto bounds = decode_lease_bounds(m_stored_bounds)) {
         inherit_lease_bounds(m_state, *bounds, m_bounds_elected);
     }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -82,7 +82,6 @@
     m_state.m_began = now();
     m_state.m_expected_workers = m_simulation.m_stored_leases;
     m_state.m_expected_vms = m_simulation.m_stored_vms;
-    m_state.m_expected_ends_listed = m_state.m_expected_workers.empty();
     if (const auto bounds = decode_lease_bounds(m_simulation.m_stored_bounds)) {
         inherit_lease_bounds(m_state, *bounds, m_simulation.m_bounds_elected);
     }
