Store the worker of each long-running task before its start

Cause: after a takeover, all tasks of a service that had been started before waited until every listed worker had reported or its leases had ended. Which task may run where was known to the last decider only.

Change: the progress of a job names the worker of each long-running task, and a start is held until that is stored, one write. A successor lets such a task wait for its own worker only; other tasks wait as before. lease-bounds says since which term all deciders have stored these places, so that what an earlier version has started elsewhere is not overlooked. Earlier versions ignore the places, which follow all that they read; the compact form has none.

Three set-ups in reports and unanswered_start store the progress once more before they expect the start; what they check is unchanged.

--- a/packages/entry/src/cicadalug/entry/decider.cpp
+++ b/packages/entry/src/cicadalug/entry/decider.cpp
@@ -58,6 +58,7 @@
     m_takeover = begin_takeover(m_load.m_began);
     m_state.m_elected = m_load.m_began;
     m_state.m_candidate_since = m_term.m_candidate_since;
+    m_state.m_places_since = m_term.m_token;
     m_relays->start();
     run_in_term(load(shared_from_this()), "load");
     run_in_term(observe_load(shared_from_this()), "observe_load");
--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -437,7 +438,11 @@
     auto* found = find_task(state, task);
     found->m_highest_run = run;
     found->m_trial = stored;
-    mark_dirty(state, *find_job(state, task.m_job));
+    auto& job = *find_job(state, task.m_job);
+    if (has_stored_places(step_of(job, task))) {
+        plan_place(state, job, *found, worker);
+    }
+    mark_dirty(state, job);
 }
 
 auto drop_trial(scheduler_state& state, const task_ref& task) -> void
--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/placement.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/waiting_steps.hpp>
 #include <cicadalug/scheduler/worker_obstacle.hpp>
@@ -143,12 +144,17 @@
     placed.m_long_running = step_of(job, task).m_long_running;
     placed.m_best_effort = step_of(job, task).m_best_effort;
     placed.m_sent = pass.m_now;
+    if (has_stored_places(step_of(job, task))) {
+        plan_place(state, job, found, index);
+        placed.m_held = !is_place_stored(state, found, index);
+    }
+    auto& starts = placed.m_held ? state.m_held_starts : state.m_starts;
     const auto demand = placed.m_demand;
     worker.m_runs.push_back(placed);
     add_used(pass, index, demand);
     const auto permit = step.m_permits.find(index);
-    state.m_starts.push_back({index, task, run, found.m_checkpoint,
-                              permit == step.m_permits.end() ? std::string{} : permit->second.m_text, pass.m_now});
+    starts.push_back({index, task, run, found.m_checkpoint,
+                      permit == step.m_permits.end() ? std::string{} : permit->second.m_text, pass.m_now});
 }
 
 auto reserve_capacity(service_pass& pass, const worker_index index, const resources& demand) -> void
@@ -410,6 +416,10 @@
         if (member.m_phase != task_phase::waiting) {
             continue;
         }
+        if (waiting.m_awaits_runs && may_run_unseen(pass.m_state, member, pass.m_now)) {
+            enter_part(member.m_times, job_part::recovering, pass.m_now);
+            continue;
+        }
         if (member.m_not_before > pass.m_now) {
             enter_part(member.m_times, job_part::back_off, pass.m_now);
             continue;
@@ -537,6 +547,7 @@
         }
         return;
     }
+    release_starts(state, now);
     auto workers = collect_workers(state, now);
     for (const auto& [service, jobs] : state.m_active) {
         if (jobs.empty()) {
--- a/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/jobs.cpp
@@ -1,5 +1,6 @@
 #include <cicadalug/scheduler/job_estimates.hpp>
 #include <cicadalug/scheduler/jobs.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 #include <cicadalug/scheduler/stored_progress.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 
@@ -303,7 +304,6 @@
         }
     }
     auto& entry = *job;
-    const auto crashes = progress ? progress->m_crashes : std::vector<crash_progress>{};
     state.m_jobs.emplace(entry.m_record.m_id, std::move(job));
     const bool cancelled = state.m_early_cancels.erase(entry.m_record.m_id) > 0;
     if (is_final(entry.m_state)) {
@@ -311,7 +311,10 @@
         entry.m_finished = clock.m_now;
         return;
     }
-    restore_crashes(state, entry, crashes);
+    if (progress) {
+        restore_crashes(state, entry, progress->m_crashes);
+        restore_places(state, entry, progress->m_places);
+    }
     open_occurrences(entry, state.m_settings, clock.m_unix_ms);
     account_ready_steps(entry, clock.m_now);
     const auto& terms = entry.m_record.m_policy;
@@ -476,6 +479,7 @@
     state.m_dispatch_requested = state.m_dispatch_requested || job.m_refused;
     job.m_refused = false;
     confirm_trials(state, job, stored);
+    confirm_places(state, job, stored.m_places);
     for (auto& occurrence : job.m_open) {
         const auto found =
             std::find_if(stored.m_open.begin(), stored.m_open.end(), [&occurrence](const occurrence_progress& open) {
@@ -521,6 +525,7 @@
         }
         progress.m_open.push_back(std::move(stored));
         append_crashes(progress, occurrence);
+        append_places(progress, occurrence);
     }
     return progress;
 }
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
@@ -55,7 +55,7 @@
 auto encode(const lease_bounds& bounds) -> std::string
 {
     std::ostringstream text;
-    text << bounds.m_token << ' ' << bounds.m_written.count();
+    text << bounds.m_token << ' ' << bounds.m_written.count() << ' ' << bounds.m_places_since;
     for (const auto& [worker, lease] : bounds.m_leases) {
         text << ' ' << worker;
         write_time(text, lease.m_end);
@@ -72,10 +72,12 @@
     lease_bounds bounds;
     std::uint64_t token{0};
     std::optional<milliseconds> written;
-    if (!(stream >> token) || !read_time(stream, written) || !written) {
+    std::uint64_t places_since{0};
+    if (!(stream >> token) || !read_time(stream, written) || !written || !(stream >> places_since)) {
         return std::nullopt;
     }
     bounds.m_token = fencing_token{token};
+    bounds.m_places_since = fencing_token{places_since};
     bounds.m_written = std::max(*written, milliseconds{0});
     std::string worker;
     while (stream >> worker) {
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
@@ -34,6 +34,8 @@
     fencing_token m_token;
     /** @brief The bounds were written at least this long after the election. */
     milliseconds m_written{0};
+    /** @brief See scheduler_state. */
+    fencing_token m_places_since;
     /** @brief Workers with a lease are left out if the decider renews it and knows of no other one. */
     std::map<worker_id, stored_lease> m_leases;
 };
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -48,7 +48,7 @@
 {
     auto end = lease_end(state, worker);
     for (const auto& run : worker.m_runs) {
-        end = std::max(end, run.m_confirmed ? end : end_of_unanswered_start(state, worker, run));
+        end = std::max(end, run.m_confirmed || run.m_held ? end : end_of_unanswered_start(state, worker, run));
     }
     return end;
 }
@@ -95,11 +95,16 @@
                          [&](const worker_id& id) { return may_serve(state, id, service); });
 }
 
+auto is_awaited(const scheduler_state& state, const worker_id& id, const time_point now) -> bool
+{
+    const bool ended = now > expected_lease_end(state, id) && now < state.m_term_guaranteed_until;
+    return !ended && state.m_expected_workers.contains(id);
+}
+
 auto is_recovered(const scheduler_state& state, const service_id& service, const time_point now) -> bool
 {
     return std::none_of(state.m_expected_workers.begin(), state.m_expected_workers.end(), [&](const worker_id& id) {
-        const bool ended = now > expected_lease_end(state, id) && now < state.m_term_guaranteed_until;
-        return !ended && may_serve(state, id, service);
+        return is_awaited(state, id, now) && may_serve(state, id, service);
     });
 }
 
@@ -220,6 +225,7 @@
     };
     lease_bounds bounds;
     bounds.m_token = state.m_token;
+    bounds.m_places_since = state.m_places_since;
     bounds.m_written = std::chrono::floor<milliseconds>(now - elected);
     for (const auto& id : awaited_workers(state, now)) {
         stored_lease lease;
@@ -265,6 +271,7 @@
                                        lease.m_settled};
     }
     state.m_lease_bounds_known = true;
+    state.m_places_since = bounds.m_places_since;
 }
 
 auto restarted_workers(const scheduler_state& state, const std::vector<worker_index>& leased, const time_point now)
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -25,6 +25,9 @@
  * leases, as nothing starts on others. Those whose entry names another service are left out. */
 [[nodiscard]] auto count_expected_workers(const scheduler_state& state, const service_id& service) -> std::int64_t;
 
+/** @brief Checks whether a worker may hold runs of earlier terms and has not reported. */
+[[nodiscard]] auto is_awaited(const scheduler_state& state, const worker_id& id, time_point now) -> bool;
+
 /**
  * @brief Checks whether tasks that were accepted before this decider took over may start on a service's workers: all
  * workers that may hold their runs have reported, or their leases from earlier terms have ended.
--- a/packages/scheduler/src/cicadalug/scheduler/progress.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.cpp
@@ -22,9 +22,12 @@
         // One serialize() serves both reading and writing and therefore takes a mutable object.
         auto& written = const_cast<job_progress&>(progress);
         archive(written);
-        if (!written.m_crashes.empty()) {
+        if (!written.m_crashes.empty() || !written.m_places.empty()) {
             archive(written.m_crashes);
         }
+        if (!written.m_places.empty()) {
+            archive(written.m_places);
+        }
     }
     return std::move(stream).str();
 }
@@ -47,6 +50,9 @@
         if (stream.peek() != std::istringstream::traits_type::eof()) {
             archive(progress.m_crashes);
         }
+        if (stream.peek() != std::istringstream::traits_type::eof()) {
+            archive(progress.m_places);
+        }
         return progress;
     }
     catch (const std::exception& exception) {
--- a/packages/scheduler/src/cicadalug/scheduler/progress.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/progress.hpp
@@ -70,6 +70,22 @@
     }
 };
 
+/** @brief Worker on which a long-running task may run, and no other one, stored before the start. */
+struct place_progress {
+    std::int64_t m_occurrence{0};
+    std::int64_t m_step{0};
+    std::int64_t m_index{0};
+    worker_id m_worker;
+    /** @brief Token of the term in which the run was planned. */
+    fencing_token m_token;
+
+    template<typename Archive>
+    auto serialize(Archive& archive) -> void
+    {
+        archive(m_occurrence, m_step, m_index, m_worker, m_token);
+    }
+};
+
 /** @brief Progress of a job as it is stored. */
 struct job_progress {
     job_state m_state{job_state::queued};
@@ -79,6 +95,9 @@
     /** @brief Tasks that may crash their workers. Stored after the other fields: earlier versions neither write nor
      * read it. */
     std::vector<crash_progress> m_crashes;
+    /** @brief Places of the long-running tasks. Stored last, as earlier versions ignore what follows the crashes, and
+     * not in the compact form. Without its place, a task waits for all workers of its service after a takeover. */
+    std::vector<place_progress> m_places;
     /** @brief Number of the job's changes that the progress contains. Only valid in the process that made it; it is not
      * stored. */
     std::int64_t m_changes{0};
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -5,6 +5,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/permits.hpp>
 #include <cicadalug/scheduler/reports.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 #include <cicadalug/scheduler/stale_lease.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/unanswered_start.hpp>
@@ -95,6 +96,9 @@
     }
     else if (task->m_phase == task_phase::waiting) {
         begin_running(*task, now, now);
+        if (has_stored_places(step_of(*job, report.m_task))) {
+            plan_place(state, *job, *task, index);
+        }
         task->m_worker = index;
         task->m_run = report.m_run;
         task->m_highest_run = std::max(task->m_highest_run, report.m_run);
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -90,6 +90,14 @@
 
 inline constexpr worker_index no_worker{-1};
 
+/** @brief Worker on which a task may run, see run_place.hpp. */
+struct run_place {
+    worker_id m_worker;
+    /** @brief Token of the term in which the run was planned. */
+    fencing_token m_token;
+    bool m_is_stored{false};
+};
+
 /** @brief State of a task in memory. */
 struct task_state {
     task_phase m_phase{task_phase::waiting};
@@ -115,6 +123,9 @@
     run_number m_last_lost_trial;
     /** @brief The trial to be stored before its start. */
     std::optional<stored_trial> m_trial;
+    /** @brief The only worker on which the task may run; nothing if that is not known, or the step does not store it.
+     */
+    std::optional<run_place> m_place;
     std::string m_checkpoint;
     /** @brief Start of the current phase. */
     time_point m_since{};
@@ -218,6 +229,8 @@
     time_point m_throttle_sent{};
     /** @brief When the start was sent; the report of an earlier status poll does not reflect it. */
     time_point m_sent{};
+    /** @brief The start waits for the write of its place, see run_place.hpp. */
+    bool m_held{false};
     /** @brief The worker has reported the run or accepted its start. */
     bool m_confirmed{false};
     /** @brief This decider did not start the run, or has no record of it; a worker reported it. */
@@ -499,6 +512,8 @@
     std::map<worker_id, expected_lease> m_expected_leases;
     /** @brief The last decider has stored the ends of leases that it knew. */
     bool m_lease_bounds_known{false};
+    /** @brief All deciders since the term with this token have stored the places of long-running tasks. */
+    fencing_token m_places_since;
     /** @brief Workers in m_expected_workers that were registered with an incarnation which no earlier decider has
      * called. */
     std::set<worker_id> m_expected_unheard;
@@ -530,6 +545,8 @@
     /** @brief Workers on which the last decider may have started trials, also those that are resolved. */
     std::set<worker_id> m_recovered_trial_workers;
     std::vector<start_command> m_starts;
+    /** @brief Starts that wait for the writes of their places. */
+    std::vector<start_command> m_held_starts;
     std::vector<stop_command> m_stops;
     /** @brief Workers that have restarted and are to be told their new token. */
     std::vector<worker_index> m_fence_announcements;
--- a/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/unanswered_start.cpp
@@ -46,7 +46,7 @@
 auto may_start_in_next_incarnation(const scheduler_state& state, const worker_slot& worker, const placed_run& run,
                                    const time_point now) -> bool
 {
-    return !run.m_confirmed && now < end_of_unanswered_start(state, worker, run);
+    return !run.m_confirmed && !run.m_held && now < end_of_unanswered_start(state, worker, run);
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/wait_cause.cpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/needed_workers.hpp>
 #include <cicadalug/scheduler/placement.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 #include <cicadalug/scheduler/wait_cause.hpp>
 
 #include <algorithm>
@@ -23,9 +24,10 @@
 };
 
 /** @brief Counts the workers of the task's service by what rules them out. */
-auto count_workers(const scheduler_state& state, const service_id& service, const placement_request& request,
+auto count_workers(const scheduler_state& state, const job_entry& job, const placement_request& request,
                    const bool use_paused, const time_point now, task_wait& wait) -> void
 {
+    const auto& service = job.m_record.m_policy.m_service;
     for (const auto index : state.m_current_workers) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         if (worker.m_entry.m_service != service) {
@@ -48,7 +50,10 @@
         ++wait.m_workers[static_cast<std::size_t>(obstacle)];
     }
     wait.m_expected = count_expected_workers(state, service);
-    wait.m_awaited = last_awaited_worker(state, service, now);
+    const auto& place =
+        find_step(job, request.m_task)->m_tasks[static_cast<std::size_t>(request.m_task.m_index)].m_place;
+    const bool waits_for_place = place && is_awaited(state, place->m_worker, now);
+    wait.m_awaited = waits_for_place ? std::optional{place->m_worker} : last_awaited_worker(state, service, now);
     if (wait.m_awaited) {
         wait.m_awaited_left = expected_lease_end(state, *wait.m_awaited) - now;
         wait.m_awaited_bound = bound_of_expected_lease(state, *wait.m_awaited);
@@ -97,7 +102,9 @@
     const auto& spec = step_of(job, task);
     const auto& step = *find_step(job, task);
     const auto& found = step.m_tasks[static_cast<std::size_t>(task.m_index)];
-    if (step.m_recovered && !spec.m_speculative && !is_recovered(state, job.m_record.m_policy.m_service, now)) {
+    const bool may_be_found = !has_stored_places(spec) || may_run_unseen(state, found, now);
+    if (step.m_recovered && !spec.m_speculative && may_be_found &&
+        !is_recovered(state, job.m_record.m_policy.m_service, now)) {
         return wait_cause::recovering;
     }
     if (found.m_not_before > now) {
@@ -159,7 +166,7 @@
     }
     const bool needs_permit = state.m_permit_queues.contains(policy.m_queue);
     const auto& spec = step_of(job, task);
-    count_workers(state, policy.m_service, {&spec, task, &found.m_failed_workers, needs_permit ? &step : nullptr},
+    count_workers(state, job, {&spec, task, &found.m_failed_workers, needs_permit ? &step : nullptr},
                   may_use_paused_workers(state, job, task, now), now, wait);
     wait.m_cause = find_cause(state, job, task, wait, now);
     return wait;
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.cpp
@@ -1,4 +1,5 @@
 #include <cicadalug/scheduler/dispatch.hpp>
+#include <cicadalug/scheduler/run_place.hpp>
 #include <cicadalug/scheduler/time_accounting.hpp>
 #include <cicadalug/scheduler/waiting_steps.hpp>
 
@@ -38,7 +39,8 @@
                 if (occurrence.m_steps[step].m_waiting == 0 || !is_ready(*job, occurrence, step)) {
                     continue;
                 }
-                if (occurrence.m_steps[step].m_recovered && !recovered && !spec.m_speculative) {
+                const bool awaits_runs = occurrence.m_steps[step].m_recovered && !recovered && !spec.m_speculative;
+                if (awaits_runs && !has_task_without_runs(state, spec, occurrence.m_steps[step], now)) {
                     account_waiting(occurrence.m_steps[step], job_part::recovering, now);
                     continue;
                 }
@@ -48,7 +50,7 @@
                     job->m_found_late = job->m_found_late || job_urgency > urgency::marginal;
                 }
                 found.push_back({job, &occurrence, step, spec.m_long_running ? urgency::serving : job_urgency,
-                                 needs_permit, occurrence.m_steps[step].m_recovered && !recovered});
+                                 needs_permit, occurrence.m_steps[step].m_recovered && !recovered, awaits_runs});
             }
         }
     }
--- a/packages/scheduler/src/cicadalug/scheduler/waiting_steps.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/waiting_steps.hpp
@@ -19,6 +19,8 @@
     bool m_needs_permit{false};
     /** @brief Runs of an earlier term may still be found. */
     bool m_recovering{false};
+    /** @brief Only tasks of which none may be found are to be started, see may_run_unseen(). */
+    bool m_awaits_runs{false};
 };
 
 /** @brief Returns a task of a step. */
--- a/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
@@ -13,6 +13,7 @@
     lease_bounds bounds;
     bounds.m_token = fencing_token{1039};
     bounds.m_written = milliseconds{1'200};
+    bounds.m_places_since = fencing_token{2};
     bounds.m_leases[worker_id{"left"}] = {milliseconds{5'710}, std::nullopt, milliseconds{23'300}, true};
     bounds.m_leases[worker_id{"restarted"}] = {std::nullopt, milliseconds{9'000}, std::nullopt, false};
     return bounds;
@@ -28,6 +29,7 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->m_token, bounds.m_token);
     EXPECT_EQ(read->m_written, bounds.m_written);
+    EXPECT_EQ(read->m_places_since, bounds.m_places_since);
     ASSERT_EQ(read->m_leases.size(), bounds.m_leases.size());
     for (const auto& [worker, lease] : bounds.m_leases) {
         const auto& found = read->m_leases.at(worker);
@@ -41,11 +43,12 @@
 // Guards against a successor that counts a lease as ended because it cannot read the value.
 TEST(lease_bounds, a_value_that_cannot_be_read_gives_no_bounds)
 {
-    for (const auto* text : {"", "1039", "1039 -", "1039 x", "1039 1200 left", "1039 1200 left 5710 - -", "x 1200",
-                             "1039 1200 left 57x - - 1", "1039 1200 left 5710 - - yes"}) {
+    for (const auto* text :
+         {"", "1039", "1039 -", "1039 x", "1039 1200", "1039 1200 2 left", "1039 1200 2 left 5710 - -", "x 1200 2",
+          "1039 1200 x", "1039 1200 2 left 57x - - 1", "1039 1200 2 left 5710 - - yes"}) {
         EXPECT_FALSE(decode_lease_bounds(text)) << text;
     }
-    EXPECT_TRUE(decode_lease_bounds("1039 1200"));
+    EXPECT_TRUE(decode_lease_bounds("1039 1200 2"));
 }
 
 // Guards against a wait that begins anew: a successor has seen the election of the decider that wrote the bounds.
--- a/packages/scheduler/test/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/reports.cpp
@@ -139,9 +139,9 @@
     simulation.begin_with("orders", 2);
     const auto job = simulation.submit(make_long_running_job("orders", 1, 1));
     auto& state = simulation.m_state;
-    dispatch(state, simulation.now());
-    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
-    dispatch(state, simulation.now());
+    // The first write opens the step, the second one stores the place of the run.
+    simulation.dispatch_and_store(job);
+    simulation.dispatch_and_store(job);
     ASSERT_EQ(state.m_starts.size(), 1U);
     const auto start = state.m_starts.front();
     state.m_starts.clear();
@@ -163,6 +163,8 @@
     state.m_term_guaranteed_until = now + milliseconds{1'000};
     state.m_grant_limit = now + milliseconds{5'000};
     dispatch(state, now + milliseconds{311});
+    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
+    dispatch(state, now + milliseconds{312});
     ASSERT_EQ(state.m_starts.size(), 1U);
     EXPECT_GT(state.m_starts.front().m_run, start.m_run);
     EXPECT_NE(state.m_starts.front().m_worker, start.m_worker);
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -433,6 +433,14 @@
     }
 }
 
+auto scheduler_simulation::dispatch_and_store(const job_id& id) -> void
+{
+    dispatch(m_state, m_now);
+    auto& job = *find_job(m_state, id);
+    apply_stored_progress(m_state, job, progress_of(job));
+    dispatch(m_state, m_now);
+}
+
 auto scheduler_simulation::stop_decider(const milliseconds time) -> void
 {
     m_now += time;
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.hpp
@@ -71,6 +71,8 @@
     auto lose(const worker_id& id) -> void;
     /** @brief Writes the lists of workers with leases. */
     auto list_leases() -> void;
+    /** @brief Runs a scheduling pass, stores what it has changed of a job, and runs another one. */
+    auto dispatch_and_store(const job_id& id) -> void;
     /** @brief Lets time pass without a decider. */
     auto stop_decider(milliseconds time) -> void;
     /** @brief Replaces the decider by a new one that has only the stored state and the workers' reports. */
--- a/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/unanswered_start.cpp
@@ -17,9 +17,9 @@
     simulation.begin_with("orders", 1);
     auto job = simulation.submit(make_long_running_job("orders", 1, 1));
     auto& state = simulation.m_state;
-    dispatch(state, simulation.now());
-    apply_stored_progress(state, *find_job(state, job), progress_of(*find_job(state, job)));
-    dispatch(state, simulation.now());
+    // The first write opens the step, the second one stores the place of the run.
+    simulation.dispatch_and_store(job);
+    simulation.dispatch_and_store(job);
     EXPECT_EQ(state.m_starts.size(), 1U);
     apply_start_result(state, state.m_starts.front(), command_result::unknown, simulation.now() + milliseconds{800});
     state.m_starts.clear();
