Count an incarnation as settled only if it has answered

Cause: the list names the incarnation that the registry shows, once its token is raised. It was stored as settled although it had answered nothing, so that a successor assumed 3.5 s instead of 10 s on it. Beside that, the incarnations are written once a second at most: a successor could take one that the last decider had called for unheard and wait 22.3 s for it (scheduler_stale_lease.outlasts_two_takeovers).

Change: settled is what has reported and is the last incarnation known; the bounds name the incarnation of each worker in them.

--- a/packages/entry/src/cicadalug/entry/decider_commands.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_commands.cpp
@@ -148,8 +148,8 @@
         if (is_known && !is_of_other_incarnation(worker)) {
             renewal.m_acknowledged_end = unconfirmed_acknowledgement(worker);
             update_lease_limits(m_state, m_last_renewal(), m_settings.m_term_lease);
-            if (const auto until_ms = grant_lease(m_state, index, monotonic_now()); until_ms > 0) {
-                renewal.m_lease_until_ms = until_ms;
+            if (const auto granted_ms = grant_lease(m_state, index, monotonic_now()); granted_ms > 0) {
+                renewal.m_lease_until_ms = granted_ms;
             }
             renewal.m_wait = !m_state.m_trials.empty() ? trial_renewal_wait : renewal_wait;
             renewal.m_timeout += renewal.m_wait;
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -42,8 +42,8 @@
  * is registered with another one has restarted since. Written with their VMs; earlier versions do not know it. */
 inline constexpr std::string_view leased_worker_incarnations_key{"leased-worker-incarnations"};
 
-/** @brief Key that holds the known ends of the leases of listed workers, see lease_bounds. It is valid if it was written
- * together with the list: earlier versions write the list alone. */
+/** @brief Key that holds the known ends of the leases of listed workers, see lease_bounds. It is valid if it was
+ * written together with the list: earlier versions write the list alone. */
 inline constexpr std::string_view lease_bounds_key{"lease-bounds"};
 
 /** @brief Prefix of accepted jobs and of their cancellations. */
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
@@ -47,7 +47,7 @@
 [[nodiscard]] auto read_lease(std::istream& text, stored_lease& lease) -> bool
 {
     return read_time(text, lease.m_end) && read_time(text, lease.m_stale_end) && read_time(text, lease.m_late_end) &&
-           (text >> lease.m_settled);
+           (text >> lease.m_settled >> lease.m_incarnation_start_unix_ms);
 }
 
 } // namespace
@@ -61,7 +61,7 @@
         write_time(text, lease.m_end);
         write_time(text, lease.m_stale_end);
         write_time(text, lease.m_late_end);
-        text << ' ' << lease.m_settled;
+        text << ' ' << lease.m_settled << ' ' << lease.m_incarnation_start_unix_ms;
     }
     return std::move(text).str();
 }
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
@@ -6,6 +6,7 @@
 #include <cicadalug/scheduler/store_revisions.hpp>
 #include <cicadalug/scheduler/store_types.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
     /** @brief No call to an earlier incarnation is carried out by the listed one any more, and m_stale_end bounds what
      * such calls have brought it. */
     bool m_settled{true};
+    /** @brief Start of the incarnation that was called last, in Unix milliseconds; 0 if not known. */
+    std::int64_t m_incarnation_start_unix_ms{0};
 };
 
 /** @brief What a decider knows about the ends of leases. */
@@ -40,7 +43,7 @@
     std::map<worker_id, stored_lease> m_leases;
 };
 
-/** @brief Encodes bounds for the store, in 15 to 45 bytes for each worker. */
+/** @brief Encodes bounds for the store, in 30 to 60 bytes for each worker. */
 [[nodiscard]] auto encode(const lease_bounds& bounds) -> std::string;
 
 /** @brief Decodes bounds from the store. @return The bounds, or nothing if they cannot be read. */
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -53,6 +53,24 @@
     return end;
 }
 
+/** @brief Returns the start of the incarnation of a worker of which this decider has heard last, 0 if it is not known.
+ */
+[[nodiscard]] auto last_incarnation_of(const worker_slot& worker) -> std::int64_t
+{
+    // The entry may be older than the last report.
+    const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
+    const bool registered_last = registered != 0 && worker.m_fenced_incarnation_unix_ms == registered;
+    return registered_last ? registered : worker.m_incarnation_start_unix_ms;
+}
+
+/** @brief Checks whether the incarnation of a worker of which this decider has heard last carries out no call to an
+ * earlier one any more. One that only its entry has shown may not have answered a call with its raised token. */
+[[nodiscard]] auto is_settled(const worker_slot& worker) -> bool
+{
+    return worker.m_has_reported && !worker.m_takes_stale_leases &&
+           last_incarnation_of(worker) == worker.m_incarnation_start_unix_ms;
+}
+
 /** @brief Checks whether an expected worker is not likely to report: it is not registered, does not respond, or has
  * restarted. Its lease gets an end, until which a report brings it no other lease. */
 [[nodiscard]] auto is_silent(const scheduler_state& state, const worker_id& id) -> bool
@@ -230,6 +248,9 @@
     for (const auto& id : awaited_workers(state, now)) {
         stored_lease lease;
         lease.m_settled = is_settled(state, id);
+        if (const auto called = state.m_expected_incarnations.find(id); called != state.m_expected_incarnations.end()) {
+            lease.m_incarnation_start_unix_ms = called->second;
+        }
         if (const auto found = state.m_expected_leases.find(id); found != state.m_expected_leases.end()) {
             if (found->second.m_end) {
                 lease.m_end = since_election(*found->second.m_end);
@@ -246,7 +267,7 @@
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         const auto stale_end = stale_end_of(state, worker, now);
-        if (stale_end > now || worker.m_takes_stale_leases || worker.m_end_being_listed) {
+        if (stale_end > now || !is_settled(worker) || worker.m_end_being_listed) {
             auto& lease = bounds.m_leases[worker.m_entry.m_id];
             if (worker.m_end_being_listed && worker.m_listed_end) {
                 lease.m_end = since_election(*worker.m_listed_end);
@@ -255,7 +276,8 @@
             if (stale_end > now) {
                 lease.m_stale_end = since_election(stale_end);
             }
-            lease.m_settled = !worker.m_takes_stale_leases;
+            lease.m_settled = is_settled(worker);
+            lease.m_incarnation_start_unix_ms = last_incarnation_of(worker);
         }
     }
     return bounds;
@@ -269,6 +291,10 @@
     for (const auto& [id, lease] : bounds.m_leases) {
         state.m_expected_leases[id] = {local(lease.m_end), local(lease.m_stale_end), local(lease.m_late_end),
                                        lease.m_settled};
+        // The incarnations are written less often than the bounds.
+        if (lease.m_incarnation_start_unix_ms != 0) {
+            state.m_expected_incarnations[id] = lease.m_incarnation_start_unix_ms;
+        }
     }
     state.m_lease_bounds_known = true;
     state.m_places_since = bounds.m_places_since;
@@ -306,10 +332,7 @@
     }
     for (const auto index : leased) {
         const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-        // The entry may be older than the last report.
-        const auto registered = worker.m_entry.m_incarnation_start_unix_ms;
-        const bool registered_last = registered != 0 && worker.m_fenced_incarnation_unix_ms == registered;
-        if (const auto start = registered_last ? registered : worker.m_incarnation_start_unix_ms; start != 0) {
+        if (const auto start = last_incarnation_of(worker); start != 0) {
             incarnations[worker.m_entry.m_id] = start;
         }
     }
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.hpp
@@ -95,8 +95,8 @@
  * listed without one. */
 auto expect_listed_end(const scheduler_state& state, worker_slot& worker) -> void;
 
-/** @brief Takes over what the last decider has stored about the ends of leases. @param elected Latest local time at
- * which that decider may have been elected. */
+/** @brief Takes over what the last decider has stored about the ends of leases. @pre The incarnations that it has
+ * stored have been taken over. @param elected Latest local time at which that decider may have been elected. */
 auto inherit_lease_bounds(scheduler_state& state, const lease_bounds& bounds, time_point elected) -> void;
 
 /**
--- a/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
@@ -14,8 +14,9 @@
     bounds.m_token = fencing_token{1039};
     bounds.m_written = milliseconds{1'200};
     bounds.m_places_since = fencing_token{2};
-    bounds.m_leases[worker_id{"left"}] = {milliseconds{5'710}, std::nullopt, milliseconds{23'300}, true};
-    bounds.m_leases[worker_id{"restarted"}] = {std::nullopt, milliseconds{9'000}, std::nullopt, false};
+    bounds.m_leases[worker_id{"left"}] = {milliseconds{5'710}, std::nullopt, milliseconds{23'300}, true, 0};
+    bounds.m_leases[worker_id{"restarted"}] = {std::nullopt, milliseconds{9'000}, std::nullopt, false,
+                                               1'796'621'234'381};
     return bounds;
 }
 
@@ -37,6 +38,7 @@
         EXPECT_EQ(found.m_stale_end, lease.m_stale_end);
         EXPECT_EQ(found.m_late_end, lease.m_late_end);
         EXPECT_EQ(found.m_settled, lease.m_settled);
+        EXPECT_EQ(found.m_incarnation_start_unix_ms, lease.m_incarnation_start_unix_ms);
     }
 }
 
@@ -45,7 +47,7 @@
 {
     for (const auto* text :
          {"", "1039", "1039 -", "1039 x", "1039 1200", "1039 1200 2 left", "1039 1200 2 left 5710 - -", "x 1200 2",
-          "1039 1200 x", "1039 1200 2 left 57x - - 1", "1039 1200 2 left 5710 - - yes"}) {
+          "1039 1200 x", "1039 1200 2 left 57x - - 1 0", "1039 1200 2 left 5710 - - yes 0"}) {
         EXPECT_FALSE(decode_lease_bounds(text)) << text;
     }
     EXPECT_TRUE(decode_lease_bounds("1039 1200 2"));
--- a/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/leased_workers.cpp
@@ -213,6 +213,44 @@
     EXPECT_EQ(incarnations_of_listed_workers(state, leased, simulation.now()).at(entry.m_id), 3);
 }
 
+// Guards against a wait for late calls to an incarnation that the last decider has called: the list of incarnations is
+// written less often than the bounds.
+TEST(leased_workers, the_bounds_name_the_incarnation_of_a_restarted_worker)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    const auto id = state.m_workers[0].m_entry.m_id;
+    restart(simulation);
+    const auto bounds = lease_bounds_of(state, begin_lease_list(state, simulation.now()), simulation.now());
+    scheduler_state successor;
+    successor.m_expected_workers = {id};
+    successor.m_expected_incarnations[id] = 1;
+    inherit_lease_bounds(successor, bounds, simulation.now());
+    EXPECT_EQ(successor.m_expected_incarnations[id], 2);
+    EXPECT_TRUE(is_settled(successor, id));
+    EXPECT_GT(expected_lease_end(successor, id), simulation.now());
+}
+
+// Guards against a second run of a task on an incarnation that the last decider knew from its entry only: late calls to
+// the one before may still bring it the longest lease.
+TEST(leased_workers, an_incarnation_that_has_not_answered_is_not_settled)
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    auto entry = state.m_workers[0].m_entry;
+    entry.m_incarnation_start_unix_ms = 1;
+    register_worker(state, entry);
+    simulation.run_for(milliseconds{50});
+    ASSERT_TRUE(lease_bounds_of(state, begin_lease_list(state, simulation.now()), simulation.now()).m_leases.empty());
+    entry.m_incarnation_start_unix_ms = 2;
+    register_worker(state, entry);
+    const auto bounds = lease_bounds_of(state, begin_lease_list(state, simulation.now()), simulation.now());
+    ASSERT_EQ(bounds.m_leases.size(), 1U);
+    EXPECT_FALSE(bounds.m_leases.at(entry.m_id).m_settled);
+}
+
 // Guards against counting a worker as listed after a write without it, which may be carried out without a response.
 TEST(leased_workers, a_worker_left_out_of_a_list_does_not_count_as_listed)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/scheduler_simulation.cpp
@@ -456,10 +456,10 @@
     m_state.m_began = m_now;
     m_state.m_expected_workers = m_stored_leases;
     m_state.m_expected_vms = m_stored_vms;
+    m_state.m_expected_incarnations = m_stored_incarnations;
     if (const auto bounds = decode_lease_bounds(m_stored_bounds)) {
         inherit_lease_bounds(m_state, *bounds, m_bounds_elected);
     }
-    m_state.m_expected_incarnations = m_stored_incarnations;
     for (const auto& [id, stored] : m_store) {
         add_job(m_state, stored.m_record, stored.m_progress, true, clock());
     }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -82,10 +82,10 @@
     m_state.m_began = now();
     m_state.m_expected_workers = m_simulation.m_stored_leases;
     m_state.m_expected_vms = m_simulation.m_stored_vms;
+    m_state.m_expected_incarnations = m_simulation.m_stored_incarnations;
     if (const auto bounds = decode_lease_bounds(m_simulation.m_stored_bounds)) {
         inherit_lease_bounds(m_state, *bounds, m_simulation.m_bounds_elected);
     }
-    m_state.m_expected_incarnations = m_simulation.m_stored_incarnations;
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
     m_last_renewal = now();
     for (const auto& [id, job] : m_simulation.m_jobs) {
