Withdraw held starts to workers that accept no new work any more

Cause: a start that waits for the write of its place was sent although its worker had fallen silent, had restarted, or was no longer listed in the meantime, with a longer lease than a successor would expect.

Change: the worker is checked again, and a start brings no longer lease to a worker whose end is stored.

Result: run_place.a_held_start_is_not_sent_to_a_worker_that_accepts_no_new_work_since fails before in three cases and passes now.

--- a/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/dispatch.cpp
@@ -531,7 +531,7 @@
     const auto left = end - worker.m_clock_read;
     const auto slowest = left - left * settings.m_clock_drift_permille / 1'000;
     auto lease_until_ms = worker.m_clock_ms + std::chrono::duration_cast<milliseconds>(slowest).count();
-    if (worker.m_unresponsive) {
+    if (worker.m_unresponsive || worker.m_listed_end) {
         lease_until_ms = std::min(lease_until_ms, worker.m_lease_until_ms);
     }
     worker.m_lease_until_ms = std::max(worker.m_lease_until_ms, lease_until_ms);
--- a/packages/scheduler/src/cicadalug/scheduler/run_place.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/run_place.cpp
@@ -2,6 +2,7 @@
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/reports.hpp>
 #include <cicadalug/scheduler/run_place.hpp>
+#include <cicadalug/scheduler/worker_obstacle.hpp>
 
 #include <algorithm>
 #include <cstddef>
@@ -92,7 +93,8 @@
 auto release_starts(scheduler_state& state, const time_point now) -> void
 {
     std::erase_if(state.m_held_starts, [&](start_command& command) {
-        auto& runs = state.m_workers[static_cast<std::size_t>(command.m_worker)].m_runs;
+        auto& worker = state.m_workers[static_cast<std::size_t>(command.m_worker)];
+        auto& runs = worker.m_runs;
         const auto run = std::find_if(runs.begin(), runs.end(), [&command](const placed_run& placed) {
             return placed.m_run == command.m_run && placed.m_task == command.m_task;
         });
@@ -104,6 +106,11 @@
             return false;
         }
         run->m_held = false;
+        const auto obstacle = find_obstacle(worker, now);
+        if (obstacle != worker_obstacle::none && obstacle != worker_obstacle::paused) {
+            apply_start_result(state, command, command_result::withdrawn, now);
+            return true;
+        }
         run->m_sent = now;
         command.m_decided = now;
         state.m_starts.push_back(std::move(command));
--- a/packages/scheduler/src/cicadalug/scheduler/run_place.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/run_place.hpp
@@ -38,7 +38,8 @@
 /** @brief Marks the places that are stored. */
 auto confirm_places(scheduler_state& state, const job_entry& job, const std::vector<place_progress>& places) -> void;
 
-/** @brief Sends the starts whose places are stored since. */
+/** @brief Sends the starts whose places are stored since, and withdraws those to workers that accept no new work any
+ * more: a successor may count their leases as ended. */
 auto release_starts(scheduler_state& state, time_point now) -> void;
 
 } // namespace cicadalug
--- a/packages/scheduler/test/cicadalug/scheduler/run_place.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/run_place.cpp
@@ -5,6 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <functional>
+#include <utility>
+
 namespace cicadalug::test {
 
 namespace {
@@ -28,6 +32,27 @@
     job_id m_job;
 };
 
+/** @brief Counts the starts that are sent when a place is stored, after a change of the worker since the decision. */
+[[nodiscard]] auto starts_after(const std::function<void(worker_slot&, time_point)>& change) -> std::size_t
+{
+    scheduler_simulation simulation;
+    simulation.begin_with("quotes", 1);
+    auto& state = simulation.m_state;
+    static_cast<void>(simulation.submit(make_long_running_job("quotes", 1, 1)));
+    simulation.m_store_interval = milliseconds{200};
+    for (int step = 0; step < 100 && state.m_held_starts.empty(); ++step) {
+        simulation.run_for(milliseconds{10});
+    }
+    EXPECT_EQ(state.m_held_starts.size(), 1U);
+    change(state.m_workers[0], simulation.now());
+    for (auto* job : std::exchange(state.m_dirty, {})) {
+        job->m_dirty = false;
+        apply_stored_progress(state, *job, progress_of(*job));
+    }
+    dispatch(state, simulation.now());
+    return state.m_starts.size();
+}
+
 } // namespace
 
 // Guards against a second run of a task on a worker of which a successor does not know: it waits for the stored worker
@@ -129,4 +154,17 @@
     EXPECT_TRUE(decoded.assume_value().m_crashes.empty());
 }
 
+// Guards against a start on a worker whose stored end a successor would not outwait, or whose stale lease no successor
+// knows of: it was decided before, and waited for the write of its place.
+TEST(run_place, a_held_start_is_not_sent_to_a_worker_that_accepts_no_new_work_since)
+{
+    EXPECT_EQ(starts_after([](worker_slot&, const time_point) {}), 1U);
+    EXPECT_EQ(starts_after([](worker_slot& slot, const time_point now) { slot.m_listed_end = now; }), 0U)
+        << "an end is stored";
+    EXPECT_EQ(starts_after([](worker_slot& slot, const time_point) { slot.m_takes_stale_leases = true; }), 0U)
+        << "takes stale leases";
+    EXPECT_EQ(starts_after([](worker_slot& slot, const time_point) { slot.m_lease_listed = false; }), 0U)
+        << "its lease is not listed any more";
+}
+
 } // namespace cicadalug::test
