Date the bounds of long terms by their write

Cause: times after the election were limited to an hour, and counted over the whole term, over which the clocks of two VMs may differ by more than the margin.

Change: the limit is far beyond any term; for terms of over a minute the write of the bounds dates them, so that only the time since the write counts.

--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
@@ -13,8 +13,12 @@
 
 constexpr std::string_view no_time{"-"};
 
-/** @brief Bounds are at most this far from an election; protects the arithmetic from values of another writer. */
-constexpr std::int64_t longest_time_ms{3'600'000};
+/** @brief Protects the arithmetic from values of another writer; about 30 years. */
+constexpr std::int64_t longest_time_ms{1'000'000'000'000};
+
+/** @brief The election dates the bounds of terms up to this long only: over longer times, the rates of two VMs' clocks
+ * differ by more than the margin of leases. */
+constexpr milliseconds longest_dated_term{60'000};
 
 auto write_time(std::ostream& text, const std::optional<milliseconds>& time) -> void
 {
@@ -94,7 +98,9 @@
     const auto seen = [&](const store_revision revision) {
         return std::min(now, time_reached(revisions, revision).value_or(now));
     };
-    return std::min(seen(store_revision{bounds.m_token.value()}), seen(written) - bounds.m_written);
+    const auto by_write = seen(written) - bounds.m_written;
+    return bounds.m_written > longest_dated_term ? by_write
+                                                 : std::min(seen(store_revision{bounds.m_token.value()}), by_write);
 }
 
 } // namespace cicadalug
