Store ends of leases only while they can be of use

Cause: a silent worker stayed listed after its leases had ended, so that a successor waited for late calls to its next incarnation; an end counted as listed although its write had failed; and a single lost response kept a worker's lease from being renewed until the list was stored again, so that its runs lapsed in an outage of the store.

Change: an ended lease is not listed; a list whose write failed is due again; an end is stored once a worker has been silent for 250 ms after a renewal without a response.

--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
@@ -31,6 +31,15 @@
     std::int64_t m_incarnation_start_unix_ms{0};
 };
 
+/** @brief Until when a worker that has not reported may run what earlier deciders let it run, in local time; see
+ * stored_lease. */
+struct expected_lease {
+    std::optional<time_point> m_end;
+    std::optional<time_point> m_stale_end;
+    std::optional<time_point> m_late_end;
+    bool m_settled{false};
+};
+
 /** @brief What a decider knows about the ends of leases. */
 struct lease_bounds {
     /** @brief Token of its term, which is the revision of the store at its election. */
--- a/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/leased_workers.cpp
@@ -24,7 +24,8 @@
  * without a response. */
 [[nodiscard]] auto may_hold_runs(const scheduler_state& state, const worker_slot& worker, const time_point now) -> bool
 {
-    return worker.m_listed_end || has_lease(state, worker, now) ||
+    const bool waits_for_lease = worker.m_listed_end && (!worker.m_unresponsive || *worker.m_listed_end > now);
+    return waits_for_lease || has_lease(state, worker, now) ||
            std::any_of(worker.m_runs.begin(), worker.m_runs.end(),
                        [&](const placed_run& run) { return may_start_in_next_incarnation(state, worker, run, now); });
 }
@@ -53,6 +54,17 @@
     return end;
 }
 
+/** @brief A worker is silent if it does not respond for this long after a renewal had no response, in which the next
+ * one is answered if a single response was lost. A stored end keeps its lease from being renewed until the next write.
+ */
+constexpr milliseconds silence_time{250};
+
+/** @brief Checks whether a worker that has reported in this term does not respond any more. */
+[[nodiscard]] auto has_fallen_silent(const worker_slot& worker, const time_point now) -> bool
+{
+    return worker.m_has_reported && worker.m_unresponsive && now - worker.m_silent_since.value_or(now) >= silence_time;
+}
+
 /** @brief Returns the start of the incarnation of a worker of which this decider has heard last, 0 if it is not known.
  */
 [[nodiscard]] auto last_incarnation_of(const worker_slot& worker) -> std::int64_t
@@ -168,11 +180,10 @@
         const auto lease = state.m_expected_leases.find(id);
         return is_silent(state, id) && (lease == state.m_expected_leases.end() || !lease->second.m_end);
     });
-    return awaits_unlisted ||
+    return awaits_unlisted || state.m_lease_list_pending ||
            std::any_of(state.m_current_workers.begin(), state.m_current_workers.end(), [&](const worker_index index) {
                const auto& worker = state.m_workers[static_cast<std::size_t>(index)];
-               return worker.m_has_reported && worker.m_unresponsive && !worker.m_end_being_listed &&
-                      has_lease(state, worker, now);
+               return has_fallen_silent(worker, now) && !worker.m_end_being_listed && has_lease(state, worker, now);
            });
 }
 
@@ -196,6 +207,7 @@
             lease.m_late_end = expected_end_of_late_calls(state, id);
         }
     }
+    state.m_lease_list_pending = true;
     std::vector<worker_index> leased;
     for (const auto index : state.m_current_workers) {
         if (may_hold_runs(state, state.m_workers[static_cast<std::size_t>(index)], now)) {
@@ -210,7 +222,7 @@
     for (std::size_t index = 0; index < state.m_workers.size(); ++index) {
         auto& worker = state.m_workers[index];
         worker.m_lease_listed = worker.m_lease_listed && in_list[index];
-        worker.m_end_being_listed = in_list[index] && worker.m_has_reported && worker.m_unresponsive;
+        worker.m_end_being_listed = in_list[index] && has_fallen_silent(worker, now);
         if (worker.m_end_being_listed) {
             worker.m_listed_end = worker.m_listed_end.value_or(end_of_runs(state, worker));
         }
@@ -222,6 +234,7 @@
 
 auto complete_lease_list(scheduler_state& state, const std::vector<worker_index>& listed) -> void
 {
+    state.m_lease_list_pending = false;
     for (const auto index : listed) {
         auto& worker = state.m_workers[static_cast<std::size_t>(index)];
         state.m_dispatch_requested =
--- a/packages/scheduler/src/cicadalug/scheduler/reports.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/reports.cpp
@@ -539,6 +539,8 @@
     forget_ended_stale_leases(state, now);
     for (const auto position : state.m_current_workers) {
         auto& worker = state.m_workers[static_cast<std::size_t>(position)];
+        worker.m_silent_since =
+            worker.m_unresponsive ? std::optional{worker.m_silent_since.value_or(now)} : std::nullopt;
         const bool expired = lease_end(state, worker) < now && now < state.m_term_guaranteed_until;
         if (worker.m_has_reported && !worker.m_runs.empty() && expired) {
             end_lapsed_runs(state, worker, position, now);
--- a/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/scheduler_state.hpp
@@ -4,6 +4,7 @@
 #include <cicadalug/scheduler/duration_estimate.hpp>
 #include <cicadalug/scheduler/job.hpp>
 #include <cicadalug/scheduler/job_times.hpp>
+#include <cicadalug/scheduler/lease_bounds.hpp>
 #include <cicadalug/scheduler/progress.hpp>
 #include <cicadalug/scheduler/worker.hpp>
 
@@ -289,15 +290,6 @@
     std::int64_t m_changes{0};
 };
 
-/** @brief Until when a worker that has not reported may run what earlier deciders let it run, in local time; see
- * stored_lease. */
-struct expected_lease {
-    std::optional<time_point> m_end;
-    std::optional<time_point> m_stale_end;
-    std::optional<time_point> m_late_end;
-    bool m_settled{false};
-};
-
 /** @brief A worker in the scheduler's table. Its index is never reused. */
 struct worker_slot {
     worker_entry m_entry;
@@ -311,6 +303,8 @@
     /** @brief The last renewal had no response. Its lease counts as granted, but no longer lease is granted until the
      * next response. */
     bool m_unresponsive{false};
+    /** @brief Since when a scheduling pass has found the worker unresponsive. */
+    std::optional<time_point> m_silent_since;
     /** @brief The worker gets no new work, as its VM is about to be maintained or moved. */
     bool m_cordoned{false};
     std::int64_t m_incarnation_start_unix_ms{0};
@@ -517,6 +511,8 @@
     /** @brief Workers in m_expected_workers that were registered with an incarnation which no earlier decider has
      * called. */
     std::set<worker_id> m_expected_unheard;
+    /** @brief A write of the list has begun, and has not succeeded since. */
+    bool m_lease_list_pending{false};
     /** @brief The stored list of workers with leases may name workers of m_expected_workers. */
     bool m_expected_listed{false};
     std::unordered_map<job_id, std::unique_ptr<job_entry>> m_jobs;
