Test random series of terms with a limit of 9 s on each wait

Cause: the soak replaced the decider once or twice at a time, and its check of waits (LOST) makes allowance for the calm after each disturbance, so that waits that begin anew with each decider were not found.

Change: the fault takeover_series plays 1 to 6 deciders of 0.2 to 8 s, 0.1 to 1.4 s apart, while workers leave for good, are removed with their VMs, come back under their ids, are replaced on their VMs, or are cut off. With every third seed, calls to some workers get no answer and are carried out 2 to 12 s late. soak.series_of_takeovers checks that no long-running task waits for over 9 s from its last possible run on while a worker has room for it, without allowance for calm. Waits after a restart of the worker of the last run, and after a start without an answer, count from the end of what a late call may bring. The load of short tasks is a quarter of that of the other soaks, where backlogs left no worker with room.

In all soaks, a successor now sees the election of the last decider up to 300 ms late, from random numbers of its own; the sequences of the other faults stay as they are.

--- a/packages/scheduler/test/cicadalug/scheduler/soak.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak.cpp
@@ -108,6 +108,20 @@
     soak_seeds(settings, "late calls", 5);
 }
 
+// Guards against long-running tasks whose wait for a lost worker begins anew with each decider, or is for the workers
+// of other tasks.
+TEST(soak, series_of_takeovers)
+{
+    soak_settings settings;
+    settings.m_faults = {soak_fault::takeover_series};
+    settings.m_longest_lease = milliseconds{10'000};
+    settings.m_faulty = milliseconds{60'000};
+    settings.m_calm = milliseconds{30'000};
+    // A backlog after each takeover would leave no worker with room.
+    settings.m_steps_per_job = 60;
+    soak_seeds(settings, "series", 10);
+}
+
 // Guards against gangs whose members are started alone, and never end, beside faults of all kinds.
 TEST(soak, gangs)
 {
--- a/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_checks.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds lost_time{3'000};
 constexpr milliseconds calm_before{4'000};
 
+/** @brief The rule LOST: the longest wait of a long-running task, with all takeovers that fall into it. */
+constexpr milliseconds longest_wait{9'000};
+
 /** @brief Jobs of short tasks have to end within this time in calm, beside this many idle workers. */
 constexpr milliseconds settle_time{10'000};
 constexpr std::int64_t idle_workers{3};
@@ -119,6 +122,37 @@
     }
 }
 
+/** @brief Returns until when a late call to an earlier incarnation of a worker may prolong a run there. */
+[[nodiscard]] auto stale_end_of(const soak_simulation& simulation, const soak_worker& worker) -> time_point
+{
+    return worker.m_incarnation > 1 ? worker.m_started + soak_longest_lateness + simulation.longest_lease()
+                                    : time_point{};
+}
+
+/** @brief Returns until when a late start of a task that got no answer may be carried out, and the run may last. */
+[[nodiscard]] auto late_start_end_of(const soak_simulation& simulation, const task_ref& task) -> time_point
+{
+    const auto sent = simulation.m_unanswered_starts.find(task);
+    return sent == simulation.m_unanswered_starts.end()
+               ? time_point{}
+               : sent->second + soak_longest_lateness + simulation.longest_lease();
+}
+
+/** @brief Updates the waits of long-running tasks that run. */
+auto note_runs(soak_checks& checks, const soak_simulation& simulation) -> void
+{
+    for (const auto& [id, worker] : simulation.m_workers) {
+        for (const auto& run : worker.m_runs) {
+            if (run.m_long_running) {
+                auto& wait = checks.m_long_waits[run.m_task];
+                wait.m_worker = id;
+                wait.m_possible_until = std::max(wait.m_possible_until, simulation.now());
+                wait.m_reported = false;
+            }
+        }
+    }
+}
+
 /** @brief Checks that no member of a gang waits in vain if there has been no disruption near its start. */
 auto check_lonely_runs(soak_checks& checks, soak_simulation& simulation, const time_point calm_since) -> void
 {
@@ -257,6 +291,38 @@
     }
 }
 
+auto check_long_waits(soak_checks& checks, const soak_simulation& simulation) -> void
+{
+    const auto now = simulation.now();
+    note_runs(checks, simulation);
+    for (const auto& id : simulation.m_long_running) {
+        const auto& job = simulation.m_jobs.at(id);
+        const auto& spec = job.m_record.m_spec.m_steps.front();
+        if (job.m_cancelled) {
+            continue;
+        }
+        const bool room =
+            std::any_of(simulation.m_workers.begin(), simulation.m_workers.end(),
+                        [&](const auto& worker) { return has_room(simulation, worker.second, job.m_record, spec); });
+        for (std::int64_t index = 0; index < spec.m_count; ++index) {
+            const task_ref task{id, 0, 0, index};
+            auto& wait = checks.m_long_waits[task];
+            if (const auto worker = simulation.m_workers.find(wait.m_worker); worker != simulation.m_workers.end()) {
+                wait.m_possible_until = std::max(wait.m_possible_until, stale_end_of(simulation, worker->second));
+            }
+            wait.m_possible_until = std::max(wait.m_possible_until, late_start_end_of(simulation, task));
+            wait.m_room_since = room ? wait.m_room_since : now;
+            const auto since = std::max({wait.m_possible_until, wait.m_room_since, job.m_submitted});
+            if (now - since > longest_wait && !wait.m_reported) {
+                wait.m_reported = true;
+                report(checks, simulation,
+                       "LOST for 9 s " + text_of(task) + " last on " + wait.m_worker.str() + ' ' +
+                           describe_wait(simulation, task));
+            }
+        }
+    }
+}
+
 auto check_step(soak_checks& checks, soak_simulation& simulation, const time_point calm_since) -> void
 {
     std::map<task_ref, std::int64_t> runs;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.cpp
@@ -31,7 +31,9 @@
 
 /** @brief The platform's bounds on the delay of a call that is carried out late. */
 constexpr std::int64_t least_lateness_ms{2'000};
-constexpr std::int64_t most_lateness_ms{12'000};
+constexpr std::int64_t most_lateness_ms{soak_longest_lateness.count()};
+
+constexpr std::int64_t longest_election_delay_ms{300};
 
 /** @brief A decider whose lease has not been renewed for this time ends its term. */
 constexpr milliseconds unrenewed_limit{8'000};
@@ -83,7 +85,9 @@
     m_state.m_expected_workers = m_simulation.m_stored_leases;
     m_state.m_expected_vms = m_simulation.m_stored_vms;
     if (const auto bounds = decode_lease_bounds(m_simulation.m_stored_bounds)) {
-        inherit_lease_bounds(m_state, *bounds, m_simulation.m_bounds_elected);
+        // A successor sees the election late, never early.
+        const auto delay = m_simulation.m_election_random.time(0, longest_election_delay_ms);
+        inherit_lease_bounds(m_state, *bounds, m_simulation.m_bounds_elected + delay);
     }
     m_state.m_expected_incarnations = m_simulation.m_stored_incarnations;
     m_state.m_expected_listed = !m_state.m_expected_workers.empty();
@@ -337,12 +341,16 @@
         const auto lease_until_ms = grant_start_lease(m_state, command.m_worker, now());
         const auto token = fence_of(m_state, m_state.m_workers[static_cast<std::size_t>(command.m_worker)]);
         record_start(m_state, command, token, lease_until_ms);
+        m_simulation.m_unanswered_starts[command.m_task] = now();
         perform(
             command.m_worker, &soak_worker::m_late_command_percent,
             [&simulation = m_simulation, command, lease_until_ms, token](soak_worker& worker) {
                 return simulation.start_run(worker, command, token, lease_until_ms);
             },
             [this, command, token](const command_result result) {
+                if (result != command_result::unknown) {
+                    m_simulation.m_unanswered_starts.erase(command.m_task);
+                }
                 const auto settled = settle_fenced(m_state, command.m_worker, token, result);
                 apply_start_result(m_state, command, settled, now());
             });
--- a/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_decider.hpp
@@ -20,6 +20,9 @@
 /** @brief Lease of a decider's term in the store. */
 inline constexpr milliseconds soak_term_lease{1'200};
 
+/** @brief The platform's bound on the delay of a call that is carried out late. */
+inline constexpr milliseconds soak_longest_lateness{12'000};
+
 /** @brief What a decider is cut off from, besides the store. */
 struct soak_cut {
     std::set<worker_id> m_unreachable;
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.cpp
@@ -1,6 +1,7 @@
 #include "soak_faults.hpp"
 
 #include "scheduler_simulation.hpp"
+#include "soak_series.hpp"
 
 #include <algorithm>
 #include <array>
@@ -41,6 +42,7 @@
     "decider_cut_off",
     "restarted_with_late_renewals",
     "restarted_with_late_calls",
+    "takeover_series",
 };
 
 constexpr std::array<const char*, 2> pools{"field", "shed"};
@@ -86,7 +88,7 @@
 {
     auto& simulation = run.m_simulation;
     for (const auto* pool : pools) {
-        if (simulation.random(15) == 0) {
+        if (simulation.random(run.m_settings.m_steps_per_job) == 0) {
             static_cast<void>(simulation.submit(
                 make_job(pool, 1 + simulation.random(11), 1'100, simulation.random_time(400, 1'600))));
         }
@@ -420,6 +422,10 @@
     if (fault == soak_fault::restarted_with_late_renewals || fault == soak_fault::restarted_with_late_calls) {
         restart_with_late_calls(run, time, fault == soak_fault::restarted_with_late_calls);
     }
+    if (fault == soak_fault::takeover_series) {
+        run.m_next_later_fault = begin_takeover_series(run.m_simulation, run.m_settings.m_seed % 3 == 0);
+        run.disturb_until(run.m_next_later_fault);
+    }
     if (fault == soak_fault::decider_cut_off) {
         // The decider has work that it can start for a while.
         submit_backlog(run, 12, 300, 1'200);
@@ -563,6 +569,9 @@
             restart_workers(run, std::exchange(simulation.m_crashed, {}), simulation.random(2) == 0, milliseconds{0});
         }
         check_step(run.m_checks, simulation, run.m_calm_since);
+        if (settings.m_faults.contains(soak_fault::takeover_series)) {
+            check_long_waits(run.m_checks, simulation);
+        }
     }
     if (!settings.m_features.empty()) {
         check_end(run.m_checks, simulation, run.m_calm_since);
--- a/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_faults.hpp
@@ -41,9 +41,10 @@
     /** @brief The first of the kinds that strike only where they are chosen by name. */
     restarted_with_late_renewals,
     restarted_with_late_calls,
+    takeover_series,
 };
 
-inline constexpr std::size_t soak_faults{static_cast<std::size_t>(soak_fault::restarted_with_late_calls) + 1};
+inline constexpr std::size_t soak_faults{static_cast<std::size_t>(soak_fault::takeover_series) + 1};
 
 /** @brief Number of the kinds that strike if none is chosen. The seeds of soaks with these keep their meaning when
  * kinds are added. */
@@ -67,6 +68,8 @@
     /** @brief Time in which faults begin, and calm after it. */
     milliseconds m_faulty{40'000};
     milliseconds m_calm{20'000};
+    /** @brief Mean number of steps between two jobs of short tasks of a pool. */
+    std::int64_t m_steps_per_job{15};
     /** @brief Prints each fault. */
     bool m_verbose{false};
 };
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 soak_simulation::soak_simulation(const std::uint64_t seed, const milliseconds longest_lease)
-    : m_random{seed}, m_later_random{~seed}, m_feature_random{seed ^ 0x5eed5eed5eed5eedULL}, m_longest_lease{
-                                                                                                 longest_lease}
+    : m_random{seed}, m_later_random{~seed}, m_feature_random{seed ^ 0x5eed5eed5eed5eedULL},
+      m_election_random{seed ^ 0xe1ec7edULL}, m_longest_lease{longest_lease}
 {
     begin_term();
 }
--- a/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
+++ b/packages/scheduler/test/cicadalug/scheduler/soak_simulation.hpp
@@ -89,6 +89,8 @@
     std::string m_stored_bounds;
     time_point m_bounds_elected{};
     std::map<worker_id, std::int64_t> m_stored_incarnations;
+    /** @brief When the last start of each task was sent, unless it has been answered. */
+    std::map<task_ref, time_point> m_unanswered_starts;
     std::map<job_id, soak_job> m_jobs;
     /** @brief Jobs with long-running tasks. */
     std::vector<job_id> m_long_running;
@@ -110,6 +112,8 @@
     soak_random m_later_random;
     /** @brief Random numbers of the features. */
     soak_random m_feature_random;
+    /** @brief Random numbers of the delays with which successors see elections. */
+    soak_random m_election_random;
 
 private:
     auto begin_term() -> void;
