Date stored ends by the age of the term after a takeover by a new process

Cause: a process that has started after the election of the last decider has not seen it, and dated it by the last write of the bounds, up to 2 s and its own start before. Each such takeover prolonged the wait by that.

Change: while ends of leases are stored, the decider writes the age of its term every 250 ms, 30 bytes in a value of its own.

--- a/packages/entry/src/cicadalug/entry/decider.hpp
+++ b/packages/entry/src/cicadalug/entry/decider.hpp
@@ -179,6 +179,8 @@
     [[nodiscard]] auto leased_workers_value(const std::vector<worker_index>& leased) const -> std::string;
     /** @brief Returns the ids to be written for restarted workers. */
     [[nodiscard]] auto restarted_workers_value(const std::vector<worker_index>& leased) const -> std::string;
+    /** @brief Checks whether the age of the term has to be written. */
+    [[nodiscard]] auto is_term_age_due(time_point now) const -> bool;
     /** @brief Reads what the last decider has stored about the ends of leases. @param listed Revision of its list of
      * leased workers. @return False if the store could not be read. */
     [[nodiscard]] auto read_lease_bounds(store_revision listed) -> asio::awaitable<bool>;
@@ -240,6 +242,9 @@
     bool m_lease_list_complete{false};
     /** @brief When the list of leased workers was last written. */
     time_point m_leases_listed_at{};
+    /** @brief The stored list gives ends of leases, which the age of the term dates. */
+    bool m_ends_stored{false};
+    time_point m_age_written_at{};
     /** @brief When the VMs of leased workers were last written. */
     time_point m_vms_listed_at{};
     /** @brief The stored list of their VMs may lack some. */
--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -31,8 +31,8 @@
 
 /** @brief Maximum number of jobs in one write; the other entries are the conditions on the term and on the decision
  * log, and the puts of the decision log, of the leased workers, their incarnations, their VMs and the ends of their
- * leases, and of the restarted workers. */
-constexpr std::size_t progress_jobs{store_write_entries - 8};
+ * leases, of the restarted workers, and of the age of the term. */
+constexpr std::size_t progress_jobs{store_write_entries - 9};
 
 /** @brief Minimum time between two writes of the list of leased workers for leases that have ended. */
 constexpr milliseconds lease_list_interval{1'000};
@@ -41,6 +41,10 @@
  * waits longer without the ends of their leases. */
 constexpr milliseconds lease_end_interval{200};
 
+/** @brief Time between two writes of the age of the term: a takeover by a new process prolongs stored waits by up to
+ * it. */
+constexpr milliseconds term_age_interval{250};
+
 /** @brief Maximum time between two writes of the list while it names restarted workers. A successor counts the time
  * left of their leases from its own election. */
 constexpr milliseconds restarted_list_interval{2'000};
@@ -109,6 +113,11 @@
             !lease_bounds_of(m_state, m_state.m_current_workers, now).m_leases.empty());
 }
 
+auto decider::is_term_age_due(const time_point now) const -> bool
+{
+    return m_ends_stored && now - m_age_written_at > term_age_interval;
+}
+
 auto decider::store_progress(const std::shared_ptr<decider> self) -> asio::awaitable<void>
 {
     while (self->m_active) {
@@ -119,7 +128,8 @@
         if (!m_refused_jobs.empty() && monotonic_now() - m_refused_retried_at > refused_job_interval) {
             co_await retry_refused_jobs();
         }
-        if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now()) && !has_worker_without_fence(m_state)) {
+        if (m_state.m_dirty.empty() && !is_lease_list_due(monotonic_now()) && !is_term_age_due(monotonic_now()) &&
+            !has_worker_without_fence(m_state)) {
             acknowledge_ends(m_state);
             continue;
         }
@@ -263,8 +273,9 @@
         m_leases_listed_at = now;
         write.m_puts.push_back({std::string{leased_workers_key}, leased_workers_value(leased), no_store_lease});
         write.m_puts.push_back({std::string{restarted_workers_key}, restarted_workers_value(leased), no_store_lease});
-        write.m_puts.push_back(
-            {std::string{lease_bounds_key}, encode(lease_bounds_of(m_state, leased, now)), no_store_lease});
+        const auto bounds = lease_bounds_of(m_state, leased, now);
+        m_ends_stored = !bounds.m_leases.empty();
+        write.m_puts.push_back({std::string{lease_bounds_key}, encode(bounds), no_store_lease});
         // The VM of a worker never changes, and one that is not listed yet only lengthens the wait of a successor. An
         // incarnation rarely changes, and each takes 27 bytes.
         m_vms_unlisted = now - m_vms_listed_at <= lease_list_interval;
@@ -276,6 +287,13 @@
                                     leased_worker_incarnations_value(leased), no_store_lease});
         }
     }
+    if (is_term_age_due(now)) {
+        m_age_written_at = now;
+        const auto age = std::chrono::floor<milliseconds>(now - *m_state.m_elected);
+        write.m_puts.push_back({std::string{term_age_key},
+                                std::to_string(m_term.m_token.value()) + ' ' + std::to_string(age.count()),
+                                no_store_lease});
+    }
     std::vector<job_progress> stored;
     for (auto position = first; position < last; ++position) {
         stored.push_back(progress_of(*jobs[position]));
--- a/packages/entry/src/cicadalug/entry/decider_takeover.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_takeover.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -66,6 +67,18 @@
     return std::move(decoded).assume_value();
 }
 
+/** @brief Reads the token and the age of a term. @return Nothing if the value has another form. */
+[[nodiscard]] auto parse_term_age(const std::string& value) -> std::optional<std::pair<fencing_token, milliseconds>>
+{
+    std::istringstream text{value};
+    std::uint64_t token{0};
+    std::int64_t age_ms{0};
+    if (!(text >> token >> age_ms) || age_ms < 0) {
+        return std::nullopt;
+    }
+    return std::pair{fencing_token{token}, milliseconds{age_ms}};
+}
+
 [[nodiscard]] auto is_read(const store_read& result) -> bool
 {
     return result.m_status == store_status::ok || result.m_status == store_status::missing;
@@ -120,13 +133,18 @@
 {
     const auto stored = co_await m_store.read(std::string{lease_bounds_key}, store_timeout);
     const auto restarted = co_await m_store.read(std::string{restarted_workers_key}, store_timeout);
-    if (!is_read(stored) || !is_read(restarted)) {
+    const auto age = co_await m_store.read(std::string{term_age_key}, store_timeout);
+    if (!is_read(stored) || !is_read(restarted) || !is_read(age)) {
         co_return false;
     }
     const auto elected = *m_state.m_elected;
     if (stored.m_status == store_status::ok && stored.m_item.m_revision == listed) {
         if (const auto bounds = decode_lease_bounds(stored.m_item.m_value)) {
-            const auto election = latest_election(*bounds, listed, m_store.revisions(), elected);
+            std::vector<dated_write> writes{{listed, bounds->m_written}};
+            if (const auto term = parse_term_age(age.m_item.m_value); term && term->first == bounds->m_token) {
+                writes.push_back({age.m_item.m_revision, term->second});
+            }
+            const auto election = latest_election(*bounds, writes, m_store.revisions(), elected);
             inherit_lease_bounds(m_state, *bounds, election);
             LOG(INFO) << log_line{"lease_bounds_inherited"}
                              .with("token", m_term.m_token)
--- a/packages/entry/src/cicadalug/entry/store_keys.hpp
+++ b/packages/entry/src/cicadalug/entry/store_keys.hpp
@@ -46,6 +46,10 @@
  * written together with the list: earlier versions write the list alone. */
 inline constexpr std::string_view lease_bounds_key{"lease-bounds"};
 
+/** @brief Key that holds the token of a term and its age in milliseconds, written while a successor would need it to
+ * date the term's bounds: a process that has just started has not seen the election. */
+inline constexpr std::string_view term_age_key{"term-age"};
+
 /** @brief Prefix of accepted jobs and of their cancellations. */
 inline constexpr std::string_view job_prefix{"job/"};
 
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.cpp
@@ -92,15 +92,17 @@
     return bounds;
 }
 
-auto latest_election(const lease_bounds& bounds, const store_revision written, const store_revisions& revisions,
-                     const time_point now) -> time_point
+auto latest_election(const lease_bounds& bounds, const std::vector<dated_write>& writes,
+                     const store_revisions& revisions, const time_point now) -> time_point
 {
     const auto seen = [&](const store_revision revision) {
         return std::min(now, time_reached(revisions, revision).value_or(now));
     };
-    const auto by_write = seen(written) - bounds.m_written;
-    return bounds.m_written > longest_dated_term ? by_write
-                                                 : std::min(seen(store_revision{bounds.m_token.value()}), by_write);
+    auto latest = bounds.m_written > longest_dated_term ? now : seen(store_revision{bounds.m_token.value()});
+    for (const auto& write : writes) {
+        latest = std::min(latest, seen(write.m_revision) - write.m_age);
+    }
+    return latest;
 }
 
 } // namespace cicadalug
--- a/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
+++ b/packages/scheduler/src/cicadalug/scheduler/lease_bounds.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cicadalug {
 
@@ -58,16 +59,23 @@
 /** @brief Decodes bounds from the store. @return The bounds, or nothing if they cannot be read. */
 [[nodiscard]] auto decode_lease_bounds(std::string_view text) -> std::optional<lease_bounds>;
 
+/** @brief A write of a term, which dates its election. */
+struct dated_write {
+    store_revision m_revision;
+    /** @brief The write was made at least this long after the election. */
+    milliseconds m_age{0};
+};
+
 /**
  * @brief Returns the latest local time at which the decider that wrote bounds may have been elected. The store's
  * revisions serve as a clock: no clock of another VM is used.
  * @param bounds The bounds.
- * @param written Revision of the write of the bounds.
+ * @param writes Writes of its term, the bounds included.
  * @param revisions Revisions that this process has seen in responses of the store.
  * @param now A time after the write of the bounds.
  */
-[[nodiscard]] auto latest_election(const lease_bounds& bounds, store_revision written, const store_revisions& revisions,
-                                   time_point now) -> time_point;
+[[nodiscard]] auto latest_election(const lease_bounds& bounds, const std::vector<dated_write>& writes,
+                                   const store_revisions& revisions, time_point now) -> time_point;
 
 } // namespace cicadalug
 
--- a/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/lease_bounds.cpp
@@ -60,7 +60,8 @@
     record_arrival(revisions, store_revision{1'000}, start);
     record_arrival(revisions, store_revision{1'040}, start + milliseconds{1'000});
     record_arrival(revisions, store_revision{1'100}, start + milliseconds{4'000});
-    EXPECT_EQ(latest_election(make_bounds(), store_revision{1'090}, revisions, start + milliseconds{5'000}),
+    EXPECT_EQ(latest_election(make_bounds(), {{store_revision{1'090}, make_bounds().m_written}}, revisions,
+                              start + milliseconds{5'000}),
               start + milliseconds{1'000});
 }
 
@@ -70,14 +71,28 @@
 {
     store_revisions revisions;
     record_arrival(revisions, store_revision{1'100}, start + milliseconds{3'000});
-    EXPECT_EQ(latest_election(make_bounds(), store_revision{1'090}, revisions, start + milliseconds{5'000}),
+    EXPECT_EQ(latest_election(make_bounds(), {{store_revision{1'090}, make_bounds().m_written}}, revisions,
+                              start + milliseconds{5'000}),
               start + milliseconds{3'000} - make_bounds().m_written);
 }
 
+// Guards against a wait that each takeover by a new process prolongs by the time since the bounds were written.
+TEST(lease_bounds, the_election_is_dated_by_the_last_write_of_the_age_of_the_term)
+{
+    store_revisions revisions;
+    record_arrival(revisions, store_revision{1'100}, start + milliseconds{3'000});
+    const auto bounds = make_bounds();
+    EXPECT_EQ(latest_election(bounds,
+                              {{store_revision{1'090}, bounds.m_written}, {store_revision{1'095}, milliseconds{2'700}}},
+                              revisions, start + milliseconds{5'000}),
+              start + milliseconds{300});
+}
+
 // Guards against a lease that counts as ended too early: without any response, the election may have been just now.
 TEST(lease_bounds, the_election_is_not_dated_before_what_is_known)
 {
-    EXPECT_EQ(latest_election(make_bounds(), store_revision{1'090}, {}, start), start - make_bounds().m_written);
+    EXPECT_EQ(latest_election(make_bounds(), {{store_revision{1'090}, make_bounds().m_written}}, {}, start),
+              start - make_bounds().m_written);
 }
 
 } // namespace cicadalug::test
--- a/packages/scheduler/test/cicadalug/scheduler/lease_handover.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/lease_handover.cpp
@@ -57,7 +57,8 @@
     record_arrival(revisions, store_revision{100}, start);
     const auto write = start + term;
     record_arrival(revisions, store_revision{200}, write);
-    const auto election = latest_election(*bounds, store_revision{200}, revisions, write + milliseconds{1'200});
+    const auto election =
+        latest_election(*bounds, {{store_revision{200}, bounds->m_written}}, revisions, write + milliseconds{1'200});
     return std::chrono::duration_cast<milliseconds>(election + *bounds->m_leases.at(worker).m_end - write);
 }
 
