Test the wait for a lost worker through deciders whose processes are new

Cause: an end in lease-bounds is a time after the election of the decider that wrote it. A successor whose process started after that election has seen no earlier response that dates it, and counts from its own start: lease_bounds_inherited says election_age_ms=1243 where 2347 ms have passed. Each such takeover prolongs the wait by the time from the last write of the bounds to the start of the successor's process.

Change: a test in which one entry VM is killed and started again four times while a worker is lost.

--- a/test/process/scheduler_takeover_series.cpp
+++ b/test/process/scheduler_takeover_series.cpp
@@ -67,6 +67,18 @@
         std::this_thread::sleep_for(term);
     }
 
+    /** @brief Kills the decider and starts its process again, which takes over if it is the only one, and lets the new
+     * term last for some time. */
+    auto restart_decider_for(const milliseconds term) -> void
+    {
+        const auto killed = this->decider();
+        ASSERT_LT(killed, entry_vm_count);
+        this->kill(killed);
+        this->start(killed);
+        wait_for_takeover();
+        std::this_thread::sleep_for(term);
+    }
+
     /** @brief Waits until the decider has had reports of the task's worker. */
     auto wait_for_reports() const -> void
     {
@@ -171,6 +183,20 @@
     expect_restart(lost_ms(), restart_limit_ms);
 }
 
+// Guards against a decider that counts the stored end of a wait from the start of its own process: it was started after
+// its predecessor's election, and has not seen when that was.
+TEST_F(scheduler_takeover_series, does_not_prolong_the_wait_if_each_decider_is_a_new_process)
+{
+    run_long_task();
+    kill(1 - decider());
+    lose_worker(true);
+    restart_decider_for(milliseconds{900});
+    restart_decider_for(milliseconds{900});
+    restart_decider_for(milliseconds{900});
+    restart_decider_for(milliseconds{0});
+    expect_restart(lost_ms(), restart_limit_ms);
+}
+
 // Guards against a second run while the stale lease of a restarted worker lasts, and against a task that does not run
 // while each of two further deciders begins to wait for the end of that lease anew.
 TEST_F(scheduler_stale_takeover_series, neither_shortens_nor_prolongs_the_wait_for_a_restarted_worker)
