Do not suspect a task of a crash whose start was never sent

Callers saw nothing: found on reading the change. A start that waits for the write of its place is on its worker's list of runs, so that a crash of the worker within these milliseconds made a suspect of the task, which then starts in a trial only.

Result: run_place_test.a_held_start_is_not_suspected_of_a_crash fails before and passes now.

--- a/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
+++ b/packages/scheduler/src/cicadalug/scheduler/crash_suspicion.cpp
@@ -265,7 +265,7 @@
         const bool survived = has_survived(worker, run, proof_time);
         // Long-running tasks are there for most crashes, whatever the cause.
         const bool sound = survived && (run.m_long_running || has_survived(worker, run, soundness_time));
-        if (!run.m_ending && !sound) {
+        if (!run.m_ending && !run.m_held && !sound) {
             found.push_back({run.m_task, run.m_run, run.m_confirmed, false, survived});
         }
     }
--- a/packages/scheduler/test/cicadalug/scheduler/run_place.cpp
+++ b/packages/scheduler/test/cicadalug/scheduler/run_place.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_simulation.hpp"
 
+#include <cicadalug/scheduler/crash_suspicion.hpp>
 #include <cicadalug/scheduler/leased_workers.hpp>
 #include <cicadalug/scheduler/run_place.hpp>
 
@@ -92,6 +93,15 @@
     }
 }
 
+// Guards against a task that counts as a cause of a crash although its start was never sent.
+TEST_F(run_place_test, a_held_start_is_not_suspected_of_a_crash)
+{
+    EXPECT_TRUE(find_crash_suspects(state(), task().m_worker).empty());
+    store();
+    dispatch(state(), m_simulation.now());
+    EXPECT_EQ(find_crash_suspects(state(), task().m_worker).size(), 1U);
+}
+
 // Guards against a task that waits for a worker on which it cannot run.
 TEST_F(run_place_test, a_successor_waits_for_the_stored_worker_only)
 {
