--- a/packages/entry/src/cicadalug/entry/decider_progress.cpp
+++ b/packages/entry/src/cicadalug/entry/decider_progress.cpp
@@ -45,8 +45,8 @@
  * it. */
 constexpr milliseconds term_age_interval{250};
 
-/** @brief Maximum time between two writes of the list while it gives ends of leases. Successors of earlier versions count
- * the time left of stale leases from their own election. */
+/** @brief Maximum time between two writes of the list while it gives ends of leases. Successors of earlier versions
+ * count the time left of stale leases from their own election. */
 constexpr milliseconds restarted_list_interval{2'000};
 
 /** @brief Jobs whose progress the store has refused are written again at this interval, each alone. */
