Add review case 11: a late start behind a cut runs a task twice

Cause: without evidence of a restart, a start without a response counts as possible for 5 s only. Ruled out: a lease of the decider, which had ended; the late start brings its own.

--- a/review/standin-3/platform.hpp
+++ b/review/standin-3/platform.hpp
@@ -496,6 +496,24 @@
     /** @brief An unhealthy worker refuses all starts with 503 and has then done nothing. */
     auto set_unhealthy(const bool unhealthy) -> void { m_unhealthy = unhealthy; }
 
+    /** @brief The next start that comes, to this worker or another one, gets no answer and waits. */
+    static auto hold_next_start() -> void { next_start_is_held = true; }
+    /** @brief Checks whether a start to this worker has been held. */
+    [[nodiscard]] auto has_held_start() const -> bool { return !m_held_start.is_null(); }
+    /** @brief Carries out the start that was held, as any call that arrives now. @return Status of its answer. */
+    [[nodiscard]] auto carry_out_held_start() -> unsigned
+    {
+        std::unique_lock<std::mutex> unused;
+        return execute("/cicadalug/run-start", std::exchange(m_held_start, nullptr), unused).result_int();
+    }
+
+    /** @brief A worker that is cut off gets no calls and does not reach the store. It runs on. */
+    auto set_cut_off(const bool cut_off) -> void
+    {
+        m_cut_off = cut_off;
+        state_changed.notify_all();
+    }
+
     /** @brief Ends the process of the worker: all that it runs and knows is gone, and it sends nothing. */
     auto crash() -> void
     {
@@ -553,7 +571,7 @@
         while (!m_runs.empty() && clock_ms() >= m_lease_until_ms) {
             end_run(std::string{m_runs.begin()->first}, "lapsed");
         }
-        if (ms_since(m_registered_at) >= heartbeat_ms) {
+        if (!m_cut_off && ms_since(m_registered_at) >= heartbeat_ms) {
             write_entry();
         }
     }
@@ -577,7 +595,9 @@
         m_ends.clear();
         m_ended_runs.clear();
         m_up = true;
-        write_entry();
+        if (!m_cut_off) {
+            write_entry();
+        }
     }
 
     [[nodiscard]] auto clock_ms() const -> std::int64_t { return ms_since(m_clock_began) + 1'000; }
@@ -615,13 +635,34 @@
         if (!m_up) {
             return nullptr;
         }
+        if (m_cut_off) {
+            return wait_in_vain(guard);
+        }
         if (received["X-Expect-Instance"] != id()) {
             return std::make_unique<response>(make_response(421, basic_body()));
         }
+        if (received.target() == "/cicadalug/run-start" && std::exchange(next_start_is_held, false)) {
+            m_held_start = body;
+            record.line("a start of " + body.at("task").get<std::string>() + " to " + id() + " gets no answer");
+            return wait_in_vain(guard);
+        }
         auto answer = execute(std::string{received.target()}, body, guard);
+        if (m_cut_off) {
+            return wait_in_vain(guard);
+        }
         return m_up && m_born == life ? std::make_unique<response>(std::move(answer)) : nullptr;
     }
 
+    /** @brief Keeps a call without an answer for longer than its caller waits. */
+    [[nodiscard]] static auto wait_in_vain(std::unique_lock<std::mutex>& guard) -> std::unique_ptr<response>
+    {
+        constexpr std::int64_t patience_ms{3'000};
+        guard.unlock();
+        sleep_ms(patience_ms);
+        guard.lock();
+        return nullptr;
+    }
+
     [[nodiscard]] auto execute(const std::string& path, const json& body, std::unique_lock<std::mutex>& guard)
         -> response
     {
@@ -699,6 +740,9 @@
     store& m_registry;
     const worker_kind m_kind;
     const work_time m_work;
+    inline static bool next_start_is_held{false};
+    json m_held_start;
+    bool m_cut_off{false};
     bool m_up{false};
     bool m_unhealthy{false};
     std::int64_t m_born{0};
@@ -890,6 +934,7 @@
 
     [[nodiscard]] auto registry() -> store& { return m_store; }
     [[nodiscard]] auto workers() -> std::vector<std::unique_ptr<worker>>& { return m_workers; }
+    [[nodiscard]] auto workers() const -> const std::vector<std::unique_ptr<worker>>& { return m_workers; }
     [[nodiscard]] auto entry_vms() -> std::vector<std::unique_ptr<entry_vm>>& { return m_entry_vms; }
 
     auto add_worker(worker_kind kind, worker::work_time work) -> void
